Lay the skeleton: model, result codes, interfaces of each part, checks

Cause: the parts are to be built side by side, so their shared data classes and interfaces come first. Conclusion: nothing serves yet; the protocols are what the parts are built to.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module writes JSON results and a table."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The main job, end to end on loopback."""
--- /dev/null
+++ b/lagooncrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/lagooncrank/clock.py
@@ -0,0 +1,64 @@
+"""The clock of the project, in whole milliseconds.
+
+Code in `lagooncrank.core` never holds a clock: it is given `now_ms`. Code that
+does input and output holds a `Clock`, so that tests can pass a `ManualClock`.
+"""
+
+import time
+from typing import Protocol
+
+NS_PER_MS = 1_000_000
+
+
+class Clock(Protocol):
+    """Source of monotonic and wall-clock time."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in milliseconds; it never goes back."""
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the Unix epoch, for people to read."""
+
+
+class SystemClock:
+    """Clock of the running process."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in milliseconds."""
+        return time.monotonic_ns() // NS_PER_MS
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the Unix epoch."""
+        return time.time_ns() // NS_PER_MS
+
+
+class ManualClock:
+    """Clock that moves only when told to.
+
+    >>> clock = ManualClock(start_ms=5)
+    >>> clock.advance(10)
+    >>> clock.now_ms()
+    15
+    """
+
+    def __init__(self, start_ms: int = 0, wall_offset_ms: int = 0) -> None:
+        self._now_ms = start_ms
+        self._wall_offset_ms = wall_offset_ms
+
+    def now_ms(self) -> int:
+        """Returns the time that the last `advance` left."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Returns the manual time shifted by the wall offset."""
+        return self._now_ms + self._wall_offset_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Moves the clock forward.
+
+        Raises:
+            ValueError: `duration_ms` is negative.
+        """
+        if duration_ms < 0:
+            raise ValueError(f"duration_ms is {duration_ms}, must be >= 0")
+        self._now_ms += duration_ms
--- /dev/null
+++ b/lagooncrank/core/admission/_types.py
@@ -0,0 +1,130 @@
+"""What admission is told and what it decides."""
+
+from collections.abc import Sequence
+import dataclasses
+from typing import Protocol
+
+from lagooncrank import model
+from lagooncrank import results
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A request that asks to be started."""
+
+    request_id: model.RequestId
+    account: model.ClientAccountId
+    service: model.ServiceName
+    prompt_tokens: int
+    #: Limit that the caller set on the answer.
+    max_output_tokens: int
+    #: When the request must have its first token, on the entry's clock.
+    first_token_deadline_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Start the request now, with this priority at the engine."""
+
+    request_id: model.RequestId
+    #: Lower runs first.
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer the request with a refusal now; it did not run."""
+
+    request_id: model.RequestId
+    refusal: results.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspend:
+    """Cancel the request at its engine and keep its tokens.
+
+    A later `Start` resumes it from the tokens already delivered.
+    """
+
+    request_id: model.RequestId
+
+
+#: What an entry must do.
+Effect = Start | Refuse | Suspend
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountUsage:
+    """What one account uses of one service at one entry."""
+
+    account: model.ClientAccountId
+    service: model.ServiceName
+    #: Requests started and not ended.
+    running: int
+    #: Estimated tokens of requests that wait.
+    queued_tokens: int
+    #: Estimated tokens started so far, over the life of the entry.
+    started_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageReport:
+    """What one entry tells the others of its accounts."""
+
+    node_id: model.NodeId
+    incarnation: int
+    sequence: int
+    usages: tuple[AccountUsage, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What the serving replicas of one model service can take."""
+
+    service: model.ServiceName
+    replicas: int
+    #: Requests that all replicas together run at once.
+    concurrency: int
+    #: Tokens per second of all replicas together.
+    tokens_per_s: int
+
+
+class Admission(Protocol):
+    """Decides when requests start; one object serves one entry."""
+
+    def configure(
+        self, declarations: model.Declarations, now_ms: int
+    ) -> Sequence[Effect]:
+        """Takes new declarations into use."""
+
+    def set_capacity(self, capacity: Capacity, now_ms: int) -> Sequence[Effect]:
+        """Takes the capacity of one service, whenever it changes."""
+
+    def offer(self, offer: Offer, now_ms: int) -> Sequence[Effect]:
+        """Takes a new request: starts, queues or refuses it."""
+
+    def first_token(
+        self, request_id: model.RequestId, now_ms: int
+    ) -> Sequence[Effect]:
+        """Notes the first token of a started request."""
+
+    def tokens(
+        self, request_id: model.RequestId, count: int, now_ms: int
+    ) -> Sequence[Effect]:
+        """Notes `count` further tokens of a started request."""
+
+    def ended(
+        self, request_id: model.RequestId, now_ms: int
+    ) -> Sequence[Effect]:
+        """Notes that a request ended or its caller went away."""
+
+    def tick(self, now_ms: int) -> Sequence[Effect]:
+        """Decides what time alone changes; called every 20 ms or so."""
+
+    def usage_report(self, now_ms: int) -> UsageReport:
+        """Returns what the other entries need to know."""
+
+    def observe_usage(
+        self, report: UsageReport, now_ms: int
+    ) -> Sequence[Effect]:
+        """Takes another entry's report."""
--- /dev/null
+++ b/lagooncrank/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: election, replication, snapshots, voter changes."""
--- /dev/null
+++ b/lagooncrank/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Replica formation and repair, load order, fencing."""
--- /dev/null
+++ b/lagooncrank/core/state/__init__.py
@@ -0,0 +1,41 @@
+"""The state machine that the replicated log drives."""
+
+from lagooncrank.core.state._commands import ApplyDeclarations
+from lagooncrank.core.state._commands import CallKey
+from lagooncrank.core.state._commands import CallOwner
+from lagooncrank.core.state._commands import CallState
+from lagooncrank.core.state._commands import Command
+from lagooncrank.core.state._commands import COMMANDS
+from lagooncrank.core.state._commands import FinishCall
+from lagooncrank.core.state._commands import LiftMark
+from lagooncrank.core.state._commands import MarkContent
+from lagooncrank.core.state._commands import NoOp
+from lagooncrank.core.state._commands import PutReplica
+from lagooncrank.core.state._commands import ReserveCall
+from lagooncrank.core.state._commands import ResolveCall
+from lagooncrank.core.state._commands import StoredAnswer
+from lagooncrank.core.state._records import CallRecord
+from lagooncrank.core.state._records import ConfigurationRecord
+from lagooncrank.core.state._records import ContentMark
+from lagooncrank.core.state._records import Outcome
+
+__all__ = [
+    "COMMANDS",
+    "ApplyDeclarations",
+    "CallKey",
+    "CallOwner",
+    "CallRecord",
+    "CallState",
+    "Command",
+    "ConfigurationRecord",
+    "ContentMark",
+    "FinishCall",
+    "LiftMark",
+    "MarkContent",
+    "NoOp",
+    "Outcome",
+    "PutReplica",
+    "ReserveCall",
+    "ResolveCall",
+    "StoredAnswer",
+]
--- /dev/null
+++ b/lagooncrank/model/__init__.py
@@ -0,0 +1,63 @@
+"""Data classes shared by every part, and their codec."""
+
+from lagooncrank.model._announcement import Announcement
+from lagooncrank.model._announcement import BackendServerKind
+from lagooncrank.model._announcement import BackendServerState
+from lagooncrank.model._announcement import LoadedModel
+from lagooncrank.model._announcement import LoadReport
+from lagooncrank.model._codec import from_cbor
+from lagooncrank.model._codec import from_plain
+from lagooncrank.model._codec import to_cbor
+from lagooncrank.model._codec import to_plain
+from lagooncrank.model._declarations import ClientAccount
+from lagooncrank.model._declarations import Declarations
+from lagooncrank.model._declarations import LeaseRules
+from lagooncrank.model._declarations import ModelService
+from lagooncrank.model._declarations import PlacementRules
+from lagooncrank.model._declarations import PlainService
+from lagooncrank.model._declarations import RetryRules
+from lagooncrank.model._declarations import WeightStoreRules
+from lagooncrank.model._identity import BackendServerId
+from lagooncrank.model._identity import ClientAccountId
+from lagooncrank.model._identity import FabricDomainId
+from lagooncrank.model._identity import FailureDomainId
+from lagooncrank.model._identity import InstanceId
+from lagooncrank.model._identity import NodeId
+from lagooncrank.model._identity import ReplicaId
+from lagooncrank.model._identity import RequestId
+from lagooncrank.model._identity import ServiceName
+from lagooncrank.model._replica import HOLDING_STATES
+from lagooncrank.model._replica import Replica
+from lagooncrank.model._replica import ReplicaState
+
+__all__ = [
+    "HOLDING_STATES",
+    "Announcement",
+    "BackendServerId",
+    "BackendServerKind",
+    "BackendServerState",
+    "ClientAccount",
+    "ClientAccountId",
+    "Declarations",
+    "FabricDomainId",
+    "FailureDomainId",
+    "InstanceId",
+    "LeaseRules",
+    "LoadReport",
+    "LoadedModel",
+    "ModelService",
+    "NodeId",
+    "PlacementRules",
+    "PlainService",
+    "Replica",
+    "ReplicaId",
+    "ReplicaState",
+    "RequestId",
+    "RetryRules",
+    "ServiceName",
+    "WeightStoreRules",
+    "from_cbor",
+    "from_plain",
+    "to_cbor",
+    "to_plain",
+]
--- /dev/null
+++ b/lagooncrank/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""Generates a configuration from answers."""
--- /dev/null
+++ b/lagooncrank/server/__init__.py
@@ -0,0 +1,1 @@
+"""Services round the core: HTTP, peer links, storage, daemon."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems that lagooncrank talks to."""
