Add the replicated state machine and the membership table

Cause: every other part reads or changes this state. Ruled out: freeing a reservation when its owner falls silent, since the owner may only be paused; a given-up reservation leaves a record that refuses a late commit of the same reservation.

--- a/lagooncrank/core/membership/__init__.py
+++ b/lagooncrank/core/membership/__init__.py
@@ -1,5 +1,6 @@
 """Announcements, leases, leaving and views."""
 
+from lagooncrank.core.membership._table import MembershipTable
 from lagooncrank.core.membership._types import AnnouncementDelta
 from lagooncrank.core.membership._types import Member
 from lagooncrank.core.membership._types import Membership
@@ -8,4 +9,5 @@
     "AnnouncementDelta",
     "Member",
     "Membership",
+    "MembershipTable",
 ]
--- /dev/null
+++ b/lagooncrank/core/membership/tests/test_table.py
@@ -0,0 +1,70 @@
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core import membership
+
+LEASES = model.LeaseRules(announcement_ms=1_000)
+SERVER = model.BackendServerId("b1")
+
+
+def announcement(sequence: int = 1, incarnation: int = 1) -> model.Announcement:
+    return model.Announcement(
+        backend_server_id=SERVER,
+        address="127.0.0.1:9000",
+        instance_id=model.InstanceId("i1"),
+        failure_domain_id=model.FailureDomainId("fd1"),
+        fabric_domain_id=model.FabricDomainId(""),
+        kind=model.BackendServerKind.PLAIN_SERVICE,
+        incarnation=incarnation,
+        sequence=sequence,
+    )
+
+
+def table(node: str = "n1") -> membership.MembershipTable:
+    return membership.MembershipTable(model.NodeId(node), LEASES)
+
+
+def test_lease_ends() -> None:
+    here = table()
+    assert here.announced(announcement(), now_ms=0) is None
+    assert here.find(SERVER, now_ms=999) is not None
+    assert here.find(SERVER, now_ms=1_000) is None
+    assert not here.live(now_ms=1_000)
+
+
+def test_word_passed_on_does_not_prolong_the_lease() -> None:
+    here, there = table("n1"), table("n2")
+    here.announced(announcement(), now_ms=100)
+    delta = here.delta_for(model.NodeId("n2"), now_ms=700)
+    assert delta is not None
+    there.merge(delta, now_ms=5_000)
+    assert there.find(SERVER, now_ms=5_399) is not None
+    assert there.find(SERVER, now_ms=5_400) is None
+
+
+def test_earlier_start_is_refused() -> None:
+    here = table()
+    here.announced(announcement(incarnation=2), now_ms=0)
+    refusal = here.announced(announcement(incarnation=1), now_ms=1)
+    assert refusal is not None
+    assert refusal.code is results.ResultCode.OLD_INCARNATION
+
+
+def test_late_duplicate_changes_nothing() -> None:
+    here = table()
+    here.announced(announcement(sequence=2), now_ms=0)
+    here.announced(announcement(sequence=1), now_ms=900)
+    assert here.find(SERVER, now_ms=1_000) is None
+
+
+def test_delta_holds_only_what_is_new_and_heard_here() -> None:
+    here, there = table("n1"), table("n2")
+    here.announced(announcement(), now_ms=0)
+    delta = here.delta_for(model.NodeId("n2"), now_ms=0)
+    assert delta is not None
+    there.merge(delta, now_ms=0)
+    assert here.delta_for(model.NodeId("n2"), now_ms=1) is None
+    assert there.delta_for(model.NodeId("n1"), now_ms=1) is None
+    here.forget_peer(model.NodeId("n2"))
+    assert here.delta_for(model.NodeId("n2"), now_ms=2) == (
+        membership.AnnouncementDelta(model.NodeId("n1"), ((announcement(), 2),))
+    )
--- a/lagooncrank/core/state/__init__.py
+++ b/lagooncrank/core/state/__init__.py
@@ -1,5 +1,8 @@
 """The state machine that the replicated log drives."""
 
+from lagooncrank.core.state._codec import decode_command
+from lagooncrank.core.state._codec import encode_command
+from lagooncrank.core.state._codec import UnknownCommandError
 from lagooncrank.core.state._commands import ApplyDeclarations
 from lagooncrank.core.state._commands import CallKey
 from lagooncrank.core.state._commands import CallOwner
@@ -14,6 +17,10 @@
 from lagooncrank.core.state._commands import ReserveCall
 from lagooncrank.core.state._commands import ResolveCall
 from lagooncrank.core.state._commands import StoredAnswer
+from lagooncrank.core.state._machine import SNAPSHOT_VERSION
+from lagooncrank.core.state._machine import SnapshotVersionError
+from lagooncrank.core.state._machine import StateMachine
+from lagooncrank.core.state._machine import StateSnapshot
 from lagooncrank.core.state._records import CallRecord
 from lagooncrank.core.state._records import ConfigurationRecord
 from lagooncrank.core.state._records import ContentMark
@@ -21,6 +28,7 @@
 
 __all__ = [
     "COMMANDS",
+    "SNAPSHOT_VERSION",
     "ApplyDeclarations",
     "CallKey",
     "CallOwner",
@@ -37,5 +45,11 @@
     "PutReplica",
     "ReserveCall",
     "ResolveCall",
+    "SnapshotVersionError",
+    "StateMachine",
+    "StateSnapshot",
     "StoredAnswer",
+    "UnknownCommandError",
+    "decode_command",
+    "encode_command",
 ]
--- /dev/null
+++ b/lagooncrank/core/state/_machine.py
@@ -0,0 +1,179 @@
+"""The state machine: applies committed commands in log order."""
+
+import dataclasses
+import functools
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core.state import _assignments
+from lagooncrank.core.state import _commands
+from lagooncrank.core.state import _configuration
+from lagooncrank.core.state import _ledger
+from lagooncrank.core.state import _quarantine
+from lagooncrank.core.state import _records
+
+#: Layout of snapshots; raised when a field changes its meaning.
+SNAPSHOT_VERSION = 1
+
+
+class SnapshotVersionError(Exception):
+    """A snapshot that another version of the system wrote."""
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+        super().__init__(
+            f"snapshot version {version} is not {SNAPSHOT_VERSION}; "
+            "start the version that wrote it"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateSnapshot:
+    """Everything that the state machine holds at one log index."""
+
+    version: int
+    applied_index: int
+    configurations: tuple[_records.ConfigurationRecord, ...]
+    calls: tuple[_records.CallRecord, ...]
+    replicas: tuple[model.Replica, ...]
+    last_fencing_number: int
+    marks: tuple[_records.ContentMark, ...]
+
+
+class StateMachine:
+    """Holds the replicated state; equal logs give equal states.
+
+    >>> machine = StateMachine()
+    >>> machine.apply(1, _commands.NoOp()).ok
+    True
+    >>> machine.applied_index
+    1
+    """
+
+    def __init__(self) -> None:
+        self._applied_index = 0
+        self._configurations = _configuration.Configurations()
+        self._ledger = _ledger.CallLedger()
+        self._assignments = _assignments.Assignments()
+        self._quarantine = _quarantine.Quarantine()
+
+    @classmethod
+    def from_snapshot(cls, data: bytes) -> "StateMachine":
+        """Builds a state machine from what `snapshot` returned.
+
+        Raises:
+            SnapshotVersionError: Another version wrote the snapshot.
+        """
+        snapshot = model.from_cbor(data, StateSnapshot)
+        if snapshot.version != SNAPSHOT_VERSION:
+            raise SnapshotVersionError(snapshot.version)
+        machine = cls()
+        machine._restore(snapshot)
+        return machine
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last applied log entry."""
+        return self._applied_index
+
+    @property
+    def configuration(self) -> _records.ConfigurationRecord | None:
+        """The revision in force, or None before the first."""
+        return self._configurations.current
+
+    @property
+    def replicas(self) -> dict[model.ReplicaId, model.Replica]:
+        """Every replica that is not yet forgotten."""
+        return self._assignments.replicas
+
+    @property
+    def last_fencing_number(self) -> int:
+        """Highest fencing number given to any replica."""
+        return self._assignments.last_fencing_number
+
+    @property
+    def marks(self) -> dict[bytes, _records.ContentMark]:
+        """Crash marks by content digest."""
+        return self._quarantine.marks
+
+    def call(self, key: _commands.CallKey) -> _records.CallRecord | None:
+        """Returns what the ledger holds of a call."""
+        return self._ledger.find(key)
+
+    def history(self) -> tuple[_records.ConfigurationRecord, ...]:
+        """Returns the kept revisions, oldest first."""
+        return self._configurations.history()
+
+    def apply(self, index: int, command: _commands.Command) -> _records.Outcome:
+        """Applies the command at `index` of the log.
+
+        Raises:
+            ValueError: `index` does not follow the last applied index.
+        """
+        if index != self._applied_index + 1:
+            raise ValueError(
+                f"index {index} does not follow {self._applied_index}"
+            )
+        self._applied_index = index
+        return self._apply(command)
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state as bytes."""
+        return model.to_cbor(
+            StateSnapshot(
+                version=SNAPSHOT_VERSION,
+                applied_index=self._applied_index,
+                configurations=self._configurations.history(),
+                calls=self._ledger.records(),
+                replicas=tuple(self._assignments.replicas.values()),
+                last_fencing_number=self._assignments.last_fencing_number,
+                marks=tuple(self._quarantine.marks.values()),
+            )
+        )
+
+    def _restore(self, snapshot: StateSnapshot) -> None:
+        self._applied_index = snapshot.applied_index
+        self._configurations = _configuration.Configurations(
+            snapshot.configurations
+        )
+        self._ledger = _ledger.CallLedger(snapshot.calls)
+        self._assignments = _assignments.Assignments(
+            snapshot.replicas, snapshot.last_fencing_number
+        )
+        self._quarantine = _quarantine.Quarantine(snapshot.marks)
+
+    @functools.singledispatchmethod
+    def _apply(self, command: _commands.Command) -> _records.Outcome:
+        raise TypeError(f"no rule applies {type(command).__name__}")
+
+    @_apply.register
+    def _(self, command: _commands.NoOp) -> _records.Outcome:
+        return _records.Outcome(results.ResultCode.OK)
+
+    @_apply.register
+    def _(self, command: _commands.ApplyDeclarations) -> _records.Outcome:
+        return self._configurations.apply(command)
+
+    @_apply.register
+    def _(self, command: _commands.ReserveCall) -> _records.Outcome:
+        return self._ledger.reserve(command)
+
+    @_apply.register
+    def _(self, command: _commands.FinishCall) -> _records.Outcome:
+        return self._ledger.finish(command)
+
+    @_apply.register
+    def _(self, command: _commands.ResolveCall) -> _records.Outcome:
+        return self._ledger.resolve(command)
+
+    @_apply.register
+    def _(self, command: _commands.PutReplica) -> _records.Outcome:
+        return self._assignments.put(command)
+
+    @_apply.register
+    def _(self, command: _commands.MarkContent) -> _records.Outcome:
+        return self._quarantine.mark(command)
+
+    @_apply.register
+    def _(self, command: _commands.LiftMark) -> _records.Outcome:
+        return self._quarantine.lift(command)
--- /dev/null
+++ b/lagooncrank/core/state/tests/test_machine.py
@@ -0,0 +1,220 @@
+import dataclasses
+
+import pytest
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core import state
+
+Code = results.ResultCode
+CALL = state.CallKey(
+    model.ClientAccountId("parish"), model.ServiceName("bookings"), "k1"
+)
+OWNER_A = state.CallOwner(model.NodeId("a"), 1, 1)
+OWNER_B = state.CallOwner(model.NodeId("b"), 1, 1)
+ANSWER = state.StoredAnswer(201, "application/json", b"{}")
+
+
+def reserve(
+    owner: state.CallOwner = OWNER_A, digest: bytes = b"d1", wall_ms: int = 0
+) -> state.ReserveCall:
+    return state.ReserveCall(CALL, digest, owner, wall_ms, retention_ms=1_000)
+
+
+def finish(
+    to: state.CallState, owner: state.CallOwner = OWNER_A
+) -> state.FinishCall:
+    answer = ANSWER if to is state.CallState.FINISHED else None
+    return state.FinishCall(CALL, owner, to, wall_ms=10, answer=answer)
+
+
+def resolve() -> state.ResolveCall:
+    return state.ResolveCall(CALL, state.CallState.FINISHED, 10, ANSWER)
+
+
+def configure(
+    change_id: str, base_revision: int, share: int = 1
+) -> state.ApplyDeclarations:
+    account = model.ClientAccount(
+        model.ClientAccountId("parish"), key_sha256s=(), share=share
+    )
+    return state.ApplyDeclarations(
+        change_id,
+        base_revision,
+        model.Declarations(client_accounts=(account,)),
+        author="op",
+        wall_ms=0,
+    )
+
+
+def replica(
+    replica_id: str, instances: str, fencing_number: int, epoch: int = 0
+) -> model.Replica:
+    return model.Replica(
+        replica_id=model.ReplicaId(replica_id),
+        service=model.ServiceName("drafts"),
+        version="1",
+        fabric_domain_id=model.FabricDomainId("fab"),
+        instances=tuple(model.InstanceId(i) for i in instances),
+        backend_servers=tuple(model.BackendServerId(i) for i in instances),
+        fencing_number=fencing_number,
+        epoch=epoch,
+    )
+
+
+def put(
+    replica_id: str, instances: str, fencing_number: int, epoch: int = 0
+) -> state.PutReplica:
+    value = replica(replica_id, instances, fencing_number, epoch)
+    return state.PutReplica(value, base_epoch=epoch - 1)
+
+
+FINISHED = state.CallState.FINISHED
+NOT_RUN = state.CallState.NOT_RUN
+UNKNOWN = state.CallState.UNKNOWN
+
+CASES = {
+    "reserve_once": ([], reserve(), Code.OK),
+    "reserve_again_by_owner": ([reserve()], reserve(), Code.OK),
+    "reserve_by_other": ([reserve()], reserve(OWNER_B), Code.CALL_IN_PROGRESS),
+    "other_body": ([reserve()], reserve(OWNER_B, b"d2"), Code.KEY_REUSED),
+    "after_finish": (
+        [reserve(), finish(FINISHED)],
+        reserve(OWNER_B),
+        Code.CALL_ALREADY_FINISHED,
+    ),
+    "after_not_run": ([reserve(), finish(NOT_RUN)], reserve(OWNER_B), Code.OK),
+    "after_unknown": (
+        [reserve(), finish(UNKNOWN)],
+        reserve(OWNER_B),
+        Code.OUTCOME_UNKNOWN,
+    ),
+    "after_retention": (
+        [reserve(), finish(FINISHED)],
+        reserve(OWNER_B, wall_ms=1_010),
+        Code.OK,
+    ),
+    "unknown_outlives_retention": (
+        [reserve(), finish(UNKNOWN)],
+        reserve(OWNER_B, wall_ms=10**12),
+        Code.OUTCOME_UNKNOWN,
+    ),
+    "late_reserve_of_given_up_call": (
+        [finish(NOT_RUN)],
+        reserve(),
+        Code.SEND_WINDOW_PASSED,
+    ),
+    "not_run_by_other": (
+        [reserve()],
+        finish(NOT_RUN, OWNER_B),
+        Code.NOT_THE_OWNER,
+    ),
+    "late_answer_of_owner": (
+        [reserve(), finish(UNKNOWN)],
+        finish(FINISHED),
+        Code.OK,
+    ),
+    "not_run_after_unknown": (
+        [reserve(), finish(UNKNOWN)],
+        finish(NOT_RUN),
+        Code.CALL_ALREADY_FINISHED,
+    ),
+    "resolve_unknown": ([reserve(), finish(UNKNOWN)], resolve(), Code.OK),
+    "resolve_not_run": (
+        [reserve(), finish(NOT_RUN)],
+        resolve(),
+        Code.UNKNOWN_RESOURCE,
+    ),
+    "first_revision": ([], configure("c1", 0), Code.OK),
+    "same_base_twice": (
+        [configure("c1", 0)],
+        configure("c2", 0),
+        Code.REVISION_CONFLICT,
+    ),
+    "resent_change": ([configure("c1", 0)], configure("c1", 0), Code.OK),
+    "change_id_with_other_content": (
+        [configure("c1", 0)],
+        configure("c1", 1, share=2),
+        Code.CHANGE_ID_REUSED,
+    ),
+    "new_replica": ([], put("r1", "ab", 1), Code.OK),
+    "instance_taken": (
+        [put("r1", "ab", 1)],
+        put("r2", "bc", 2),
+        Code.INSTANCE_TAKEN,
+    ),
+    "instance_twice": ([], put("r1", "aa", 1), Code.INSTANCE_TAKEN),
+    "stale_fencing_number": (
+        [put("r1", "ab", 5)],
+        put("r2", "cd", 5),
+        Code.STALE_FENCING_NUMBER,
+    ),
+    "wrong_epoch": (
+        [put("r1", "ab", 1)],
+        put("r1", "ab", 1, epoch=2),
+        Code.WRONG_EPOCH,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("before", "command", "code"), CASES.values(), ids=CASES.keys()
+)
+def test_apply(
+    before: list[state.Command], command: state.Command, code: Code
+) -> None:
+    machine = state.StateMachine()
+    for index, earlier in enumerate(before, start=1):
+        assert machine.apply(index, earlier).ok
+    outcome = machine.apply(len(before) + 1, command)
+    assert outcome.code is code
+    restored = state.StateMachine.from_snapshot(machine.snapshot())
+    assert restored.snapshot() == machine.snapshot()
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        reserve(),
+        finish(FINISHED),
+        resolve(),
+        configure("c1", 0),
+        put("r1", "ab", 1),
+        state.MarkContent(b"d", "r1", 0, 10),
+        state.LiftMark(b"d"),
+    ],
+    ids=lambda command: type(command).__name__,
+)
+def test_command_survives_the_log(command: state.Command) -> None:
+    assert state.decode_command(state.encode_command(command)) == command
+
+
+def test_unknown_command_is_refused() -> None:
+    data = model.to_cbor(("from_the_future", {}))
+    with pytest.raises(state.UnknownCommandError, match="from_the_future"):
+        state.decode_command(data)
+
+
+def test_gap_in_the_log_is_refused() -> None:
+    with pytest.raises(ValueError, match="2 does not follow 0"):
+        state.StateMachine().apply(2, state.NoOp())
+
+
+def test_draining_replica_keeps_its_instances() -> None:
+    machine = state.StateMachine()
+    machine.apply(1, put("r1", "ab", 1))
+    draining = dataclasses.replace(
+        replica("r1", "ab", 1, epoch=1), state=model.ReplicaState.DRAINING
+    )
+    assert machine.apply(2, state.PutReplica(draining, 0)).ok
+    taken = machine.apply(3, put("r2", "bc", 2))
+    assert taken.code is Code.INSTANCE_TAKEN
+
+
+def test_marks_count_distinct_victims_and_lapse() -> None:
+    machine = state.StateMachine()
+    for index, victim in enumerate(["r1", "r1", "r2"], start=1):
+        machine.apply(index, state.MarkContent(b"d", victim, 0, 100))
+    assert machine.marks[b"d"].victims == ("r1", "r2")
+    machine.apply(4, state.MarkContent(b"e", "r1", 100, 200))
+    assert set(machine.marks) == {b"e"}
