Pass announcements on between entries, as renewals where only load changed

Cause: a backend server announces to two entries; all others must know it, and whole announcements every second to every entry would break 6 KB/s per node. Change: deltas carry whole announcements only for changed content; what only repeats goes as a renewal with a content digest, so that a lost change (such as leaving) is noticed and told again. The time a message was held up on its way counts against the lease, estimated without a common clock. Ruled out: wall-clock leases (entries' wall clocks differ); trusting the age stated by the sender alone (a healed link would revive dead servers).

--- a/lagooncrank/core/membership/__init__.py
+++ b/lagooncrank/core/membership/__init__.py
@@ -1,13 +1,17 @@
 """Announcements, leases, leaving and views."""
 
 from lagooncrank.core.membership._table import MembershipTable
+from lagooncrank.core.membership._types import AgedAnnouncement
 from lagooncrank.core.membership._types import AnnouncementDelta
 from lagooncrank.core.membership._types import Member
 from lagooncrank.core.membership._types import Membership
+from lagooncrank.core.membership._types import Renewal
 
 __all__ = [
+    "AgedAnnouncement",
     "AnnouncementDelta",
     "Member",
     "Membership",
     "MembershipTable",
+    "Renewal",
 ]
--- a/lagooncrank/core/membership/_table.py
+++ b/lagooncrank/core/membership/_table.py
@@ -3,38 +3,61 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import zlib
 
 from lagooncrank import model
 from lagooncrank import results
+from lagooncrank.core.membership import _delay
 from lagooncrank.core.membership import _types
 
+_NO_LOAD = model.LoadReport()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Row:
     member: _types.Member
+    #: Digest of the announcement without its sequence and load.
+    content_digest: int
     #: Version of the table when the row was last changed.
     version: int
+    #: Version of the table when more than sequence and load changed.
+    content_version: int
     #: Whether the server announced to this entry itself.
     direct: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerDelay:
+    node_incarnation: int
+    estimator: _delay.DelayEstimator
+
+
 class MembershipTable:
     """Implements `Membership`.
 
     A lease counts from when the backend server spoke, not from when the word
-    arrived here, so word passed on between entries never prolongs it.
+    arrived here, so word passed on between entries never prolongs it, however
+    long a message is held up.
 
     Args:
         node_id: The entry that holds the table.
+        node_incarnation: The start of the entry.
         leases: Durations in force.
     """
 
-    def __init__(self, node_id: model.NodeId, leases: model.LeaseRules) -> None:
+    def __init__(
+        self,
+        node_id: model.NodeId,
+        node_incarnation: int,
+        leases: model.LeaseRules,
+    ) -> None:
         self._node_id = node_id
+        self._node_incarnation = node_incarnation
         self._leases = leases
         self._rows: dict[model.BackendServerId, _Row] = {}
         self._version = 0
         self._told_versions: dict[model.NodeId, int] = {}
+        self._delays: dict[model.NodeId, _PeerDelay] = {}
 
     def configure(self, leases: model.LeaseRules) -> None:
         """Takes new lease durations into use for announcements to come."""
@@ -57,10 +80,19 @@
         self._take(announcement, age_ms=0, now_ms=now_ms, direct=True)
         return None
 
-    def merge(self, delta: _types.AnnouncementDelta, now_ms: int) -> None:
-        """Takes announcements that another entry passed on."""
-        for announcement, age_ms in delta.announcements:
-            self._take(announcement, age_ms, now_ms, direct=False)
+    def merge(self, delta: _types.AnnouncementDelta, now_ms: int) -> bool:
+        """Takes what another entry passed on.
+
+        Returns:
+            Whether every renewal repeats an announcement known here. If not,
+            the sender must be asked to `forget_peer` this entry.
+        """
+        delay_ms = self._delay_ms(delta, now_ms)
+        for aged in delta.announcements:
+            age_ms = aged.age_ms + delay_ms
+            self._take(aged.announcement, age_ms, now_ms, direct=False)
+        renewed = [self._renew(r, delay_ms, now_ms) for r in delta.renewals]
+        return all(renewed)
 
     def delta_for(
         self, node_id: model.NodeId, now_ms: int
@@ -68,17 +100,31 @@
         """Returns what `node_id` was not yet told, or None."""
         told = self._told_versions.get(node_id, 0)
         self._told_versions[node_id] = self._version
-        fresh = tuple(
-            (row.member.announcement, now_ms - row.member.heard_ms)
+        fresh = [
+            row
             for row in self._rows.values()
             if row.direct and row.version > told
-        )
+        ]
         if not fresh:
             return None
-        return _types.AnnouncementDelta(self._node_id, fresh)
+        return _types.AnnouncementDelta(
+            node_id=self._node_id,
+            node_incarnation=self._node_incarnation,
+            sent_ms=now_ms,
+            announcements=tuple(
+                _aged(row, now_ms)
+                for row in fresh
+                if row.content_version > told
+            ),
+            renewals=tuple(
+                _renewal(row, now_ms)
+                for row in fresh
+                if row.content_version <= told
+            ),
+        )
 
     def forget_peer(self, node_id: model.NodeId) -> None:
-        """Makes the next delta for `node_id` whole, after a broken link."""
+        """Makes the next delta for `node_id` tell everything."""
         self._told_versions.pop(node_id, None)
 
     def live(self, now_ms: int) -> Sequence[_types.Member]:
@@ -111,6 +157,32 @@
             if row.member.lease_end_ms > now_ms:
                 yield row.member
 
+    def _delay_ms(self, delta: _types.AnnouncementDelta, now_ms: int) -> int:
+        peer = self._delays.get(delta.node_id)
+        if peer is None or peer.node_incarnation != delta.node_incarnation:
+            peer = _PeerDelay(delta.node_incarnation, _delay.DelayEstimator())
+            self._delays[delta.node_id] = peer
+        return peer.estimator.delay_ms(delta.sent_ms, now_ms)
+
+    def _renew(
+        self, renewal: _types.Renewal, delay_ms: int, now_ms: int
+    ) -> bool:
+        row = self._rows.get(renewal.backend_server_id)
+        if row is None:
+            return False
+        known = row.member.announcement
+        mine = (known.incarnation, known.sequence)
+        if (renewal.incarnation, renewal.sequence) <= mine:
+            return True
+        if renewal.content_digest != row.content_digest:
+            return False
+        announcement = known.with_changes(
+            sequence=renewal.sequence, load=renewal.load
+        )
+        age_ms = renewal.age_ms + delay_ms
+        self._take(announcement, age_ms, now_ms, direct=False)
+        return True
+
     def _take(
         self,
         announcement: model.Announcement,
@@ -119,10 +191,8 @@
         direct: bool,
     ) -> None:
         row = self._rows.get(announcement.backend_server_id)
-        if row is not None:
-            known = row.member.announcement
-            if not announcement.is_newer_than(known):
-                return
+        if row and not announcement.is_newer_than(row.member.announcement):
+            return
         spoken_ms = now_ms - max(age_ms, 0)
         member = _types.Member(
             announcement=announcement,
@@ -130,5 +200,36 @@
             lease_end_ms=spoken_ms + self._leases.announcement_ms,
         )
         self._version += 1
-        key = announcement.backend_server_id
-        self._rows[key] = _Row(member, self._version, direct)
+        digest = _content_digest(announcement)
+        content_version = self._version
+        if row and row.direct and row.content_digest == digest:
+            content_version = row.content_version
+        self._rows[announcement.backend_server_id] = _Row(
+            member=member,
+            content_digest=digest,
+            version=self._version,
+            content_version=content_version,
+            direct=direct,
+        )
+
+
+def _content_digest(announcement: model.Announcement) -> int:
+    content = announcement.with_changes(sequence=0, load=_NO_LOAD)
+    return zlib.crc32(model.to_cbor(content))
+
+
+def _aged(row: _Row, now_ms: int) -> _types.AgedAnnouncement:
+    age_ms = now_ms - row.member.heard_ms
+    return _types.AgedAnnouncement(row.member.announcement, age_ms)
+
+
+def _renewal(row: _Row, now_ms: int) -> _types.Renewal:
+    announcement = row.member.announcement
+    return _types.Renewal(
+        backend_server_id=announcement.backend_server_id,
+        incarnation=announcement.incarnation,
+        sequence=announcement.sequence,
+        content_digest=row.content_digest,
+        load=announcement.load,
+        age_ms=now_ms - row.member.heard_ms,
+    )
--- a/lagooncrank/core/membership/_types.py
+++ b/lagooncrank/core/membership/_types.py
@@ -19,13 +19,40 @@
     lease_end_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgedAnnouncement:
+    """An announcement that one entry passes on to another."""
+
+    announcement: model.Announcement
+    #: Time since the backend server spoke, when the delta was made.
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewal:
+    """An announcement that repeats an earlier one but for its load."""
+
+    backend_server_id: model.BackendServerId
+    incarnation: int
+    sequence: int
+    #: Digest of what the announcement repeats.
+    content_digest: int
+    load: model.LoadReport
+    #: Time since the backend server spoke, when the delta was made.
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnnouncementDelta:
-    """Announcements that one entry passes on to another."""
+    """What one entry heard since it last told another."""
 
     node_id: model.NodeId
-    #: Each with its age in milliseconds when the delta was made.
-    announcements: tuple[tuple[model.Announcement, int], ...]
+    #: Start of the sender; its clock has no meaning across starts.
+    node_incarnation: int
+    #: When the delta was made, on the sender's monotonic clock.
+    sent_ms: int
+    announcements: tuple[AgedAnnouncement, ...] = ()
+    renewals: tuple[Renewal, ...] = ()
 
 
 class Membership(Protocol):
@@ -39,14 +66,22 @@
     ) -> results.Refusal | None:
         """Takes an announcement made to this entry, or refuses it."""
 
-    def merge(self, delta: AnnouncementDelta, now_ms: int) -> None:
-        """Takes announcements that another entry passed on."""
+    def merge(self, delta: AnnouncementDelta, now_ms: int) -> bool:
+        """Takes what another entry passed on.
+
+        Returns:
+            Whether every renewal repeats an announcement known here. If not,
+            the sender must be asked to `forget_peer` this entry.
+        """
 
     def delta_for(
         self, node_id: model.NodeId, now_ms: int
     ) -> AnnouncementDelta | None:
         """Returns what `node_id` was not yet told, or None."""
 
+    def forget_peer(self, node_id: model.NodeId) -> None:
+        """Makes the next delta for `node_id` tell everything."""
+
     def live(self, now_ms: int) -> Sequence[Member]:
         """Returns the backend servers whose lease holds, leaving or not."""
 
@@ -54,3 +89,6 @@
         self, backend_server_id: model.BackendServerId, now_ms: int
     ) -> Member | None:
         """Returns one backend server if its lease holds."""
+
+    def expire(self, now_ms: int, retention_ms: int) -> None:
+        """Forgets servers whose lease ended `retention_ms` ago or earlier."""
--- a/lagooncrank/core/membership/tests/test_table.py
+++ b/lagooncrank/core/membership/tests/test_table.py
@@ -20,7 +20,15 @@
 
 
 def table(node: str = "n1") -> membership.MembershipTable:
-    return membership.MembershipTable(model.NodeId(node), LEASES)
+    return membership.MembershipTable(model.NodeId(node), 1, LEASES)
+
+
+def told(
+    here: membership.MembershipTable, now_ms: int
+) -> membership.AnnouncementDelta:
+    delta = here.delta_for(model.NodeId("n2"), now_ms)
+    assert delta is not None
+    return delta
 
 
 def test_lease_ends() -> None:
@@ -34,9 +42,7 @@
 def test_word_passed_on_does_not_prolong_the_lease() -> None:
     here, there = table("n1"), table("n2")
     here.announced(announcement(), now_ms=100)
-    delta = here.delta_for(model.NodeId("n2"), now_ms=700)
-    assert delta is not None
-    there.merge(delta, now_ms=5_000)
+    there.merge(told(here, now_ms=700), now_ms=5_000)
     assert there.find(SERVER, now_ms=5_399) is not None
     assert there.find(SERVER, now_ms=5_400) is None
 
@@ -59,12 +65,50 @@
 def test_delta_holds_only_what_is_new_and_heard_here() -> None:
     here, there = table("n1"), table("n2")
     here.announced(announcement(), now_ms=0)
-    delta = here.delta_for(model.NodeId("n2"), now_ms=0)
-    assert delta is not None
-    there.merge(delta, now_ms=0)
+    there.merge(told(here, now_ms=0), now_ms=0)
     assert here.delta_for(model.NodeId("n2"), now_ms=1) is None
     assert there.delta_for(model.NodeId("n1"), now_ms=1) is None
     here.forget_peer(model.NodeId("n2"))
-    assert here.delta_for(model.NodeId("n2"), now_ms=2) == (
-        membership.AnnouncementDelta(model.NodeId("n1"), ((announcement(), 2),))
-    )
+    aged = membership.AgedAnnouncement(announcement(), age_ms=2)
+    assert told(here, now_ms=2).announcements == (aged,)
+
+
+def test_message_held_up_does_not_prolong_the_lease() -> None:
+    here, there = table("n1"), table("n2")
+    here.announced(announcement(1), now_ms=0)
+    there.merge(told(here, now_ms=0), now_ms=50)
+    here.announced(announcement(2), now_ms=500)
+    there.merge(told(here, now_ms=500), now_ms=1_500)
+    assert there.find(SERVER, now_ms=1_549) is not None
+    assert there.find(SERVER, now_ms=1_550) is None
+
+
+def test_unchanged_announcement_is_passed_on_as_renewal() -> None:
+    here, there = table("n1"), table("n2")
+    here.announced(announcement(1), now_ms=0)
+    there.merge(told(here, now_ms=0), now_ms=0)
+    load = model.LoadReport(running=3)
+    here.announced(announcement(2).with_changes(load=load), now_ms=500)
+    delta = told(here, now_ms=500)
+    assert not delta.announcements
+    assert there.merge(delta, now_ms=500)
+    member = there.find(SERVER, now_ms=1_499)
+    assert member is not None
+    assert member.announcement.load == load
+
+
+def test_renewal_of_unknown_content_asks_for_everything() -> None:
+    here, there = table("n1"), table("n2")
+    here.announced(announcement(1), now_ms=0)
+    there.merge(told(here, now_ms=0), now_ms=0)
+    leaving = model.BackendServerState.LEAVING
+    here.announced(announcement(2).with_changes(state=leaving), now_ms=1)
+    told(here, now_ms=1)  # This delta is lost on the way.
+    here.announced(announcement(3).with_changes(state=leaving), now_ms=900)
+    assert not there.merge(told(here, now_ms=900), now_ms=900)
+    assert there.find(SERVER, now_ms=1_000) is None
+    here.forget_peer(model.NodeId("n2"))
+    assert there.merge(told(here, now_ms=901), now_ms=901)
+    member = there.find(SERVER, now_ms=1_000)
+    assert member is not None
+    assert member.announcement.state is leaving
