--- /dev/null
+++ b/lagooncrank/core/timeouts/tests/test_adaptive.py
@@ -0,0 +1,49 @@
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from lagooncrank.core import timeouts
+
+BOUNDS = timeouts.TimeoutBounds(
+    initial_ms=1_000, floor_ms=100, ceiling_ms=9_000
+)
+
+
+@pytest.mark.parametrize(
+    ("measured_ms", "low_ms", "high_ms"),
+    [
+        pytest.param([1] * 50, 100, 100, id="floor"),
+        pytest.param([50_000] * 50, 9_000, 9_000, id="ceiling"),
+        pytest.param([200] * 50, 800, 900, id="steady"),
+        pytest.param([100, 700] * 50, 1_000, 2_500, id="jitter"),
+    ],
+)
+def test_timeout_follows_measurements(
+    measured_ms: list[int], low_ms: int, high_ms: int
+) -> None:
+    timeout = timeouts.MovingTimeout(BOUNDS)
+    for duration_ms in measured_ms:
+        timeout.measured(duration_ms)
+    assert low_ms <= timeout.timeout_ms <= high_ms
+
+
+@hypothesis.given(
+    st.lists(st.one_of(st.none(), st.floats(0, 100_000)), max_size=50)
+)
+def test_timeout_stays_within_bounds(steps: list[float | None]) -> None:
+    timeout = timeouts.MovingTimeout(BOUNDS)
+    for step in steps:
+        if step is None:
+            timeout.expired()
+        else:
+            timeout.measured(step)
+        assert BOUNDS.floor_ms <= timeout.timeout_ms <= BOUNDS.ceiling_ms
+
+
+def test_kinds_do_not_mix() -> None:
+    adaptive = timeouts.AdaptiveTimeouts(BOUNDS, BOUNDS)
+    for _ in range(50):
+        adaptive.first_byte("status").measured(1)
+    assert adaptive.first_byte("status").timeout_ms == 100
+    assert adaptive.first_byte("draft").timeout_ms == 1_000
+    assert adaptive.between_bytes("status").timeout_ms == 1_000
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,272 @@
+"""Stand-in model engine: one member instance of a replica.
+
+It loads what it is ordered to, streams made-up tokens at a set pace, resumes,
+cancels, and fails on demand.
+"""
+
+import argparse
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import json
+import os
+import time
+from typing import Any
+
+from aiohttp import web
+
+from lagooncrank import model
+from standins import _announcer
+from standins import _process
+from standins import _tokens
+
+NDJSON = "application/x-ndjson"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """How a stand-in engine behaves."""
+
+    backend_server_id: str
+    instance_id: str
+    failure_domain_id: str
+    fabric_domain_id: str
+    accelerators: int = 8
+    checks_fencing: bool = True
+    concurrency: int = 1_000
+    load_ms: int = 50
+    first_token_ms: int = 5
+    between_tokens_ms: int = 5
+    tokens_per_event: int = 1
+    #: Prompts that hold this text crash the process.
+    crash_text: str = ""
+
+
+class Engine:
+    """State and HTTP handlers of one stand-in engine."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.address = ""
+        self.incarnation = time.time_ns()
+        self.leaving = False
+        self.loaded: model.LoadedModel | None = None
+        self.loads_changed = asyncio.Event()
+        #: Offset after which streams go silent, or None.
+        self.silent_after: int | None = None
+        #: Offset after which connections are cut, or None.
+        self.cut_after: int | None = None
+        #: Bodies of all generate requests, oldest first.
+        self.requests: list[dict[str, Any]] = []
+        #: Request ids whose streams ended before their last token.
+        self.cancelled: list[str] = []
+        self._running: dict[str, asyncio.Event] = {}
+        self._orders: dict[str, dict[str, Any]] = {}
+        self._highest_fencing_number = 0
+        self._loading: set[asyncio.Task[None]] = set()
+
+    def app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application()
+        app.router.add_post("/v1/generate", self._generate)
+        app.router.add_post("/v1/cancel", self._cancel)
+        app.router.add_post("/orders", self._order)
+        return app
+
+    def announcement(self, sequence: int) -> model.Announcement:
+        """Returns what the engine says of itself now."""
+        options = self.options
+        state = model.BackendServerState.READY
+        if self.leaving:
+            state = model.BackendServerState.LEAVING
+        return model.Announcement(
+            backend_server_id=model.BackendServerId(options.backend_server_id),
+            address=self.address,
+            instance_id=model.InstanceId(options.instance_id),
+            failure_domain_id=model.FailureDomainId(options.failure_domain_id),
+            fabric_domain_id=model.FabricDomainId(options.fabric_domain_id),
+            kind=model.BackendServerKind.MODEL_ENGINE,
+            incarnation=self.incarnation,
+            sequence=sequence,
+            state=state,
+            accelerators=options.accelerators,
+            loaded=self.loaded,
+            checks_fencing=options.checks_fencing,
+            load=model.LoadReport(running=len(self._running)),
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        number = body["fencing_number"]
+        known = self._orders.get(body["order_id"])
+        if known is not None:
+            return web.json_response(known)
+        if (
+            self.options.checks_fencing
+            and number < self._highest_fencing_number
+        ):
+            answer = {
+                "error": "old fencing number",
+                "fencing_number": self._highest_fencing_number,
+            }
+            return web.json_response(answer, status=409)
+        self._highest_fencing_number = max(number, self._highest_fencing_number)
+        answer = {"state": "done", "fencing_number": number}
+        self._orders[body["order_id"]] = answer
+        if body["kind"] == "load":
+            answer["state"] = "accepted"
+            self._start_load(body, answer)
+        elif body["kind"] == "unload":
+            self.loaded = None
+            self.loads_changed.set()
+        return web.json_response(answer)
+
+    def _start_load(self, body: dict[str, Any], answer: dict[str, Any]) -> None:
+        self.loaded = model.LoadedModel(
+            service=model.ServiceName(body["service"]),
+            replica_id=model.ReplicaId(body["replica_id"]),
+            version=body["version"],
+            fencing_number=body["fencing_number"],
+            ready=False,
+        )
+        task = asyncio.create_task(self._finish_load(self.loaded, answer))
+        self._loading.add(task)
+        task.add_done_callback(self._loading.discard)
+
+    async def _finish_load(
+        self, loaded: model.LoadedModel, answer: dict[str, Any]
+    ) -> None:
+        await asyncio.sleep(self.options.load_ms / 1_000)
+        answer["state"] = "failed"
+        if self.loaded is loaded:
+            answer["state"] = "done"
+            self.loaded = dataclasses.replace(loaded, ready=True)
+            self.loads_changed.set()
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        running = self._running.get(body["request_id"])
+        if running is not None:
+            running.set()
+        return web.json_response({"cancelled": running is not None})
+
+    async def _generate(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        refusal = self._refusal_of(body)
+        if refusal is not None:
+            return refusal
+        self.requests.append(body)
+        if (
+            self.options.crash_text
+            and self.options.crash_text in body["prompt"]
+        ):
+            os._exit(1)
+        response = web.StreamResponse(headers={"Content-Type": NDJSON})
+        await response.prepare(request)
+        request_id = body["request_id"]
+        cancelled = asyncio.Event()
+        self._running[request_id] = cancelled
+        finished = False
+        try:
+            async for line in self._events(body, cancelled, request):
+                await response.write(line)
+            finished = not cancelled.is_set()
+        finally:
+            self._running.pop(request_id, None)
+            if not finished:
+                self.cancelled.append(request_id)
+        return response
+
+    def _refusal_of(self, body: dict[str, Any]) -> web.Response | None:
+        loaded = self.loaded
+        if loaded is None or not loaded.ready:
+            return web.json_response({"error": "loading"}, status=503)
+        named = (body["replica_id"], body["fencing_number"])
+        if named != (loaded.replica_id, loaded.fencing_number):
+            return web.json_response({"error": "wrong replica"}, status=409)
+        if len(self._running) >= self.options.concurrency:
+            return web.json_response({"error": "full"}, status=429)
+        return None
+
+    async def _events(
+        self,
+        body: dict[str, Any],
+        cancelled: asyncio.Event,
+        request: web.Request,
+    ) -> AsyncIterator[bytes]:
+        offset = len(body["resume_from"])
+        count = body["max_tokens"]
+        await asyncio.sleep(self.options.first_token_ms / 1_000)
+        while offset < count and not cancelled.is_set():
+            await self._fail_at(offset, request)
+            end = min(offset + self.options.tokens_per_event, count)
+            tokens = [
+                _tokens.token_at(body["prompt"], position)
+                for position in range(offset, end)
+            ]
+            yield _line(body["request_id"], offset, tokens, end == count)
+            offset = end
+            await asyncio.sleep(self.options.between_tokens_ms / 1_000)
+
+    async def _fail_at(self, offset: int, request: web.Request) -> None:
+        if self.cut_after is not None and offset >= self.cut_after:
+            assert request.transport is not None
+            request.transport.abort()
+            await asyncio.Event().wait()
+        if self.silent_after is not None and offset >= self.silent_after:
+            await asyncio.Event().wait()
+
+
+def _line(request_id: str, offset: int, tokens: list[str], done: bool) -> bytes:
+    event: dict[str, Any] = {
+        "request_id": request_id,
+        "offset": offset,
+        "tokens": tokens,
+    }
+    if done:
+        event |= {"done": True, "finish_reason": "length"}
+    return json.dumps(event).encode() + b"\n"
+
+
+def _options() -> argparse.Namespace:
+    parser = _process.base_parser("Stand-in model engine.")
+    parser.add_argument("--fabric-domain", required=True)
+    parser.add_argument("--ignores-fencing", action="store_true")
+    parser.add_argument("--first-token-ms", type=int, default=5)
+    parser.add_argument("--between-tokens-ms", type=int, default=5)
+    parser.add_argument("--tokens-per-event", type=int, default=1)
+    parser.add_argument("--load-ms", type=int, default=50)
+    parser.add_argument("--crash-text", default="")
+    return parser.parse_args()
+
+
+async def _main(arguments: argparse.Namespace) -> None:
+    engine = Engine(
+        EngineOptions(
+            backend_server_id=arguments.id,
+            instance_id=arguments.instance,
+            failure_domain_id=arguments.failure_domain,
+            fabric_domain_id=arguments.fabric_domain,
+            checks_fencing=not arguments.ignores_fencing,
+            first_token_ms=arguments.first_token_ms,
+            between_tokens_ms=arguments.between_tokens_ms,
+            tokens_per_event=arguments.tokens_per_event,
+            load_ms=arguments.load_ms,
+            crash_text=arguments.crash_text,
+        )
+    )
+    listener = _process.listen(arguments.port)
+    engine.address = _process.address_of(listener)
+    close = await _process.serve(engine.app(), listener)
+    entries = _process.split_entries(arguments.entries)
+    announcer = _announcer.Announcer(entries, engine.announcement)
+    await announcer.start()
+    await _process.wait_for_sigterm()
+    engine.leaving = True
+    await announcer.announce()
+    await announcer.stop()
+    await close()
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(_options()))
--- /dev/null
+++ b/standins/plain_service.py
@@ -0,0 +1,109 @@
+"""Stand-in plain service: books slots and counts how often each ran."""
+
+import argparse
+import asyncio
+import time
+
+from aiohttp import web
+
+from lagooncrank import model
+from standins import _announcer
+from standins import _process
+
+
+class PlainServiceStandIn:
+    """State and HTTP handlers of one stand-in plain service."""
+
+    def __init__(
+        self,
+        backend_server_id: str,
+        instance_id: str,
+        failure_domain_id: str,
+        serves: tuple[str, ...],
+    ) -> None:
+        self._backend_server_id = model.BackendServerId(backend_server_id)
+        self._instance_id = model.InstanceId(instance_id)
+        self._failure_domain_id = model.FailureDomainId(failure_domain_id)
+        self._serves = tuple(model.ServiceName(name) for name in serves)
+        self.address = ""
+        self.incarnation = time.time_ns()
+        self.leaving = False
+        #: Runs by idempotency key, each one a method and path.
+        self.runs: dict[str, list[str]] = {}
+        #: When set, calls run and their connection is cut before the answer.
+        self.cut_answers = False
+
+    def app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/runs", self._runs)
+        app.router.add_route("*", "/{path:.*}", self._call)
+        return app
+
+    def announcement(self, sequence: int) -> model.Announcement:
+        """Returns what the service says of itself now."""
+        state = model.BackendServerState.READY
+        if self.leaving:
+            state = model.BackendServerState.LEAVING
+        return model.Announcement(
+            backend_server_id=self._backend_server_id,
+            address=self.address,
+            instance_id=self._instance_id,
+            failure_domain_id=self._failure_domain_id,
+            fabric_domain_id=model.FabricDomainId(""),
+            kind=model.BackendServerKind.PLAIN_SERVICE,
+            incarnation=self.incarnation,
+            sequence=sequence,
+            state=state,
+            serves=self._serves,
+        )
+
+    async def _runs(self, _: web.Request) -> web.Response:
+        counts = {key: len(runs) for key, runs in self.runs.items()}
+        return web.json_response(counts)
+
+    async def _call(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        key = request.headers.get("Idempotency-Key", "")
+        runs = self.runs.setdefault(key, [])
+        runs.append(f"{request.method} {request.path_qs}")
+        if self.cut_answers and request.transport is not None:
+            request.transport.abort()
+            await asyncio.Event().wait()
+        answer = {
+            "server": self._backend_server_id,
+            "path": request.path_qs,
+            "run": len(runs),
+            "received": body.decode("utf-8", "replace"),
+        }
+        return web.json_response(answer, status=201)
+
+
+def _options() -> argparse.Namespace:
+    parser = _process.base_parser("Stand-in plain service.")
+    parser.add_argument("--serves", default="booking")
+    return parser.parse_args()
+
+
+async def _main(arguments: argparse.Namespace) -> None:
+    service = PlainServiceStandIn(
+        arguments.id,
+        arguments.instance,
+        arguments.failure_domain,
+        tuple(arguments.serves.split(",")),
+    )
+    listener = _process.listen(arguments.port)
+    service.address = _process.address_of(listener)
+    close = await _process.serve(service.app(), listener)
+    entries = _process.split_entries(arguments.entries)
+    announcer = _announcer.Announcer(entries, service.announcement)
+    await announcer.start()
+    await _process.wait_for_sigterm()
+    service.leaving = True
+    await announcer.announce()
+    await announcer.stop()
+    await close()
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(_options()))
