Add the naive admission, routing, retry and suspicion policies

They serve the first whole path and are the baseline that the real policies are measured against: first come first served, round robin, retry until the deadline (never a call that may have run), no suspicion. Policies sit in registries filled by decorators and are built by from_config. Counts is the hook for counters of refusals, retries and suspensions.

--- a/lagooncrank/core/admission/__init__.py
+++ b/lagooncrank/core/admission/__init__.py
@@ -1,5 +1,9 @@
 """Fair share between client accounts, queues and shedding."""
 
+from lagooncrank.core.admission._first_come import FirstCome
+from lagooncrank.core.admission._policies import AdmissionConfig
+from lagooncrank.core.admission._policies import AdmissionFactory
+from lagooncrank.core.admission._policies import ADMISSIONS
 from lagooncrank.core.admission._types import AccountUsage
 from lagooncrank.core.admission._types import Admission
 from lagooncrank.core.admission._types import Capacity
@@ -11,10 +15,14 @@
 from lagooncrank.core.admission._types import UsageReport
 
 __all__ = [
+    "ADMISSIONS",
     "AccountUsage",
     "Admission",
+    "AdmissionConfig",
+    "AdmissionFactory",
     "Capacity",
     "Effect",
+    "FirstCome",
     "Offer",
     "Refuse",
     "Start",
--- a/lagooncrank/core/retry/__init__.py
+++ b/lagooncrank/core/retry/__init__.py
@@ -1,5 +1,11 @@
 """Attempts, budgets, deadlines and crashing requests."""
 
+from lagooncrank.core.retry._always import Always
+from lagooncrank.core.retry._policies import RETRY_POLICIES
+from lagooncrank.core.retry._policies import RetryConfig
+from lagooncrank.core.retry._policies import RetryFactory
+from lagooncrank.core.retry._policies import SuspicionFactory
+from lagooncrank.core.retry._policies import SUSPICIONS
 from lagooncrank.core.retry._types import Call
 from lagooncrank.core.retry._types import CrashMark
 from lagooncrank.core.retry._types import Decision
@@ -10,8 +16,12 @@
 from lagooncrank.core.retry._types import RetryPolicy
 from lagooncrank.core.retry._types import Suspicion
 from lagooncrank.core.retry._types import Verdict
+from lagooncrank.core.retry._unsuspecting import Unsuspecting
 
 __all__ = [
+    "RETRY_POLICIES",
+    "SUSPICIONS",
+    "Always",
     "Call",
     "CrashMark",
     "Decision",
@@ -19,7 +29,11 @@
     "FailureKind",
     "GiveUp",
     "Retry",
+    "RetryConfig",
+    "RetryFactory",
     "RetryPolicy",
     "Suspicion",
+    "SuspicionFactory",
+    "Unsuspecting",
     "Verdict",
 ]
--- /dev/null
+++ b/lagooncrank/core/retry/_always.py
@@ -0,0 +1,44 @@
+"""Retries at once until the deadline, without a budget. The baseline."""
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core import counting
+from lagooncrank.core.retry import _answers
+from lagooncrank.core.retry import _policies
+from lagooncrank.core.retry import _types
+
+
+@_policies.RETRY_POLICIES.register("always")
+class Always:
+    """Retries every failure that the service allows to repeat."""
+
+    def __init__(self, counts: counting.Counts) -> None:
+        self._counts = counts
+
+    @classmethod
+    def from_config(cls, config: _policies.RetryConfig) -> "Always":
+        """Returns a policy object; the rules are not used."""
+        return cls(config.counts)
+
+    def configure(self, rules: model.RetryRules) -> None:
+        """Ignores the rules."""
+
+    def first_attempt(self, call: _types.Call, now_ms: int) -> None:
+        """Ignores first attempts."""
+
+    def failed(
+        self, call: _types.Call, failure: _types.Failure, now_ms: int
+    ) -> _types.Decision:
+        """Retries at once, away from the target that failed."""
+        if _answers.may_have_run(call, failure):
+            return self._give_up(call, _answers.unknown_outcome(call, failure))
+        if now_ms >= call.deadline_ms:
+            return self._give_up(call, _answers.deadline_passed(call, failure))
+        self._counts.retried(failure.kind, call.account)
+        return _types.Retry(0, frozenset({failure.target_id}))
+
+    def _give_up(
+        self, call: _types.Call, refusal: results.Refusal
+    ) -> _types.GiveUp:
+        self._counts.refused(refusal.code, call.account)
+        return _types.GiveUp(refusal)
--- a/lagooncrank/core/routing/__init__.py
+++ b/lagooncrank/core/routing/__init__.py
@@ -1,13 +1,21 @@
 """Choice of replica or backend server."""
 
+from lagooncrank.core.routing._policies import RouterConfig
+from lagooncrank.core.routing._policies import RouterFactory
+from lagooncrank.core.routing._policies import ROUTERS
+from lagooncrank.core.routing._round_robin import RoundRobin
 from lagooncrank.core.routing._types import AttemptEnd
 from lagooncrank.core.routing._types import RouteQuery
 from lagooncrank.core.routing._types import Router
 from lagooncrank.core.routing._types import Target
 
 __all__ = [
+    "ROUTERS",
     "AttemptEnd",
+    "RoundRobin",
     "RouteQuery",
     "Router",
+    "RouterConfig",
+    "RouterFactory",
     "Target",
 ]
