Send renewals in columns and measure what passing announcements on costs

Cause: a renewal took 176 bytes, most of it field names, and a server that announces to two entries made them send whole announcements in turns.

--- /dev/null
+++ b/bench/announcements.py
@@ -0,0 +1,165 @@
+"""Measures what passing announcements on costs an entry.
+
+Several entries exchange announcements in memory on a manual clock. Each
+backend server announces once a second to two entries. The figures per entry
+and second are bytes sent and received as CBOR, messages, and processor time.
+
+Run: python -m bench.announcements
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import itertools
+import json
+import pathlib
+import time
+
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank.core import membership
+
+RESULTS = pathlib.Path(__file__).parent / "results" / "announcements.json"
+EXCHANGE_INTERVAL_MS = 250
+ANNOUNCE_INTERVAL_MS = 1_000
+WARM_UP_MS = 3_000
+MEASURED_MS = 10_000
+#: Entries and backend servers of each run.
+SIZES = ((3, 50), (9, 50), (9, 200), (20, 200), (41, 200), (82, 200))
+NS_PER_US = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """Cost of one entry in one run, per second."""
+
+    entries: int
+    backend_servers: int
+    sent_bytes_per_s: float
+    messages_per_s: float
+    cpu_us_per_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Totals:
+    sent_bytes: int = 0
+    messages: int = 0
+    cpu_ns: int = 0
+
+
+def announcement(index: int, sequence: int) -> model.Announcement:
+    """Returns the announcement of one backend server with a busy load."""
+    domain = f"domain-{index % 3}"
+    loaded = model.LoadedModel(
+        service=model.ServiceName("drafts"),
+        replica_id=model.ReplicaId(f"drafts-{index // 4}"),
+        version="v3",
+        fencing_number=index // 4,
+        ready=True,
+    )
+    load = model.LoadReport(
+        running=(index + sequence) % 40,
+        queued=sequence % 5,
+        kv_used_fraction=(index * sequence % 100) / 100,
+        tokens_per_s=900.0 + index + sequence,
+        age_ms=sequence % 200,
+    )
+    return model.Announcement(
+        backend_server_id=model.BackendServerId(f"engine-{index:04d}"),
+        address=f"127.0.{index // 250}.{index % 250}:9000",
+        instance_id=model.InstanceId(f"instance-{index:04d}"),
+        failure_domain_id=model.FailureDomainId(domain),
+        fabric_domain_id=model.FabricDomainId(f"{domain}-fabric-{index % 4}"),
+        kind=model.BackendServerKind.MODEL_ENGINE,
+        incarnation=1_700_000_000_000 + index,
+        sequence=sequence,
+        accelerators=8,
+        loaded=loaded,
+        load=load,
+    )
+
+
+class Exchange:
+    """Entries that announce and exchange on a manual clock."""
+
+    def __init__(self, entries: int, backend_servers: int) -> None:
+        self._clock = clock.ManualClock()
+        self._backend_servers = backend_servers
+        self._tables = {
+            node_id: membership.MembershipTable(node_id, 1, model.LeaseRules())
+            for node_id in map(_node_id, range(entries))
+        }
+
+    def run(self) -> Row:
+        """Returns the cost per entry and second after a warm-up."""
+        list(self._steps(WARM_UP_MS))
+        totals = _Totals()
+        for sent_bytes, cpu_ns in self._steps(MEASURED_MS):
+            totals.sent_bytes += sent_bytes
+            totals.messages += 1
+            totals.cpu_ns += cpu_ns
+        divisor = len(self._tables) * MEASURED_MS / 1_000
+        return Row(
+            entries=len(self._tables),
+            backend_servers=self._backend_servers,
+            sent_bytes_per_s=totals.sent_bytes / divisor,
+            messages_per_s=totals.messages / divisor,
+            cpu_us_per_s=totals.cpu_ns / NS_PER_US / divisor,
+        )
+
+    def _steps(self, duration_ms: int) -> Iterator[tuple[int, int]]:
+        """Yields bytes and processor time of each message."""
+        for _ in range(duration_ms // EXCHANGE_INTERVAL_MS):
+            self._announce()
+            for sender, receiver in itertools.permutations(self._tables, 2):
+                start_ns = time.process_time_ns()
+                sent_bytes = self._tell(sender, receiver)
+                if sent_bytes:
+                    yield sent_bytes, time.process_time_ns() - start_ns
+            self._clock.advance(EXCHANGE_INTERVAL_MS)
+
+    def _announce(self) -> None:
+        now_ms = self._clock.now_ms()
+        tables = list(self._tables.values())
+        for index in range(self._backend_servers):
+            # Servers announce in different quarters of a second.
+            phase_ms = index % 4 * EXCHANGE_INTERVAL_MS
+            if now_ms % ANNOUNCE_INTERVAL_MS != phase_ms:
+                continue
+            said = announcement(index, now_ms // ANNOUNCE_INTERVAL_MS)
+            tables[index % len(tables)].announced(said, now_ms)
+            tables[(index + 1) % len(tables)].announced(said, now_ms)
+
+    def _tell(self, sender: model.NodeId, receiver: model.NodeId) -> int:
+        now_ms = self._clock.now_ms()
+        delta = self._tables[sender].delta_for(receiver, now_ms)
+        if delta is None:
+            return 0
+        data = model.to_cbor(delta)
+        received = model.from_cbor(data, membership.AnnouncementDelta)
+        if not self._tables[receiver].merge(received, now_ms):
+            self._tables[sender].forget_peer(receiver)
+        return len(data)
+
+
+def _node_id(index: int) -> model.NodeId:
+    return model.NodeId(f"node-{index}")
+
+
+def main() -> None:
+    """Measures every size, prints a table and writes the results."""
+    rows = [Exchange(*size).run() for size in SIZES]
+    RESULTS.parent.mkdir(exist_ok=True)
+    plain = [dataclasses.asdict(row) for row in rows]
+    RESULTS.write_text(json.dumps(plain, indent=2) + "\n")
+    print("| entries | backend servers | B/s sent | messages/s | CPU us/s |")
+    print("| --- | --- | --- | --- | --- |")
+    for row in rows:
+        print(
+            f"| {row.entries} | {row.backend_servers} "
+            f"| {row.sent_bytes_per_s:.0f} | {row.messages_per_s:.1f} "
+            f"| {row.cpu_us_per_s:.0f} |"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/lagooncrank/core/membership/__init__.py
+++ b/lagooncrank/core/membership/__init__.py
@@ -5,7 +5,7 @@
 from lagooncrank.core.membership._types import AnnouncementDelta
 from lagooncrank.core.membership._types import Member
 from lagooncrank.core.membership._types import Membership
-from lagooncrank.core.membership._types import Renewal
+from lagooncrank.core.membership._types import RenewalColumns
 
 __all__ = [
     "AgedAnnouncement",
@@ -13,5 +13,5 @@
     "Member",
     "Membership",
     "MembershipTable",
-    "Renewal",
+    "RenewalColumns",
 ]
--- a/lagooncrank/core/membership/_table.py
+++ b/lagooncrank/core/membership/_table.py
@@ -3,27 +3,23 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
-import zlib
 
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core.membership import _delay
+from lagooncrank.core.membership import _renewals
 from lagooncrank.core.membership import _types
 
-_NO_LOAD = model.LoadReport()
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Row:
     member: _types.Member
     #: Digest of the announcement without its sequence and load.
-    content_digest: int
+    content_digest: bytes
     #: Version of the table when the row was last changed.
     version: int
     #: Version of the table when more than sequence and load changed.
     content_version: int
-    #: Whether the server announced to this entry itself.
-    direct: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +51,9 @@
         self._node_incarnation = node_incarnation
         self._leases = leases
         self._rows: dict[model.BackendServerId, _Row] = {}
+        #: When each server last announced to this entry itself.
+        self._direct_ms: dict[model.BackendServerId, int] = {}
+        self._by_content: dict[bytes, model.BackendServerId] = {}
         self._version = 0
         self._told_versions: dict[model.NodeId, int] = {}
         self._delays: dict[model.NodeId, _PeerDelay] = {}
@@ -77,7 +76,9 @@
                     f"started again as incarnation {known.incarnation}; "
                     f"{announcement.incarnation} is over",
                 )
-        self._take(announcement, age_ms=0, now_ms=now_ms, direct=True)
+        digest = _renewals.content_digest(announcement)
+        self._take(announcement, digest, 0, now_ms)
+        self._direct_ms[announcement.backend_server_id] = now_ms
         return None
 
     def merge(self, delta: _types.AnnouncementDelta, now_ms: int) -> bool:
@@ -90,8 +91,10 @@
         delay_ms = self._delay_ms(delta, now_ms)
         for aged in delta.announcements:
             age_ms = aged.age_ms + delay_ms
-            self._take(aged.announcement, age_ms, now_ms, direct=False)
-        renewed = [self._renew(r, delay_ms, now_ms) for r in delta.renewals]
+            digest = _renewals.content_digest(aged.announcement)
+            self._take(aged.announcement, digest, age_ms, now_ms)
+        renewals = _renewals.unpack(delta.renewals)
+        renewed = [self._renew(r, delay_ms, now_ms) for r in renewals]
         return all(renewed)
 
     def delta_for(
@@ -100,11 +103,8 @@
         """Returns what `node_id` was not yet told, or None."""
         told = self._told_versions.get(node_id, 0)
         self._told_versions[node_id] = self._version
-        fresh = [
-            row
-            for row in self._rows.values()
-            if row.direct and row.version > told
-        ]
+        direct = self._heard_directly(now_ms)
+        fresh = [row for row in direct if row.version > told]
         if not fresh:
             return None
         return _types.AnnouncementDelta(
@@ -116,7 +116,7 @@
                 for row in fresh
                 if row.content_version > told
             ),
-            renewals=tuple(
+            renewals=_renewals.pack(
                 _renewal(row, now_ms)
                 for row in fresh
                 if row.content_version <= told
@@ -150,7 +150,9 @@
         rows = self._rows.items()
         gone = [k for k, r in rows if r.member.lease_end_ms <= limit_ms]
         for backend_server_id in gone:
-            del self._rows[backend_server_id]
+            row = self._rows.pop(backend_server_id)
+            del self._by_content[row.content_digest]
+            self._direct_ms.pop(backend_server_id, None)
 
     def _live(self, now_ms: int) -> Iterator[_types.Member]:
         for row in self._rows.values():
@@ -167,28 +169,29 @@
     def _renew(
         self, renewal: _types.Renewal, delay_ms: int, now_ms: int
     ) -> bool:
-        row = self._rows.get(renewal.backend_server_id)
-        if row is None:
-            return False
-        known = row.member.announcement
-        mine = (known.incarnation, known.sequence)
-        if (renewal.incarnation, renewal.sequence) <= mine:
-            return True
-        if renewal.content_digest != row.content_digest:
+        server_id = self._by_content.get(renewal.content_digest)
+        if server_id is None:
             return False
+        known = self._rows[server_id].member.announcement
         announcement = known.with_changes(
             sequence=renewal.sequence, load=renewal.load
         )
         age_ms = renewal.age_ms + delay_ms
-        self._take(announcement, age_ms, now_ms, direct=False)
+        self._take(announcement, renewal.content_digest, age_ms, now_ms)
         return True
 
+    def _heard_directly(self, now_ms: int) -> Iterator[_Row]:
+        oldest_ms = now_ms - self._leases.announcement_ms
+        for backend_server_id, direct_ms in self._direct_ms.items():
+            if direct_ms > oldest_ms:
+                yield self._rows[backend_server_id]
+
     def _take(
         self,
         announcement: model.Announcement,
+        digest: bytes,
         age_ms: int,
         now_ms: int,
-        direct: bool,
     ) -> None:
         row = self._rows.get(announcement.backend_server_id)
         if row and not announcement.is_newer_than(row.member.announcement):
@@ -200,24 +203,20 @@
             lease_end_ms=spoken_ms + self._leases.announcement_ms,
         )
         self._version += 1
-        digest = _content_digest(announcement)
         content_version = self._version
-        if row and row.direct and row.content_digest == digest:
-            content_version = row.content_version
+        if row:
+            del self._by_content[row.content_digest]
+            if row.content_digest == digest:
+                content_version = row.content_version
+        self._by_content[digest] = announcement.backend_server_id
         self._rows[announcement.backend_server_id] = _Row(
             member=member,
             content_digest=digest,
             version=self._version,
             content_version=content_version,
-            direct=direct,
         )
 
 
-def _content_digest(announcement: model.Announcement) -> int:
-    content = announcement.with_changes(sequence=0, load=_NO_LOAD)
-    return zlib.crc32(model.to_cbor(content))
-
-
 def _aged(row: _Row, now_ms: int) -> _types.AgedAnnouncement:
     age_ms = now_ms - row.member.heard_ms
     return _types.AgedAnnouncement(row.member.announcement, age_ms)
@@ -226,10 +225,8 @@
 def _renewal(row: _Row, now_ms: int) -> _types.Renewal:
     announcement = row.member.announcement
     return _types.Renewal(
-        backend_server_id=announcement.backend_server_id,
-        incarnation=announcement.incarnation,
-        sequence=announcement.sequence,
         content_digest=row.content_digest,
+        sequence=announcement.sequence,
         load=announcement.load,
         age_ms=now_ms - row.member.heard_ms,
     )
--- a/lagooncrank/core/membership/_types.py
+++ b/lagooncrank/core/membership/_types.py
@@ -32,16 +32,29 @@
 class Renewal:
     """An announcement that repeats an earlier one but for its load."""
 
-    backend_server_id: model.BackendServerId
-    incarnation: int
+    #: Digest of what the announcement repeats; it names the server too.
+    content_digest: bytes
     sequence: int
-    #: Digest of what the announcement repeats.
-    content_digest: int
     load: model.LoadReport
     #: Time since the backend server spoke, when the delta was made.
     age_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RenewalColumns:
+    """Renewals as they are sent; index `i` of each column is renewal `i`."""
+
+    #: Digests of equal length, one after another.
+    content_digests: bytes = b""
+    sequences: tuple[int, ...] = ()
+    ages_ms: tuple[int, ...] = ()
+    running: tuple[int, ...] = ()
+    queued: tuple[int, ...] = ()
+    kv_used_percents: tuple[int, ...] = ()
+    tokens_per_s: tuple[int, ...] = ()
+    load_ages_ms: tuple[int, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnnouncementDelta:
     """What one entry heard since it last told another."""
@@ -52,7 +65,7 @@
     #: When the delta was made, on the sender's monotonic clock.
     sent_ms: int
     announcements: tuple[AgedAnnouncement, ...] = ()
-    renewals: tuple[Renewal, ...] = ()
+    renewals: RenewalColumns = RenewalColumns()
 
 
 class Membership(Protocol):
--- a/lagooncrank/core/membership/tests/test_table.py
+++ b/lagooncrank/core/membership/tests/test_table.py
@@ -112,3 +112,16 @@
     member = there.find(SERVER, now_ms=1_000)
     assert member is not None
     assert member.announcement.state is leaving
+
+
+def test_server_that_announces_to_two_entries_stays_a_renewal() -> None:
+    here, there = table("n1"), table("n2")
+    for second in range(5):
+        now_ms = second * 500
+        here.announced(announcement(second), now_ms)
+        there.merge(told(here, now_ms), now_ms)
+        there.announced(announcement(second), now_ms)
+        answer = there.delta_for(model.NodeId("n1"), now_ms)
+        assert answer is not None
+        assert bool(answer.announcements) == (second == 0)
+        assert here.merge(answer, now_ms)
