Add the consensus core: election, replication, reads, voter changes

Cause: the shared state needs a log that several nodes agree on. Change: core/consensus without input or output. Pre-vote, refusal of votes within the shortest election timeout of a leader's word (a start counts as such), commit by an entry of the own term, step-down without a quorum, a leader lease counted from the sending of the newest answered round, reads confirmed by a round, one voter changed at a time, and a voter identity that includes the disk, so a replaced disk never uses its old vote. Ruled out: a lease from the receipt of answers (a paused process reads old ones as fresh).

--- /dev/null
+++ b/lagooncrank/core/consensus/tests/cluster.py
@@ -0,0 +1,208 @@
+"""Several consensus nodes on a manual clock with a network under test."""
+
+import dataclasses
+import random
+
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank.core import consensus
+
+TICK_MS = 50
+
+
+class Disk:
+    """Data folder in memory; a crash loses what was not synced."""
+
+    def __init__(self, voter: consensus.Voter) -> None:
+        self.voter = voter
+        self.synced = consensus.DurableState()
+        self.written = self.synced
+        self.loses_syncs = False
+
+    def write(self, output: consensus.Output) -> None:
+        if output.hard_state is not None:
+            self._set(hard_state=output.hard_state)
+        if output.snapshot is not None:
+            self._set(snapshot=output.snapshot, entries=())
+        if output.entries:
+            first = output.entries[0].index
+            kept = [e for e in self.written.entries if e.index < first]
+            self._set(entries=(*kept, *output.entries))
+
+    def compact(self, snapshot: consensus.Snapshot) -> None:
+        last = snapshot.last_index
+        kept = tuple(e for e in self.written.entries if e.index > last)
+        self._set(snapshot=snapshot, entries=kept)
+        self.sync()
+
+    def sync(self) -> None:
+        if not self.loses_syncs:
+            self.synced = self.written
+
+    def crash(self) -> None:
+        self.written = self.synced
+
+    def _set(self, **changes: object) -> None:
+        self.written = dataclasses.replace(self.written, **changes)  # type: ignore[arg-type]
+
+
+class Process:
+    """One node, its disk and the commands that it applied."""
+
+    def __init__(self, disk: Disk, rng: random.Random, now_ms: int) -> None:
+        self.disk = disk
+        self.node_id = disk.voter.node_id
+        self._rng = rng
+        self.paused = False
+        self.start(now_ms)
+
+    def start(self, now_ms: int) -> None:
+        self.applied: list[consensus.Entry] = []
+        self.reads: list[consensus.ReadResult] = []
+        self.up = True
+        durable = self.disk.synced
+        self.base_index = 0
+        if durable.snapshot is not None:
+            self.base_index = durable.snapshot.last_index
+        self.node = consensus.Node(
+            self.disk.voter,
+            consensus.Timing(),
+            self._rng.random,
+            durable,
+            now_ms,
+        )
+
+    @property
+    def runs(self) -> bool:
+        return self.up and not self.paused
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Packet:
+    """A message under way."""
+
+    sender: model.NodeId
+    to: model.NodeId
+    message: consensus.Message
+
+
+class Cluster:
+    """Nodes "n0", "n1", ... and the messages between them."""
+
+    def __init__(self, size: int, seed: int, spares: int = 0) -> None:
+        self.rng = random.Random(seed)
+        self.clock = clock.ManualClock(start_ms=1_000)
+        self.packets: list[Packet] = []
+        self.blocked: set[tuple[model.NodeId, model.NodeId]] = set()
+        self._proposals = 0
+        self._disks = 0
+        voters = tuple(self._voter(f"n{i}") for i in range(size))
+        self.genesis = consensus.VoterSet(voters)
+        self.processes = {v.node_id: self._process(v) for v in voters}
+        for index in range(size, size + spares):
+            self.processes[model.NodeId(f"n{index}")] = self._process(
+                self._voter(f"n{index}"), blank=True
+            )
+
+    def _voter(self, node_id: str) -> consensus.Voter:
+        self._disks += 1
+        return consensus.Voter(model.NodeId(node_id), f"disk{self._disks}")
+
+    def _process(
+        self, voter: consensus.Voter, *, blank: bool = False
+    ) -> Process:
+        disk = Disk(voter)
+        if not blank:
+            disk.synced = consensus.DurableState(genesis=self.genesis)
+            disk.written = disk.synced
+        return Process(disk, self.rng, self.clock.now_ms())
+
+    def leaders(self) -> list[Process]:
+        return [
+            p
+            for p in self.processes.values()
+            if p.up and p.node.status.role is consensus.Role.LEADER
+        ]
+
+    def propose(self, process: Process, data: bytes) -> None:
+        self._proposals += 1
+        proposal = consensus.ProposalId(process.node_id, 1, self._proposals)
+        process.node.propose(data, proposal, process.node.status.term)
+        self.pump(process)
+
+    def pump(
+        self, process: Process, *, crash_before_sync: bool = False
+    ) -> None:
+        """Carries out a node's output, or crashes half way."""
+        output = process.node.drain(self.clock.now_ms())
+        process.disk.write(output)
+        if crash_before_sync:
+            self.crash(process)
+            return
+        process.disk.sync()
+        if output.snapshot is not None:
+            process.applied = []
+            process.base_index = output.snapshot.last_index
+        process.applied.extend(output.committed)
+        process.reads.extend(output.reads)
+        self.packets.extend(
+            Packet(process.node_id, e.to, e.message) for e in output.messages
+        )
+
+    def deliver(self, position: int) -> None:
+        """Delivers one message; one to a paused node stays under way."""
+        packet = self.packets[position]
+        process = self.processes[packet.to]
+        if process.paused and process.up:
+            return
+        del self.packets[position]
+        if (packet.sender, packet.to) in self.blocked or not process.up:
+            return
+        process.node.receive(packet.message, self.clock.now_ms())
+        self.pump(process)
+
+    def tick(self, process: Process) -> None:
+        if process.runs:
+            process.node.tick(self.clock.now_ms())
+            self.pump(process)
+
+    def run(self, duration_ms: int) -> None:
+        """Lets time pass with every message delivered in order."""
+        for _ in range(0, duration_ms, TICK_MS):
+            self.clock.advance(TICK_MS)
+            for process in self.processes.values():
+                self.tick(process)
+            self.settle()
+
+    def settle(self) -> None:
+        """Delivers messages until none is left for a running node."""
+        for _ in range(10_000):
+            ready = [
+                i
+                for i, p in enumerate(self.packets)
+                if self.processes[p.to].runs or not self.processes[p.to].up
+            ]
+            if not ready:
+                return
+            self.deliver(ready[0])
+
+    def crash(self, process: Process) -> None:
+        process.disk.crash()
+        process.up = False
+
+    def restart(self, process: Process) -> None:
+        process.paused = False
+        process.start(self.clock.now_ms())
+
+    def replace_disk(self, process: Process) -> None:
+        """Starts a stopped node again on a blank disk."""
+        process.disk = Disk(self._voter(process.node_id))
+        self.restart(process)
+
+    def block(self, sender: str, to: str) -> None:
+        self.blocked.add((model.NodeId(sender), model.NodeId(to)))
+
+    def isolate(self, process: Process) -> None:
+        for other in self.processes:
+            self.block(process.node_id, other)
+            self.block(other, process.node_id)
--- /dev/null
+++ b/lagooncrank/core/consensus/tests/test_node.py
@@ -0,0 +1,170 @@
+"""Behaviour of a few nodes under single faults."""
+
+import pytest
+
+from lagooncrank import results
+from lagooncrank.core import consensus
+from lagooncrank.core.consensus.tests import cluster as clusters
+
+
+def led_cluster(
+    size: int = 3, spares: int = 0
+) -> tuple[clusters.Cluster, clusters.Process]:
+    cluster = clusters.Cluster(size, seed=7, spares=spares)
+    cluster.run(4_000)
+    (leader,) = cluster.leaders()
+    return cluster, leader
+
+
+def data_of(process: clusters.Process) -> list[bytes]:
+    return [e.data for e in process.applied if e.data]
+
+
+@pytest.mark.parametrize("size", [1, 3, 5])
+def test_commands_reach_every_node_in_order(size: int) -> None:
+    cluster, leader = led_cluster(size)
+    cluster.propose(leader, b"a")
+    cluster.propose(leader, b"b")
+    cluster.run(200)
+    for process in cluster.processes.values():
+        assert data_of(process) == [b"a", b"b"]
+
+
+def test_minority_commits_nothing_and_leader_steps_down() -> None:
+    cluster, leader = led_cluster()
+    cluster.isolate(leader)
+    cluster.propose(leader, b"lost")
+    cluster.run(3_000)
+    assert leader.node.status.role is not consensus.Role.LEADER
+    (successor,) = cluster.leaders()
+    cluster.propose(successor, b"kept")
+    cluster.blocked.clear()
+    cluster.run(1_000)
+    for process in cluster.processes.values():
+        assert data_of(process) == [b"kept"]
+
+
+def test_isolated_follower_does_not_disturb_the_leader() -> None:
+    cluster, leader = led_cluster()
+    term = leader.node.status.term
+    follower = next(p for p in cluster.processes.values() if p is not leader)
+    cluster.isolate(follower)
+    cluster.run(10_000)
+    cluster.blocked.clear()
+    cluster.run(2_000)
+    assert cluster.leaders() == [leader]
+    assert leader.node.status.term == term
+
+
+def test_lease_ends_before_another_node_can_lead() -> None:
+    cluster, leader = led_cluster()
+    cluster.isolate(leader)
+    while len(cluster.leaders()) < 2 and leader in cluster.leaders():
+        now_ms = cluster.clock.now_ms()
+        others = [p for p in cluster.leaders() if p is not leader]
+        assert not (others and leader.node.lease_holds(now_ms))
+        cluster.run(clusters.TICK_MS)
+    assert not leader.node.lease_holds(cluster.clock.now_ms())
+
+
+def test_read_of_a_deposed_leader_is_not_confirmed() -> None:
+    cluster, leader = led_cluster()
+    cluster.isolate(leader)
+    leader.node.read(1, cluster.clock.now_ms())
+    cluster.run(3_000)
+    assert leader.reads == [consensus.ReadResult(1, None)]
+
+
+def test_read_is_confirmed_by_a_quorum() -> None:
+    cluster, leader = led_cluster()
+    leader.node.read(1, cluster.clock.now_ms())
+    cluster.pump(leader)
+    assert leader.reads == []
+    cluster.settle()
+    index = leader.node.status.commit_index
+    assert leader.reads == [consensus.ReadResult(1, index)]
+
+
+def test_proposal_for_an_earlier_term_is_refused() -> None:
+    _, leader = led_cluster()
+    proposal = consensus.ProposalId(leader.node_id, 1, 1)
+    term = leader.node.status.term
+    code = leader.node.propose(b"x", proposal, term - 1)
+    assert code is results.ResultCode.NOT_LEADER
+
+
+def test_follower_behind_the_log_catches_up_by_snapshot() -> None:
+    cluster, leader = led_cluster()
+    follower = next(p for p in cluster.processes.values() if p is not leader)
+    cluster.crash(follower)
+    for number in range(300):
+        cluster.propose(leader, b"%d" % number)
+    cluster.run(200)
+    index = leader.node.status.commit_index
+    leader.disk.compact(leader.node.compact(index, b"state"))
+    cluster.restart(follower)
+    cluster.propose(leader, b"after")
+    cluster.run(500)
+    assert follower.base_index == index
+    assert data_of(follower) == [b"after"]
+    assert follower.disk.synced.snapshot == leader.disk.synced.snapshot
+
+
+def test_restarted_voter_keeps_the_promise_it_may_have_made() -> None:
+    cluster, leader = led_cluster()
+    follower = next(p for p in cluster.processes.values() if p is not leader)
+    cluster.crash(follower)
+    cluster.restart(follower)
+    status = follower.node.status
+    request = consensus.VoteRequest(
+        status.term + 1, leader.disk.voter, 99, 99, pre_vote=False
+    )
+    follower.node.receive(request, cluster.clock.now_ms())
+    output = follower.node.drain(cluster.clock.now_ms())
+    (envelope,) = output.messages
+    assert isinstance(envelope.message, consensus.VoteReply)
+    assert not envelope.message.granted
+
+
+def test_replaced_disk_votes_only_after_a_learner_stage() -> None:
+    cluster, leader = led_cluster()
+    old = next(p for p in cluster.processes.values() if p is not leader)
+    old_voter = old.disk.voter
+    cluster.propose(leader, b"a")
+    cluster.crash(old)
+    cluster.replace_disk(old)
+    cluster.run(3_000)
+    assert old.applied == []
+    voters = leader.node.status.voters
+    assert voters is not None
+    learning = consensus.VoterSet(voters.voters, (old.disk.voter,))
+    assert leader.node.change_voters(learning) is results.ResultCode.OK
+    cluster.run(500)
+    assert leader.node.is_caught_up(old.disk.voter)
+    assert data_of(old) == [b"a"]
+    others = tuple(v for v in voters.voters if v != old_voter)
+    leader.node.change_voters(consensus.VoterSet(others, learning.learners))
+    cluster.run(500)
+    both = consensus.VoterSet((*others, old.disk.voter))
+    assert leader.node.change_voters(both) is results.ResultCode.OK
+    cluster.run(500)
+    assert old.node.status.voters == both
+
+
+def test_two_voters_cannot_change_at_once() -> None:
+    _, leader = led_cluster()
+    only = consensus.VoterSet((leader.disk.voter,))
+    with pytest.raises(ValueError, match="one voter at a time"):
+        leader.node.change_voters(only)
+
+
+def test_removed_leader_steps_down_once_its_removal_commits() -> None:
+    cluster, leader = led_cluster()
+    voters = leader.node.status.voters
+    assert voters is not None
+    rest = tuple(v for v in voters.voters if v != leader.disk.voter)
+    leader.node.change_voters(consensus.VoterSet(rest))
+    cluster.run(4_000)
+    (successor,) = cluster.leaders()
+    assert successor is not leader
+    assert leader.node.status.role is consensus.Role.FOLLOWER
