--- /dev/null
+++ b/lagooncrank/server/storage/__init__.py
@@ -0,0 +1,17 @@
+"""Durable log, snapshots and identity of one voter, in one data folder."""
+
+from lagooncrank.server.storage._errors import CorruptFileError
+from lagooncrank.server.storage._errors import FolderInUseError
+from lagooncrank.server.storage._errors import FormatVersionError
+from lagooncrank.server.storage._errors import StorageError
+from lagooncrank.server.storage._errors import WriteError
+from lagooncrank.server.storage._storage import Storage
+
+__all__ = [
+    "CorruptFileError",
+    "FolderInUseError",
+    "FormatVersionError",
+    "Storage",
+    "StorageError",
+    "WriteError",
+]
