Add peer links: websockets and CBOR, keyed both ways, redialled on silence

Cause: the nodes need messages between them that end with their peer. Of two nodes the lower id dials; both prove the shared key over both nonces; each frame carries a keyed, numbered tag. Counters name each reason.

--- /dev/null
+++ b/lagooncrank/server/links/__init__.py
@@ -0,0 +1,7 @@
+"""Authenticated message links between the nodes."""
+
+from lagooncrank.server.links._handshake import HandshakeError
+from lagooncrank.server.links._links import Links
+from lagooncrank.server.links._links import LinkTiming
+
+__all__ = ["HandshakeError", "LinkTiming", "Links"]
--- /dev/null
+++ b/lagooncrank/server/links/tests/test_links.py
@@ -0,0 +1,134 @@
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import socket
+
+import prometheus_client
+import pytest
+
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank.server import links
+from lagooncrank.server.links import _handshake
+
+A = model.NodeId("a")
+B = model.NodeId("b")
+WAIT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    number: int
+
+
+def listener() -> socket.socket:
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
+def address(sock: socket.socket) -> str:
+    host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
+class Node:
+    """A running link service that collects what it receives."""
+
+    def __init__(self, service: links.Links) -> None:
+        self.service = service
+        self.received: list[tuple[model.NodeId, int]] = []
+        service.on_message("ping", Ping, self._take)
+
+    def _take(self, sender: model.NodeId, ping: Ping) -> None:
+        self.received.append((sender, ping.number))
+
+
+@contextlib.asynccontextmanager
+async def pair(
+    key_a: bytes = b"k", key_b: bytes = b"k"
+) -> AsyncIterator[tuple[Node, Node, clock.ManualClock]]:
+    sockets = {A: listener(), B: listener()}
+    addresses = {n: address(s) for n, s in sockets.items()}
+    manual = clock.ManualClock()
+    nodes = [
+        Node(links.Links(n, addresses, key, manual, listener=sockets[n]))
+        for n, key in ((A, key_a), (B, key_b))
+    ]
+    async with nodes[0].service, nodes[1].service:
+        yield nodes[0], nodes[1], manual
+
+
+async def until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+
+
+async def test_messages_go_both_ways() -> None:
+    async with pair() as (a, b, _):
+        await until(lambda: a.service.connected() and b.service.connected())
+        a.service.send(B, "ping", Ping(1))
+        b.service.send(A, "ping", Ping(2))
+        await until(lambda: a.received and b.received)
+        assert b.received == [(A, 1)]
+        assert a.received == [(B, 2)]
+
+
+def refused_links() -> float:
+    name = "lagooncrank_peer_links_closed_total"
+    sample = prometheus_client.REGISTRY.get_sample_value(
+        name, {"reason": "refused"}
+    )
+    return sample or 0.0
+
+
+async def test_peer_with_another_key_is_not_connected() -> None:
+    before = refused_links()
+    async with pair(key_b=b"other") as (a, b, _):
+        await until(lambda: refused_links() >= before + 2)
+        assert not a.service.connected()
+        assert not b.service.connected()
+
+
+async def test_silent_link_is_dropped_and_dialled_anew() -> None:
+    async with pair() as (a, b, manual):
+        await until(lambda: a.service.connected() and b.service.connected())
+        manual.advance(links.LinkTiming().silence_ms)
+        assert not a.service.connected()
+        a.service.check()
+        await until(lambda: a.service.connected() and b.service.connected())
+        a.service.send(B, "ping", Ping(3))
+        await until(lambda: b.received)
+        assert b.received == [(A, 3)]
+
+
+async def test_unknown_and_invalid_messages_leave_the_link_up() -> None:
+    async with pair() as (a, b, _):
+        await until(lambda: a.service.connected() and b.service.connected())
+        a.service.send(B, "other", Ping(1))
+        a.service.send(B, "ping", {"number": "no number"})
+        a.service.send(B, "ping", Ping(4))
+        await until(lambda: b.received)
+        assert b.received == [(A, 4)]
+
+
+@pytest.mark.parametrize("change", ["altered", "repeated", "left_out"])
+def test_frames_that_are_not_authentic_are_refused(change: str) -> None:
+    hellos = _handshake.Hello.of(A), _handshake.Hello.of(B)
+    sender = _handshake.Session(b"k", *hellos, is_dialer=True)
+    receiver = _handshake.Session(b"k", *hellos, is_dialer=False)
+    first, second = sender.seal(b"one"), sender.seal(b"two")
+    frames = {
+        "altered": [first[:-1] + b"x"],
+        "repeated": [first, first],
+        "left_out": [second],
+    }
+    for frame in frames[change][:-1]:
+        receiver.open(frame)
+    with pytest.raises(links.HandshakeError, match="not authentic"):
+        receiver.open(frames[change][-1])
