Derive routing targets at each entry from its own live members

Cause: a replica must end serving at every entry as soon as one member is missing there, without waiting for the leader. Change: core/routing/_targets.py judges each replicated assignment by the entry's own announcements: lease, state, replica, version, fencing number.

--- /dev/null
+++ b/lagooncrank/core/placement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lagooncrank.core.placement."""
--- a/lagooncrank/core/routing/__init__.py
+++ b/lagooncrank/core/routing/__init__.py
@@ -1,5 +1,9 @@
 """Choice of replica or backend server."""
 
+from lagooncrank.core.routing._targets import index_members
+from lagooncrank.core.routing._targets import plain_targets
+from lagooncrank.core.routing._targets import replica_targets
+from lagooncrank.core.routing._targets import serves_whole
 from lagooncrank.core.routing._types import AttemptEnd
 from lagooncrank.core.routing._types import RouteQuery
 from lagooncrank.core.routing._types import Router
@@ -10,4 +14,8 @@
     "RouteQuery",
     "Router",
     "Target",
+    "index_members",
+    "plain_targets",
+    "replica_targets",
+    "serves_whole",
 ]
--- /dev/null
+++ b/lagooncrank/core/routing/_targets.py
@@ -0,0 +1,126 @@
+"""Finds the targets that one entry may route to.
+
+Each entry decides from the replicated assignments and its own live members,
+so a missing member ends routing to its replica without word from the leader.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+
+from lagooncrank import model
+from lagooncrank.core import membership
+from lagooncrank.core.routing import _types
+
+#: Calls that one backend server of a plain service takes at once.
+PLAIN_CONCURRENCY = 64
+
+#: The live members of one entry by their server id.
+Members = Mapping[model.BackendServerId, membership.Member]
+
+
+def index_members(members: Iterable[membership.Member]) -> Members:
+    """Returns the members by backend server id."""
+    return {m.announcement.backend_server_id: m for m in members}
+
+
+def replica_targets(
+    service: model.ModelService,
+    replicas: Iterable[model.Replica],
+    members: Members,
+    now_ms: int,
+) -> Iterator[_types.Target]:
+    """Yields a target for each replica of a service that serves as a whole.
+
+    Args:
+        service: The declared model service.
+        replicas: The replicated assignments; other services are skipped.
+        members: The backend servers that this entry knows.
+        now_ms: Monotonic time of this entry, in milliseconds.
+    """
+    for replica in replicas:
+        if replica.service != service.name:
+            continue
+        if serves_whole(replica, members, now_ms):
+            yield _replica_target(service, replica, members)
+
+
+def serves_whole(replica: model.Replica, members: Members, now_ms: int) -> bool:
+    """Returns whether every member of a replica is there and ready for it."""
+    if replica.state is not model.ReplicaState.SERVING:
+        return False
+    pairs = zip(replica.backend_servers, replica.instances, strict=True)
+    return all(
+        _serves_for(replica, instance_id, members.get(server_id), now_ms)
+        for server_id, instance_id in pairs
+    )
+
+
+def plain_targets(
+    service: model.ServiceName,
+    members: Iterable[membership.Member],
+    now_ms: int,
+) -> Iterator[_types.Target]:
+    """Yields a target for each ready backend server of a plain service.
+
+    Args:
+        service: Name of the plain service.
+        members: The backend servers that this entry knows.
+        now_ms: Monotonic time of this entry, in milliseconds.
+    """
+    for member in members:
+        announcement = member.announcement
+        if announcement.kind is not model.BackendServerKind.PLAIN_SERVICE:
+            continue
+        if service in announcement.serves and _is_ready(member, now_ms):
+            yield _types.Target(
+                target_id=announcement.backend_server_id,
+                address=announcement.address,
+                failure_domain_id=announcement.failure_domain_id,
+                incarnation=str(announcement.incarnation),
+                load=announcement.load,
+                load_received_ms=member.heard_ms,
+                concurrency=PLAIN_CONCURRENCY,
+            )
+
+
+def _is_ready(member: membership.Member, now_ms: int) -> bool:
+    if member.lease_end_ms <= now_ms:
+        return False
+    return member.announcement.state is model.BackendServerState.READY
+
+
+def _serves_for(
+    replica: model.Replica,
+    instance_id: model.InstanceId,
+    member: membership.Member | None,
+    now_ms: int,
+) -> bool:
+    if member is None or not _is_ready(member, now_ms):
+        return False
+    if member.announcement.instance_id != instance_id:
+        return False
+    return member.announcement.loaded == model.LoadedModel(
+        service=replica.service,
+        replica_id=replica.replica_id,
+        version=replica.version,
+        fencing_number=replica.fencing_number,
+        ready=True,
+    )
+
+
+def _replica_target(
+    service: model.ModelService, replica: model.Replica, members: Members
+) -> _types.Target:
+    found = [members[server_id] for server_id in replica.backend_servers]
+    first = found[0]
+    starts = (str(m.announcement.incarnation) for m in found)
+    return _types.Target(
+        target_id=replica.replica_id,
+        address=first.announcement.address,
+        failure_domain_id=first.announcement.failure_domain_id,
+        incarnation=f"{replica.fencing_number}:{'.'.join(starts)}",
+        load=first.announcement.load,
+        load_received_ms=first.heard_ms,
+        concurrency=service.concurrency_per_replica,
+    )
--- /dev/null
+++ b/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
