--- /dev/null
+++ b/lagooncrank/core/placement/_fleet.py
@@ -0,0 +1,105 @@
+"""What one step of placement looks at: replicas, members, free instances."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+
+from lagooncrank import model
+from lagooncrank.core.placement import _instances
+from lagooncrank.core.placement import _types
+
+
+class Fleet:
+    """Replicas and instances at one step.
+
+    Args:
+        situation: What the leader knows.
+        table: What it remembers of instances.
+        now_ms: Monotonic time of the leader, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        situation: _types.Situation,
+        table: _instances.InstanceTable,
+        now_ms: int,
+    ) -> None:
+        self.declarations = situation.declarations
+        self.rules = situation.declarations.placement
+        self.drained = situation.drained
+        self.now_ms = now_ms
+        self._table = table
+        self.replicas = situation.replicas
+        self.holding = tuple(
+            r for r in situation.replicas.values() if r.holds_instances
+        )
+        self.services: Mapping[model.ServiceName, model.ModelService] = {
+            s.name: s for s in situation.declarations.model_services
+        }
+        self.holders = {
+            instance_id: replica
+            for replica in self.holding
+            for instance_id in replica.instances
+        }
+
+    def instance(
+        self, instance_id: model.InstanceId
+    ) -> _instances.Instance | None:
+        """Returns what the leader remembers of an instance."""
+        return self._table.get(instance_id)
+
+    def instances(self) -> Iterator[_instances.Instance]:
+        """Yields every instance that the leader remembers."""
+        return iter(self._table)
+
+    def members(
+        self, replica: model.Replica
+    ) -> tuple[_instances.Instance | None, ...]:
+        """Returns the members of a replica by rank, None where never heard."""
+        return tuple(self._table.get(i) for i in replica.instances)
+
+    def silent_ranks(self, replica: model.Replica) -> tuple[int, ...]:
+        """Returns the ranks of a replica whose instance is not ready."""
+        return tuple(
+            rank
+            for rank, instance in enumerate(self.members(replica))
+            if instance is None or not instance.is_ready
+        )
+
+    def free(self) -> dict[model.FabricDomainId, list[_instances.Instance]]:
+        """Returns the instances that a replica may take, by domain."""
+        found: dict[model.FabricDomainId, list[_instances.Instance]] = {}
+        for instance in sorted(self._table, key=lambda i: i.instance_id):
+            if self.is_free(instance):
+                domain = instance.announcement.fabric_domain_id
+                found.setdefault(domain, []).append(instance)
+        return found
+
+    def is_free(self, instance: _instances.Instance) -> bool:
+        """Returns whether a replica may take an instance now."""
+        return (
+            instance.is_ready
+            and instance.instance_id not in self.holders
+            and instance.instance_id not in self.drained
+        )
+
+
+def holds(
+    instance: _instances.Instance | None, replica: model.Replica
+) -> model.LoadedModel | None:
+    """Returns what a member holds for exactly this assignment, or None."""
+    if instance is None or not instance.is_ready:
+        return None
+    loaded = instance.announcement.loaded
+    if loaded is None or loaded.replica_id != replica.replica_id:
+        return None
+    same_number = loaded.fencing_number == replica.fencing_number
+    same_version = loaded.version == replica.version
+    return loaded if same_number and same_version else None
+
+
+def is_ready_for(
+    instance: _instances.Instance | None, replica: model.Replica
+) -> bool:
+    """Returns whether a member is loaded for exactly this assignment."""
+    loaded = holds(instance, replica)
+    return loaded is not None and loaded.ready
--- a/lagooncrank/core/routing/__init__.py
+++ b/lagooncrank/core/routing/__init__.py
@@ -1,5 +1,9 @@
 """Choice of replica or backend server."""
 
+from lagooncrank.core.routing._policies import RouterConfig
+from lagooncrank.core.routing._policies import RouterFactory
+from lagooncrank.core.routing._policies import ROUTERS
+from lagooncrank.core.routing._round_robin import RoundRobin
 from lagooncrank.core.routing._targets import index_members
 from lagooncrank.core.routing._targets import plain_targets
 from lagooncrank.core.routing._targets import replica_targets
@@ -10,9 +14,13 @@
 from lagooncrank.core.routing._types import Target
 
 __all__ = [
+    "ROUTERS",
     "AttemptEnd",
+    "RoundRobin",
     "RouteQuery",
     "Router",
+    "RouterConfig",
+    "RouterFactory",
     "Target",
     "index_members",
     "plain_targets",
--- a/standins/tests/__init__.py
+++ b/standins/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the stand-ins."""
+"""Tests."""
