Form replicas through the log and drive their load orders

Cause: nothing turned declarations into replicas. A new leadership starts a new planner, told by the NoOp that each leader commits. Stand-ins: order desk of an engine and a fleet on a manual clock. Ruled out: keeping planner memory over an interrupted lease, since another leader may have sent orders meanwhile.

--- a/lagooncrank/core/placement/_fencing.py
+++ b/lagooncrank/core/placement/_fencing.py
@@ -11,6 +11,7 @@
 from lagooncrank import model
 from lagooncrank.core.placement import _instances
 from lagooncrank.core.placement import _order_book
+from lagooncrank.core.placement import _types
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,20 +48,6 @@
                 leader_since_ms + rules.leader_lease_ms + rules.max_order_ms
             )
 
-    def quiet_from_ms(
-        self, instance: _instances.Instance, fencing_number: int
-    ) -> int:
-        """Returns from when a new order meets no older one underway.
-
-        Args:
-            instance: The instance that would take the order.
-            fencing_number: Number of the new order.
-        """
-        if instance.announcement.checks_fencing:
-            return 0
-        own = self._orders.quiet_from_ms(instance.instance_id, fencing_number)
-        return max(own, self._inherited_until_ms)
-
     def may_load(
         self, instance: _instances.Instance, replica: model.Replica, now_ms: int
     ) -> bool:
@@ -69,8 +56,17 @@
             return True
         if instance.announcement.loaded is not None:
             return False
-        quiet_ms = self.quiet_from_ms(instance, replica.fencing_number)
-        return quiet_ms <= min(now_ms, instance.member.heard_ms)
+        kind = _types.OrderKind.LOAD
+        return self._is_quiet(instance, kind, replica.fencing_number, now_ms)
+
+    def may_unload(
+        self, instance: _instances.Instance, fencing_number: int, now_ms: int
+    ) -> bool:
+        """Returns whether an instance may take an unload order."""
+        if instance.announcement.checks_fencing:
+            return True
+        kind = _types.OrderKind.UNLOAD
+        return self._is_quiet(instance, kind, fencing_number, now_ms)
 
     def must_unload(self, instance: _instances.Instance) -> bool:
         """Returns whether what an instance holds must be unloaded first.
@@ -80,3 +76,16 @@
         """
         announcement = instance.announcement
         return not announcement.checks_fencing and bool(announcement.loaded)
+
+    def _is_quiet(
+        self,
+        instance: _instances.Instance,
+        kind: _types.OrderKind,
+        fencing_number: int,
+        now_ms: int,
+    ) -> bool:
+        own_ms = self._orders.quiet_from_ms(
+            instance.instance_id, kind, fencing_number
+        )
+        quiet_ms = max(own_ms, self._inherited_until_ms)
+        return quiet_ms <= min(now_ms, instance.member.heard_ms)
--- a/lagooncrank/core/placement/_order_book.py
+++ b/lagooncrank/core/placement/_order_book.py
@@ -89,21 +89,26 @@
             self._ended[stem] = _Ended(attempt + 1, now_ms)
 
     def quiet_from_ms(
-        self, instance_id: model.InstanceId, fencing_number: int
+        self,
+        instance_id: model.InstanceId,
+        kind: _types.OrderKind,
+        fencing_number: int,
     ) -> int:
-        """Returns from when no older order can reach an instance any more.
+        """Returns from when no other order can reach an instance any more.
 
         Args:
             instance_id: The instance that would take a new order.
-            fencing_number: Number of the new order; orders that carry it
-                ask for the same and are no danger to it.
+            kind: Kind of the new order.
+            fencing_number: Number of the new order. Orders of its kind that
+                carry the same number ask for the same.
         """
+        new = (kind, fencing_number)
         return max(
             (
                 sent.last_sent_ms + self.max_order_ms
                 for sent in self._sent.get(instance_id, {}).values()
                 if sent.unanswered > 0
-                and sent.order.fencing_number != fencing_number
+                and (sent.order.kind, sent.order.fencing_number) != new
             ),
             default=0,
         )
--- a/lagooncrank/core/placement/_orders.py
+++ b/lagooncrank/core/placement/_orders.py
@@ -72,7 +72,10 @@
             holder = self._fleet.holders.get(instance.instance_id)
             if holder is not None and self._may_keep(instance, holder):
                 continue
-            yield from self._send(instance, self._unload_order(instance))
+            order = self._unload_order(instance, loaded)
+            number = order.fencing_number
+            if self._fence.may_unload(instance, number, self._fleet.now_ms):
+                yield from self._send(instance, order)
 
     def _may_keep(
         self, instance: _instances.Instance, holder: model.Replica
@@ -127,9 +130,9 @@
             weight_bytes=load.service.weight_bytes_per_instance,
         )
 
-    def _unload_order(self, instance: _instances.Instance) -> _types.Order:
-        loaded = instance.announcement.loaded
-        assert loaded is not None
+    def _unload_order(
+        self, instance: _instances.Instance, loaded: model.LoadedModel
+    ) -> _types.Order:
         number = self._unload_number(loaded)
         kind = _types.OrderKind.UNLOAD
         return _types.Order(
--- a/lagooncrank/core/placement/_planner.py
+++ b/lagooncrank/core/placement/_planner.py
@@ -52,9 +52,12 @@
             situation: State with everything applied that was committed.
             now_ms: Monotonic time of the leader, in milliseconds.
         """
-        hold_down_ms = situation.declarations.placement.hold_down_ms
-        self._table.observe(situation.members, hold_down_ms, now_ms)
+        rules = situation.declarations.placement
+        self._table.observe(situation.members, rules.hold_down_ms, now_ms)
         self._table.forget(FORGET_MS, now_ms)
+        self._book.max_order_ms = max(
+            self._book.max_order_ms, rules.max_order_ms
+        )
         self._book.expire(now_ms)
         fleet = _fleet.Fleet(situation, self._table, now_ms)
         changes = _changes.Changes(situation.last_fencing_number)
--- /dev/null
+++ b/lagooncrank/server/_placement.py
@@ -0,0 +1,178 @@
+"""Drives placement while this node leads."""
+
+import asyncio
+import dataclasses
+from typing import Final
+
+import logbook
+import mode
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank.core import membership
+from lagooncrank.core import placement
+from lagooncrank.core import state
+from lagooncrank.server import _orders
+from lagooncrank.server import _ports
+
+STEP_INTERVAL_S: Final = 0.25
+PROPOSAL_TIMEOUT_MS: Final = 3_000
+READ_TIMEOUT_MS: Final = 2_000
+#: Longest time that a deposed leader believes itself leader.
+LEADER_LEASE_MS: Final = 10_000
+
+_log = logbook.Logger("placement")
+
+
+@dataclasses.dataclass(slots=True)
+class _Leadership:
+    planner: placement.Planner
+    #: Leaders seen in the log when the planner was made.
+    leaders_seen: int
+
+
+class PlacementDriver(mode.Service):
+    """Commits what the planner wants and sends its orders.
+
+    Acts only while this node is leader with its lease. A new planner starts
+    with each leadership: what the one before it remembered may have been
+    overtaken by another leader.
+
+    Args:
+        shared: The replicated state.
+        members: Backend servers that this entry knows.
+        sender: Brings orders to engines.
+        clock: Clock of the process.
+        policy: Name of the placement policy.
+    """
+
+    def __init__(
+        self,
+        shared: _ports.SharedState,
+        members: membership.Membership,
+        sender: _orders.OrderSender,
+        clock: clocks.Clock,
+        policy: str,
+    ) -> None:
+        super().__init__()
+        self._shared = shared
+        self._members = members
+        self._sender = sender
+        self._clock = clock
+        self._policy = policy
+        self._leadership: _Leadership | None = None
+        self._leaders_seen = 0
+        self._sending: set[asyncio.Task[None]] = set()
+        shared.on_applied(self._note_applied)
+
+    async def on_stop(self) -> None:
+        """Ends the sending of orders."""
+        for task in tuple(self._sending):
+            task.cancel()
+
+    @mode.Service.timer(STEP_INTERVAL_S)
+    async def _step_regularly(self) -> None:
+        await self.step()
+
+    async def step(self) -> None:
+        """Makes one decision and carries it out, if this node leads."""
+        configuration = self._shared.view.configuration
+        if configuration is None:
+            return
+        rules = configuration.declarations.placement
+        leadership = await self._current_leadership(rules)
+        if leadership is None:
+            return
+        now_ms = self._clock.now_ms()
+        situation = placement.Situation(
+            declarations=configuration.declarations,
+            replicas=self._shared.view.replicas,
+            last_fencing_number=self._shared.view.last_fencing_number,
+            members=self._members.live(now_ms),
+        )
+        decision = leadership.planner.step(situation, now_ms)
+        for send in decision.orders:
+            self._start_sending(leadership, send)
+        for command in decision.commands:
+            if not await self._commit(command):
+                return
+
+    async def sent(self) -> None:
+        """Waits until every order underway is answered or given up."""
+        await asyncio.gather(*self._sending)
+
+    async def _current_leadership(
+        self, rules: model.PlacementRules
+    ) -> _Leadership | None:
+        if not self._shared.is_leader:
+            self._leadership = None
+            return None
+        if self._leadership is not None and self._still_leads(self._leadership):
+            return self._leadership
+        self._leadership = None
+        if not await self._shared.confirm_read(READ_TIMEOUT_MS):
+            return None
+        if self._shared.is_leader:
+            self._leadership = self._new_leadership(rules)
+        return self._leadership
+
+    def _new_leadership(self, rules: model.PlacementRules) -> _Leadership:
+        planner = placement.Planner(
+            policy=placement.POLICIES.get(self._policy)(),
+            rules=placement.FencingRules(LEADER_LEASE_MS, rules.max_order_ms),
+            leader_since_ms=self._clock.now_ms(),
+            last_fencing_number=self._shared.view.last_fencing_number,
+        )
+        _log.info("placement starts")
+        return _Leadership(planner, self._leaders_seen)
+
+    def _still_leads(self, leadership: _Leadership) -> bool:
+        return leadership.leaders_seen == self._leaders_seen
+
+    def _note_applied(
+        self, command: state.Command, outcome: state.Outcome
+    ) -> None:
+        if isinstance(command, state.NoOp):
+            self._leaders_seen += 1
+
+    async def _commit(self, command: state.PutReplica) -> bool:
+        outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
+        replica = command.replica
+        if not outcome.ok:
+            _log.warn(
+                "change of replica {} to {} refused: {} {}",
+                replica.replica_id,
+                replica.state,
+                outcome.code.name,
+                outcome.reason,
+            )
+            return False
+        _log.info(
+            "replica {} is {} with fencing number {} on {}",
+            replica.replica_id,
+            replica.state,
+            replica.fencing_number,
+            ", ".join(replica.instances),
+        )
+        return True
+
+    def _start_sending(
+        self, leadership: _Leadership, send: placement.SendOrder
+    ) -> None:
+        task = asyncio.create_task(self._send(leadership, send))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    async def _send(
+        self, leadership: _Leadership, send: placement.SendOrder
+    ) -> None:
+        if not self._shared.is_leader or not self._still_leads(leadership):
+            return
+        answer = await self._sender.send(send)
+        leadership.planner.answered(answer, self._clock.now_ms())
+        _log.info(
+            "order {} to {}: {}",
+            send.order.order_id,
+            send.address,
+            answer.state,
+        )
--- a/lagooncrank/server/_ports.py
+++ b/lagooncrank/server/_ports.py
@@ -28,6 +28,10 @@
     def replicas(self) -> dict[model.ReplicaId, model.Replica]:
         """Every replica that is not yet forgotten."""
 
+    @property
+    def last_fencing_number(self) -> int:
+        """Highest fencing number given to any replica."""
+
     @property
     def marks(self) -> dict[bytes, state.ContentMark]:
         """Crash marks by content digest."""
--- /dev/null
+++ b/lagooncrank/server/tests/test_placement.py
@@ -0,0 +1,149 @@
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core import membership
+from lagooncrank.core import placement
+from lagooncrank.core import routing
+from lagooncrank.core import state
+from lagooncrank.server import _placement
+from lagooncrank.server import _ports
+from standins import fleet as fleets
+
+SERVICE = model.ModelService(
+    name=model.ServiceName("drafts"),
+    version="v1",
+    replicas=2,
+    replicas_floor=1,
+    instances_per_replica=2,
+    weight_bytes_per_instance=1_000,
+)
+STORE = fleets.Store(bytes_per_s=4_000, bytes_per_s_per_engine=4_000)
+
+
+class FakeShared:
+    """Implements `SharedState` over one state machine."""
+
+    def __init__(self) -> None:
+        self.view = state.StateMachine()
+        self.is_leader = True
+        self.listeners: list[_ports.AppliedListener] = []
+
+    def lease_holds(self) -> bool:
+        return True
+
+    async def propose(
+        self, command: state.Command, timeout_ms: int
+    ) -> state.Outcome:
+        if not self.is_leader:
+            return state.Outcome(results.ResultCode.NOT_LEADER)
+        outcome = self.view.apply(self.view.applied_index + 1, command)
+        for listener in self.listeners:
+            listener(command, outcome)
+        return outcome
+
+    async def confirm_read(self, timeout_ms: int) -> bool:
+        return True
+
+    def on_applied(self, listener: _ports.AppliedListener) -> None:
+        self.listeners.append(listener)
+
+
+class FleetSender:
+    """Hands orders to a fleet at once."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self.fleet = fleet
+        self.sent: list[placement.SendOrder] = []
+
+    async def send(self, send: placement.SendOrder) -> placement.OrderAnswer:
+        self.sent.append(send)
+        order_id = send.order.order_id
+        answer = self.fleet.deliver(send)
+        return placement.OrderAnswer(send.instance_id, order_id, answer)
+
+
+class FleetMembers(membership.MembershipTable):
+    """Knows the engines of a fleet."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        super().__init__(model.NodeId("n1"), 1, model.LeaseRules())
+        self._fleet = fleet
+
+    def live(self, now_ms: int) -> tuple[membership.Member, ...]:
+        return tuple(self._fleet.members())
+
+
+class Bench:
+    """One driver before four engines."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock()
+        self.shared = FakeShared()
+        self.fleet = fleets.Fleet((4,), STORE)
+        self.sender = FleetSender(self.fleet)
+        self.driver = _placement.PlacementDriver(
+            self.shared,
+            FleetMembers(self.fleet),
+            self.sender,
+            self.clock,
+            "first_fit",
+        )
+
+    async def declare(self) -> None:
+        declarations = model.Declarations(model_services=(SERVICE,))
+        command = state.ApplyDeclarations("c1", 0, declarations, "op", 0)
+        await self.shared.propose(command, 1_000)
+
+    async def run(self, steps: int) -> None:
+        for _ in range(steps):
+            await self.driver.step()
+            await self.driver.sent()
+            self.clock.advance(500)
+            self.fleet.advance(500)
+
+    def serving(self) -> list[model.ReplicaId]:
+        members = routing.index_members(self.fleet.members())
+        return [
+            r.replica_id
+            for r in self.shared.view.replicas.values()
+            if routing.serves_whole(r, members, self.clock.now_ms())
+        ]
+
+
+async def test_driver_forms_the_declared_replicas() -> None:
+    bench = Bench()
+    await bench.declare()
+    await bench.run(8)
+    assert len(bench.serving()) == 2
+
+
+async def test_driver_without_leadership_does_nothing() -> None:
+    bench = Bench()
+    await bench.declare()
+    bench.shared.is_leader = False
+    await bench.run(4)
+    assert bench.sender.sent == []
+    assert bench.shared.view.replicas == {}
+
+
+async def test_orders_leave_only_after_their_assignment_committed() -> None:
+    bench = Bench()
+    await bench.declare()
+    await bench.run(1)
+    assert len(bench.shared.view.replicas) == 2
+    assert bench.sender.sent == []
+    await bench.run(2)
+    committed = bench.shared.view.replicas
+    numbers = {r.fencing_number for r in committed.values()}
+    assert {s.order.fencing_number for s in bench.sender.sent} == numbers
+
+
+async def test_new_leadership_resumes_loads_without_new_orders() -> None:
+    bench = Bench()
+    await bench.declare()
+    await bench.run(3)
+    sent = len(bench.sender.sent)
+    await bench.shared.propose(state.NoOp(), 1_000)
+    await bench.run(6)
+    assert len(bench.sender.sent) == sent == 4
+    assert len(bench.serving()) == 2
--- /dev/null
+++ b/standins/_orders.py
@@ -0,0 +1,101 @@
+"""How a stand-in model engine takes orders, without sockets or timers."""
+
+import dataclasses
+
+from lagooncrank import model
+from lagooncrank.core import placement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer to one order."""
+
+    state: placement.OrderState
+    #: Number of the order, or the newest one where the order was refused.
+    fencing_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Weights:
+    service: model.ServiceName
+    version: str
+    rank: int
+
+
+class OrderDesk:
+    """Takes orders for one start of an engine.
+
+    An engine keeps its weights when the next load order names the same
+    service, version and rank, so only its group changes.
+
+    Args:
+        checks_fencing: Whether orders with an old number are refused.
+    """
+
+    def __init__(self, checks_fencing: bool) -> None:
+        self.checks_fencing = checks_fencing
+        self.loaded: model.LoadedModel | None = None
+        #: Bytes of weights that are still missing.
+        self.missing_bytes = 0
+        #: Orders that were carried out, oldest first.
+        self.obeyed: list[placement.Order] = []
+        self._highest_number = 0
+        self._states: dict[str, placement.OrderState] = {}
+        self._weights: _Weights | None = None
+        self._load_id = ""
+
+    @property
+    def is_loading(self) -> bool:
+        """Whether weights are still missing."""
+        return self.loaded is not None and not self.loaded.ready
+
+    def take(self, order: placement.Order) -> Reply:
+        """Carries out an order, or repeats what became of it."""
+        known = self._states.get(order.order_id)
+        if known is not None:
+            return Reply(known, order.fencing_number)
+        if self.checks_fencing and order.fencing_number < self._highest_number:
+            return Reply(placement.OrderState.STALE, self._highest_number)
+        self._highest_number = max(order.fencing_number, self._highest_number)
+        self.obeyed.append(order)
+        self._states[order.order_id] = placement.OrderState.DONE
+        if order.kind is placement.OrderKind.LOAD:
+            self._load(order)
+        elif order.kind is placement.OrderKind.UNLOAD:
+            self._unload()
+        return Reply(self._states[order.order_id], order.fencing_number)
+
+    def progress(self, loaded_bytes: int) -> None:
+        """Takes weights from the store; the load ends with the last byte."""
+        self.missing_bytes = max(0, self.missing_bytes - loaded_bytes)
+        if self.loaded is not None and self.missing_bytes == 0:
+            self.loaded = dataclasses.replace(self.loaded, ready=True)
+            self._states[self._load_id] = placement.OrderState.DONE
+
+    def _load(self, order: placement.Order) -> None:
+        weights = _Weights(order.service, order.version, order.rank)
+        if weights != self._weights:
+            self._weights = weights
+            self.missing_bytes = order.weight_bytes
+        self._stop_load()
+        self._load_id = order.order_id
+        self._states[order.order_id] = placement.OrderState.ACCEPTED
+        self.loaded = model.LoadedModel(
+            service=order.service,
+            replica_id=order.replica_id,
+            version=order.version,
+            fencing_number=order.fencing_number,
+            ready=False,
+        )
+        if self.missing_bytes == 0:
+            self.progress(0)
+
+    def _unload(self) -> None:
+        self._stop_load()
+        self.loaded = None
+        self._weights = None
+        self.missing_bytes = 0
+
+    def _stop_load(self) -> None:
+        if self.is_loading:
+            self._states[self._load_id] = placement.OrderState.FAILED
