--- /dev/null
+++ b/lagooncrank/core/placement/_orders.py
@@ -0,0 +1,172 @@
+"""Derives the orders that the committed assignments call for.
+
+Orders follow from the replicated state and the announcements alone, so a new
+leader goes on where the one before it stopped.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+
+from lagooncrank import model
+from lagooncrank.core.placement import _fencing
+from lagooncrank.core.placement import _fleet
+from lagooncrank.core.placement import _instances
+from lagooncrank.core.placement import _order_book
+from lagooncrank.core.placement import _types
+
+_State = model.ReplicaState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """A member that must load its part of a replica."""
+
+    instance: _instances.Instance
+    replica: model.Replica
+    service: model.ModelService
+    rank: int
+    #: Whether the engine is at it already.
+    started: bool
+
+
+class Orders:
+    """Builds orders and leaves out those that need not be sent now.
+
+    Args:
+        fleet: Replicas and instances at this step.
+        fence: Guard of the instances.
+        book: Orders sent so far.
+    """
+
+    def __init__(
+        self,
+        fleet: _fleet.Fleet,
+        fence: _fencing.Fence,
+        book: _order_book.OrderBook,
+    ) -> None:
+        self._fleet = fleet
+        self._fence = fence
+        self._book = book
+
+    def loads(self) -> Iterator[Load]:
+        """Yields every load that a committed assignment calls for."""
+        for replica in self._fleet.holding:
+            service = self._fleet.services.get(replica.service)
+            if service is None or replica.state is not _State.LOADING:
+                continue
+            yield from self._loads_of(replica, service)
+
+    def load_orders(self, loads: Iterable[Load]) -> Iterator[_types.SendOrder]:
+        """Yields the orders of the loads that are due to be sent."""
+        for load in loads:
+            if not _is_visible(load):
+                yield from self._send(load.instance, self._load_order(load))
+
+    def unload_orders(self) -> Iterator[_types.SendOrder]:
+        """Yields the orders that free engines of what they must not hold."""
+        for instance in self._fleet.instances():
+            loaded = instance.announcement.loaded
+            if loaded is None or not instance.is_heard:
+                continue
+            holder = self._fleet.holders.get(instance.instance_id)
+            if holder is not None and self._may_keep(instance, holder):
+                continue
+            order = self._unload_order(instance, loaded)
+            number = order.fencing_number
+            if self._fence.may_unload(instance, number, self._fleet.now_ms):
+                yield from self._send(instance, order)
+
+    def _may_keep(
+        self, instance: _instances.Instance, holder: model.Replica
+    ) -> bool:
+        if _fleet.holds(instance, holder) or not instance.is_ready:
+            return True
+        if holder.state in (_State.SERVING, _State.DRAINING):
+            return True
+        return not self._fence.must_unload(instance)
+
+    def _loads_of(
+        self, replica: model.Replica, service: model.ModelService
+    ) -> Iterator[Load]:
+        for rank, instance in enumerate(self._fleet.members(replica)):
+            if instance is None or not instance.is_ready:
+                continue
+            loaded = _fleet.holds(instance, replica)
+            if loaded is not None and loaded.ready:
+                continue
+            load = Load(instance, replica, service, rank, loaded is not None)
+            if load.started:
+                yield load
+            elif self._fence.may_load(instance, replica, self._fleet.now_ms):
+                started = self._is_accepted(load)
+                yield dataclasses.replace(load, started=started)
+
+    def _is_accepted(self, load: Load) -> bool:
+        return self._book.is_accepted(
+            load.instance.instance_id, self._load_order_id(load)
+        )
+
+    def _load_order_id(self, load: Load) -> str:
+        number = load.replica.fencing_number
+        return self._order_id(load.instance, _types.OrderKind.LOAD, number)
+
+    def _load_order(self, load: Load) -> _types.Order:
+        replica = load.replica
+        return _types.Order(
+            order_id=self._load_order_id(load),
+            kind=_types.OrderKind.LOAD,
+            replica_id=replica.replica_id,
+            service=replica.service,
+            version=replica.version,
+            fencing_number=replica.fencing_number,
+            members=tuple(
+                "" if m is None else m.announcement.address
+                for m in self._fleet.members(replica)
+            ),
+            rank=load.rank,
+            adapters=replica.adapters,
+            role=replica.role,
+            weight_bytes=load.service.weight_bytes_per_instance,
+        )
+
+    def _unload_order(
+        self, instance: _instances.Instance, loaded: model.LoadedModel
+    ) -> _types.Order:
+        number = self._unload_number(loaded)
+        kind = _types.OrderKind.UNLOAD
+        return _types.Order(
+            order_id=self._order_id(instance, kind, number),
+            kind=kind,
+            replica_id=loaded.replica_id,
+            service=loaded.service,
+            version=loaded.version,
+            fencing_number=number,
+        )
+
+    def _unload_number(self, loaded: model.LoadedModel) -> int:
+        replica = self._fleet.replicas.get(loaded.replica_id)
+        known = 0 if replica is None else replica.fencing_number
+        return max(known, loaded.fencing_number)
+
+    def _order_id(
+        self,
+        instance: _instances.Instance,
+        kind: _types.OrderKind,
+        number: int,
+    ) -> str:
+        start = instance.announcement.incarnation
+        stem = f"{instance.instance_id}/{start}/{number}/{kind}"
+        return f"{stem}/{self._book.attempt(stem)}"
+
+    def _send(
+        self, instance: _instances.Instance, order: _types.Order
+    ) -> Iterator[_types.SendOrder]:
+        instance_id = instance.instance_id
+        if self._book.is_due(instance_id, order.order_id, self._fleet.now_ms):
+            address = instance.announcement.address
+            yield _types.SendOrder(instance_id, address, order)
+
+
+def _is_visible(load: Load) -> bool:
+    return _fleet.holds(load.instance, load.replica) is not None
