Add the operators' HTTP handlers and validate, apply, status

Cause: declarations could be parsed but not sent, accepted or followed.

Change: - server/http/_operators.py serves the operators' paths of INTERFACES.md over SharedState, PeerLinks and Membership; operator keys are compared as digests in constant time. /healthz and /metrics stay with the daemon. - core/revisions and server/_revision_reports.py spread which revision each node has in force: reports go to the voters only, on change and then at 0.5 s doubling to 15 s; an entry that is asked collects the voters' tables.

--- /dev/null
+++ b/lagooncrank/cli/_app.py
@@ -0,0 +1,30 @@
+"""Commands of the tool and how their errors reach the shell."""
+
+import sys
+
+import typer
+
+from lagooncrank import results
+from lagooncrank.cli import _configuration_commands
+from lagooncrank.cli import _exits
+from lagooncrank.cli import _inspection_commands
+from lagooncrank.cli import _output
+
+app = typer.Typer(
+    name="lagooncrank",
+    help="Operates a lagooncrank system from declarations in YAML.",
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
+_configuration_commands.register(app)
+_inspection_commands.register(app)
+
+
+def main() -> None:
+    """Runs one command; the exit code is an `ExitCode`."""
+    try:
+        app()
+    except results.LagooncrankError as error:
+        _output.progress(f"lagooncrank: {error}")
+        sys.exit(_exits.exit_code_for(error.refusal.code))
--- /dev/null
+++ b/lagooncrank/cli/_apply.py
@@ -0,0 +1,160 @@
+"""Applies declarations and waits until they are in force everywhere."""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+from typing import Any
+
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.cli import _client
+from lagooncrank.cli import _output
+
+#: Time between two questions where a revision is in force.
+POLL_INTERVAL_MS = 500
+#: Time after which an unchanged wait is reported again.
+PROGRESS_INTERVAL_MS = 5_000
+
+_MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What `apply` sends; the same change is safe to send again."""
+
+    change_id: str
+    base_revision: int
+    author: str
+    declarations: model.Declarations
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Current:
+    """The accepted configuration; revision 0 before the first."""
+
+    revision: int
+    declarations: model.Declarations
+
+    def declares(self, declarations: model.Declarations) -> bool:
+        """Whether an accepted revision already says the same."""
+        return self.revision > 0 and self.declarations == declarations
+
+
+def default_change_id(
+    base_revision: int, declarations: model.Declarations
+) -> str:
+    """Returns an id that names base and content, the same at each call."""
+    content = json.dumps(model.to_plain(declarations), sort_keys=True)
+    text = f"{base_revision}\n{content}"
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+async def read_current(client: _client.OperatorClient) -> Current:
+    """Returns the accepted configuration.
+
+    Raises:
+        LagooncrankError: No entry could answer.
+    """
+    try:
+        body = await client.get("/v1/config")
+    except results.LagooncrankError as error:
+        if error.refusal.code is results.ResultCode.NO_CONFIGURATION:
+            return Current(0, model.Declarations())
+        raise
+    declarations = model.from_plain(body["declarations"], model.Declarations)
+    return Current(body["revision"], declarations)
+
+
+async def send(client: _client.OperatorClient, change: Change) -> int:
+    """Sends a change and returns the revision that it became.
+
+    Raises:
+        LagooncrankError: The change was refused or its answer was lost.
+    """
+    answer = await client.post("/v1/config", model.to_plain(change))
+    return int(answer["revision"])
+
+
+async def wait_in_force(
+    client: _client.OperatorClient,
+    revision: int,
+    timeout_ms: int,
+    time: clock.Clock,
+) -> Any:
+    """Waits until a revision is in force at every node.
+
+    Returns:
+        The last answer of `GET /v1/config/in-force`.
+
+    Raises:
+        LagooncrankError: NOT_IN_FORCE_YET, naming the nodes that lag.
+    """
+    deadline_ms = time.now_ms() + timeout_ms
+    reporter = _Reporter(revision, time)
+    while True:
+        answer = await client.get(f"/v1/config/in-force?revision={revision}")
+        if not answer["lagging"]:
+            return answer
+        reporter.report(answer)
+        if time.now_ms() >= deadline_ms:
+            raise results.LagooncrankError(_not_yet(revision, answer))
+        await asyncio.sleep(POLL_INTERVAL_MS / _MS_PER_S)
+
+
+class _Reporter:
+    """Prints who lags when that changes, and now and then while it stays."""
+
+    def __init__(self, revision: int, time: clock.Clock) -> None:
+        self._revision = revision
+        self._clock = time
+        self._lagging: list[str] = []
+        self._printed_ms = 0
+
+    def report(self, answer: Any) -> None:
+        lagging = [lag["node_id"] for lag in answer["lagging"]]
+        now_ms = self._clock.now_ms()
+        due = now_ms - self._printed_ms >= PROGRESS_INTERVAL_MS
+        if lagging == self._lagging and not due:
+            return
+        self._lagging = lagging
+        self._printed_ms = now_ms
+        total = len(lagging) + len(answer["in_force"])
+        _output.progress(
+            f"revision {self._revision} is in force at "
+            f"{len(answer['in_force'])} of {total} nodes; waiting for "
+            f"{describe_lagging(answer['lagging'])}"
+        )
+
+
+def describe_lagging(lagging: Any) -> str:
+    """Returns which nodes lag, at which revision, heard how long ago.
+
+    >>> describe_lagging(
+    ...     [{"node_id": "n3", "revision": 7, "heard_ms_ago": 1200}]
+    ... )
+    'n3 (has revision 7, heard 1.2 s ago)'
+    """
+    parts = []
+    for lag in lagging:
+        age_ms = lag["heard_ms_ago"]
+        if age_ms is None:
+            parts.append(f"{lag['node_id']} (never heard)")
+        else:
+            parts.append(
+                f"{lag['node_id']} (has revision {lag['revision']}, "
+                f"heard {age_ms / _MS_PER_S:.1f} s ago)"
+            )
+    return ", ".join(parts)
+
+
+def _not_yet(revision: int, answer: Any) -> results.Refusal:
+    return results.Refusal(
+        results.ResultCode.NOT_IN_FORCE_YET,
+        f"revision {revision} was accepted and stays accepted, but is not in "
+        f"force at {describe_lagging(answer['lagging'])}; check that these "
+        f"nodes run, or stop them, then run "
+        f"'lagooncrank apply --wait' again",
+        results.Ran.RAN,
+    )
--- /dev/null
+++ b/lagooncrank/cli/_configuration_commands.py
@@ -0,0 +1,120 @@
+"""Commands that read, check and change the declarations."""
+
+import asyncio
+import getpass
+import pathlib
+from typing import Annotated
+
+import typer
+
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank import settings
+from lagooncrank.cli import _apply
+from lagooncrank.cli import _client
+from lagooncrank.cli import _options
+from lagooncrank.cli import _output
+
+_MS_PER_S = 1_000
+
+
+def register(app: typer.Typer) -> None:
+    """Adds the commands to `app`."""
+    app.command()(validate)
+    app.command()(apply)
+
+
+def validate(file: _options.DeclarationsFile) -> None:
+    """Checks a declarations file without sending anything."""
+    declarations = _read_declarations(file)
+    print(
+        f"{file}: valid; {len(declarations.model_services)} model services, "
+        f"{len(declarations.plain_services)} plain services, "
+        f"{len(declarations.client_accounts)} client accounts"
+    )
+
+
+def apply(
+    file: _options.DeclarationsFile,
+    entry: _options.Entries,
+    key_file: _options.KeyFile,
+    base_revision: Annotated[
+        int | None,
+        typer.Option(
+            help="Revision the file was edited from; the current one if absent."
+        ),
+    ] = None,
+    change_id: Annotated[
+        str | None,
+        typer.Option(
+            help="Names this change; made from base and content if absent."
+        ),
+    ] = None,
+    author: Annotated[
+        str | None, typer.Option(help="Who makes the change.")
+    ] = None,
+    wait: Annotated[
+        bool, typer.Option("--wait", help="Wait until in force everywhere.")
+    ] = False,
+    timeout_s: Annotated[
+        float, typer.Option(min=0, help="Longest --wait, in seconds.")
+    ] = 60.0,
+    output: _options.Output = _output.OutputFormat.TABLE,
+) -> None:
+    """Checks a declarations file in full, then puts it in force."""
+    declarations = _read_declarations(file)
+    client = _options.operator_client(entry, key_file)
+    answer = asyncio.run(
+        _apply_file(
+            client,
+            declarations,
+            base_revision,
+            change_id,
+            author or getpass.getuser(),
+            int(timeout_s * _MS_PER_S) if wait else None,
+        )
+    )
+    _output.show(answer, output)
+
+
+async def _apply_file(
+    client: _client.OperatorClient,
+    declarations: model.Declarations,
+    base_revision: int | None,
+    change_id: str | None,
+    author: str,
+    wait_ms: int | None,
+) -> dict[str, object]:
+    if base_revision is None:
+        current = await _apply.read_current(client)
+        base_revision = current.revision
+        same = change_id is None and current.declares(declarations)
+    else:
+        same = False
+    if same:
+        revision = base_revision
+        _output.progress(f"revision {revision} already declares this")
+    else:
+        change = _apply.Change(
+            change_id or _apply.default_change_id(base_revision, declarations),
+            base_revision,
+            author,
+            declarations,
+        )
+        revision = await _apply.send(client, change)
+        _output.progress(f"accepted as revision {revision}")
+    if wait_ms is None:
+        return {"revision": revision}
+    time = clock.SystemClock()
+    in_force = await _apply.wait_in_force(client, revision, wait_ms, time)
+    return {"revision": revision, "in_force": in_force["in_force"]}
+
+
+def _read_declarations(file: pathlib.Path) -> model.Declarations:
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        code = results.ResultCode.INVALID_DECLARATIONS
+        raise settings.SettingsError(code, str(file), "", str(error)) from error
+    return settings.parse_declarations(text, str(file))
--- a/lagooncrank/core/state/__init__.py
+++ b/lagooncrank/core/state/__init__.py
@@ -9,6 +9,8 @@
 from lagooncrank.core.state._commands import CallState
 from lagooncrank.core.state._commands import Command
 from lagooncrank.core.state._commands import COMMANDS
+from lagooncrank.core.state._commands import DrainInstance
+from lagooncrank.core.state._commands import EndDrain
 from lagooncrank.core.state._commands import FinishCall
 from lagooncrank.core.state._commands import LiftMark
 from lagooncrank.core.state._commands import MarkContent
@@ -24,6 +26,7 @@
 from lagooncrank.core.state._records import CallRecord
 from lagooncrank.core.state._records import ConfigurationRecord
 from lagooncrank.core.state._records import ContentMark
+from lagooncrank.core.state._records import Drain
 from lagooncrank.core.state._records import Outcome
 
 __all__ = [
@@ -37,6 +40,9 @@
     "Command",
     "ConfigurationRecord",
     "ContentMark",
+    "Drain",
+    "DrainInstance",
+    "EndDrain",
     "FinishCall",
     "LiftMark",
     "MarkContent",
--- a/lagooncrank/core/state/_commands.py
+++ b/lagooncrank/core/state/_commands.py
@@ -149,6 +149,23 @@
     digest: bytes
 
 
+@COMMANDS.register("drain_instance")
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainInstance:
+    """Has an instance give up its work and get no more, until EndDrain."""
+
+    instance_id: model.InstanceId
+    wall_ms: int
+
+
+@COMMANDS.register("end_drain")
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndDrain:
+    """Lets a drained instance be used again."""
+
+    instance_id: model.InstanceId
+
+
 #: Union of all commands.
 Command = (
     NoOp
@@ -159,4 +176,6 @@
     | PutReplica
     | MarkContent
     | LiftMark
+    | DrainInstance
+    | EndDrain
 )
--- /dev/null
+++ b/lagooncrank/core/state/_drains.py
@@ -0,0 +1,39 @@
+"""Instances that operators want free of work."""
+
+from collections.abc import Iterable
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core.state import _commands
+from lagooncrank.core.state import _records
+
+
+class Drains:
+    """Remembers which instances must be given up and not used again.
+
+    >>> drains = Drains()
+    >>> instance_id = model.InstanceId("i1")
+    >>> drains.drain(_commands.DrainInstance(instance_id, wall_ms=5)).ok
+    True
+    >>> sorted(drains.drains)
+    ['i1']
+    """
+
+    def __init__(self, drains: Iterable[_records.Drain] = ()) -> None:
+        self._drains = {drain.instance_id: drain for drain in drains}
+
+    @property
+    def drains(self) -> dict[model.InstanceId, _records.Drain]:
+        """Every drain that was not ended."""
+        return self._drains
+
+    def drain(self, command: _commands.DrainInstance) -> _records.Outcome:
+        """Starts a drain; a second order for one instance changes nothing."""
+        drain = _records.Drain(command.instance_id, command.wall_ms)
+        self._drains.setdefault(command.instance_id, drain)
+        return _records.Outcome(results.ResultCode.OK)
+
+    def end(self, command: _commands.EndDrain) -> _records.Outcome:
+        """Ends a drain; ending none changes nothing."""
+        self._drains.pop(command.instance_id, None)
+        return _records.Outcome(results.ResultCode.OK)
--- a/lagooncrank/core/state/_machine.py
+++ b/lagooncrank/core/state/_machine.py
@@ -8,6 +8,7 @@
 from lagooncrank.core.state import _assignments
 from lagooncrank.core.state import _commands
 from lagooncrank.core.state import _configuration
+from lagooncrank.core.state import _drains
 from lagooncrank.core.state import _ledger
 from lagooncrank.core.state import _quarantine
 from lagooncrank.core.state import _records
@@ -38,6 +39,7 @@
     replicas: tuple[model.Replica, ...]
     last_fencing_number: int
     marks: tuple[_records.ContentMark, ...]
+    drains: tuple[_records.Drain, ...] = ()
 
 
 class StateMachine:
@@ -56,6 +58,7 @@
         self._ledger = _ledger.CallLedger()
         self._assignments = _assignments.Assignments()
         self._quarantine = _quarantine.Quarantine()
+        self._drains = _drains.Drains()
 
     @classmethod
     def from_snapshot(cls, data: bytes) -> "StateMachine":
@@ -96,6 +99,11 @@
         """Crash marks by content digest."""
         return self._quarantine.marks
 
+    @property
+    def drains(self) -> dict[model.InstanceId, _records.Drain]:
+        """Instances that operators want free of work."""
+        return self._drains.drains
+
     def call(self, key: _commands.CallKey) -> _records.CallRecord | None:
         """Returns what the ledger holds of a call."""
         return self._ledger.find(key)
@@ -128,6 +136,7 @@
                 replicas=tuple(self._assignments.replicas.values()),
                 last_fencing_number=self._assignments.last_fencing_number,
                 marks=tuple(self._quarantine.marks.values()),
+                drains=tuple(self._drains.drains.values()),
             )
         )
 
@@ -141,6 +150,7 @@
             snapshot.replicas, snapshot.last_fencing_number
         )
         self._quarantine = _quarantine.Quarantine(snapshot.marks)
+        self._drains = _drains.Drains(snapshot.drains)
 
     @functools.singledispatchmethod
     def _apply(self, command: _commands.Command) -> _records.Outcome:
@@ -177,3 +187,11 @@
     @_apply.register
     def _(self, command: _commands.LiftMark) -> _records.Outcome:
         return self._quarantine.lift(command)
+
+    @_apply.register
+    def _(self, command: _commands.DrainInstance) -> _records.Outcome:
+        return self._drains.drain(command)
+
+    @_apply.register
+    def _(self, command: _commands.EndDrain) -> _records.Outcome:
+        return self._drains.end(command)
--- a/lagooncrank/core/state/_records.py
+++ b/lagooncrank/core/state/_records.py
@@ -43,6 +43,15 @@
     lapses_wall_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """An instance that an operator wants free of work."""
+
+    instance_id: model.InstanceId
+    #: When the drain was ordered.
+    wall_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """What applying a command did, the same on every node."""
--- a/lagooncrank/core/state/tests/test_machine.py
+++ b/lagooncrank/core/state/tests/test_machine.py
@@ -182,6 +182,8 @@
         put("r1", "ab", 1),
         state.MarkContent(b"d", "r1", 0, 10),
         state.LiftMark(b"d"),
+        state.DrainInstance(model.InstanceId("i1"), 5),
+        state.EndDrain(model.InstanceId("i1")),
     ],
     ids=lambda command: type(command).__name__,
 )
@@ -218,3 +220,14 @@
     assert machine.marks[b"d"].victims == ("r1", "r2")
     machine.apply(4, state.MarkContent(b"e", "r1", 100, 200))
     assert set(machine.marks) == {b"e"}
+
+
+def test_drains_last_through_a_snapshot_until_ended() -> None:
+    instance_id = model.InstanceId("i1")
+    machine = state.StateMachine()
+    assert machine.apply(1, state.DrainInstance(instance_id, 5)).ok
+    assert machine.apply(2, state.DrainInstance(instance_id, 9)).ok
+    restored = state.StateMachine.from_snapshot(machine.snapshot())
+    assert restored.drains[instance_id].wall_ms == 5
+    assert restored.apply(3, state.EndDrain(instance_id)).ok
+    assert not restored.drains
--- a/lagooncrank/server/_ports.py
+++ b/lagooncrank/server/_ports.py
@@ -32,6 +32,10 @@
     def marks(self) -> dict[bytes, state.ContentMark]:
         """Crash marks by content digest."""
 
+    @property
+    def drains(self) -> dict[model.InstanceId, state.Drain]:
+        """Instances that operators want free of work."""
+
     def call(self, key: state.CallKey) -> state.CallRecord | None:
         """Returns what the ledger holds of a call."""
 
--- /dev/null
+++ b/lagooncrank/server/_revision_reports.py
@@ -0,0 +1,154 @@
+"""Tells the voters which revision this node has in force, and asks them.
+
+Each node reports to the voters only, so that a change costs a node a few
+small messages and a voter one per node; a full mesh would cost every node one
+per other node. An entry that is asked collects the tables of the voters.
+"""
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+
+import mode
+
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank.core import revisions
+from lagooncrank.core import state
+from lagooncrank.server import _ports
+
+#: Wait before the first repeat of a report; each further wait is twice that.
+FIRST_REPEAT_MS = 500
+#: Longest wait between two reports.
+LONGEST_REPEAT_MS = 15_000
+#: How long an entry waits for the tables of the voters.
+QUERY_TIMEOUT_MS = 1_000
+
+_MS_PER_S = 1_000
+_REPORT = "revision-report"
+_QUERY = "revision-query"
+_TABLE = "revision-table"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionQuery:
+    """Asks a voter for its table."""
+
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionAnswer:
+    """A voter's table."""
+
+    sequence: int
+    reports: tuple[revisions.RevisionReport, ...]
+
+
+class RevisionReports(mode.Service):  # type: ignore[misc, unused-ignore]
+    """Spreads and collects the revisions in force."""
+
+    def __init__(
+        self,
+        node_id: model.NodeId,
+        voters: Sequence[model.NodeId],
+        shared: _ports.SharedState,
+        links: _ports.PeerLinks,
+        time: clock.Clock,
+    ) -> None:
+        super().__init__()
+        self._node_id = node_id
+        self._voters = frozenset(voters)
+        self._shared = shared
+        self._links = links
+        self._clock = time
+        self._table = revisions.RevisionTable()
+        self._changed = asyncio.Event()
+        self._sequence = 0
+        self._waiting: dict[int, set[model.NodeId]] = {}
+        self._answered = asyncio.Event()
+        links.on_message(_REPORT, revisions.RevisionReport, self._on_report)
+        links.on_message(_QUERY, RevisionQuery, self._on_query)
+        links.on_message(_TABLE, RevisionAnswer, self._on_table)
+        shared.on_applied(self._on_applied)
+
+    async def in_force(
+        self, revision: int, nodes: Sequence[model.NodeId]
+    ) -> revisions.InForce:
+        """Asks the voters and returns which of `nodes` have `revision`."""
+        await self._collect()
+        self._note_self()
+        return self._table.in_force(revision, nodes, self._clock.now_ms())
+
+    async def _collect(self) -> None:
+        asked = (self._voters & self._links.connected()) - {self._node_id}
+        if not asked:
+            return
+        self._sequence += 1
+        sequence = self._sequence
+        self._waiting[sequence] = set(asked)
+        for voter in sorted(asked):
+            self._links.send(voter, _QUERY, RevisionQuery(sequence))
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_MS / _MS_PER_S):
+                await self._all_answered(sequence)
+        except TimeoutError:
+            self.log.info("a voter did not send its table of revisions")
+        finally:
+            del self._waiting[sequence]
+
+    async def _all_answered(self, sequence: int) -> None:
+        while self._waiting[sequence]:
+            self._answered.clear()
+            await self._answered.wait()
+
+    @mode.Service.task  # type: ignore[untyped-decorator, unused-ignore]
+    async def _repeat(self) -> None:
+        wait_ms = FIRST_REPEAT_MS
+        while not self.should_stop:
+            self._changed.clear()
+            self._send_report()
+            try:
+                async with asyncio.timeout(wait_ms / _MS_PER_S):
+                    await self._changed.wait()
+                wait_ms = FIRST_REPEAT_MS
+            except TimeoutError:
+                wait_ms = min(2 * wait_ms, LONGEST_REPEAT_MS)
+
+    def _own_report(self) -> revisions.RevisionReport:
+        configuration = self._shared.view.configuration
+        revision = configuration.revision if configuration else 0
+        return revisions.RevisionReport(self._node_id, revision)
+
+    def _note_self(self) -> None:
+        self._table.note(self._own_report(), self._clock.now_ms())
+
+    def _send_report(self) -> None:
+        report = self._own_report()
+        for voter in sorted(self._voters - {self._node_id}):
+            self._links.send(voter, _REPORT, report)
+
+    def _on_applied(
+        self, command: state.Command, outcome: state.Outcome
+    ) -> None:
+        if isinstance(command, state.ApplyDeclarations) and outcome.ok:
+            self._changed.set()
+
+    def _on_report(
+        self, sender: model.NodeId, report: revisions.RevisionReport
+    ) -> None:
+        own = dataclasses.replace(report, node_id=sender, age_ms=0)
+        self._table.note(own, self._clock.now_ms())
+
+    def _on_query(self, sender: model.NodeId, query: RevisionQuery) -> None:
+        self._note_self()
+        reports = self._table.reports(self._clock.now_ms())
+        answer = RevisionAnswer(query.sequence, reports)
+        self._links.send(sender, _TABLE, answer)
+
+    def _on_table(self, sender: model.NodeId, answer: RevisionAnswer) -> None:
+        now_ms = self._clock.now_ms()
+        for report in answer.reports:
+            self._table.note(report, now_ms)
+        self._waiting.get(answer.sequence, set()).discard(sender)
+        self._answered.set()
--- /dev/null
+++ b/lagooncrank/server/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP handlers of an entry."""
--- /dev/null
+++ b/lagooncrank/server/http/_operator_requests.py
@@ -0,0 +1,110 @@
+"""Checks and decodes what operators send."""
+
+from collections.abc import Sequence
+import dataclasses
+import hashlib
+import hmac
+import json
+from typing import Any
+from typing import TypeVar
+
+from aiohttp import web
+import msgspec
+
+from lagooncrank import model
+from lagooncrank import results
+
+#: Largest body of a request, in bytes.
+MAX_BODY_BYTES = 4_194_304
+
+_BEARER = "Bearer "
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRequest:
+    """Body of `POST /v1/config`."""
+
+    change_id: str
+    base_revision: int
+    author: str
+    declarations: model.Declarations
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainRequest:
+    """Body of `POST /v1/drain`."""
+
+    instance_id: model.InstanceId
+
+
+def authenticate(
+    request: web.Request, operator_key_sha256s: Sequence[str]
+) -> None:
+    """Checks the operator key in constant time.
+
+    Raises:
+        LagooncrankError: The key is missing or unknown.
+    """
+    header = request.headers.get("Authorization", "")
+    key = header.removeprefix(_BEARER) if header.startswith(_BEARER) else ""
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    matches = [hmac.compare_digest(digest, d) for d in operator_key_sha256s]
+    if not any(matches):
+        raise refused(
+            results.ResultCode.UNAUTHENTICATED,
+            "send an operator key as 'Authorization: Bearer KEY'; its "
+            "SHA-256 must stand in operator_key_sha256s of this node",
+        )
+
+
+async def read_json(request: web.Request, kind: type[T]) -> T:
+    """Returns the body as a `kind`.
+
+    Raises:
+        LagooncrankError: The body is too large, no JSON or no `kind`.
+    """
+    body = await _read_body(request)
+    try:
+        return msgspec.convert(json.loads(body), kind)
+    except (ValueError, RecursionError) as error:
+        raise refused(
+            results.ResultCode.MALFORMED_REQUEST,
+            f"the body is no {kind.__name__}: {error}",
+        ) from error
+
+
+async def _read_body(request: web.Request) -> bytes:
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise refused(
+                results.ResultCode.REQUEST_TOO_LARGE,
+                f"the body is over {MAX_BODY_BYTES} bytes",
+            )
+    return bytes(body)
+
+
+def refused(code: results.ResultCode, reason: str) -> results.LagooncrankError:
+    """Returns an error that a handler raises to refuse a request."""
+    return results.LagooncrankError(results.Refusal(code, reason))
+
+
+def problem(refusal: results.Refusal, **more: Any) -> web.Response:
+    """Returns a refusal as problem+json with further fields."""
+    code = refusal.code
+    body: dict[str, Any] = {
+        "type": "about:blank",
+        "title": code.name,
+        "status": code.http_status,
+        "code": code.value,
+        "reason": refusal.reason,
+        "ran": refusal.ran,
+        **more,
+    }
+    return web.json_response(
+        body,
+        status=code.http_status,
+        content_type="application/problem+json",
+    )
--- /dev/null
+++ b/lagooncrank/server/http/_operator_views.py
@@ -0,0 +1,121 @@
+"""JSON bodies of the operators' interface."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from lagooncrank import model
+from lagooncrank import settings
+from lagooncrank.core import membership
+from lagooncrank.core import state
+from lagooncrank.server import _ports
+
+#: Digits of a key digest that an operator sees.
+_SHOWN_DIGEST_DIGITS = 8
+
+
+def revision_line(record: state.ConfigurationRecord) -> dict[str, Any]:
+    """Returns a revision without its declarations."""
+    return {
+        "revision": record.revision,
+        "change_id": record.change_id,
+        "author": record.author,
+        "wall_ms": record.wall_ms,
+    }
+
+
+def configuration(record: state.ConfigurationRecord) -> dict[str, Any]:
+    """Returns a revision with its declarations."""
+    declarations = model.to_plain(record.declarations)
+    return {**revision_line(record), "declarations": declarations}
+
+
+def accounts(record: state.ConfigurationRecord | None) -> list[Any]:
+    """Returns each client account with its part of all shares."""
+    declared = record.declarations.client_accounts if record else ()
+    total = sum(account.share for account in declared)
+    return [
+        {
+            **model.to_plain(account),
+            "key_sha256s": [
+                digest[:_SHOWN_DIGEST_DIGITS] for digest in account.key_sha256s
+            ],
+            "share_fraction": round(account.share / total, 4),
+        }
+        for account in declared
+    ]
+
+
+def replicas(known: dict[model.ReplicaId, model.Replica]) -> list[Any]:
+    """Returns each replica, in the order of their ids."""
+    ordered = sorted(known.values(), key=lambda r: r.replica_id)
+    return [model.to_plain(replica) for replica in ordered]
+
+
+def backends(members: Iterable[membership.Member], now_ms: int) -> list[Any]:
+    """Returns each backend server whose lease holds."""
+    ordered = sorted(members, key=lambda m: m.announcement.backend_server_id)
+    return [
+        {
+            **model.to_plain(member.announcement),
+            "heard_ms_ago": now_ms - member.heard_ms,
+            "lease_ends_in_ms": member.lease_end_ms - now_ms,
+        }
+        for member in ordered
+    ]
+
+
+def drains(known: dict[model.InstanceId, state.Drain]) -> list[Any]:
+    """Returns each drained instance, in the order of their ids."""
+    return [model.to_plain(drain) for _, drain in sorted(known.items())]
+
+
+def quarantine(marks: dict[bytes, state.ContentMark]) -> list[Any]:
+    """Returns each marked content, in the order of their digests."""
+    return [
+        {
+            "digest": mark.digest.hex(),
+            "victims": list(mark.victims),
+            "lapses_wall_ms": mark.lapses_wall_ms,
+        }
+        for _, mark in sorted(marks.items())
+    ]
+
+
+def status(
+    process_settings: settings.ProcessSettings,
+    shared: _ports.SharedState,
+    links: _ports.PeerLinks,
+    members: Iterable[membership.Member],
+) -> dict[str, Any]:
+    """Returns what one node sees of itself and the others."""
+    view = shared.view
+    record = view.configuration
+    connected = links.connected()
+    own = process_settings.own
+    return {
+        "node_id": own.node_id,
+        "failure_domain_id": own.failure_domain_id,
+        "roles": list(own.roles),
+        "leader": shared.is_leader,
+        "lease_holds": shared.lease_holds(),
+        "applied_index": view.applied_index,
+        "revision": record.revision if record else 0,
+        "peers": [
+            {
+                "node_id": node.node_id,
+                "failure_domain_id": node.failure_domain_id,
+                "connected": node.node_id in connected,
+            }
+            for node in process_settings.nodes
+            if node.node_id != own.node_id
+        ],
+        "replicas": _count(r.state for r in view.replicas.values()),
+        "backend_servers": _count(m.announcement.state for m in members),
+    }
+
+
+def _count(states: Iterable[str]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for name in states:
+        counts[name] = counts.get(name, 0) + 1
+    return counts
--- /dev/null
+++ b/lagooncrank/server/http/tests/operator_node.py
@@ -0,0 +1,142 @@
+"""One node without consensus or links, for tests of operators' handlers."""
+
+from collections.abc import Mapping
+import hashlib
+from typing import Any
+
+from aiohttp import web
+
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank import settings
+from lagooncrank.core import membership
+from lagooncrank.core import state
+from lagooncrank.server import _ports
+from lagooncrank.server import _revision_reports
+from lagooncrank.server.http import _operators
+
+OPERATOR_KEY = "operator-key"
+NODES = ("n1", "n2")
+
+
+class LocalState:
+    """A `SharedState` that commits at once and can be cut off."""
+
+    def __init__(self) -> None:
+        self.view = state.StateMachine()
+        self.is_leader = True
+        self.cut_off = False
+
+    def lease_holds(self) -> bool:
+        return not self.cut_off
+
+    async def propose(
+        self, command: state.Command, timeout_ms: int
+    ) -> state.Outcome:
+        if self.cut_off:
+            code = results.ResultCode.NO_QUORUM
+            return state.Outcome(code, "no majority")
+        return self.view.apply(self.view.applied_index + 1, command)
+
+    async def confirm_read(self, timeout_ms: int) -> bool:
+        return not self.cut_off
+
+    def on_applied(self, listener: _ports.AppliedListener) -> None:
+        """Commands are looked at through the view only."""
+
+
+class LoopLinks:
+    """Links between nodes of one process; messages arrive at once."""
+
+    def __init__(
+        self, node_id: model.NodeId, net: dict[str, "LoopLinks"]
+    ) -> None:
+        self.node_id = node_id
+        self.net = net
+        self.handlers: dict[str, Any] = {}
+        self.bodies: dict[str, type] = {}
+        net[node_id] = self
+
+    def send(self, node_id: model.NodeId, kind: str, body: Any) -> None:
+        if node_id in self.net:
+            peer = self.net[node_id]
+            received: Any = model.from_cbor(
+                model.to_cbor(body), peer.bodies[kind]
+            )
+            peer.handlers[kind](self.node_id, received)
+
+    def on_message(
+        self, kind: str, body: type, handler: _ports.PeerHandler
+    ) -> None:
+        self.bodies[kind] = body
+        self.handlers[kind] = handler
+
+    def connected(self) -> frozenset[model.NodeId]:
+        return frozenset(model.NodeId(n) for n in self.net) - {self.node_id}
+
+
+class OperatorNode:
+    """Handlers of node n1 over a local state, with one other node."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock(start_ms=1_000)
+        self.shared = LocalState()
+        net: dict[str, LoopLinks] = {}
+        self.links = LoopLinks(model.NodeId("n1"), net)
+        self.other_links = LoopLinks(model.NodeId("n2"), net)
+        self.other_shared = LocalState()
+        self.membership = membership.MembershipTable(
+            model.NodeId("n1"), 1, model.LeaseRules()
+        )
+        self.reports = self._reports(self.links, self.shared)
+        self.other_reports = self._reports(self.other_links, self.other_shared)
+
+    def _reports(
+        self, links: LoopLinks, shared: LocalState
+    ) -> _revision_reports.RevisionReports:
+        voters = [model.NodeId("n1"), model.NodeId("n2")]
+        return _revision_reports.RevisionReports(
+            links.node_id, voters, shared, links, self.clock
+        )
+
+    def app(self) -> web.Application:
+        """Returns an application with the operators' routes only."""
+        handlers = _operators.OperatorHandlers(
+            process_settings(),
+            self.shared,
+            self.links,
+            self.membership,
+            self.reports,
+            self.clock,
+        )
+        app = web.Application()
+        app.add_routes(handlers.routes())
+        return app
+
+
+def process_settings() -> settings.ProcessSettings:
+    """Returns settings of node n1."""
+    return settings.ProcessSettings(
+        node_id=model.NodeId("n1"),
+        nodes=tuple(
+            settings.PeerSettings(
+                model.NodeId(node_id),
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                model.FailureDomainId(f"fd-{node_id}"),
+                (settings.Role.ENTRY, settings.Role.CONTROL),
+            )
+            for node_id in NODES
+        ),
+        shared_key_file="unused",
+        operator_key_sha256s=(
+            hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
+        ),
+    )
+
+
+def declarations(share: int = 3) -> Mapping[str, Any]:
+    """Returns plain declarations of one client account."""
+    account = {"name": "acme", "key_sha256s": ["0" * 64], "share": share}
+    return {"client_accounts": [account]}
--- a/lagooncrank/settings/_yaml.py
+++ b/lagooncrank/settings/_yaml.py
@@ -9,6 +9,7 @@
 
 from lagooncrank import model
 from lagooncrank import results
+from lagooncrank.settings import _checks
 from lagooncrank.settings import _process
 
 T = TypeVar("T")
@@ -66,4 +67,7 @@
         SettingsError: The text is no YAML, or a field is missing or wrong.
     """
     code = results.ResultCode.INVALID_DECLARATIONS
-    return parse(text, model.Declarations, source, code)
+    declarations = parse(text, model.Declarations, source, code)
+    for problem in _checks.check_declarations(declarations):
+        raise SettingsError(code, source, problem.field, problem.message)
+    return declarations
