Check settings in full: lines, unknown fields, hostile YAML

Cause: msgspec ignores unknown fields of data classes, so a misspelt field was silently dropped; YAML aliases, tags, duplicate keys, depth and size were not limited; errors named no line and only the first fault.

Process settings are checked too (addresses are IP addresses, odd number of voters, data folder for voters, own node listed). POST /v1/config refuses unknown fields as the files do. SettingsError carries the list of problems.

Ruled out: msgspec structs with forbid_unknown_fields, since the model is frozen data classes that other parts share; first-error-only reports.

--- a/lagooncrank/cli/_configuration_commands.py
+++ b/lagooncrank/cli/_configuration_commands.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import getpass
-import pathlib
 from typing import Annotated
 
 import typer
 
 from lagooncrank import clock
 from lagooncrank import model
-from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.cli import _apply
 from lagooncrank.cli import _client
@@ -27,7 +25,7 @@
 
 def validate(file: _options.DeclarationsFile) -> None:
     """Checks a declarations file without sending anything."""
-    declarations = _read_declarations(file)
+    declarations = settings.load_declarations(file)
     print(
         f"{file}: valid; {len(declarations.model_services)} model services, "
         f"{len(declarations.plain_services)} plain services, "
@@ -63,7 +61,7 @@
     output: _options.Output = _output.OutputFormat.TABLE,
 ) -> None:
     """Checks a declarations file in full, then puts it in force."""
-    declarations = _read_declarations(file)
+    declarations = settings.load_declarations(file)
     client = _options.operator_client(entry, key_file)
     answer = asyncio.run(
         _apply_file(
@@ -109,12 +107,3 @@
     time = clock.SystemClock()
     in_force = await _apply.wait_in_force(client, revision, wait_ms, time)
     return {"revision": revision, "in_force": in_force["in_force"]}
-
-
-def _read_declarations(file: pathlib.Path) -> model.Declarations:
-    try:
-        text = file.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        code = results.ResultCode.INVALID_DECLARATIONS
-        raise settings.SettingsError(code, str(file), "", str(error)) from error
-    return settings.parse_declarations(text, str(file))
--- a/lagooncrank/server/http/_operator_requests.py
+++ b/lagooncrank/server/http/_operator_requests.py
@@ -13,6 +13,7 @@
 
 from lagooncrank import model
 from lagooncrank import results
+from lagooncrank import settings
 
 #: Largest body of a request, in bytes.
 MAX_BODY_BYTES = 4_194_304
@@ -66,7 +67,10 @@
     """
     body = await _read_body(request)
     try:
-        return msgspec.convert(json.loads(body), kind)
+        plain = json.loads(body)
+        for fault in settings.check_shape(plain, kind):
+            raise refused(results.ResultCode.MALFORMED_REQUEST, str(fault))
+        return msgspec.convert(plain, kind)
     except (ValueError, RecursionError) as error:
         raise refused(
             results.ResultCode.MALFORMED_REQUEST,
--- a/lagooncrank/server/http/tests/test_operators.py
+++ b/lagooncrank/server/http/tests/test_operators.py
@@ -44,7 +44,13 @@
         change() | {"base_revision": "x"},
         400,
         100,
-        "Expected `int`, got `str` - at `$.base_revision`",
+        "base_revision: must be a whole number, is 'x'",
+    ),
+    "unknown_field": (
+        change() | {"declarations": {"client_acounts": []}},
+        400,
+        100,
+        "did you mean 'client_accounts'?",
     ),
     "empty_change_id": (change(change_id=""), 400, 100, "must not be empty"),
     "bad_share": (
--- a/lagooncrank/settings/__init__.py
+++ b/lagooncrank/settings/__init__.py
@@ -1,15 +1,20 @@
 """Process settings and declarations, read from YAML and checked."""
 
 from lagooncrank.settings._checks import check_declarations
-from lagooncrank.settings._checks import Problem
+from lagooncrank.settings._problems import Problem
+from lagooncrank.settings._problems import SettingsError
 from lagooncrank.settings._process import LimitSettings
 from lagooncrank.settings._process import PeerSettings
 from lagooncrank.settings._process import ProcessSettings
 from lagooncrank.settings._process import Role
+from lagooncrank.settings._process_checks import check_process_settings
+from lagooncrank.settings._process_checks import is_address
+from lagooncrank.settings._shapes import check_shape
+from lagooncrank.settings._yaml import load_declarations
 from lagooncrank.settings._yaml import load_process_settings
 from lagooncrank.settings._yaml import parse
 from lagooncrank.settings._yaml import parse_declarations
-from lagooncrank.settings._yaml import SettingsError
+from lagooncrank.settings._yaml import parse_process_settings
 
 __all__ = [
     "LimitSettings",
@@ -19,7 +24,12 @@
     "Role",
     "SettingsError",
     "check_declarations",
+    "check_process_settings",
+    "check_shape",
+    "is_address",
+    "load_declarations",
     "load_process_settings",
     "parse",
     "parse_declarations",
+    "parse_process_settings",
 ]
--- a/lagooncrank/settings/_checks.py
+++ b/lagooncrank/settings/_checks.py
@@ -6,6 +6,7 @@
 import re
 
 from lagooncrank import model
+from lagooncrank.settings import _problems
 
 _KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -54,31 +55,25 @@
     model.RetryRules: ("budget_ratio", "min_retries_per_minute"),
 }
 
+#: Largest number that every JSON reader keeps exactly.
+MAX_NUMBER = 2**53 - 1
 #: A leaving or lapsed backend server must lose new work within 3 s.
 MAX_ANNOUNCEMENT_LEASE_MS = 3_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """One fault of a file, with the field it stands in."""
-
-    #: Such as "client_accounts[0].share".
-    field: str
-    #: What is wrong, what is allowed and what to do.
-    message: str
-
-
-def check_declarations(declarations: model.Declarations) -> tuple[Problem, ...]:
+def check_declarations(
+    declarations: model.Declarations,
+) -> tuple[_problems.Problem, ...]:
     """Returns every fault that types alone do not show.
 
     >>> rules = model.LeaseRules(announcement_ms=9_000)
     >>> check_declarations(model.Declarations(leases=rules))[0].field
     'leases.announcement_ms'
     """
-    return tuple(_problems(declarations))
+    return tuple(_check(declarations))
 
 
-def _problems(declarations: model.Declarations) -> Iterator[Problem]:
+def _check(declarations: model.Declarations) -> Iterator[_problems.Problem]:
     for field, part in _parts(declarations):
         yield from _bounds(field, part)
     yield from _check_names(declarations)
@@ -98,18 +93,36 @@
             yield field.name, value
 
 
-def _bounds(field: str, part: object) -> Iterator[Problem]:
+def _bounds(field: str, part: object) -> Iterator[_problems.Problem]:
+    for name, value in _numbers(part):
+        if not abs(value) <= MAX_NUMBER:
+            yield _problems.Problem(
+                f"{field}.{name}", f"is {value}, must be at most {MAX_NUMBER}"
+            )
     for name in _POSITIVE.get(type(part), ()):
         value = getattr(part, name)
         if not value > 0:
-            yield Problem(f"{field}.{name}", f"is {value}, must be above 0")
+            yield _problems.Problem(
+                f"{field}.{name}", f"is {value}, must be above 0"
+            )
     for name in _NOT_NEGATIVE.get(type(part), ()):
         value = getattr(part, name)
         if not value >= 0:
-            yield Problem(f"{field}.{name}", f"is {value}, must be 0 or more")
+            yield _problems.Problem(
+                f"{field}.{name}", f"is {value}, must be 0 or more"
+            )
 
 
-def _check_names(declarations: model.Declarations) -> Iterator[Problem]:
+def _numbers(part: object) -> Iterator[tuple[str, float]]:
+    for field in dataclasses.fields(part):  # type: ignore[arg-type]
+        value = getattr(part, field.name)
+        if isinstance(value, (int, float)):
+            yield field.name, value
+
+
+def _check_names(
+    declarations: model.Declarations,
+) -> Iterator[_problems.Problem]:
     services = _names("model_services", declarations.model_services)
     services += _names("plain_services", declarations.plain_services)
     accounts = _names("client_accounts", declarations.client_accounts)
@@ -117,13 +130,13 @@
         seen: dict[str, str] = {}
         for field, name in named:
             if not _NAME.fullmatch(name):
-                yield Problem(
+                yield _problems.Problem(
                     f"{field}.name",
                     f"{name!r} is not allowed: use 1 to 63 letters, digits, "
                     "'.', '_' or '-', a letter or digit first",
                 )
             if name in seen:
-                yield Problem(
+                yield _problems.Problem(
                     f"{field}.name",
                     f"{name!r} is already the name of {seen[name]}; "
                     "give each its own",
@@ -142,36 +155,40 @@
 
 def _check_model_services(
     declarations: model.Declarations,
-) -> Iterator[Problem]:
+) -> Iterator[_problems.Problem]:
     for index, service in enumerate(declarations.model_services):
         field = f"model_services[{index}]"
         if service.replicas_floor > service.replicas:
-            yield Problem(
+            yield _problems.Problem(
                 f"{field}.replicas_floor",
                 f"is {service.replicas_floor}, above replicas "
                 f"({service.replicas}); lower the floor or add replicas",
             )
         if not service.version:
-            yield Problem(f"{field}.version", "is empty; name the version")
+            yield _problems.Problem(
+                f"{field}.version", "is empty; name the version"
+            )
 
 
 def _check_plain_services(
     declarations: model.Declarations,
-) -> Iterator[Problem]:
+) -> Iterator[_problems.Problem]:
     for index, service in enumerate(declarations.plain_services):
         path = service.outcome_lookup_path
         field = f"plain_services[{index}].outcome_lookup_path"
         if path is None:
             continue
         if "{key}" not in path or not path.startswith("/"):
-            yield Problem(
+            yield _problems.Problem(
                 field,
                 f"is {path!r}; it must start with '/' and hold '{{key}}' "
                 "where the key goes, such as '/outcomes/{key}'",
             )
 
 
-def _check_accounts(declarations: model.Declarations) -> Iterator[Problem]:
+def _check_accounts(
+    declarations: model.Declarations,
+) -> Iterator[_problems.Problem]:
     services = {s.name for s in declarations.model_services}
     services |= {s.name for s in declarations.plain_services}
     owners: dict[str, str] = {}
@@ -180,7 +197,7 @@
         yield from _check_keys(field, account, owners)
         for at, name in enumerate(account.services):
             if name not in services:
-                yield Problem(
+                yield _problems.Problem(
                     f"{field}.services[{at}]",
                     f"{name!r} is not declared; use one of "
                     f"{', '.join(sorted(services)) or '(none declared)'}",
@@ -189,17 +206,17 @@
 
 def _check_keys(
     field: str, account: model.ClientAccount, owners: dict[str, str]
-) -> Iterator[Problem]:
+) -> Iterator[_problems.Problem]:
     for at, digest in enumerate(account.key_sha256s):
         place = f"{field}.key_sha256s[{at}]"
         if not _KEY_DIGEST.fullmatch(digest):
-            yield Problem(
+            yield _problems.Problem(
                 place,
                 "must be 64 lower-case hexadecimal digits: the SHA-256 of "
                 "the key, never the key itself",
             )
         elif digest in owners:
-            yield Problem(
+            yield _problems.Problem(
                 place,
                 f"is already a key of {owners[digest]}; give each client "
                 "account its own",
@@ -207,10 +224,12 @@
         owners.setdefault(digest, account.name)
 
 
-def _check_leases(declarations: model.Declarations) -> Iterator[Problem]:
+def _check_leases(
+    declarations: model.Declarations,
+) -> Iterator[_problems.Problem]:
     lease_ms = declarations.leases.announcement_ms
     if lease_ms > MAX_ANNOUNCEMENT_LEASE_MS:
-        yield Problem(
+        yield _problems.Problem(
             "leases.announcement_ms",
             f"is {lease_ms}, must be at most {MAX_ANNOUNCEMENT_LEASE_MS}, so "
             "that a lost backend server gets no new work after that",
--- /dev/null
+++ b/lagooncrank/settings/_process_checks.py
@@ -0,0 +1,140 @@
+"""Checks of process settings that go beyond the type of each field."""
+
+from collections.abc import Iterator
+import dataclasses
+import ipaddress
+import re
+
+from lagooncrank.settings import _problems
+from lagooncrank.settings import _process
+
+MAX_PORT = 65_535
+#: Voters allowed: an even number survives no more losses than one fewer.
+VOTER_COUNTS = (1, 3, 5, 7)
+LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
+
+_KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+def is_address(text: str) -> bool:
+    """Returns whether `text` is an IP address and a port.
+
+    >>> is_address("10.0.0.1:7000"), is_address("[::1]:7000")
+    (True, True)
+    >>> is_address("localhost:7000"), is_address("10.0.0.1")
+    (False, False)
+    """
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
+        return False
+    try:
+        address = ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return address.version == 4 or host.startswith("[")
+
+
+def check_process_settings(
+    process_settings: _process.ProcessSettings,
+) -> tuple[_problems.Problem, ...]:
+    """Returns every fault that types alone do not show."""
+    return tuple(_problems_of(process_settings))
+
+
+def _problems_of(
+    process_settings: _process.ProcessSettings,
+) -> Iterator[_problems.Problem]:
+    yield from _check_nodes(process_settings)
+    yield from _check_voters(process_settings)
+    yield from _check_own(process_settings)
+    for index, digest in enumerate(process_settings.operator_key_sha256s):
+        if not _KEY_DIGEST.fullmatch(digest):
+            yield _problems.Problem(
+                f"operator_key_sha256s[{index}]",
+                "must be 64 lower-case hexadecimal digits: the SHA-256 of "
+                "the key, never the key itself",
+            )
+    yield from _check_limits(process_settings)
+
+
+def _check_nodes(
+    process_settings: _process.ProcessSettings,
+) -> Iterator[_problems.Problem]:
+    seen: dict[str, str] = {}
+    for index, node in enumerate(process_settings.nodes):
+        field = f"nodes[{index}]"
+        addresses = {
+            "peer_address": node.peer_address,
+            "entry_address": node.entry_address,
+        }
+        for name, address in addresses.items():
+            if not is_address(address):
+                yield _problems.Problem(
+                    f"{field}.{name}",
+                    f"is {address!r}, must be an IP address and a port such "
+                    "as '10.0.0.1:7000'; names are not looked up",
+                )
+        taken = {"node_id": node.node_id, **addresses}
+        for name, value in taken.items():
+            if value in seen:
+                yield _problems.Problem(
+                    f"{field}.{name}",
+                    f"{value!r} already stands in {seen[value]}",
+                )
+            seen.setdefault(value, f"{field}.{name}")
+
+
+def _check_voters(
+    process_settings: _process.ProcessSettings,
+) -> Iterator[_problems.Problem]:
+    count = len(process_settings.voters)
+    if count not in VOTER_COUNTS:
+        allowed = ", ".join(str(n) for n in VOTER_COUNTS)
+        yield _problems.Problem(
+            "nodes",
+            f"{count} nodes have the role control; allowed: {allowed}",
+        )
+
+
+def _check_own(
+    process_settings: _process.ProcessSettings,
+) -> Iterator[_problems.Problem]:
+    ids = [node.node_id for node in process_settings.nodes]
+    if process_settings.node_id not in ids:
+        yield _problems.Problem(
+            "node_id",
+            f"{process_settings.node_id!r} is not one of nodes: "
+            f"{', '.join(ids)}",
+        )
+    elif process_settings.own.votes and not process_settings.data_folder:
+        yield _problems.Problem(
+            "data_folder",
+            "is empty, but this node has the role control, which keeps its "
+            "log there; name a folder on a disk",
+        )
+    if not process_settings.shared_key_file:
+        yield _problems.Problem(
+            "shared_key_file", "is empty; name the file with the shared key"
+        )
+
+
+def _check_limits(
+    process_settings: _process.ProcessSettings,
+) -> Iterator[_problems.Problem]:
+    for field in dataclasses.fields(process_settings.limits):
+        value = getattr(process_settings.limits, field.name)
+        if value <= 0:
+            yield _problems.Problem(
+                f"limits.{field.name}", f"is {value}, must be above 0"
+            )
+    if process_settings.stop_deadline_ms < 0:
+        yield _problems.Problem(
+            "stop_deadline_ms",
+            f"is {process_settings.stop_deadline_ms}, must be 0 or more",
+        )
+    if process_settings.log_level not in LOG_LEVELS:
+        yield _problems.Problem(
+            "log_level",
+            f"is {process_settings.log_level!r}; allowed: "
+            f"{', '.join(LOG_LEVELS)}",
+        )
--- a/lagooncrank/settings/_yaml.py
+++ b/lagooncrank/settings/_yaml.py
@@ -1,49 +1,32 @@
 """Reads YAML files into checked data classes."""
 
+from collections.abc import Iterable
+import dataclasses
 import pathlib
 from typing import Any
 from typing import TypeVar
 
 import msgspec
-import yaml
 
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.settings import _checks
+from lagooncrank.settings import _document
+from lagooncrank.settings import _problems
 from lagooncrank.settings import _process
+from lagooncrank.settings import _process_checks
+from lagooncrank.settings import _shapes
 
 T = TypeVar("T")
 
 
-class SettingsError(results.LagooncrankError):
-    """A settings or declarations file that cannot be used."""
-
-    def __init__(
-        self, code: results.ResultCode, source: str, field: str, problem: str
-    ) -> None:
-        self.source = source
-        self.field = field
-        self.problem = problem
-        place = f"{source}: {field}" if field else source
-        super().__init__(results.Refusal(code, f"{place}: {problem}"))
-
-
 def parse(text: str, kind: type[T], source: str, code: results.ResultCode) -> T:
     """Builds a `kind` from YAML text.
 
     Raises:
         SettingsError: The text is no YAML, or a field is missing or wrong.
     """
-    try:
-        plain: Any = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise SettingsError(code, source, "", f"not YAML: {error}") from error
-    try:
-        return msgspec.convert(plain, kind)
-    except msgspec.ValidationError as error:
-        problem, _, field = str(error).partition(" - at ")
-        field = field.strip("`").removeprefix("$").removeprefix(".")
-        raise SettingsError(code, source, field, problem) from error
+    return _parse(text, kind, source, code)[0]
 
 
 def load_process_settings(path: pathlib.Path) -> _process.ProcessSettings:
@@ -53,11 +36,32 @@
         SettingsError: The file cannot be read or is invalid.
     """
     code = results.ResultCode.INVALID_SETTINGS
-    try:
-        text = path.read_text(encoding="utf-8")
-    except OSError as error:
-        raise SettingsError(code, str(path), "", str(error)) from error
-    return parse(text, _process.ProcessSettings, str(path), code)
+    text = _read(path, code)
+    return parse_process_settings(text, str(path))
+
+
+def parse_process_settings(text: str, source: str) -> _process.ProcessSettings:
+    """Builds process settings from YAML text.
+
+    Raises:
+        SettingsError: The text is no YAML, or a field is missing or wrong.
+    """
+    code = results.ResultCode.INVALID_SETTINGS
+    kind = _process.ProcessSettings
+    process_settings, document = _parse(text, kind, source, code)
+    problems = _process_checks.check_process_settings(process_settings)
+    _raise_any(problems, document, source, code)
+    return process_settings
+
+
+def load_declarations(path: pathlib.Path) -> model.Declarations:
+    """Reads a declarations file.
+
+    Raises:
+        SettingsError: The file cannot be read or is invalid.
+    """
+    code = results.ResultCode.INVALID_DECLARATIONS
+    return parse_declarations(_read(path, code), str(path))
 
 
 def parse_declarations(text: str, source: str) -> model.Declarations:
@@ -67,7 +71,68 @@
         SettingsError: The text is no YAML, or a field is missing or wrong.
     """
     code = results.ResultCode.INVALID_DECLARATIONS
-    declarations = parse(text, model.Declarations, source, code)
-    for problem in _checks.check_declarations(declarations):
-        raise SettingsError(code, source, problem.field, problem.message)
+    declarations, document = _parse(text, model.Declarations, source, code)
+    problems = _checks.check_declarations(declarations)
+    _raise_any(problems, document, source, code)
     return declarations
+
+
+def _read(path: pathlib.Path, code: results.ResultCode) -> str:
+    limit_bytes = _document.MAX_FILE_BYTES
+    try:
+        with path.open("rb") as file:
+            data = file.read(limit_bytes + 1)
+        if len(data) > limit_bytes:
+            problem = f"is over {limit_bytes} bytes"
+            raise _one_problem(code, path, problem)
+        return data.decode("utf-8")
+    except OSError as error:
+        problem = f"cannot be read: {error.strerror}"
+        raise _one_problem(code, path, problem) from error
+    except UnicodeDecodeError as error:
+        problem = f"is not UTF-8 at byte {error.start}"
+        raise _one_problem(code, path, problem) from error
+
+
+def _one_problem(
+    code: results.ResultCode, path: pathlib.Path, message: str
+) -> _problems.SettingsError:
+    problem = _problems.Problem("", message)
+    return _problems.SettingsError(code, str(path), [problem])
+
+
+def _parse(
+    text: str, kind: type[T], source: str, code: results.ResultCode
+) -> tuple[T, _document.Document]:
+    try:
+        document = _document.read_document(text)
+    except _document.DocumentError as error:
+        raise _problems.SettingsError(code, source, [error.problem]) from error
+    _raise_any(
+        _shapes.check_shape(document.plain, kind), document, source, code
+    )
+    return _convert(document.plain, kind, source, code), document
+
+
+def _convert(
+    plain: Any, kind: type[T], source: str, code: results.ResultCode
+) -> T:
+    try:
+        return msgspec.convert(plain, kind)
+    except msgspec.ValidationError as error:
+        problem = _problems.Problem("", str(error))
+        raise _problems.SettingsError(code, source, [problem]) from error
+
+
+def _raise_any(
+    problems: Iterable[_problems.Problem],
+    document: _document.Document,
+    source: str,
+    code: results.ResultCode,
+) -> None:
+    placed = [
+        dataclasses.replace(problem, line=document.line_of(problem.field))
+        for problem in problems
+    ]
+    if placed:
+        raise _problems.SettingsError(code, source, placed)
