--- a/lagooncrank/cli/_app.py
+++ b/lagooncrank/cli/_app.py
@@ -8,6 +8,7 @@
 from lagooncrank.cli import _configuration_commands
 from lagooncrank.cli import _exits
 from lagooncrank.cli import _inspection_commands
+from lagooncrank.cli import _order_commands
 from lagooncrank.cli import _output
 
 app = typer.Typer(
@@ -19,6 +20,7 @@
 )
 _configuration_commands.register(app)
 _inspection_commands.register(app)
+_order_commands.register(app)
 
 
 def main() -> None:
--- a/lagooncrank/cli/_apply.py
+++ b/lagooncrank/cli/_apply.py
@@ -51,14 +51,17 @@
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
 
-async def read_current(client: _client.OperatorClient) -> Current:
-    """Returns the accepted configuration.
+async def read_current(
+    client: _client.OperatorClient, revision: int | None = None
+) -> Current:
+    """Returns the accepted configuration, or the given kept revision.
 
     Raises:
-        LagooncrankError: No entry could answer.
+        LagooncrankError: No entry could answer, or it is not kept.
     """
+    path = "/v1/config" if revision is None else f"/v1/config/{revision}"
     try:
-        body = await client.get("/v1/config")
+        body = await client.get(path)
     except results.LagooncrankError as error:
         if error.refusal.code is results.ResultCode.NO_CONFIGURATION:
             return Current(0, model.Declarations())
--- a/lagooncrank/cli/_configuration_commands.py
+++ b/lagooncrank/cli/_configuration_commands.py
@@ -11,6 +11,8 @@
 from lagooncrank import settings
 from lagooncrank.cli import _apply
 from lagooncrank.cli import _client
+from lagooncrank.cli import _differences
+from lagooncrank.cli import _exits
 from lagooncrank.cli import _options
 from lagooncrank.cli import _output
 
@@ -20,7 +22,9 @@
 def register(app: typer.Typer) -> None:
     """Adds the commands to `app`."""
     app.command()(validate)
+    app.command()(diff)
     app.command()(apply)
+    app.command()(history)
 
 
 def validate(file: _options.DeclarationsFile) -> None:
@@ -33,6 +37,38 @@
     )
 
 
+def diff(
+    file: _options.DeclarationsFile,
+    entry: _options.Entries,
+    key_file: _options.KeyFile,
+    revision: Annotated[
+        int | None,
+        typer.Option(help="Kept revision to compare with, not the current."),
+    ] = None,
+    output: _options.Output = _output.OutputFormat.TABLE,
+) -> None:
+    """Shows what a declarations file would change; exits 9 if anything."""
+    declarations = settings.load_declarations(file)
+    client = _options.operator_client(entry, key_file)
+    current = asyncio.run(_apply.read_current(client, revision))
+    found = _differences.differences(current.declarations, declarations)
+    _output.progress(f"compared with revision {current.revision}")
+    _output.show(model.to_plain(found), output)
+    if found:
+        raise typer.Exit(_exits.ExitCode.DIFFERS)
+
+
+def history(
+    entry: _options.Entries,
+    key_file: _options.KeyFile,
+    output: _options.Output = _output.OutputFormat.TABLE,
+) -> None:
+    """Lists the kept revisions, oldest first."""
+    client = _options.operator_client(entry, key_file)
+    lines = asyncio.run(client.get("/v1/config/history"))
+    _output.show(lines, output, ("revision", "change_id", "author", "wall_ms"))
+
+
 def apply(
     file: _options.DeclarationsFile,
     entry: _options.Entries,
--- /dev/null
+++ b/lagooncrank/cli/_order_commands.py
@@ -0,0 +1,76 @@
+"""Commands that take instances out of use and lift quarantines."""
+
+import asyncio
+from typing import Annotated
+import urllib.parse
+
+import typer
+
+from lagooncrank.cli import _options
+from lagooncrank.cli import _output
+
+_TABLE = _output.OutputFormat.TABLE
+
+InstanceArgument = Annotated[
+    str | None,
+    typer.Argument(
+        metavar="[INSTANCE]", help="Instance; without one, lists the drained."
+    ),
+]
+DigestArgument = Annotated[
+    str | None,
+    typer.Argument(
+        metavar="[DIGEST]",
+        help="Content digest to let run again; without one, lists them.",
+    ),
+]
+
+
+def register(app: typer.Typer) -> None:
+    """Adds the commands to `app`."""
+    app.command()(drain)
+    app.command()(quarantine)
+
+
+def drain(
+    entry: _options.Entries,
+    key_file: _options.KeyFile,
+    instance: InstanceArgument = None,
+    end: Annotated[
+        bool, typer.Option("--end", help="Use the instance again.")
+    ] = False,
+    output: _options.Output = _TABLE,
+) -> None:
+    """Takes an instance out of use, or lists those that are out."""
+    client = _options.operator_client(entry, key_file)
+    if instance is None:
+        if end:
+            raise typer.BadParameter("--end needs an INSTANCE")
+        columns = ("instance_id", "wall_ms")
+        listed = asyncio.run(client.get("/v1/drain"))
+        _output.show(listed, output, columns)
+    elif end:
+        quoted = urllib.parse.quote(instance, safe="")
+        asyncio.run(client.delete(f"/v1/drain/{quoted}"))
+        _output.show({"instance_id": instance, "drained": False}, output)
+    else:
+        asyncio.run(client.post("/v1/drain", {"instance_id": instance}))
+        _output.show({"instance_id": instance, "drained": True}, output)
+
+
+def quarantine(
+    entry: _options.Entries,
+    key_file: _options.KeyFile,
+    lift: DigestArgument = None,
+    output: _options.Output = _TABLE,
+) -> None:
+    """Lists contents that crashed backend servers, or lifts one."""
+    client = _options.operator_client(entry, key_file)
+    if lift is None:
+        columns = ("digest", "victims", "lapses_wall_ms")
+        listed = asyncio.run(client.get("/v1/quarantine"))
+        _output.show(listed, output, columns)
+    else:
+        quoted = urllib.parse.quote(lift, safe="")
+        asyncio.run(client.delete(f"/v1/quarantine/{quoted}"))
+        _output.show({"digest": lift, "quarantined": False}, output)
--- /dev/null
+++ b/lagooncrank/cli/tests/test_commands.py
@@ -0,0 +1,199 @@
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import json
+import pathlib
+import threading
+
+from aiohttp import test_utils
+import pytest
+import yaml
+
+from lagooncrank import cli
+from lagooncrank.cli import _exits
+from lagooncrank.core import state
+from lagooncrank.server.http.tests import operator_node
+
+Exit = _exits.ExitCode
+
+
+class Operator:
+    """Runs commands of the tool against one entry, as a shell would."""
+
+    def __init__(
+        self,
+        address: str,
+        folder: pathlib.Path,
+        capsys: pytest.CaptureFixture[str],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        self.address = address
+        self.folder = folder
+        self.capsys = capsys
+        self.monkeypatch = monkeypatch
+        self.key_file = folder / "key"
+        self.key_file.write_text(operator_node.OPERATOR_KEY + "\n")
+        self.environment(LAGOONCRANK_ENTRIES=address)
+        self.environment(LAGOONCRANK_KEY_FILE=str(self.key_file))
+
+    def environment(self, **variables: str) -> None:
+        for name, value in variables.items():
+            self.monkeypatch.setenv(name, value)
+
+    def declarations(self, share: int = 3) -> str:
+        path = self.folder / f"share-{share}.yaml"
+        path.write_text(yaml.safe_dump(operator_node.declarations(share)))
+        return str(path)
+
+    def run(self, *arguments: str) -> tuple[int, str, str]:
+        self.monkeypatch.setattr("sys.argv", ["lagooncrank", *arguments])
+        with pytest.raises(SystemExit) as caught:
+            cli.main()
+        captured = self.capsys.readouterr()
+        code = caught.value.code
+        return int(code or 0), captured.out, captured.err
+
+
+@contextlib.contextmanager
+def serving(node: operator_node.OperatorNode) -> Iterator[str]:
+    """Serves a node on a loop of its own, since the tool runs one itself."""
+    loop = asyncio.new_event_loop()
+    server = test_utils.TestServer(node.app())
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    asyncio.run_coroutine_threadsafe(server.start_server(), loop).result()
+    try:
+        yield f"127.0.0.1:{server.port}"
+    finally:
+        asyncio.run_coroutine_threadsafe(server.close(), loop).result()
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+@pytest.fixture
+def node() -> operator_node.OperatorNode:
+    return operator_node.OperatorNode()
+
+
+@pytest.fixture
+def operator(
+    node: operator_node.OperatorNode,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> Iterator[Operator]:
+    with serving(node) as address:
+        yield Operator(address, tmp_path, capsys, monkeypatch)
+
+
+def test_apply_is_safe_to_run_again(operator: Operator) -> None:
+    path = operator.declarations()
+    for _ in range(2):
+        code, out, _ = operator.run("apply", path, "-o", "json")
+        assert (code, json.loads(out)) == (Exit.OK, {"revision": 1})
+    _, out, _ = operator.run("history", "-o", "json")
+    assert len(json.loads(out)) == 1
+
+
+def test_apply_to_an_old_base_is_a_conflict(operator: Operator) -> None:
+    operator.run("apply", operator.declarations(3))
+    path = operator.declarations(4)
+    code, _, err = operator.run("apply", path, "--base-revision", "0")
+    assert code == Exit.CONFLICT
+    assert "REVISION_CONFLICT (500)" in err
+    assert "not the current revision 1" in err
+
+
+def test_apply_waits_and_names_who_lags(
+    operator: Operator, node: operator_node.OperatorNode
+) -> None:
+    path = operator.declarations()
+    code, _, err = operator.run("apply", path, "--wait", "--timeout-s", "0")
+    assert code == Exit.NOT_IN_FORCE
+    assert "in force at 1 of 2 nodes; waiting for n2" in err
+    assert "NOT_IN_FORCE_YET (504)" in err
+    record = node.shared.view.configuration
+    assert record is not None
+    command = state.ApplyDeclarations("c", 0, record.declarations, "a", 0)
+    node.other_shared.view.apply(1, command)
+    code, out, err = operator.run("apply", path, "--wait", "-o", "json")
+    assert (code, json.loads(out)["in_force"]) == (Exit.OK, ["n1", "n2"])
+    assert "revision 1 already declares this" in err
+
+
+def test_invalid_file_sends_nothing(
+    operator: Operator, node: operator_node.OperatorNode
+) -> None:
+    code, _, err = operator.run("apply", operator.declarations(0))
+    assert code == Exit.INVALID_FILE
+    assert "client_accounts[0].share: is 0, must be above 0" in err
+    assert node.shared.view.applied_index == 0
+
+
+def test_diff_names_each_changed_field(operator: Operator) -> None:
+    operator.run("apply", operator.declarations(3))
+    assert operator.run("diff", operator.declarations(3))[0] == Exit.OK
+    code, out, _ = operator.run("diff", operator.declarations(4), "-o", "json")
+    assert code == Exit.DIFFERS
+    assert json.loads(out) == [
+        {"field": "client_accounts[acme].share", "accepted": 3, "file": 4}
+    ]
+
+
+def test_drain_and_quarantine_orders(
+    operator: Operator, node: operator_node.OperatorNode
+) -> None:
+    assert operator.run("drain", "i1")[0] == Exit.OK
+    assert "i1" in operator.run("drain")[1]
+    assert operator.run("drain", "i1", "--end")[0] == Exit.OK
+    assert operator.run("drain", "i1", "--end")[0] == Exit.REFUSED
+    index = node.shared.view.applied_index + 1
+    node.shared.view.apply(index, state.MarkContent(b"\xab", "r1", 0, 9))
+    assert "ab" in operator.run("quarantine")[1]
+    assert operator.run("quarantine", "ab")[0] == Exit.OK
+    assert "(none)" in operator.run("quarantine")[1]
+
+
+@pytest.mark.parametrize(
+    "command", ["status", "accounts", "replicas", "backends", "history"]
+)
+@pytest.mark.parametrize("output", ["table", "json"])
+def test_inspection(operator: Operator, command: str, output: str) -> None:
+    operator.run("apply", operator.declarations())
+    code, out, _ = operator.run(command, "-o", output)
+    assert code == Exit.OK
+    if output == "json":
+        assert json.loads(out) is not None
+    else:
+        assert out.strip()
+
+
+def test_lost_entry_is_passed_over(operator: Operator) -> None:
+    with test_utils.get_unused_port_socket("127.0.0.1") as bound:
+        dead = f"127.0.0.1:{bound.getsockname()[1]}"
+        code, _, err = operator.run("status", "--entry", dead)
+        assert (code, dead in err) == (Exit.UNREACHABLE, True)
+        live = operator.address
+        code, _, _ = operator.run("status", "-e", dead, "-e", live)
+        assert code == Exit.OK
+
+
+def test_refusals_reach_the_shell(
+    operator: Operator, node: operator_node.OperatorNode
+) -> None:
+    node.shared.cut_off = True
+    path = operator.declarations()
+    assert operator.run("apply", path)[0] == Exit.UNREACHABLE
+    operator.key_file.write_text("wrong")
+    assert operator.run("status")[0] == Exit.UNAUTHENTICATED
+    operator.key_file.unlink()
+    assert operator.run("status")[0] == Exit.UNAUTHENTICATED
+    assert operator.run("stauts")[0] == Exit.USAGE
+
+
+def test_exit_codes_stand_in_the_operators_page() -> None:
+    page = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
+    for exit_code in Exit:
+        line = f"| {exit_code.value} | {exit_code.name} | {exit_code.meaning} |"
+        assert line in page.read_text()
