Add fair-share admission, cost-based routing, retry budgets and a bench

Admission divides slots by stated share in weights of estimated tokens, lends what is idle, takes it back by priority and suspension, and keeps shares over entries by usage reports. Routing weighs own requests, lagged reports, speed, cached prefixes and distance. Retries are paid from a budget per account.

--- /dev/null
+++ b/bench/fairness.py
@@ -0,0 +1,105 @@
+"""Small accounts under the bursts of large ones, naive policies and ours.
+
+Run with `python -m bench.fairness`; writes `bench/results/fairness.json`.
+"""
+
+import json
+import pathlib
+import sys
+from typing import Any
+
+from bench import _outcomes
+from bench import _scenario
+from bench import _simulation
+
+RESULTS = pathlib.Path(__file__).with_name("results") / "fairness.json"
+
+
+def summarize(
+    scenario: _scenario.Scenario, outcome: _outcomes.RunOutcome
+) -> dict[str, Any]:
+    """Returns the figures of one run, the worst small account first."""
+    small = [outcome.accounts[name] for name in scenario.small]
+    large = [
+        account
+        for name, account in outcome.accounts.items()
+        if name not in scenario.small
+    ]
+    seconds = scenario.duration_ms / 1_000
+    target_ms = scenario.first_token_target_ms
+    everyone = list(outcome.accounts.values())
+    return {
+        "small_in_time": min(a.in_time(target_ms) for a in small),
+        "small_first_token_p95_ms": max(
+            a.first_token_ms.quantile(0.95) for a in small
+        ),
+        "small_gap_p95_ms": max(a.gap_ms.quantile(0.95) for a in small),
+        "large_first_token_p95_ms": max(
+            a.first_token_ms.quantile(0.95) for a in large
+        ),
+        "large_gap_p95_ms": max(a.gap_ms.quantile(0.95) for a in large),
+        "tokens_per_s": outcome.completed_tokens / seconds,
+        "timely_tokens_per_s": sum(a.timely_tokens for a in everyone) / seconds,
+        "small_tokens_per_s": sum(a.completed_tokens for a in small) / seconds,
+        "busy_slots": outcome.busy_slot_ms
+        / scenario.duration_ms
+        / (scenario.replicas * scenario.slots_per_replica),
+        "small_refused": sum(sum(a.refused.values()) for a in small),
+        "large_refused": sum(sum(a.refused.values()) for a in large),
+        "suspended": sum(a.suspended for a in everyone),
+        "retried": sum(a.retried for a in everyone),
+        "lost": sum(a.lost for a in everyone),
+        "report_bytes": outcome.report_bytes / max(1, outcome.reports),
+    }
+
+
+def run(
+    scenario: _scenario.Scenario, policies: _scenario.Policies
+) -> dict[str, Any]:
+    """Runs one scenario and returns its figures."""
+    simulation = _simulation.Simulation(scenario, policies)
+    return summarize(scenario, simulation.run())
+
+
+def main(only: str | None = None) -> None:
+    """Runs the scenarios, or the one named, and prints a table."""
+    results: dict[str, Any] = {}
+    print("| scenario | policy | " + " | ".join(COLUMNS) + " |")
+    print("| --- | --- |" + " --- |" * len(COLUMNS))
+    for scenario in _scenario.scenarios():
+        if only not in (None, scenario.name):
+            continue
+        for policies in (_scenario.NAIVE, _scenario.OURS):
+            figures = run(scenario, policies)
+            results.setdefault(scenario.name, {})[policies.admission] = figures
+            cells = (_format(figures[column]) for column in COLUMNS)
+            row = (scenario.name, policies.admission, *cells)
+            print("| " + " | ".join(row) + " |", flush=True)
+    if only is None:
+        RESULTS.parent.mkdir(exist_ok=True)
+        RESULTS.write_text(json.dumps(results, indent=1) + "\n")
+
+
+COLUMNS = (
+    "small_in_time",
+    "small_first_token_p95_ms",
+    "small_gap_p95_ms",
+    "large_first_token_p95_ms",
+    "tokens_per_s",
+    "timely_tokens_per_s",
+    "busy_slots",
+    "small_refused",
+    "large_refused",
+    "suspended",
+    "retried",
+    "lost",
+    "report_bytes",
+)
+
+
+def _format(value: float) -> str:
+    return f"{value:.3f}" if 0 < value < 2 else f"{value:.0f}"
+
+
+if __name__ == "__main__":
+    main(sys.argv[1] if len(sys.argv) > 1 else None)
--- a/lagooncrank/core/admission/__init__.py
+++ b/lagooncrank/core/admission/__init__.py
@@ -1,5 +1,7 @@
 """Fair share between client accounts, queues and shedding."""
 
+from lagooncrank.core.admission._fair_share import FairShare
+from lagooncrank.core.admission._fair_share import LIMITS_INTERVAL_MS
 from lagooncrank.core.admission._first_come import FirstCome
 from lagooncrank.core.admission._policies import AdmissionConfig
 from lagooncrank.core.admission._policies import AdmissionFactory
@@ -16,12 +18,14 @@
 
 __all__ = [
     "ADMISSIONS",
+    "LIMITS_INTERVAL_MS",
     "AccountUsage",
     "Admission",
     "AdmissionConfig",
     "AdmissionFactory",
     "Capacity",
     "Effect",
+    "FairShare",
     "FirstCome",
     "Offer",
     "Refuse",
--- /dev/null
+++ b/lagooncrank/core/admission/_limits.py
@@ -0,0 +1,144 @@
+"""How much each account may run at this entry."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from lagooncrank import model
+from lagooncrank.core.admission import _account
+from lagooncrank.core.admission import _remote
+from lagooncrank.core.admission import _shares
+from lagooncrank.core.admission import _types
+
+#: Part of the capacity that lending may fill.
+LENT_FRACTION = 0.97
+#: Part by which the unexplained use shrinks at each look.
+UNEXPLAINED_DECAY = 0.9
+
+_NOTHING = _remote.RemoteUse()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peers:
+    """How many entries share the capacity, and how many were heard."""
+
+    entries: int
+    heard: int
+
+    @property
+    def unheard_fraction(self) -> float:
+        """Part of the entries whose use is not known."""
+        unheard = max(0, self.entries - 1 - self.heard)
+        return unheard / max(1, self.entries)
+
+
+class Limits:
+    """Sets the limits of the accounts of one service."""
+
+    def __init__(self) -> None:
+        self.capacity = _types.Capacity(model.ServiceName(""), 0, 0, 0)
+        #: Shares of all accounts that may use the service.
+        self.total_share = 0
+        #: Requests that run at all entries, as far as known.
+        self.running = 0
+        self._unexplained = 0.0
+        self._usable_weight = 0.0
+
+    @property
+    def ms_per_token(self) -> float:
+        """Time that a full replica takes for one token of each request."""
+        tokens_per_s = max(1, self.capacity.tokens_per_s)
+        return 1_000 * max(1, self.capacity.concurrency) / tokens_per_s
+
+    def own_share(self, account: _account.Account) -> float:
+        """Returns the weight that an account's share is worth everywhere."""
+        return self._usable_weight * account.share / max(1, self.total_share)
+
+    def update(
+        self,
+        accounts: Mapping[model.ClientAccountId, _account.Account],
+        remote: Mapping[model.ClientAccountId, _remote.RemoteUse],
+        peers: Peers,
+    ) -> None:
+        """Sets the limits from what is known now."""
+        self._measure(accounts.values(), remote.values(), peers)
+        active = [
+            (account, _spread(account, remote.get(name, _NOTHING)))
+            for name, account in accounts.items()
+            if not account.idle or name in remote
+        ]
+        claims = [
+            _shares.Claim(account.share, spread.demand)
+            for account, spread in active
+        ]
+        grants = _shares.grant(
+            self._usable_weight, claims, self.total_share, LENT_FRACTION
+        )
+        for (account, spread), grant in zip(active, grants, strict=True):
+            self._limit(account, spread, grant, peers.entries)
+
+    def limit_idle(self, account: _account.Account, entries: int) -> None:
+        """Sets the limits of an account that had no demand until now."""
+        account.owned_limit = self.own_share(account) / max(1, entries)
+        account.limit = account.owned_limit
+        account.excess = 0.0
+
+    def _limit(
+        self,
+        account: _account.Account,
+        spread: _shares.Spread,
+        grant: _shares.Grant,
+        entries: int,
+    ) -> None:
+        own_share = max(grant.owned, self.own_share(account))
+        account.owned_limit = spread.own_limit(own_share, entries)
+        account.limit = max(
+            spread.own_limit(grant.allowed, entries),
+            min(account.owned_limit, account.running_weight),
+        )
+
+    def _measure(
+        self,
+        accounts: Iterable[_account.Account],
+        remote: Iterable[_remote.RemoteUse],
+        peers: Peers,
+    ) -> None:
+        """Learns what runs everywhere and the weight of a full service."""
+        running = 0
+        weight = 0.0
+        for account in accounts:
+            running += len(account.running)
+            weight += account.running_weight
+        for use in remote:
+            running += use.running
+            weight += use.running_weight
+        self.running = running
+        mean_weight = weight / running if running else 1.0
+        slots = self._usable_slots(running, peers)
+        self._usable_weight = slots * max(1.0, mean_weight)
+
+    def _usable_slots(self, running: int, peers: Peers) -> float:
+        """Returns the slots left by entries whose use is not known."""
+        slots = self.capacity.concurrency
+        if not peers.unheard_fraction:
+            self._unexplained = 0.0
+            return slots
+        known_part = slots * (1 - peers.unheard_fraction)
+        reported = self.capacity.reported_running
+        if reported is None:
+            return known_part
+        self._unexplained = max(
+            float(reported - running), self._unexplained * UNEXPLAINED_DECAY
+        )
+        return max(known_part, slots - self._unexplained)
+
+
+def _spread(
+    account: _account.Account, other: _remote.RemoteUse
+) -> _shares.Spread:
+    return _shares.Spread(
+        account.running_weight,
+        account.waiting_weight,
+        other.running_weight,
+        other.waiting_weight,
+    )
--- a/lagooncrank/core/admission/_types.py
+++ b/lagooncrank/core/admission/_types.py
@@ -65,6 +65,10 @@
     queued_tokens: int
     #: Estimated tokens started so far, over the life of the entry.
     started_tokens: int
+    #: Weight of the running requests, in hundredths; see `_estimates.weight`.
+    running_centiweight: int = 0
+    #: Weight of the waiting requests, in hundredths.
+    queued_centiweight: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +91,8 @@
     concurrency: int
     #: Tokens per second of all replicas together.
     tokens_per_s: int
+    #: Requests running according to the engines' load reports, or None.
+    reported_running: int | None = None
 
 
 class Admission(Protocol):
--- a/lagooncrank/core/retry/__init__.py
+++ b/lagooncrank/core/retry/__init__.py
@@ -1,6 +1,7 @@
 """Attempts, budgets, deadlines and crashing requests."""
 
 from lagooncrank.core.retry._always import Always
+from lagooncrank.core.retry._budget import Budget
 from lagooncrank.core.retry._policies import RETRY_POLICIES
 from lagooncrank.core.retry._policies import RetryConfig
 from lagooncrank.core.retry._policies import RetryFactory
@@ -22,6 +23,7 @@
     "RETRY_POLICIES",
     "SUSPICIONS",
     "Always",
+    "Budget",
     "Call",
     "CrashMark",
     "Decision",
--- a/lagooncrank/core/retry/_answers.py
+++ b/lagooncrank/core/retry/_answers.py
@@ -54,3 +54,29 @@
         f"({failure.kind}) and its deadline leaves no time for a retry",
         ran=ran(failure),
     )
+
+
+def attempts_spent(
+    call: _types.Call, failure: _types.Failure
+) -> results.Refusal:
+    """Returns the answer to a call that failed as often as it may."""
+    return results.Refusal(
+        CODES[failure.kind],
+        f"request {call.request_id} failed {failure.attempts} times, last at "
+        f"{failure.target_id} ({failure.kind}); ask again later",
+        ran=ran(failure),
+    )
+
+
+def budget_spent(
+    call: _types.Call, failure: _types.Failure, retry_after_ms: int
+) -> results.Refusal:
+    """Returns the answer to a call whose account may not retry now."""
+    return results.Refusal(
+        results.ResultCode.RETRY_BUDGET_SPENT,
+        f"request {call.request_id} failed at {failure.target_id} "
+        f"({failure.kind}) and client account {call.account} has no retries "
+        f"left; ask again later",
+        ran=ran(failure),
+        retry_after_ms=retry_after_ms,
+    )
--- a/lagooncrank/core/routing/__init__.py
+++ b/lagooncrank/core/routing/__init__.py
@@ -1,5 +1,6 @@
 """Choice of replica or backend server."""
 
+from lagooncrank.core.routing._balanced import Balanced
 from lagooncrank.core.routing._policies import RouterConfig
 from lagooncrank.core.routing._policies import RouterFactory
 from lagooncrank.core.routing._policies import ROUTERS
@@ -12,6 +13,7 @@
 __all__ = [
     "ROUTERS",
     "AttemptEnd",
+    "Balanced",
     "RoundRobin",
     "RouteQuery",
     "Router",
--- a/lagooncrank/core/routing/_types.py
+++ b/lagooncrank/core/routing/_types.py
@@ -39,6 +39,9 @@
     prefix_digests: tuple[int, ...] = ()
     #: Targets that must not be chosen.
     excluded: frozenset[str] = frozenset()
+    #: Engine priority of the attempt; only lent work (above 0) is used to
+    #: measure a straggler anew.
+    priority: int = 0
 
 
 class AttemptEnd(enum.StrEnum):
