--- /dev/null
+++ b/lagooncrank/server/_daemon.py
@@ -0,0 +1,242 @@
+"""Builds and wires the services of one node."""
+
+from collections.abc import Iterator
+import dataclasses
+import socket
+
+import mode
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank import settings
+from lagooncrank.core import admission
+from lagooncrank.core import membership
+from lagooncrank.core import retry
+from lagooncrank.core import routing
+from lagooncrank.core import state
+from lagooncrank.core import timeouts
+from lagooncrank.server import _admission_desk
+from lagooncrank.server import _announcements
+from lagooncrank.server import _crashes
+from lagooncrank.server import _drafts
+from lagooncrank.server import _engine_client
+from lagooncrank.server import _entries
+from lagooncrank.server import _http_server
+from lagooncrank.server import _lifecycle
+from lagooncrank.server import _metrics
+from lagooncrank.server import _once_calls
+from lagooncrank.server import _orders
+from lagooncrank.server import _placement
+from lagooncrank.server import _plain_calls
+from lagooncrank.server import _plain_client
+from lagooncrank.server import _pools
+from lagooncrank.server import _ports
+from lagooncrank.server import _stop
+from lagooncrank.server import _targets
+from lagooncrank.server import _watchdog
+from lagooncrank.server.http import _app
+from lagooncrank.server.http import _completions
+from lagooncrank.server.http import _entries as _entry_handlers
+from lagooncrank.server.http import _gate
+from lagooncrank.server.http import _health
+from lagooncrank.server.http import _request_ids
+from lagooncrank.server.http import _services
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policies:
+    """Names under which the policies of an entry are registered."""
+
+    admission: str = "first_come"
+    router: str = "round_robin"
+    retry: str = "always"
+    suspicion: str = "none"
+    placement: str = "first_fit"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineBounds:
+    """Bounds of the adaptive timeouts towards model engines."""
+
+    first_byte: timeouts.TimeoutBounds = _engine_client.FIRST_BYTE_BOUNDS
+    between_bytes: timeouts.TimeoutBounds = _engine_client.BETWEEN_BYTES_BOUNDS
+
+
+class Daemon(mode.Service):
+    """One node: everything between its sockets and the core."""
+
+    def __init__(
+        self,
+        process: settings.ProcessSettings,
+        listener: socket.socket,
+        shared: _ports.SharedState,
+        links: _ports.PeerLinks,
+        clock: clocks.Clock,
+        policies: Policies = Policies(),
+        engine_bounds: EngineBounds = EngineBounds(),
+    ) -> None:
+        super().__init__()
+        self._process = process
+        self._listener = listener
+        self._shared = shared
+        self._links = links
+        self._clock = clock
+        self._incarnation = clock.wall_ms()
+        self.metrics = _metrics.Metrics()
+        self.lifecycle = _lifecycle.Lifecycle(self.metrics)
+        self._order_sender = _orders.HttpOrderSender()
+        self._build_core(policies)
+        self._build_clients(engine_bounds)
+        self.placement = _placement.PlacementDriver(
+            shared, self.table, self._order_sender, clock, policies.placement
+        )
+        self.planned_stop = _stop.PlannedStop(
+            self.lifecycle,
+            self.directory,
+            shared.view,
+            clock,
+            process.stop_deadline_ms,
+        )
+        shared.on_applied(self._on_applied)
+
+    async def on_start(self) -> None:
+        """Starts every service; the HTTP server comes last."""
+        self._configure()
+        await self._order_sender.open()
+        for service in self._services():
+            await self.add_runtime_dependency(service)
+
+    async def on_shutdown(self) -> None:
+        """Closes what the stopped services used."""
+        await self._order_sender.close()
+
+    def _services(self) -> Iterator[mode.Service]:
+        yield self.watchdog
+        yield self.pools
+        yield self.desk
+        yield self.targets
+        yield self.crashes
+        yield self.announcements
+        yield self.directory
+        yield self.placement
+        yield self._http_server()
+
+    def _build_core(self, policies: Policies) -> None:
+        own = self._process.own
+        self.table = membership.MembershipTable(
+            own.node_id, self._incarnation, model.LeaseRules()
+        )
+        policy = admission.ADMISSIONS.get(policies.admission).from_config(
+            admission.AdmissionConfig(
+                node_id=own.node_id,
+                incarnation=self._incarnation,
+                entries=len(self._process.nodes),
+                counts=self.metrics,
+            )
+        )
+        self.desk = _admission_desk.AdmissionDesk(policy, self._clock)
+        self.router = routing.ROUTERS.get(policies.router).from_config(
+            routing.RouterConfig(own.node_id, own.failure_domain_id)
+        )
+        config = retry.RetryConfig(counts=self.metrics)
+        self.retry_policy = retry.RETRY_POLICIES.get(
+            policies.retry
+        ).from_config(config)
+        self.crashes = _crashes.CrashWatch(
+            retry.SUSPICIONS.get(policies.suspicion).from_config(config),
+            self._shared,
+            self._clock,
+        )
+
+    def _build_clients(self, engine_bounds: EngineBounds) -> None:
+        clock = self._clock
+        self.watchdog = _watchdog.Watchdog(clock)
+        self.pools = _pools.Pools()
+        self.engine_client = _engine_client.EngineClient(
+            self.pools,
+            self.watchdog,
+            clock,
+            engine_bounds.first_byte,
+            engine_bounds.between_bytes,
+        )
+        self.plain_client = _plain_client.PlainClient(self.pools)
+        self.targets = _targets.TargetDirectory(
+            self._shared.view, self.table, self.desk, clock
+        )
+        self.announcements = _announcements.AnnouncementExchange(
+            self.table, self._links, clock
+        )
+        self.directory = _entries.EntryDirectory(
+            self._process, self.lifecycle, self._links, clock
+        )
+
+    def _http_server(self) -> _http_server.HttpServer:
+        limits = self._process.limits
+        ids = _request_ids.RequestIds(self._process.node_id, self._incarnation)
+        app = _app.build(self._handlers(ids), limits, ids, self.metrics)
+        return _http_server.HttpServer(app, self._listener, limits)
+
+    def _handlers(
+        self, ids: _request_ids.RequestIds
+    ) -> Iterator[_app.Handlers]:
+        limits = self._process.limits
+        shared = self._shared
+        clock = self._clock
+        gate = _gate.Gate(shared, self.lifecycle)
+        yield _entry_handlers.EntryHandlers(
+            self.directory, self.table, shared.view, limits, clock
+        )
+        yield _health.HealthHandlers(self.lifecycle, shared, self.metrics)
+        yield _completions.CompletionHandlers(
+            gate, self._draft_parts(), limits, ids, self.watchdog
+        )
+        plain_calls = self._plain_calls()
+        once_calls = _once_calls.OnceCalls(
+            self._process.node_id,
+            self._incarnation,
+            shared,
+            clock,
+            plain_calls,
+            self.plain_client,
+        )
+        yield _services.ServiceHandlers(
+            gate, plain_calls, once_calls, limits, ids, clock
+        )
+
+    def _draft_parts(self) -> _drafts.DraftParts:
+        return _drafts.DraftParts(
+            clock=self._clock,
+            metrics=self.metrics,
+            view=self._shared.view,
+            desk=self.desk,
+            targets=self.targets,
+            router=self.router,
+            retry_policy=self.retry_policy,
+            crashes=self.crashes,
+            client=self.engine_client,
+        )
+
+    def _plain_calls(self) -> _plain_calls.PlainCalls:
+        return _plain_calls.PlainCalls(
+            self._clock,
+            self.metrics,
+            self.targets,
+            self.router,
+            self.retry_policy,
+            self.plain_client,
+        )
+
+    def _on_applied(
+        self, command: state.Command, outcome: state.Outcome
+    ) -> None:
+        if isinstance(command, state.ApplyDeclarations) and outcome.ok:
+            self._configure()
+
+    def _configure(self) -> None:
+        record = self._shared.view.configuration
+        if record is None:
+            return
+        declarations = record.declarations
+        self.table.configure(declarations.leases)
+        self.retry_policy.configure(declarations.retries)
+        self.desk.configure(declarations)
--- /dev/null
+++ b/lagooncrank/server/_draft_run.py
@@ -0,0 +1,266 @@
+"""Runs one draft over as many attempts as the retry policy allows."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from collections.abc import Iterator
+import contextlib
+
+import logbook
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core import retry
+from lagooncrank.core import routing
+from lagooncrank.core import streams
+from lagooncrank.server import _admission_desk
+from lagooncrank.server import _attempts
+from lagooncrank.server import _drafts
+from lagooncrank.server import _engine_client
+from lagooncrank.server import _engine_stream
+from lagooncrank.server import _relay
+
+#: Pause before the router is asked again for a target with room.
+ROUTE_INTERVAL_S = 0.02
+#: When a caller may try again while no replica serves.
+NO_REPLICA_RETRY_AFTER_MS = 1_000
+
+_log = logbook.Logger(__name__)
+
+#: How routing counts each kind of failed attempt.
+ATTEMPT_ENDS = {
+    retry.FailureKind.CONNECT_FAILED: routing.AttemptEnd.CONNECT_FAILED,
+    retry.FailureKind.REFUSED: routing.AttemptEnd.REFUSED,
+    retry.FailureKind.CONNECTION_LOST: routing.AttemptEnd.LOST,
+    retry.FailureKind.FIRST_BYTE_TIMEOUT: routing.AttemptEnd.SILENT,
+    retry.FailureKind.BETWEEN_BYTES_TIMEOUT: routing.AttemptEnd.SILENT,
+    retry.FailureKind.PROTOCOL_ERROR: routing.AttemptEnd.LOST,
+}
+
+
+class DraftRun:
+    """State of one draft between its admission and its last token."""
+
+    def __init__(self, parts: _drafts.DraftParts, draft: _drafts.Draft) -> None:
+        self._parts = parts
+        self._draft = draft
+        self._call = draft.call()
+        self._progress = streams.Progress(draft.request_id)
+        self._stream: _engine_stream.EngineStream | None = None
+        self._excluded: frozenset[str] = frozenset()
+        self._attempts = 0
+        self._ran = results.Ran.NOT_RUN
+        self._ran_before_attempt = results.Ran.NOT_RUN
+
+    async def batches(self) -> AsyncGenerator[_relay.TokenBatch, None]:
+        """Yields the whole answer, once and in order.
+
+        Raises:
+            LagooncrankError: The answer cannot be completed.
+        """
+        draft = self._draft
+        self._parts.crashes.check(draft.digest)
+        now_ms = self._parts.clock.now_ms()
+        self._parts.retry_policy.first_attempt(self._call, now_ms)
+        with self._parts.desk.offered(draft.offer()) as ticket:
+            ticket.on_suspend = self._suspend
+            while not self._progress.done:
+                priority = await self._wait_for_start(ticket)
+                async for batch in self._attempt(priority):
+                    yield batch
+
+    async def _wait_for_start(self, ticket: _admission_desk.Ticket) -> int:
+        left_ms = self._draft.deadline_ms - self._parts.clock.now_ms()
+        try:
+            async with asyncio.timeout(left_ms / 1_000):
+                return await ticket.wait_for_start()
+        except TimeoutError as error:
+            raise self._deadline_passed() from error
+
+    async def _attempt(
+        self, priority: int
+    ) -> AsyncGenerator[_relay.TokenBatch, None]:
+        query = self._query()
+        target = await self._choose(query)
+        self._attempts += 1
+        try:
+            with self._noted(query, target):
+                async for batch in self._relayed(target, priority):
+                    yield batch
+        except _attempts.SuspendedError:
+            _log.info("request suspended", extra=self._log_fields())
+        except _attempts.DeadlinePassedError as error:
+            raise self._deadline_passed() from error
+        except _attempts.AttemptFailedError as error:
+            await self._after_failure(target, error.failure)
+
+    async def _relayed(
+        self, target: routing.Target, priority: int
+    ) -> AsyncGenerator[_relay.TokenBatch, None]:
+        parts = self._parts
+        attempt = self._progress.begin_attempt()
+        stream = parts.client.new_stream(self._draft.service.name)
+        stream.deadline_ms = self._draft.deadline_ms
+        request = self._generate_request(target, attempt, priority)
+        self._stream = stream
+        self._ran_before_attempt = self._ran
+        self._ran = results.Ran.UNKNOWN
+        try:
+            async with parts.client.opened(stream, target.address, request):
+                while not self._progress.done:
+                    events = await stream.read()
+                    yield self._take(attempt, events)
+        finally:
+            self._stream = None
+
+    def _take(
+        self, attempt: int, events: list[streams.EngineEvent]
+    ) -> _relay.TokenBatch:
+        if not events:
+            raise _attempts.AttemptFailedError(
+                _attempts.AttemptFailure(
+                    retry.FailureKind.CONNECTION_LOST,
+                    "the answer ended before its last event",
+                    bytes_written=True,
+                )
+            )
+        is_first = self._progress.delivered == 0
+        batch = _relay.take_batch(self._progress, attempt, events)
+        self._note_tokens(batch.tokens, is_first)
+        return batch
+
+    def _note_tokens(self, count: int, is_first: bool) -> None:
+        if not count:
+            return
+        parts = self._parts
+        request_id = self._draft.request_id
+        now_ms = parts.clock.now_ms()
+        if is_first:
+            parts.desk.first_token(request_id)
+            parts.router.first_token(request_id, now_ms)
+            waited_ms = now_ms - self._draft.arrived_ms
+            parts.metrics.first_token(self._draft.service.name, waited_ms)
+        parts.desk.tokens(request_id, count)
+        parts.router.tokens(request_id, count, now_ms)
+
+    async def _choose(self, query: routing.RouteQuery) -> routing.Target:
+        parts = self._parts
+        while True:
+            targets = parts.targets.of_model(self._draft.service)
+            if all(t.target_id in self._excluded for t in targets):
+                raise self._no_replica()
+            now_ms = parts.clock.now_ms()
+            target = parts.router.choose(query, targets, now_ms)
+            if target is not None:
+                return target
+            if now_ms >= self._draft.deadline_ms:
+                raise self._deadline_passed()
+            await asyncio.sleep(ROUTE_INTERVAL_S)
+
+    @contextlib.contextmanager
+    def _noted(
+        self, query: routing.RouteQuery, target: routing.Target
+    ) -> Iterator[None]:
+        """Tells routing and suspicion of an attempt and of its end."""
+        parts = self._parts
+        digest = self._draft.digest
+        parts.router.sent(query, target, parts.clock.now_ms())
+        parts.crashes.running(digest, target)
+        end = routing.AttemptEnd.CANCELLED
+        try:
+            yield
+            end = routing.AttemptEnd.COMPLETED
+        except _attempts.AttemptFailedError as error:
+            end = ATTEMPT_ENDS[error.failure.kind]
+            raise
+        finally:
+            now_ms = parts.clock.now_ms()
+            parts.router.ended(query.request_id, end, now_ms)
+            if end is routing.AttemptEnd.LOST:
+                parts.crashes.target_crashed(target)
+            else:
+                parts.crashes.finished(digest, target)
+
+    async def _after_failure(
+        self, target: routing.Target, failure: _attempts.AttemptFailure
+    ) -> None:
+        parts = self._parts
+        parts.metrics.attempt_failed(failure.kind)
+        refused = failure.kind is retry.FailureKind.REFUSED
+        if refused or not failure.bytes_written:
+            self._ran = self._ran_before_attempt
+        decision = parts.retry_policy.failed(
+            self._call,
+            retry.Failure(
+                failure.kind,
+                target.target_id,
+                failure.bytes_written,
+                self._attempts,
+            ),
+            parts.clock.now_ms(),
+        )
+        fields = self._log_fields(target=target.target_id, kind=failure.kind)
+        _log.warning("attempt failed: {}", failure.detail, extra=fields)
+        if isinstance(decision, retry.GiveUp):
+            raise results.LagooncrankError(decision.refusal)
+        self._excluded |= decision.excluded
+        await asyncio.sleep(decision.delay_ms / 1_000)
+
+    def _query(self) -> routing.RouteQuery:
+        draft = self._draft
+        return routing.RouteQuery(
+            request_id=draft.request_id,
+            service=draft.service.name,
+            account=draft.account.name,
+            prompt_tokens=draft.prompt_tokens,
+            expected_output_tokens=draft.max_tokens,
+            excluded=self._excluded,
+        )
+
+    def _generate_request(
+        self, target: routing.Target, attempt: int, priority: int
+    ) -> _engine_client.GenerateRequest:
+        draft = self._draft
+        replica = self._parts.view.replicas[model.ReplicaId(target.target_id)]
+        return _engine_client.GenerateRequest(
+            request_id=draft.request_id,
+            attempt=attempt,
+            replica_id=replica.replica_id,
+            fencing_number=replica.fencing_number,
+            prompt=draft.prompt,
+            resume_from=self._progress.resume_from(),
+            max_tokens=draft.max_tokens,
+            priority=priority,
+        )
+
+    def _suspend(self) -> None:
+        if self._stream is not None:
+            self._stream.interrupt(_attempts.SuspendedError())
+
+    def _no_replica(self) -> results.LagooncrankError:
+        service = self._draft.service.name
+        return results.LagooncrankError(
+            results.Refusal(
+                results.ResultCode.NO_SERVING_REPLICA,
+                f"no replica of model service {service!r} can take this "
+                "request now; ask again later",
+                ran=self._ran,
+                retry_after_ms=NO_REPLICA_RETRY_AFTER_MS,
+            )
+        )
+
+    def _deadline_passed(self) -> results.LagooncrankError:
+        return results.LagooncrankError(
+            results.Refusal(
+                results.ResultCode.DEADLINE_EXCEEDED,
+                "the request's deadline passed before its answer was complete",
+                ran=self._ran,
+            )
+        )
+
+    def _log_fields(self, **more: str) -> dict[str, str]:
+        return {
+            "request_id": self._draft.request_id,
+            "account": self._draft.account.name,
+            "service": self._draft.service.name,
+            **more,
+        }
--- /dev/null
+++ b/lagooncrank/server/_drafts.py
@@ -0,0 +1,72 @@
+"""What a model request is, and what running one needs."""
+
+import dataclasses
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank.core import admission
+from lagooncrank.core import retry
+from lagooncrank.core import routing
+from lagooncrank.server import _admission_desk
+from lagooncrank.server import _crashes
+from lagooncrank.server import _engine_client
+from lagooncrank.server import _metrics
+from lagooncrank.server import _ports
+from lagooncrank.server import _targets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draft:
+    """One model request of a caller."""
+
+    #: Unique over all entries; the caller's own id may not be.
+    request_id: model.RequestId
+    account: model.ClientAccount
+    service: model.ModelService
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    #: SHA-256 of the content, without the request id.
+    digest: bytes
+    arrived_ms: int
+    deadline_ms: int
+
+    def offer(self) -> admission.Offer:
+        """Returns what admission needs to know."""
+        target_ms = self.account.first_token_target_ms
+        return admission.Offer(
+            request_id=self.request_id,
+            account=self.account.name,
+            service=self.service.name,
+            prompt_tokens=self.prompt_tokens,
+            max_output_tokens=self.max_tokens,
+            first_token_deadline_ms=min(
+                self.arrived_ms + target_ms, self.deadline_ms
+            ),
+        )
+
+    def call(self) -> retry.Call:
+        """Returns what the retry policy needs to know."""
+        return retry.Call(
+            request_id=self.request_id,
+            account=self.account.name,
+            service=self.service.name,
+            repeatable=True,
+            digest=self.digest,
+            deadline_ms=self.deadline_ms,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DraftParts:
+    """What every draft of one entry shares."""
+
+    clock: clocks.Clock
+    metrics: _metrics.Metrics
+    view: _ports.StateView
+    desk: _admission_desk.AdmissionDesk
+    targets: _targets.TargetDirectory
+    router: routing.Router
+    retry_policy: retry.RetryPolicy
+    crashes: _crashes.CrashWatch
+    client: _engine_client.EngineClient
--- /dev/null
+++ b/lagooncrank/server/_engine_client.py
@@ -0,0 +1,102 @@
+"""Client of model engines."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+import msgspec
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank.core import retry
+from lagooncrank.core import timeouts
+from lagooncrank.server import _attempts
+from lagooncrank.server import _engine_stream
+from lagooncrank.server import _pools
+from lagooncrank.server import _watchdog
+
+FIRST_BYTE_BOUNDS = timeouts.TimeoutBounds(
+    initial_ms=10_000, floor_ms=1_000, ceiling_ms=60_000
+)
+BETWEEN_BYTES_BOUNDS = timeouts.TimeoutBounds(
+    initial_ms=5_000, floor_ms=1_000, ceiling_ms=20_000
+)
+SILENT_KINDS = frozenset(
+    {
+        retry.FailureKind.FIRST_BYTE_TIMEOUT,
+        retry.FailureKind.BETWEEN_BYTES_TIMEOUT,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GenerateRequest:
+    """Body of `POST /v1/generate`."""
+
+    request_id: model.RequestId
+    attempt: int
+    replica_id: str
+    fencing_number: int
+    prompt: str
+    resume_from: tuple[str, ...]
+    max_tokens: int
+    #: Lower runs first.
+    priority: int
+
+
+class EngineClient:
+    """Opens answers at model engines."""
+
+    def __init__(
+        self,
+        pools: _pools.Pools,
+        watchdog: _watchdog.Watchdog,
+        clock: clocks.Clock,
+        first_byte: timeouts.TimeoutBounds = FIRST_BYTE_BOUNDS,
+        between_bytes: timeouts.TimeoutBounds = BETWEEN_BYTES_BOUNDS,
+    ) -> None:
+        self._pools = pools
+        self._watchdog = watchdog
+        self._clock = clock
+        self._timeouts = timeouts.AdaptiveTimeouts(first_byte, between_bytes)
+
+    def new_stream(self, kind: str) -> _engine_stream.EngineStream:
+        """Returns a stream that was not opened yet.
+
+        Args:
+            kind: Kind of request, whose answers take comparable times.
+        """
+        return _engine_stream.EngineStream(
+            self._timeouts.first_byte(kind),
+            self._timeouts.between_bytes(kind),
+            self._clock,
+        )
+
+    @contextlib.asynccontextmanager
+    async def opened(
+        self,
+        stream: _engine_stream.EngineStream,
+        address: str,
+        request: GenerateRequest,
+    ) -> AsyncIterator[None]:
+        """Opens a stream and closes it at the end.
+
+        Raises:
+            AttemptFailedError: The attempt failed, here or in the body of
+                the `with` statement.
+        """
+        url = f"http://{address}/v1/generate"
+        body = msgspec.json.encode(request)
+        try:
+            async with self._pools.session(address) as session:
+                self._watchdog.add(stream.watch)
+                try:
+                    await stream.open(session, url, body)
+                    yield
+                finally:
+                    self._watchdog.remove(stream.watch)
+                    stream.close()
+        except _attempts.AttemptFailedError as error:
+            if error.failure.kind in SILENT_KINDS:
+                await self._pools.drop(address)
+            raise
--- /dev/null
+++ b/lagooncrank/server/_engine_stream.py
@@ -0,0 +1,175 @@
+"""The answer of one attempt at a model engine."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from lagooncrank import clock as clocks
+from lagooncrank.core import retry
+from lagooncrank.core import streams
+from lagooncrank.core import timeouts
+from lagooncrank.server import _attempts
+from lagooncrank.server import _watchdog
+
+#: Statuses with which an engine refuses a request that it did not run.
+REFUSAL_STATUSES = frozenset({409, 429, 503})
+MAX_EVENT_BYTES = 1_048_576
+HEADERS = {"Content-Type": "application/json"}
+
+_decoder = msgspec.json.Decoder(streams.EngineEvent)
+
+
+class EngineStream:
+    """Sends one request to an engine and reads the events of its answer."""
+
+    def __init__(
+        self,
+        first_byte: timeouts.MovingTimeout,
+        between_bytes: timeouts.MovingTimeout,
+        clock: clocks.Clock,
+    ) -> None:
+        self._first_byte = first_byte
+        self._between_bytes = between_bytes
+        self._clock = clock
+        self.watch = _watchdog.Watch(self._overdue)
+        #: When the caller stops waiting, on the entry's clock.
+        self.deadline_ms = clocks.NEVER_MS
+        self._response: aiohttp.ClientResponse | None = None
+        self._opening: asyncio.Timeout | None = None
+        self._interruption: Exception | None = None
+        self._sent_ms = 0
+        self._started = False
+        self._rest = b""
+
+    async def open(
+        self, session: aiohttp.ClientSession, url: str, body: bytes
+    ) -> None:
+        """Sends the request and waits for the head of the answer.
+
+        Raises:
+            AttemptFailedError: The engine cannot be reached, refused the
+                request, or did not answer in time.
+        """
+        self._sent_ms = self._clock.now_ms()
+        silent_ms = self._sent_ms + self._first_byte.timeout_ms
+        due_ms = min(silent_ms, self.deadline_ms)
+        timeout_s = (due_ms - self._sent_ms) / 1_000
+        try:
+            async with asyncio.timeout(timeout_s) as self._opening:
+                self._response = await session.post(
+                    url, data=body, headers=HEADERS
+                )
+                await _check_status(self._response)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            kind = retry.FailureKind.CONNECT_FAILED
+            raise _failed(kind, str(error), bytes_written=False) from error
+        except (aiohttp.ClientError, ConnectionError) as error:
+            kind = retry.FailureKind.CONNECTION_LOST
+            raise _failed(kind, repr(error)) from error
+        except TimeoutError as error:
+            raise self._interruption or self._expiry() from error
+
+    async def read(self) -> list[streams.EngineEvent]:
+        """Waits for events and returns all that have arrived.
+
+        Returns:
+            Events in order; none at the end of the answer.
+
+        Raises:
+            AttemptFailedError: The engine died, fell silent or sent what is
+                no event.
+        """
+        while True:
+            data = await self._read_bytes()
+            if not data:
+                return []
+            lines = (self._rest + data).split(b"\n")
+            self._rest = lines.pop()
+            if len(self._rest) > MAX_EVENT_BYTES:
+                kind = retry.FailureKind.PROTOCOL_ERROR
+                raise _failed(kind, "an event is over the size limit")
+            if lines:
+                return _decode(lines)
+
+    def interrupt(self, error: Exception) -> None:
+        """Makes the pending or next read raise `error`."""
+        self._interruption = error
+        if self._response is not None:
+            self._response.content.set_exception(error)
+        elif self._opening is not None and not self._opening.expired():
+            self._opening.reschedule(0)
+
+    def close(self) -> None:
+        """Closes the connection unless the answer ended; this cancels."""
+        if self._response is not None:
+            self._response.close()
+
+    async def _read_bytes(self) -> bytes:
+        assert self._response is not None
+        waiting_from_ms = self._clock.now_ms()
+        if self._started:
+            silent_ms = waiting_from_ms + self._between_bytes.timeout_ms
+        else:
+            silent_ms = self._sent_ms + self._first_byte.timeout_ms
+        self.watch.due_ms = min(silent_ms, self.deadline_ms)
+        try:
+            data = await self._response.content.readany()
+        except (aiohttp.ClientError, ConnectionError) as error:
+            kind = retry.FailureKind.CONNECTION_LOST
+            raise _failed(kind, repr(error)) from error
+        finally:
+            self.watch.due_ms = 0
+        self._measure(waiting_from_ms)
+        return data
+
+    def _measure(self, waiting_from_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        if self._started:
+            self._between_bytes.measured(now_ms - waiting_from_ms)
+            return
+        self._started = True
+        self._first_byte.measured(now_ms - self._sent_ms)
+
+    def _overdue(self) -> None:
+        self.interrupt(self._expiry())
+
+    def _expiry(self) -> Exception:
+        if self._clock.now_ms() >= self.deadline_ms:
+            return _attempts.DeadlinePassedError()
+        if self._started:
+            self._between_bytes.expired()
+            kind = retry.FailureKind.BETWEEN_BYTES_TIMEOUT
+            return _failed(kind, "no byte followed in time")
+        self._first_byte.expired()
+        kind = retry.FailureKind.FIRST_BYTE_TIMEOUT
+        return _failed(kind, "no first byte came in time")
+
+
+async def _check_status(response: aiohttp.ClientResponse) -> None:
+    if response.status == 200:
+        return
+    kind = retry.FailureKind.PROTOCOL_ERROR
+    if response.status in REFUSAL_STATUSES:
+        kind = retry.FailureKind.REFUSED
+    detail = f"status {response.status}"
+    await response.read()
+    raise _failed(kind, detail)
+
+
+def _decode(lines: list[bytes]) -> list[streams.EngineEvent]:
+    try:
+        return [_decoder.decode(line) for line in lines]
+    except msgspec.MsgspecError as error:
+        kind = retry.FailureKind.PROTOCOL_ERROR
+        raise _failed(kind, f"not an event: {error}") from error
+
+
+def _failed(
+    kind: retry.FailureKind, detail: str, bytes_written: bool = True
+) -> _attempts.AttemptFailedError:
+    failure = _attempts.AttemptFailure(kind, detail, bytes_written)
+    return _attempts.AttemptFailedError(failure)
--- /dev/null
+++ b/lagooncrank/server/_plain_calls.py
@@ -0,0 +1,163 @@
+"""Runs calls of plain services that may be repeated."""
+
+import asyncio
+import dataclasses
+
+import logbook
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core import retry
+from lagooncrank.core import routing
+from lagooncrank.server import _attempts
+from lagooncrank.server import _draft_run
+from lagooncrank.server import _metrics
+from lagooncrank.server import _plain_client
+from lagooncrank.server import _targets
+
+RETRY_AFTER_MS = 1_000
+
+_log = logbook.Logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainCall:
+    """One call of a plain service by a caller."""
+
+    #: Unique over all entries.
+    request_id: model.RequestId
+    account: model.ClientAccount
+    service: model.PlainService
+    #: Empty unless the caller sent one.
+    idempotency_key: str
+    #: SHA-256 of method, path and body.
+    digest: bytes
+    request: _plain_client.PlainRequest
+    deadline_ms: int
+
+
+class PlainCalls:
+    """Sends repeatable calls until one attempt has an answer."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        metrics: _metrics.Metrics,
+        targets: _targets.TargetDirectory,
+        router: routing.Router,
+        retry_policy: retry.RetryPolicy,
+        client: _plain_client.PlainClient,
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._targets = targets
+        self._router = router
+        self._retry_policy = retry_policy
+        self._client = client
+
+    async def run(self, call: PlainCall) -> _plain_client.PlainAnswer:
+        """Returns the answer of the first attempt that has one.
+
+        Raises:
+            LagooncrankError: No attempt had an answer.
+        """
+        policy_call = _policy_call(call)
+        self._retry_policy.first_attempt(policy_call, self._clock.now_ms())
+        excluded: frozenset[str] = frozenset()
+        attempts = 0
+        while True:
+            query = _query(call, excluded)
+            target = self.choose(query)
+            attempts += 1
+            try:
+                return await self._attempt(call, query, target)
+            except _attempts.AttemptFailedError as error:
+                failure = error.failure
+            self._metrics.attempt_failed(failure.kind)
+            _log.warning(
+                "call failed: {}",
+                failure.detail,
+                extra={"request_id": call.request_id, "kind": failure.kind},
+            )
+            decision = self._retry_policy.failed(
+                policy_call,
+                retry.Failure(
+                    failure.kind,
+                    target.target_id,
+                    failure.bytes_written,
+                    attempts,
+                ),
+                self._clock.now_ms(),
+            )
+            if isinstance(decision, retry.GiveUp):
+                raise results.LagooncrankError(decision.refusal)
+            excluded |= decision.excluded
+            await asyncio.sleep(decision.delay_ms / 1_000)
+
+    def choose(self, query: routing.RouteQuery) -> routing.Target:
+        """Returns the backend server for an attempt.
+
+        Raises:
+            LagooncrankError: None can take the call.
+        """
+        targets = self._targets.of_plain(query.service)
+        now_ms = self._clock.now_ms()
+        target = self._router.choose(query, targets, now_ms)
+        if target is None:
+            ran = results.Ran.UNKNOWN if query.excluded else results.Ran.NOT_RUN
+            raise results.LagooncrankError(
+                results.Refusal(
+                    results.ResultCode.NO_BACKEND_SERVER,
+                    f"no backend server of {query.service!r} can take this "
+                    "call now; ask again later",
+                    ran=ran,
+                    retry_after_ms=RETRY_AFTER_MS,
+                )
+            )
+        return target
+
+    async def _attempt(
+        self,
+        call: PlainCall,
+        query: routing.RouteQuery,
+        target: routing.Target,
+    ) -> _plain_client.PlainAnswer:
+        self._router.sent(query, target, self._clock.now_ms())
+        left_ms = call.deadline_ms - self._clock.now_ms()
+        timeout_ms = max(1, min(call.service.timeout_ms, left_ms))
+        end = routing.AttemptEnd.CANCELLED
+        try:
+            answer = await self._client.call(
+                target.address, call.request, timeout_ms
+            )
+            end = routing.AttemptEnd.COMPLETED
+            return answer
+        except _attempts.AttemptFailedError as error:
+            end = _draft_run.ATTEMPT_ENDS[error.failure.kind]
+            raise
+        finally:
+            now_ms = self._clock.now_ms()
+            self._router.ended(call.request_id, end, now_ms)
+
+
+def _query(call: PlainCall, excluded: frozenset[str]) -> routing.RouteQuery:
+    return routing.RouteQuery(
+        request_id=call.request_id,
+        service=call.service.name,
+        account=call.account.name,
+        prompt_tokens=0,
+        expected_output_tokens=0,
+        excluded=excluded,
+    )
+
+
+def _policy_call(call: PlainCall) -> retry.Call:
+    return retry.Call(
+        request_id=call.request_id,
+        account=call.account.name,
+        service=call.service.name,
+        repeatable=call.service.repeatable,
+        digest=call.digest,
+        deadline_ms=call.deadline_ms,
+    )
--- /dev/null
+++ b/lagooncrank/server/_pools.py
@@ -0,0 +1,90 @@
+"""Connection pools, one for each backend server address."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import aiohttp
+import mode
+
+from lagooncrank.server import _sockets
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 30.0
+#: Bytes of one answer buffered before reading from its engine pauses.
+READ_BUFFER_BYTES = 65_536
+
+
+class _Pool:
+    """Connections to one address, and how many calls use them."""
+
+    def __init__(self) -> None:
+        self.session = open_session(force_close=False)
+        self.calls = 0
+        self.dropped = False
+
+
+class Pools(mode.Service):
+    """Keeps idle connections by address, so that one pool can be dropped."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._pools: dict[str, _Pool] = {}
+
+    @contextlib.asynccontextmanager
+    async def session(
+        self, address: str
+    ) -> AsyncIterator[aiohttp.ClientSession]:
+        """Lends the session whose connections all go to `address`."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = _Pool()
+        pool.calls += 1
+        try:
+            yield pool.session
+        finally:
+            pool.calls -= 1
+            if pool.dropped and pool.calls == 0:
+                await pool.session.close()
+
+    async def drop(self, address: str) -> None:
+        """Stops using every open connection to an address that fell silent.
+
+        The next call opens a new connection. Answers that still arrive over
+        the old ones go on; each has timeouts of its own.
+        """
+        pool = self._pools.pop(address, None)
+        if pool is None:
+            return
+        pool.dropped = True
+        if pool.calls == 0:
+            await pool.session.close()
+
+    async def on_stop(self) -> None:
+        """Closes every connection."""
+        for pool in self._pools.values():
+            await pool.session.close()
+        self._pools.clear()
+
+
+def open_session(force_close: bool) -> aiohttp.ClientSession:
+    """Returns a client session with watched sockets.
+
+    Args:
+        force_close: Whether every call opens a connection of its own.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        force_close=force_close,
+        keepalive_timeout=None if force_close else IDLE_CONNECTION_S,
+        socket_factory=_sockets.client_socket,
+        happy_eyeballs_delay=None,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- /dev/null
+++ b/lagooncrank/server/_stop.py
@@ -0,0 +1,80 @@
+"""Planned stop of an entry."""
+
+import asyncio
+
+import logbook
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank.server import _entries
+from lagooncrank.server import _lifecycle
+from lagooncrank.server import _ports
+
+#: Longest time for which a cut-off peer may still name this entry.
+PEER_NOTICE_MS = _entries.STATE_LIFETIME_MS
+
+_log = logbook.Logger(__name__)
+
+
+class PlannedStop:
+    """Takes an entry out of use without cutting off a request.
+
+    The entry leaves the answers of `/v1/entries` first. It serves new work
+    until no caller may still hold an answer that names it, then refuses new
+    work and waits for the requests in flight.
+    """
+
+    def __init__(
+        self,
+        lifecycle: _lifecycle.Lifecycle,
+        directory: _entries.EntryDirectory,
+        view: _ports.StateView,
+        clock: clocks.Clock,
+        deadline_ms: int,
+    ) -> None:
+        self._lifecycle = lifecycle
+        self._directory = directory
+        self._view = view
+        self._clock = clock
+        self._deadline_ms = deadline_ms
+        self._hurry = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Ends the wait for callers that may still hold old answers.
+
+        Requests in flight are still waited for.
+        """
+        self._hurry.set()
+
+    async def run(self) -> bool:
+        """Goes through every phase.
+
+        Returns:
+            Whether all requests ended before the stop deadline.
+        """
+        end_ms = self._clock.now_ms() + self._deadline_ms
+        self._lifecycle.enter(_lifecycle.Phase.LEAVING)
+        self._directory.tell()
+        keep_ms = self.longest_keep_ms()
+        _log.info("leaving the entry list", extra={"keep_for_ms": keep_ms})
+        await self._wait(self._hurry, keep_ms)
+        self._lifecycle.enter(_lifecycle.Phase.DRAINING)
+        in_flight = self._lifecycle.in_flight
+        _log.info("refusing new work", extra={"in_flight": in_flight})
+        left_ms = max(0, end_ms - self._clock.now_ms())
+        return await self._wait(self._lifecycle.idle, left_ms)
+
+    def longest_keep_ms(self) -> int:
+        """Returns how long a caller may still use an answer given now."""
+        history = self._view.history()
+        kept = [r.declarations.leases.entries_keep_for_ms for r in history]
+        default_ms = model.LeaseRules().entries_keep_for_ms
+        return max(kept, default=default_ms) + PEER_NOTICE_MS
+
+    async def _wait(self, event: asyncio.Event, timeout_ms: int) -> bool:
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                await event.wait()
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/lagooncrank/server/http/_auth.py
@@ -0,0 +1,78 @@
+"""Finds the client account of a bearer key."""
+
+import hashlib
+import hmac
+
+from aiohttp import web
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.server import _ports
+from lagooncrank.server.http import _problem
+
+SCHEME = "Bearer "
+
+
+class Authenticator:
+    """Knows the key hashes of the declarations in force."""
+
+    def __init__(self, view: _ports.StateView) -> None:
+        self._view = view
+        self._revision = 0
+        self._keys: tuple[tuple[str, model.ClientAccount], ...] = ()
+
+    def account_of(self, request: web.Request) -> model.ClientAccount:
+        """Returns the client account whose key the request carries.
+
+        Raises:
+            LagooncrankError: The key is missing or unknown.
+        """
+        header = request.headers.get("Authorization", "")
+        if not header.startswith(SCHEME):
+            raise _problem.error(
+                results.ResultCode.UNAUTHENTICATED,
+                "send the header 'Authorization: Bearer KEY'",
+            )
+        key = header.removeprefix(SCHEME).strip().encode()
+        account = self._find(hashlib.sha256(key).hexdigest())
+        if account is None:
+            raise _problem.error(
+                results.ResultCode.UNAUTHENTICATED,
+                "no client account has this key",
+            )
+        return account
+
+    def _find(self, digest: str) -> model.ClientAccount | None:
+        """Compares with every key, so that the time tells nothing."""
+        self._refresh()
+        found = None
+        for known, account in self._keys:
+            if hmac.compare_digest(known, digest):
+                found = account
+        return found
+
+    def _refresh(self) -> None:
+        record = self._view.configuration
+        if record is None or record.revision == self._revision:
+            return
+        self._revision = record.revision
+        self._keys = tuple(
+            (digest, account)
+            for account in record.declarations.client_accounts
+            for digest in account.key_sha256s
+        )
+
+
+def check_allowed(
+    account: model.ClientAccount, service: model.ServiceName
+) -> None:
+    """Checks that an account may use a service.
+
+    Raises:
+        LagooncrankError: The declarations do not allow it.
+    """
+    if account.services and service not in account.services:
+        raise _problem.error(
+            results.ResultCode.FORBIDDEN,
+            f"client account {account.name!r} may not use {service!r}",
+        )
--- /dev/null
+++ b/lagooncrank/server/http/_event_stream.py
@@ -0,0 +1,92 @@
+"""Server-sent events to a caller who may read slowly."""
+
+import types
+
+from aiohttp import web
+
+from lagooncrank import clock as clocks
+from lagooncrank import results
+from lagooncrank import settings
+from lagooncrank.server import _metrics
+from lagooncrank.server import _watchdog
+from lagooncrank.server.http import _problem
+from lagooncrank.server.http import _request_ids
+
+
+class EventStream:
+    """The streamed answer to one request; the head waits for the first event.
+
+    Until then the request can still be refused with a status of its own.
+    """
+
+    def __init__(
+        self,
+        request: web.Request,
+        limits: settings.LimitSettings,
+        clock: clocks.Clock,
+        watchdog: _watchdog.Watchdog,
+        metrics: _metrics.Metrics,
+    ) -> None:
+        self._request = request
+        self._limits = limits
+        self._clock = clock
+        self._watchdog = watchdog
+        self._metrics = metrics
+        self._watch = _watchdog.Watch(self._abort)
+        self._response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-store",
+            }
+        )
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer was sent."""
+        return self._response.prepared
+
+    async def __aenter__(self) -> "EventStream":
+        """Starts to look after the caller's reading."""
+        self._watchdog.add(self._watch)
+        transport = self._request.transport
+        if transport is not None:
+            high = self._limits.reader_buffer_bytes
+            transport.set_write_buffer_limits(high=high)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops to look after the caller's reading."""
+        self._watchdog.remove(self._watch)
+
+    async def write(self, event: bytes) -> None:
+        """Sends an event; waits while the caller's buffer is full."""
+        if not self._response.prepared:
+            await self._response.prepare(self._request)
+        timeout_ms = self._limits.reader_timeout_ms
+        self._watch.due_ms = self._clock.now_ms() + timeout_ms
+        await self._response.write(event)
+        self._watch.due_ms = 0
+
+    async def write_error(self, refusal: results.Refusal) -> None:
+        """Ends the events with an error."""
+        self._metrics.answered_with(refusal.code)
+        body = _problem.body(refusal, _request_ids.of(self._request))
+        await self.write(b"event: error\ndata: " + body + b"\n\n")
+
+    async def finished(self) -> web.StreamResponse:
+        """Sends the end of the answer."""
+        timeout_ms = self._limits.reader_timeout_ms
+        self._watch.due_ms = self._clock.now_ms() + timeout_ms
+        await self._response.write_eof()
+        self._watch.due_ms = 0
+        return self._response
+
+    def _abort(self) -> None:
+        self._metrics.answered_with(results.ResultCode.READER_TOO_SLOW)
+        if self._request.transport is not None:
+            self._request.transport.abort()
--- /dev/null
+++ b/lagooncrank/server/http/_problem.py
@@ -0,0 +1,50 @@
+"""Errors as problem+json."""
+
+from typing import Any
+
+from aiohttp import web
+import msgspec
+
+from lagooncrank import results
+
+CONTENT_TYPE = "application/problem+json"
+MS_PER_S = 1_000
+
+
+def body(refusal: results.Refusal, request_id: str) -> bytes:
+    """Returns the JSON that tells a caller of a refusal or error."""
+    code = refusal.code
+    fields: dict[str, Any] = {
+        "type": "about:blank",
+        "title": code.name,
+        "status": code.http_status,
+        "code": code.value,
+        "reason": refusal.reason,
+        "ran": refusal.ran.value,
+        "request_id": request_id,
+    }
+    if refusal.retry_after_ms is not None:
+        fields["retry_after_ms"] = refusal.retry_after_ms
+    return msgspec.json.encode(fields)
+
+
+def response(refusal: results.Refusal, request_id: str) -> web.Response:
+    """Returns the whole HTTP answer for a refusal or error."""
+    headers = {"Content-Type": CONTENT_TYPE}
+    if refusal.retry_after_ms is not None:
+        retry_after_s = -(-refusal.retry_after_ms // MS_PER_S)
+        headers["Retry-After"] = str(retry_after_s)
+    return web.Response(
+        body=body(refusal, request_id),
+        status=refusal.code.http_status,
+        headers=headers,
+    )
+
+
+def error(
+    code: results.ResultCode,
+    reason: str,
+    ran: results.Ran = results.Ran.NOT_RUN,
+) -> results.LagooncrankError:
+    """Returns the error that ends a request with this code."""
+    return results.LagooncrankError(results.Refusal(code, reason, ran))
--- /dev/null
+++ b/lagooncrank/server/http/_services.py
@@ -0,0 +1,148 @@
+"""Calls of plain services."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Sequence
+import hashlib
+from typing import Protocol
+from typing import TypeVar
+
+from aiohttp import web
+import multidict
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank import settings
+from lagooncrank.server import _plain_calls
+from lagooncrank.server import _plain_client
+from lagooncrank.server.http import _auth
+from lagooncrank.server.http import _body
+from lagooncrank.server.http import _completions
+from lagooncrank.server.http import _gate
+from lagooncrank.server.http import _problem
+from lagooncrank.server.http import _request_ids
+
+T = TypeVar("T")
+
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_LENGTH = 256
+PREFIX = "/v1/services/"
+
+
+class CallRunner(Protocol):
+    """Runs the calls of one kind of plain service."""
+
+    async def run(
+        self, call: _plain_calls.PlainCall
+    ) -> _plain_client.PlainAnswer:
+        """Returns the service's answer.
+
+        Raises:
+            LagooncrankError: There is none.
+        """
+
+
+class ServiceHandlers:
+    """Answers `/v1/services/{name}/{path}`."""
+
+    def __init__(
+        self,
+        gate: _gate.Gate,
+        repeatable: CallRunner,
+        once: CallRunner,
+        limits: settings.LimitSettings,
+        ids: _request_ids.RequestIds,
+        clock: clocks.Clock,
+    ) -> None:
+        self._gate = gate
+        self._repeatable = repeatable
+        self._once = once
+        self._limits = limits
+        self._ids = ids
+        self._clock = clock
+        self._running: set[asyncio.Future[_plain_client.PlainAnswer]] = set()
+
+    def routes(self) -> Sequence[web.AbstractRouteDef]:
+        """Returns the routes to mount."""
+        return [web.route("*", PREFIX + "{name}/{path:.*}", self._call)]
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        with self._gate.entered(request) as account:
+            service = self._service(request.match_info["name"])
+            _auth.check_allowed(account, service.name)
+            key = _idempotency_key(request, service)
+            body = await _body.read(request, self._limits)
+            call = self._plain_call(request, account, service, key, body)
+            if service.repeatable:
+                answer = await self._repeatable.run(call)
+            else:
+                answer = await self._shielded(self._once.run(call))
+        return web.Response(
+            status=answer.status,
+            headers=multidict.CIMultiDict(answer.headers),
+            body=answer.body,
+        )
+
+    async def _shielded(
+        self, run: Awaitable[_plain_client.PlainAnswer]
+    ) -> _plain_client.PlainAnswer:
+        """Lets a call end and be recorded though its caller went away."""
+        future = asyncio.ensure_future(run)
+        self._running.add(future)
+        future.add_done_callback(self._running.discard)
+        return await asyncio.shield(future)
+
+    def _service(self, name: str) -> model.PlainService:
+        services = self._gate.record().declarations.plain_services
+        for service in services:
+            if service.name == name:
+                return service
+        known = ", ".join(s.name for s in services) or "none"
+        raise _problem.error(
+            results.ResultCode.UNKNOWN_SERVICE,
+            f"no plain service is named {name!r}; known: {known}",
+        )
+
+    def _plain_call(
+        self,
+        request: web.Request,
+        account: model.ClientAccount,
+        service: model.PlainService,
+        key: str,
+        body: bytes,
+    ) -> _plain_calls.PlainCall:
+        raw_path = request.rel_url.raw_path_qs
+        path_qs = "/" + raw_path.removeprefix(PREFIX).partition("/")[2]
+        head = f"{request.method}\n{path_qs}\n".encode()
+        deadline_ms = _completions.deadline_ms(request)
+        headers = _plain_client.end_to_end(request.headers)
+        id_header = (_request_ids.HEADER, _request_ids.of(request))
+        others = [h for h in headers if h[0] != _request_ids.HEADER]
+        return _plain_calls.PlainCall(
+            request_id=self._ids.next_id(),
+            account=account,
+            service=service,
+            idempotency_key=key,
+            digest=hashlib.sha256(head + body).digest(),
+            request=_plain_client.PlainRequest(
+                request.method, path_qs, (*others, id_header), body
+            ),
+            deadline_ms=self._clock.now_ms() + deadline_ms,
+        )
+
+
+def _idempotency_key(request: web.Request, service: model.PlainService) -> str:
+    key = request.headers.get(KEY_HEADER, "")
+    if not key and not service.repeatable:
+        raise _problem.error(
+            results.ResultCode.KEY_REQUIRED,
+            f"calls of {service.name!r} may not be repeated; send an "
+            f"{KEY_HEADER} and the same one when asking again",
+        )
+    if len(key) > MAX_KEY_LENGTH:
+        raise _problem.error(
+            results.ResultCode.MALFORMED_REQUEST,
+            f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters",
+        )
+    return key
--- /dev/null
+++ b/lagooncrank/server/tests/site.py
@@ -0,0 +1,212 @@
+"""One daemon with stand-in engines and a plain service, in one loop."""
+
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+from typing import Any
+
+import aiohttp
+import mode
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank import settings
+from lagooncrank.core import state
+from lagooncrank.core import timeouts
+from lagooncrank.server import _daemon
+from lagooncrank.server import _single_node
+from lagooncrank.server import _sockets
+from standins import _announcer
+from standins import _process
+from standins import engine
+from standins import plain_service
+
+KEY = "key-of-a"
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+MODEL = "draft"
+BOOKING = "booking"
+STATUS = "status"
+REPLICAS = 2
+#: Silence bounds small enough for tests to meet them.
+SHORT_BOUNDS = timeouts.TimeoutBounds(
+    initial_ms=300, floor_ms=300, ceiling_ms=600
+)
+
+DECLARATIONS = model.Declarations(
+    model_services=(
+        model.ModelService(
+            name=model.ServiceName(MODEL),
+            version="v1",
+            replicas=REPLICAS,
+            replicas_floor=1,
+            instances_per_replica=2,
+        ),
+    ),
+    plain_services=(
+        model.PlainService(model.ServiceName(BOOKING), repeatable=False),
+        model.PlainService(model.ServiceName(STATUS), repeatable=True),
+    ),
+    client_accounts=(
+        model.ClientAccount(
+            name=model.ClientAccountId("a"),
+            key_sha256s=(hashlib.sha256(KEY.encode()).hexdigest(),),
+            share=1,
+            first_token_target_ms=10_000,
+        ),
+    ),
+    leases=model.LeaseRules(announcement_ms=60_000, entries_keep_for_ms=0),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Site:
+    """A running daemon and what it serves with."""
+
+    address: str
+    daemon: _daemon.Daemon
+    shared: _single_node.SingleNodeState
+    #: First member of each replica first.
+    engines: list[engine.Engine]
+    booking: plain_service.PlainServiceStandIn
+    session: aiohttp.ClientSession
+    #: Closes the listening socket and connections of an engine, by index.
+    engine_closers: list[_process.Closer]
+    services: list[mode.Service]
+    closers: list[_process.Closer]
+
+    @classmethod
+    async def started(
+        cls,
+        limits: settings.LimitSettings = settings.LimitSettings(),  # noqa: B008
+        engine_options: Mapping[str, Any] | None = None,
+        declarations: model.Declarations = DECLARATIONS,
+    ) -> "Site":
+        """Starts everything and waits until every replica serves."""
+        listener = _sockets.listener(f"{_process.LOOPBACK}:0")
+        address = _sockets.bound_address(listener)
+        shared = _single_node.SingleNodeState()
+        daemon = _daemon.Daemon(
+            _process_settings(address, limits),
+            listener,
+            shared,
+            _single_node.NoPeers(),
+            clocks.SystemClock(),
+            engine_bounds=_daemon.EngineBounds(SHORT_BOUNDS, SHORT_BOUNDS),
+        )
+        await daemon.start()
+        site = cls(
+            address=address,
+            daemon=daemon,
+            shared=shared,
+            engines=[],
+            booking=plain_service.PlainServiceStandIn(
+                "b0", "ib0", "d1", (BOOKING, STATUS)
+            ),
+            session=aiohttp.ClientSession(),
+            engine_closers=[],
+            services=[],
+            closers=[],
+        )
+        await site.apply(declarations)
+        await site._start_engines(engine_options or {})
+        await site._start_booking()
+        return site
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        await self.session.close()
+        for service in self.services:
+            await service.stop()
+        await self.daemon.stop()
+        for close in (*self.engine_closers, *self.closers):
+            await close()
+
+    async def apply(self, declarations: model.Declarations) -> None:
+        """Puts declarations in force."""
+        record = self.shared.view.configuration
+        revision = record.revision if record else 0
+        command = state.ApplyDeclarations(
+            f"c{revision}", revision, declarations, "test", 0
+        )
+        outcome = await self.shared.propose(command, 1_000)
+        assert outcome.ok, outcome.reason
+
+    def url(self, path: str) -> str:
+        """Returns the URL of a path at the entry."""
+        return f"http://{self.address}{path}"
+
+    def complete(
+        self, **fields: Any
+    ) -> "aiohttp.client._RequestContextManager":
+        """Sends a completion request."""
+        body = {"model": MODEL, "prompt": "hello", "max_tokens": 20} | fields
+        return self.session.post(
+            self.url("/v1/completions"), json=body, headers=HEADERS
+        )
+
+    async def counter(self, name: str, reason: str) -> float:
+        """Returns a counter of the daemon, by its `reason` label."""
+        for family in self.daemon.metrics.registry.collect():
+            for sample in family.samples:
+                labels = sample.labels
+                if sample.name == name and labels.get("reason") == reason:
+                    return sample.value
+        raise KeyError(name, reason)
+
+    async def _start_engines(self, options: Mapping[str, Any]) -> None:
+        for index in range(2 * REPLICAS):
+            member = engine.Engine(
+                engine.EngineOptions(
+                    backend_server_id=f"e{index}",
+                    instance_id=f"i{index}",
+                    failure_domain_id="d1",
+                    fabric_domain_id=f"f{index // 2}",
+                    load_ms=1,
+                    **options,
+                )
+            )
+            listener = _process.listen(0)
+            member.address = _process.address_of(listener)
+            close = await _process.serve(member.app(), listener)
+            self.engine_closers.append(close)
+            self.engines.append(member)
+            await self._announce(member.announcement)
+        await self._wait_for_replicas()
+
+    async def _start_booking(self) -> None:
+        listener = _process.listen(0)
+        self.booking.address = _process.address_of(listener)
+        app = self.booking.app()
+        self.closers.append(await _process.serve(app, listener))
+        await self._announce(self.booking.announcement)
+
+    async def _announce(self, make: _announcer.AnnouncementMaker) -> None:
+        announcer = _announcer.Announcer((self.address,), make, 0.02)
+        await announcer.start()
+        await announcer.announce()
+        self.services.append(announcer)
+
+    async def _wait_for_replicas(self) -> None:
+        service = DECLARATIONS.model_services[0]
+        while len(self.daemon.targets.of_model(service)) < REPLICAS:
+            await self.daemon.placement.step()
+            await self.services[0].sleep(0.02)
+
+
+def _process_settings(
+    address: str, limits: settings.LimitSettings
+) -> settings.ProcessSettings:
+    node = settings.PeerSettings(
+        node_id=model.NodeId("n1"),
+        peer_address="127.0.0.1:1",
+        entry_address=address,
+        failure_domain_id=model.FailureDomainId("d1"),
+        roles=(settings.Role.ENTRY, settings.Role.CONTROL),
+    )
+    return settings.ProcessSettings(
+        node_id=node.node_id,
+        nodes=(node,),
+        shared_key_file="",
+        limits=limits,
+        stop_deadline_ms=5_000,
+    )
--- /dev/null
+++ b/lagooncrank/server/tests/test_completions.py
@@ -0,0 +1,63 @@
+import json
+from typing import Any
+
+import pytest
+
+from lagooncrank.server.tests import site as sites
+from standins import _tokens
+
+
+async def events_of(response: Any) -> list[str]:
+    text = (await response.read()).decode()
+    return [part for part in text.split("\n\n") if part]
+
+
+def text_of(events: list[str]) -> str:
+    chunks = [json.loads(e.removeprefix("data: ")) for e in events[:-1]]
+    return "".join(chunk["choices"][0]["text"] for chunk in chunks)
+
+
+async def test_stream_holds_the_whole_answer(site: sites.Site) -> None:
+    async with site.complete(stream=True, max_tokens=30) as response:
+        events = await events_of(response)
+    assert response.status == 200
+    assert text_of(events) == _tokens.answer("hello", 30)
+    assert events[-1] == "data: [DONE]"
+
+
+async def test_answer_without_stream(site: sites.Site) -> None:
+    async with site.complete(max_tokens=30) as response:
+        answer = await response.json()
+    choice = answer["choices"][0]
+    assert choice["text"] == _tokens.answer("hello", 30)
+    assert choice["finish_reason"] == "length"
+    assert answer["usage"]["completion_tokens"] == 30
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        pytest.param("hello", id="text"),
+        pytest.param([{"type": "text", "text": "hello"}], id="parts"),
+    ],
+)
+async def test_chat(site: sites.Site, content: Any) -> None:
+    body = {
+        "model": sites.MODEL,
+        "messages": [{"role": "user", "content": content}],
+        "max_completion_tokens": 5,
+    }
+    url = site.url("/v1/chat/completions")
+    async with site.session.post(
+        url, json=body, headers=sites.HEADERS
+    ) as response:
+        answer = await response.json()
+    message = answer["choices"][0]["message"]
+    assert message["content"] == _tokens.answer("user: hello", 5)
+
+
+async def test_models_are_listed(site: sites.Site) -> None:
+    url = site.url("/v1/models")
+    async with site.session.get(url, headers=sites.HEADERS) as response:
+        answer = await response.json()
+    assert [entry["id"] for entry in answer["data"]] == [sites.MODEL]
--- a/standins/_announcer.py
+++ b/standins/_announcer.py
@@ -20,8 +20,14 @@
 class Announcer(mode.Service):
     """Posts the present announcement to every given entry."""
 
-    def __init__(self, entries: Sequence[str], make: AnnouncementMaker) -> None:
+    def __init__(
+        self,
+        entries: Sequence[str],
+        make: AnnouncementMaker,
+        interval_s: float = ANNOUNCE_INTERVAL_S,
+    ) -> None:
         super().__init__()
+        self._interval_s = interval_s
         self._entries = entries
         self._make = make
         self._sequence = 0
@@ -54,4 +60,4 @@
     async def _announce_regularly(self) -> None:
         while not self.should_stop:
             await self.announce()
-            await self.sleep(ANNOUNCE_INTERVAL_S)
+            await self.sleep(self._interval_s)
