--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -1,6 +1,7 @@
 """Builds and wires the services of one node."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 import socket
 
@@ -31,6 +32,7 @@
 from lagooncrank.server import _plain_client
 from lagooncrank.server import _pools
 from lagooncrank.server import _ports
+from lagooncrank.server import _revision_reports
 from lagooncrank.server import _stop
 from lagooncrank.server import _targets
 from lagooncrank.server import _watchdog
@@ -39,6 +41,7 @@
 from lagooncrank.server.http import _entries as _entry_handlers
 from lagooncrank.server.http import _gate
 from lagooncrank.server.http import _health
+from lagooncrank.server.http import _operators
 from lagooncrank.server.http import _request_ids
 from lagooncrank.server.http import _services
 
@@ -63,7 +66,19 @@
 
 
 class Daemon(mode.Service):
-    """One node: everything between its sockets and the core."""
+    """One node: everything between its sockets and the core.
+
+    Args:
+        process: Settings of the process.
+        listener: Bound socket of the entry's HTTP address.
+        shared: The replicated state.
+        links: Links to the other nodes.
+        clock: Clock of the process.
+        first_services: Services behind `shared` and `links`; they start
+            before and stop after all others.
+        policies: Names of the policies to use.
+        engine_bounds: Bounds of the adaptive timeouts.
+    """
 
     def __init__(
         self,
@@ -72,6 +87,7 @@
         shared: _ports.SharedState,
         links: _ports.PeerLinks,
         clock: clocks.Clock,
+        first_services: Sequence[mode.Service] = (),
         policies: Policies = Policies(),
         engine_bounds: EngineBounds = EngineBounds(),
     ) -> None:
@@ -81,6 +97,7 @@
         self._shared = shared
         self._links = links
         self._clock = clock
+        self._first_services = first_services
         self._incarnation = clock.wall_ms()
         self.metrics = _metrics.Metrics()
         self.lifecycle = _lifecycle.Lifecycle(self.metrics)
@@ -90,6 +107,13 @@
         self.placement = _placement.PlacementDriver(
             shared, self.table, self._order_sender, clock, policies.placement
         )
+        self.revision_reports = _revision_reports.RevisionReports(
+            process.node_id,
+            [node.node_id for node in process.voters],
+            shared,
+            links,
+            clock,
+        )
         self.planned_stop = _stop.PlannedStop(
             self.lifecycle,
             self.directory,
@@ -111,6 +135,7 @@
         await self._order_sender.close()
 
     def _services(self) -> Iterator[mode.Service]:
+        yield from self._first_services
         yield self.watchdog
         yield self.pools
         yield self.desk
@@ -118,6 +143,7 @@
         yield self.crashes
         yield self.announcements
         yield self.directory
+        yield self.revision_reports
         yield self.placement
         yield self._http_server()
 
@@ -186,6 +212,14 @@
         yield _entry_handlers.EntryHandlers(
             self.directory, self.table, shared.view, limits, clock
         )
+        yield _operators.OperatorHandlers(
+            self._process,
+            shared,
+            self._links,
+            self.table,
+            self.revision_reports,
+            clock,
+        )
         yield _health.HealthHandlers(self.lifecycle, shared, self.metrics)
         yield _completions.CompletionHandlers(
             gate, self._draft_parts(), limits, ids, self.watchdog
--- a/lagooncrank/server/_main.py
+++ b/lagooncrank/server/_main.py
@@ -15,6 +15,7 @@
 from lagooncrank.server import _logging
 from lagooncrank.server import _single_node
 from lagooncrank.server import _sockets
+from lagooncrank.server import links
 
 #: Exit status when requests were cut off by the stop deadline.
 CUT_OFF_STATUS = 3
@@ -49,12 +50,14 @@
 async def _serve(
     process: settings.ProcessSettings, clock: clocks.Clock
 ) -> bool:
+    peer_links = links.Links.from_settings(process, clock)
     daemon = _daemon.Daemon(
         process,
         _sockets.listener(process.own.entry_address),
         _single_node.SingleNodeState(),
-        _single_node.NoPeers(),
+        peer_links,
         clock,
+        first_services=(peer_links,),
     )
     await daemon.start()
     _log.info("serving", extra={"address": process.own.entry_address})
