Use fair shares, cost-based routing and retry budgets in the daemon

Entries report usage to each other every 200 ms while there is any, and once when it ended. The first token of an answer is counted once: it was told to admission both as first and as further token.

--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -35,6 +35,7 @@
 from lagooncrank.server import _revision_reports
 from lagooncrank.server import _stop
 from lagooncrank.server import _targets
+from lagooncrank.server import _usage
 from lagooncrank.server import _watchdog
 from lagooncrank.server.http import _app
 from lagooncrank.server.http import _completions
@@ -50,9 +51,9 @@
 class Policies:
     """Names under which the policies of an entry are registered."""
 
-    admission: str = "first_come"
-    router: str = "round_robin"
-    retry: str = "always"
+    admission: str = "fair_share"
+    router: str = "balanced"
+    retry: str = "budget"
     suspicion: str = "none"
     placement: str = "first_fit"
 
@@ -143,6 +144,7 @@
         yield self.crashes
         yield self.announcements
         yield self.directory
+        yield self.usage
         yield self.revision_reports
         yield self.placement
         yield self._http_server()
@@ -192,6 +194,7 @@
         self.announcements = _announcements.AnnouncementExchange(
             self.table, self._links, clock
         )
+        self.usage = _usage.UsageExchange(self.desk, self._links)
         self.directory = _entries.EntryDirectory(
             self._process, self.lifecycle, self._links, clock
         )
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -79,7 +79,7 @@
     async def _attempt(
         self, priority: int
     ) -> AsyncGenerator[_relay.TokenBatch, None]:
-        query = self._query()
+        query = self._query(priority)
         target = await self._choose(query)
         self._attempts += 1
         try:
@@ -135,12 +135,18 @@
         request_id = self._draft.request_id
         now_ms = parts.clock.now_ms()
         if is_first:
-            parts.desk.first_token(request_id)
-            parts.router.first_token(request_id, now_ms)
-            waited_ms = now_ms - self._draft.arrived_ms
-            parts.metrics.first_token(self._draft.service.name, waited_ms)
-        parts.desk.tokens(request_id, count)
-        parts.router.tokens(request_id, count, now_ms)
+            self._note_first_token(now_ms)
+            count -= 1
+        if count:
+            parts.desk.tokens(request_id, count)
+            parts.router.tokens(request_id, count, now_ms)
+
+    def _note_first_token(self, now_ms: int) -> None:
+        parts = self._parts
+        parts.desk.first_token(self._draft.request_id)
+        parts.router.first_token(self._draft.request_id, now_ms)
+        waited_ms = now_ms - self._draft.arrived_ms
+        parts.metrics.first_token(self._draft.service.name, waited_ms)
 
     async def _choose(self, query: routing.RouteQuery) -> routing.Target:
         parts = self._parts
@@ -205,7 +211,7 @@
         self._excluded |= decision.excluded
         await asyncio.sleep(decision.delay_ms / 1_000)
 
-    def _query(self) -> routing.RouteQuery:
+    def _query(self, priority: int) -> routing.RouteQuery:
         draft = self._draft
         return routing.RouteQuery(
             request_id=draft.request_id,
@@ -214,6 +220,7 @@
             prompt_tokens=draft.prompt_tokens,
             expected_output_tokens=draft.max_tokens,
             excluded=self._excluded,
+            priority=priority,
         )
 
     def _generate_request(
