Add the shared state service: proposals, confirmed reads, leases, first start

Cause: the other services need SharedState over several processes. Change: core Participant joins the consensus node, proposals, polls, first start and voter replacement without input or output; server ReplicatedState runs it over links and storage, one sync for all that one turn of the loop brought. A proposal is submitted for one term; once an entry of a later term is applied without it, it is certain that it never commits, and it is submitted again. So NO_QUORUM is told only when that is certain, else PROPOSAL_LOST. Nodes without a disk poll an upstream; quorum contact travels as an age counted from the sending of the poll. Nodes are laid out in layers of 8 below the voters, so no node serves many more than that at 330 nodes. Blank voters agree on their disks before the first election; a replaced disk learns, its old disk leaves, then it votes. Ruled out: quorum contact pushed by the leader (a paused entry would take old word as fresh).

--- a/lagooncrank/core/consensus/__init__.py
+++ b/lagooncrank/core/consensus/__init__.py
@@ -2,6 +2,8 @@
 
 from lagooncrank.core.consensus._context import Role
 from lagooncrank.core.consensus._context import Timing
+from lagooncrank.core.consensus._genesis import BlankHello
+from lagooncrank.core.consensus._genesis import BlankReply
 from lagooncrank.core.consensus._log import CommittedEntryError
 from lagooncrank.core.consensus._messages import AppendReply
 from lagooncrank.core.consensus._messages import AppendRequest
@@ -21,27 +23,59 @@
 from lagooncrank.core.consensus._messages import VoterSet
 from lagooncrank.core.consensus._node import Node
 from lagooncrank.core.consensus._node import Status
+from lagooncrank.core.consensus._participant import Participant
+from lagooncrank.core.consensus._participation import Applier
+from lagooncrank.core.consensus._participation import Outgoing
+from lagooncrank.core.consensus._participation import Result
+from lagooncrank.core.consensus._participation import Setup
+from lagooncrank.core.consensus._participation import Work
+from lagooncrank.core.consensus._proposals import ForwardedProposal
+from lagooncrank.core.consensus._proposals import ProposalRefusal
+from lagooncrank.core.consensus._proposals import Settled
+from lagooncrank.core.consensus._relay import PollReply
+from lagooncrank.core.consensus._relay import PollRequest
+from lagooncrank.core.consensus._relay import StateTransfer
+from lagooncrank.core.consensus._relay import upstream_layers
+from lagooncrank.core.consensus._voter_changes import JoinRequest
+from lagooncrank.core.consensus._voting import NODE_MESSAGES
 
 __all__ = [
+    "NODE_MESSAGES",
     "AppendReply",
     "AppendRequest",
+    "Applier",
+    "BlankHello",
+    "BlankReply",
     "CommittedEntryError",
     "DurableState",
     "Entry",
     "Envelope",
+    "ForwardedProposal",
     "HardState",
     "InstallSnapshot",
+    "JoinRequest",
     "Message",
     "Node",
+    "Outgoing",
     "Output",
+    "Participant",
+    "PollReply",
+    "PollRequest",
     "ProposalId",
+    "ProposalRefusal",
     "ReadResult",
+    "Result",
     "Role",
+    "Settled",
+    "Setup",
     "Snapshot",
+    "StateTransfer",
     "Status",
     "Timing",
     "VoteReply",
     "VoteRequest",
     "Voter",
     "VoterSet",
+    "Work",
+    "upstream_layers",
 ]
--- a/lagooncrank/core/consensus/_node.py
+++ b/lagooncrank/core/consensus/_node.py
@@ -197,10 +197,18 @@
         return self._leading is not None and self._leading.lease_holds(now_ms)
 
     def contact_ms(self, now_ms: int) -> int | None:
-        """Returns when a quorum last answered this leader; None if none."""
-        if self._leading is None or not self._leading.lease_holds(now_ms):
+        """Returns when a quorum last answered this leader.
+
+        Returns:
+            None when this node does not lead, or does not yet know all that
+            earlier leaders committed.
+        """
+        leading = self._leading
+        if leading is None or not leading.lease_holds(now_ms):
+            return None
+        if not leading.has_committed_in_term():
             return None
-        return self._leading.contact_ms(now_ms)
+        return leading.contact_ms(now_ms)
 
     def is_caught_up(self, voter: _messages.Voter) -> bool:
         """Whether this node leads and `voter` holds all that is committed."""
--- /dev/null
+++ b/lagooncrank/core/consensus/_participation.py
@@ -0,0 +1,64 @@
+"""What a participant is set up with, and what it gives back."""
+
+import dataclasses
+from typing import Any
+from typing import Protocol
+
+from lagooncrank import model
+from lagooncrank.core.consensus import _messages
+from lagooncrank.core.consensus import _proposals
+
+
+class Applier(Protocol):
+    """The state machine as a participant drives it."""
+
+    def apply(self, entry: _messages.Entry) -> Any:
+        """Applies the entry after the last applied one."""
+
+    def snapshot(self) -> bytes:
+        """Returns the state after the last applied entry."""
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by what `snapshot` returned."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setup:
+    """Who a participant is and whom it knows."""
+
+    node_id: model.NodeId
+    #: Higher for each start of the node.
+    incarnation: int
+    #: Nodes that the settings name as voters.
+    voter_node_ids: tuple[model.NodeId, ...]
+    #: Nodes to follow, preferred ones first; unused by voters.
+    upstreams: tuple[model.NodeId, ...]
+    #: Nodes that this one has links to.
+    linked: frozenset[model.NodeId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message for a peer link."""
+
+    to: model.NodeId
+    body: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What must be durable before `Participant.complete` is called."""
+
+    output: _messages.Output | None = None
+    #: First voter set, to be stored on a blank disk.
+    genesis: _messages.VoterSet | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What `Participant.complete` leaves to be done."""
+
+    messages: tuple[Outgoing, ...]
+    settled: tuple[_proposals.Settled, ...]
+    #: Reads that are confirmed.
+    reads: tuple[int, ...]
--- /dev/null
+++ b/lagooncrank/core/consensus/_voting.py
@@ -0,0 +1,123 @@
+"""What a node with a disk does beside consensus: first start and joining."""
+
+from typing import Any
+from typing import Final
+
+from lagooncrank import model
+from lagooncrank.core.consensus import _context
+from lagooncrank.core.consensus import _genesis
+from lagooncrank.core.consensus import _messages
+from lagooncrank.core.consensus import _node
+from lagooncrank.core.consensus import _voter_changes
+
+JOIN_INTERVAL_MS: Final = 1_000
+#: A request to join is forgotten when it was not repeated for this long.
+JOIN_TIMEOUT_MS: Final = 3_000
+CHANGE_INTERVAL_MS: Final = 500
+#: A voter that did not answer for this long does not count as heard.
+HEARD_MS: Final = 1_000
+
+#: Messages that go to `Node.receive`.
+NODE_MESSAGES = (
+    _messages.VoteRequest,
+    _messages.VoteReply,
+    _messages.AppendRequest,
+    _messages.AppendReply,
+    _messages.InstallSnapshot,
+)
+
+
+class Voting:
+    """Brings a disk into the voter set, and as leader brings others in."""
+
+    def __init__(
+        self,
+        own: _messages.Voter,
+        node: _node.Node,
+        voter_node_ids: tuple[model.NodeId, ...],
+    ) -> None:
+        self._own = own
+        self._node = node
+        self._voter_node_ids = voter_node_ids
+        self._genesis = _genesis.Genesis(own, voter_node_ids)
+        self._found: _messages.VoterSet | None = None
+        self._joining: dict[_messages.Voter, int] = {}
+        self._asked_ms = 0
+        self._changed_ms = 0
+        self._outbox: list[tuple[model.NodeId, Any]] = []
+
+    def tick(self, now_ms: int) -> None:
+        """Does what is due."""
+        self._node.tick(now_ms)
+        voters = self._node.status.voters
+        if voters is None:
+            self._outbox += self._genesis.due(now_ms)
+            self._found = self._found or self._genesis.found(None)
+        if self._is_outside(voters):
+            self._ask_to_join(now_ms)
+        elif self._node.status.role is _context.Role.LEADER:
+            self._change_voters(now_ms)
+
+    def receive(self, sender: model.NodeId, body: Any, now_ms: int) -> None:
+        """Takes a message; those of unknown type are ignored."""
+        if isinstance(body, NODE_MESSAGES):
+            self._node.receive(body, now_ms)
+        elif isinstance(body, _genesis.BlankHello):
+            reply = self._genesis.answer(body, self._node.status.voters)
+            if reply is not None:
+                self._outbox.append((sender, reply))
+        elif isinstance(body, _genesis.BlankReply):
+            self._on_blank_reply(body)
+        elif isinstance(body, _voter_changes.JoinRequest):
+            self._joining[body.voter] = now_ms
+
+    def take_genesis(self) -> _messages.VoterSet | None:
+        """Returns a first voter set that is to be stored."""
+        found, self._found = self._found, None
+        return found
+
+    def take_messages(self) -> list[tuple[model.NodeId, Any]]:
+        """Returns the messages to send."""
+        messages, self._outbox = self._outbox, []
+        return messages
+
+    def _on_blank_reply(self, reply: _genesis.BlankReply) -> None:
+        if self._node.status.voters is not None:
+            return
+        self._genesis.on_reply(reply)
+        self._found = self._found or self._genesis.found(reply)
+
+    def _is_outside(self, voters: _messages.VoterSet | None) -> bool:
+        if voters is None:
+            return self._genesis.is_replaced
+        return self._own not in voters.members
+
+    def _ask_to_join(self, now_ms: int) -> None:
+        if now_ms - self._asked_ms < JOIN_INTERVAL_MS:
+            return
+        self._asked_ms = now_ms
+        request = _voter_changes.JoinRequest(self._own)
+        for node_id in self._voter_node_ids:
+            if node_id != self._own.node_id:
+                self._outbox.append((node_id, request))
+
+    def _change_voters(self, now_ms: int) -> None:
+        if now_ms - self._changed_ms < CHANGE_INTERVAL_MS:
+            return
+        self._changed_ms = now_ms
+        oldest_ms = now_ms - JOIN_TIMEOUT_MS
+        self._joining = {
+            v: at for v, at in self._joining.items() if at >= oldest_ms
+        }
+        present = self._node.status.voters
+        if present is None:
+            return
+        change = _voter_changes.next_change(
+            present,
+            self._voter_node_ids,
+            tuple(self._joining),
+            self._node.is_caught_up,
+            lambda v: self._node.heard_of(v, now_ms - HEARD_MS),
+        )
+        if change is not None:
+            self._node.change_voters(change)
--- /dev/null
+++ b/lagooncrank/server/_state_messages.py
@@ -0,0 +1,28 @@
+"""Kinds of peer messages that carry the shared state."""
+
+from typing import Any
+from typing import Final
+
+from lagooncrank.core import consensus
+
+#: Kind and type of every message.
+KINDS: Final[tuple[tuple[str, type], ...]] = (
+    ("append", consensus.AppendRequest),
+    ("append-reply", consensus.AppendReply),
+    ("vote", consensus.VoteRequest),
+    ("vote-reply", consensus.VoteReply),
+    ("install-snapshot", consensus.InstallSnapshot),
+    ("propose", consensus.ForwardedProposal),
+    ("propose-refusal", consensus.ProposalRefusal),
+    ("poll", consensus.PollRequest),
+    ("poll-reply", consensus.PollReply),
+    ("blank-hello", consensus.BlankHello),
+    ("blank-reply", consensus.BlankReply),
+    ("join", consensus.JoinRequest),
+)
+_KIND_BY_TYPE = {body: kind for kind, body in KINDS}
+
+
+def kind_of(body: Any) -> str:
+    """Returns the kind of a message."""
+    return _KIND_BY_TYPE[type(body)]
