Run three nodes on the replicated state; resume drafts after any engine failure

Cause: the daemon ran on a single-node state.

Faults found by the new tests and mended: tokens that came in one read with a wrong event were lost to the caller (the batch now ends before the wrong event and the attempt fails after it was passed on); aiohttp dropped every server option because one name was unknown to it; a draft without any serving replica waited for its first-token deadline before it was refused.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -100,12 +100,12 @@
         _say(f"{_files.REPLICAS} replicas serve")
 
     async def _ask_for_entries(self) -> str:
-        domain = _files.DOMAINS[0]
+        domain = _files.DOMAINS[1]
         known = self._files.entries[0]
         entries = await self._caller.entries(known, domain)
         _say(f"entries for a caller in {domain}: {_list(entries)}")
         _expect(len(entries) == len(self._files.entries), "all entries listed")
-        _expect(entries[0] == self._files.entries[0], "own domain first")
+        _expect(entries[0] == self._files.entries[1], "own domain first")
         return entries[0]
 
     async def _draft(self, entry: str) -> None:
@@ -117,7 +117,7 @@
     async def _book_twice(self) -> None:
         first_entry, second_entry = (
             self._files.entries[0],
-            self._files.entries[0],
+            self._files.entries[2],
         )
         first = await self._caller.book(first_entry, "visit-1", "Monday 9:00")
         again = await self._caller.book(second_entry, "visit-1", "Monday 9:00")
@@ -129,15 +129,17 @@
         _say(f"again through {second_entry}: stored answer, runs {runs}")
 
     async def _stop(self) -> None:
-        for name in self._processes.names():
-            status = await self._processes.stop(name)
+        names = self._processes.names()
+        stops = [self._processes.stop(name) for name in names]
+        statuses = await asyncio.gather(*stops)
+        for name, status in zip(names, statuses, strict=True):
             _expect(status == 0, f"{name} stops with status 0, not {status}")
         _say("every process stopped with status 0")
 
 
 def _engine_options() -> Iterator[list[str]]:
     for replica in range(_files.REPLICAS):
-        domain = _files.DOMAINS[0]
+        domain = _files.DOMAINS[replica]
         for member in range(_files.INSTANCES_PER_REPLICA):
             name = f"engine-{replica}-{member}"
             yield [
--- a/lagooncrank/server/_crashes.py
+++ b/lagooncrank/server/_crashes.py
@@ -93,9 +93,21 @@
     ) -> None:
         if not outcome.ok:
             return
-        if isinstance(command, state.MarkContent):
+        if isinstance(command, state.NoOp):
+            self._take_all_marks()
+        elif isinstance(command, state.MarkContent):
             mark = retry.CrashMark(command.digest, command.victim)
-            left_ms = command.lapses_wall_ms - self._clock.wall_ms()
-            self._suspicion.marked(mark, self._clock.now_ms() + left_ms)
+            self._take_mark(mark, command.lapses_wall_ms)
         elif isinstance(command, state.LiftMark):
             self._suspicion.lifted(command.digest)
+
+    def _take_all_marks(self) -> None:
+        """Takes the marks of a snapshot, which came without commands."""
+        for content in self._shared.view.marks.values():
+            for victim in content.victims:
+                mark = retry.CrashMark(content.digest, victim)
+                self._take_mark(mark, content.lapses_wall_ms)
+
+    def _take_mark(self, mark: retry.CrashMark, lapses_wall_ms: int) -> None:
+        left_ms = lapses_wall_ms - self._clock.wall_ms()
+        self._suspicion.marked(mark, self._clock.now_ms() + left_ms)
--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -75,6 +75,7 @@
         shared: The replicated state.
         links: Links to the other nodes.
         clock: Clock of the process.
+        incarnation: Number of this start; higher than that of any earlier.
         first_services: Services behind `shared` and `links`; they start
             before and stop after all others.
         policies: Names of the policies to use.
@@ -88,6 +89,7 @@
         shared: _ports.SharedState,
         links: _ports.PeerLinks,
         clock: clocks.Clock,
+        incarnation: int,
         first_services: Sequence[mode.Service] = (),
         policies: Policies = Policies(),
         engine_bounds: EngineBounds = EngineBounds(),
@@ -99,7 +101,9 @@
         self._links = links
         self._clock = clock
         self._first_services = first_services
-        self._incarnation = clock.wall_ms()
+        self._incarnation = incarnation
+        #: Revision that the parts of this node were given.
+        self._revision = 0
         self.metrics = _metrics.Metrics()
         self.lifecycle = _lifecycle.Lifecycle(self.metrics)
         self._order_sender = _orders.HttpOrderSender()
@@ -118,7 +122,7 @@
         self.planned_stop = _stop.PlannedStop(
             self.lifecycle,
             self.directory,
-            shared.view,
+            shared,
             clock,
             process.stop_deadline_ms,
         )
@@ -189,7 +193,7 @@
         )
         self.plain_client = _plain_client.PlainClient(self.pools)
         self.targets = _targets.TargetDirectory(
-            self._shared.view, self.table, self.desk, clock
+            self._shared, self.table, self.desk, clock
         )
         self.announcements = _announcements.AnnouncementExchange(
             self.table, self._links, clock
@@ -213,7 +217,7 @@
         clock = self._clock
         gate = _gate.Gate(shared, self.lifecycle)
         yield _entry_handlers.EntryHandlers(
-            self.directory, self.table, shared.view, limits, clock
+            self.directory, self.table, shared, limits, clock
         )
         yield _operators.OperatorHandlers(
             self._process,
@@ -244,7 +248,7 @@
         return _drafts.DraftParts(
             clock=self._clock,
             metrics=self.metrics,
-            view=self._shared.view,
+            shared=self._shared,
             desk=self.desk,
             targets=self.targets,
             router=self.router,
@@ -266,13 +270,14 @@
     def _on_applied(
         self, command: state.Command, outcome: state.Outcome
     ) -> None:
-        if isinstance(command, state.ApplyDeclarations) and outcome.ok:
-            self._configure()
+        self._configure()
 
     def _configure(self) -> None:
+        """Hands a revision that is new here to the parts that depend on it."""
         record = self._shared.view.configuration
-        if record is None:
+        if record is None or record.revision == self._revision:
             return
+        self._revision = record.revision
         declarations = record.declarations
         self.table.configure(declarations.leases)
         self.retry_policy.configure(declarations.retries)
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -59,6 +59,7 @@
         """
         draft = self._draft
         self._parts.crashes.check(draft.digest)
+        self._check_targets()
         now_ms = self._parts.clock.now_ms()
         self._parts.retry_policy.first_attempt(self._call, now_ms)
         with self._parts.desk.offered(draft.offer()) as ticket:
@@ -107,8 +108,11 @@
         try:
             async with parts.client.opened(stream, target.address, request):
                 while not self._progress.done:
-                    events = await stream.read()
-                    yield self._take(attempt, events)
+                    batch = self._take(attempt, await stream.read())
+                    if batch.tokens or batch.finish_reason:
+                        yield batch
+                    if batch.failure is not None and not self._progress.done:
+                        raise _attempts.AttemptFailedError(batch.failure)
         finally:
             self._stream = None
 
@@ -151,9 +155,7 @@
     async def _choose(self, query: routing.RouteQuery) -> routing.Target:
         parts = self._parts
         while True:
-            targets = parts.targets.of_model(self._draft.service)
-            if all(t.target_id in self._excluded for t in targets):
-                raise self._no_replica()
+            targets = self._check_targets()
             now_ms = parts.clock.now_ms()
             target = parts.router.choose(query, targets, now_ms)
             if target is not None:
@@ -162,6 +164,12 @@
                 raise self._deadline_passed()
             await asyncio.sleep(ROUTE_INTERVAL_S)
 
+    def _check_targets(self) -> tuple[routing.Target, ...]:
+        targets = self._parts.targets.of_model(self._draft.service)
+        if all(t.target_id in self._excluded for t in targets):
+            raise self._no_replica()
+        return targets
+
     @contextlib.contextmanager
     def _noted(
         self, query: routing.RouteQuery, target: routing.Target
@@ -227,7 +235,9 @@
         self, target: routing.Target, attempt: int, priority: int
     ) -> _engine_client.GenerateRequest:
         draft = self._draft
-        replica = self._parts.view.replicas[model.ReplicaId(target.target_id)]
+        replica = self._parts.shared.view.replicas[
+            model.ReplicaId(target.target_id)
+        ]
         return _engine_client.GenerateRequest(
             request_id=draft.request_id,
             attempt=attempt,
--- a/lagooncrank/server/_drafts.py
+++ b/lagooncrank/server/_drafts.py
@@ -63,7 +63,7 @@
 
     clock: clocks.Clock
     metrics: _metrics.Metrics
-    view: _ports.StateView
+    shared: _ports.SharedState
     desk: _admission_desk.AdmissionDesk
     targets: _targets.TargetDirectory
     router: routing.Router
--- a/lagooncrank/server/_http_server.py
+++ b/lagooncrank/server/_http_server.py
@@ -10,6 +10,8 @@
 #: How long the rest of a refused body is read and dropped.
 LINGER_S = 1.0
 KEEPALIVE_S = 75.0
+#: Header lines of one request.
+MAX_HEADERS = 64
 #: How long connections may take to close once the entry stops.
 SHUTDOWN_S = 1.0
 
@@ -33,7 +35,7 @@
             lingering_time=LINGER_S,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
-            max_headers_size=limits.header_bytes,
+            max_headers=MAX_HEADERS,
             shutdown_timeout=SHUTDOWN_S,
         )
 
--- a/lagooncrank/server/_main.py
+++ b/lagooncrank/server/_main.py
@@ -13,7 +13,7 @@
 from lagooncrank import settings
 from lagooncrank.server import _daemon
 from lagooncrank.server import _logging
-from lagooncrank.server import _single_node
+from lagooncrank.server import _shared_state
 from lagooncrank.server import _sockets
 from lagooncrank.server import links
 
@@ -50,14 +50,19 @@
 async def _serve(
     process: settings.ProcessSettings, clock: clocks.Clock
 ) -> bool:
+    incarnation = clock.wall_ms()
     peer_links = links.Links.from_settings(process, clock)
+    shared = _shared_state.ReplicatedState.from_settings(
+        process, peer_links, clock, incarnation
+    )
     daemon = _daemon.Daemon(
         process,
         _sockets.listener(process.own.entry_address),
-        _single_node.SingleNodeState(),
+        shared,
         peer_links,
         clock,
-        first_services=(peer_links,),
+        incarnation,
+        first_services=(peer_links, shared),
     )
     await daemon.start()
     _log.info("serving", extra={"address": process.own.entry_address})
--- a/lagooncrank/server/_metrics.py
+++ b/lagooncrank/server/_metrics.py
@@ -116,8 +116,9 @@
         self._tokens.labels(service).inc(tokens)
 
     def exposition(self) -> bytes:
-        """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self.registry)
+        """Returns all metrics of the process in Prometheus' text format."""
+        own = prometheus_client.generate_latest(self.registry)
+        return own + prometheus_client.generate_latest()
 
     def _show_every_reason(self) -> None:
         for code in results.ResultCode:
--- a/lagooncrank/server/_relay.py
+++ b/lagooncrank/server/_relay.py
@@ -18,6 +18,8 @@
     tokens: int
     #: Why the answer ended; empty until it did.
     finish_reason: str = ""
+    #: Why the attempt cannot go on after these tokens, or None.
+    failure: _attempts.AttemptFailure | None = None
 
 
 def take_batch(
@@ -25,30 +27,31 @@
     attempt: int,
     events: Sequence[streams.EngineEvent],
 ) -> TokenBatch:
-    """Joins the events that one read returned.
+    """Joins the events that one read returned, up to the first wrong one.
 
-    Events of an attempt that was replaced are dropped.
-
-    Raises:
-        AttemptFailedError: An event does not continue the answer.
+    Events of an attempt that was replaced are dropped. Tokens before a wrong
+    event were taken, so the caller must get them.
     """
     tokens: list[str] = []
+    finish_reason = ""
+    failure = None
     for event in events:
         taken = progress.take(attempt, event)
         if isinstance(taken, returns.result.Failure):
-            _raise_unless_late(taken.failure())
+            failure = _failure_of(taken.failure())
+            if failure is not None:
+                break
         else:
             tokens.extend(event.tokens)
-    finish_reason = events[-1].finish_reason if progress.done else ""
-    return TokenBatch("".join(tokens), len(tokens), finish_reason)
+            finish_reason = event.finish_reason if event.done else ""
+    return TokenBatch("".join(tokens), len(tokens), finish_reason, failure)
 
 
-def _raise_unless_late(fault: streams.Fault) -> None:
+def _failure_of(fault: streams.Fault) -> _attempts.AttemptFailure | None:
     if fault.kind is streams.FaultKind.LATE:
-        return
+        return None
     kind = retry.FailureKind.PROTOCOL_ERROR
     if fault.kind is streams.FaultKind.ENGINE_ERROR:
         kind = retry.FailureKind.CONNECTION_LOST
     detail = f"{fault.kind}: {fault.detail}"
-    failure = _attempts.AttemptFailure(kind, detail, bytes_written=True)
-    raise _attempts.AttemptFailedError(failure)
+    return _attempts.AttemptFailure(kind, detail, bytes_written=True)
--- a/lagooncrank/server/_stop.py
+++ b/lagooncrank/server/_stop.py
@@ -28,13 +28,13 @@
         self,
         lifecycle: _lifecycle.Lifecycle,
         directory: _entries.EntryDirectory,
-        view: _ports.StateView,
+        shared: _ports.SharedState,
         clock: clocks.Clock,
         deadline_ms: int,
     ) -> None:
         self._lifecycle = lifecycle
         self._directory = directory
-        self._view = view
+        self._shared = shared
         self._clock = clock
         self._deadline_ms = deadline_ms
         self._hurry = asyncio.Event()
@@ -66,7 +66,7 @@
 
     def longest_keep_ms(self) -> int:
         """Returns how long a caller may still use an answer given now."""
-        history = self._view.history()
+        history = self._shared.view.history()
         kept = [r.declarations.leases.entries_keep_for_ms for r in history]
         default_ms = model.LeaseRules().entries_keep_for_ms
         return max(kept, default=default_ms) + PEER_NOTICE_MS
--- a/lagooncrank/server/_targets.py
+++ b/lagooncrank/server/_targets.py
@@ -29,13 +29,13 @@
 
     def __init__(
         self,
-        view: _ports.StateView,
+        shared: _ports.SharedState,
         table: membership.Membership,
         desk: _admission_desk.AdmissionDesk,
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
-        self._view = view
+        self._shared = shared
         self._table = table
         self._desk = desk
         self._clock = clock
@@ -50,7 +50,7 @@
         if known is not None:
             return known
         members = routing.index_members(self._table.live(now_ms))
-        replicas = self._view.replicas.values()
+        replicas = self._shared.view.replicas.values()
         targets = tuple(
             routing.replica_targets(service, replicas, members, now_ms)
         )
@@ -72,7 +72,7 @@
 
     def refresh_capacity(self) -> None:
         """Tells admission what the serving replicas can take."""
-        record = self._view.configuration
+        record = self._shared.view.configuration
         if record is None:
             return
         for service in record.declarations.model_services:
--- a/lagooncrank/server/http/_auth.py
+++ b/lagooncrank/server/http/_auth.py
@@ -16,8 +16,8 @@
 class Authenticator:
     """Knows the key hashes of the declarations in force."""
 
-    def __init__(self, view: _ports.StateView) -> None:
-        self._view = view
+    def __init__(self, shared: _ports.SharedState) -> None:
+        self._shared = shared
         self._revision = 0
         self._keys: tuple[tuple[str, model.ClientAccount], ...] = ()
 
@@ -52,7 +52,7 @@
         return found
 
     def _refresh(self) -> None:
-        record = self._view.configuration
+        record = self._shared.view.configuration
         if record is None or record.revision == self._revision:
             return
         self._revision = record.revision
--- a/lagooncrank/server/http/_entries.py
+++ b/lagooncrank/server/http/_entries.py
@@ -44,13 +44,13 @@
         self,
         directory: _entries.EntryDirectory,
         table: membership.Membership,
-        view: _ports.StateView,
+        shared: _ports.SharedState,
         limits: settings.LimitSettings,
         clock: clocks.Clock,
     ) -> None:
         self._directory = directory
         self._table = table
-        self._view = view
+        self._shared = shared
         self._limits = limits
         self._clock = clock
 
@@ -64,7 +64,7 @@
     async def _entries(self, request: web.Request) -> web.StreamResponse:
         wanted = request.query.get("failure_domain")
         domain = model.FailureDomainId(wanted) if wanted else None
-        record = self._view.configuration
+        record = self._shared.view.configuration
         leases = record.declarations.leases if record else model.LeaseRules()
         answer = EntriesAnswer(
             self._directory.addresses(domain), leases.entries_keep_for_ms
--- a/lagooncrank/server/http/_gate.py
+++ b/lagooncrank/server/http/_gate.py
@@ -24,7 +24,7 @@
     ) -> None:
         self._shared = shared
         self._lifecycle = lifecycle
-        self._authenticator = _auth.Authenticator(shared.view)
+        self._authenticator = _auth.Authenticator(shared)
 
     @contextlib.contextmanager
     def entered(self, request: web.Request) -> Iterator[model.ClientAccount]:
--- a/lagooncrank/server/_single_node.py
+++ b/lagooncrank/server/tests/single_node.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core import state
 from lagooncrank.server import _ports
 
@@ -38,6 +39,13 @@
             listener(command, outcome)
         return outcome
 
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by a snapshot, as a node that lagged does."""
+        self._machine = state.StateMachine.from_snapshot(data)
+        outcome = state.Outcome(results.ResultCode.OK)
+        for listener in self._listeners:
+            listener(state.NoOp(), outcome)
+
     async def confirm_read(self, timeout_ms: int) -> bool:
         """Returns true: every command was applied here."""
         return True
--- a/lagooncrank/server/tests/site.py
+++ b/lagooncrank/server/tests/site.py
@@ -1,5 +1,6 @@
 """One daemon with stand-in engines and a plain service, in one loop."""
 
+import asyncio
 from collections.abc import Mapping
 import dataclasses
 import hashlib
@@ -14,8 +15,9 @@
 from lagooncrank.core import state
 from lagooncrank.core import timeouts
 from lagooncrank.server import _daemon
-from lagooncrank.server import _single_node
 from lagooncrank.server import _sockets
+from lagooncrank.server import _targets
+from lagooncrank.server.tests import single_node
 from standins import _announcer
 from standins import _process
 from standins import engine
@@ -64,7 +66,7 @@
 
     address: str
     daemon: _daemon.Daemon
-    shared: _single_node.SingleNodeState
+    shared: single_node.SingleNodeState
     #: First member of each replica first.
     engines: list[engine.Engine]
     booking: plain_service.PlainServiceStandIn
@@ -84,13 +86,14 @@
         """Starts everything and waits until every replica serves."""
         listener = _sockets.listener(f"{_process.LOOPBACK}:0")
         address = _sockets.bound_address(listener)
-        shared = _single_node.SingleNodeState()
+        shared = single_node.SingleNodeState()
         daemon = _daemon.Daemon(
             _process_settings(address, limits),
             listener,
             shared,
-            _single_node.NoPeers(),
+            single_node.NoPeers(),
             clocks.SystemClock(),
+            incarnation=1,
             engine_bounds=_daemon.EngineBounds(SHORT_BOUNDS, SHORT_BOUNDS),
         )
         await daemon.start()
@@ -144,6 +147,21 @@
             self.url("/v1/completions"), json=body, headers=HEADERS
         )
 
+    async def announced(self) -> None:
+        """Lets every backend server announce its present state."""
+        for service in self.services:
+            assert isinstance(service, _announcer.Announcer)
+            await service.announce()
+        await asyncio.sleep(_targets.REFRESH_INTERVAL_MS / 1_000)
+        self.daemon.targets.refresh_capacity()
+
+    async def connected(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a plain connection to the entry."""
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
     async def counter(self, name: str, reason: str) -> float:
         """Returns a counter of the daemon, by its `reason` label."""
         for family in self.daemon.metrics.registry.collect():
@@ -191,6 +209,7 @@
         while len(self.daemon.targets.of_model(service)) < REPLICAS:
             await self.daemon.placement.step()
             await self.services[0].sleep(0.02)
+        self.daemon.targets.refresh_capacity()
 
 
 def _process_settings(
--- /dev/null
+++ b/lagooncrank/server/tests/test_failures.py
@@ -0,0 +1,212 @@
+"""Engines that die, fall silent or answer wrongly; callers that go away."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import dataclasses
+import json
+from typing import Any
+
+import pytest
+
+from lagooncrank import results
+from lagooncrank import settings
+from lagooncrank.core import admission
+from lagooncrank.server.tests import site as sites
+from standins import _tokens
+from standins import engine
+
+TOKENS = 40
+ANSWER = _tokens.answer("hello", TOKENS)
+FAILED = "lagooncrank_failed_attempts_total"
+REFUSED = "lagooncrank_refusals_total"
+
+
+async def streamed(site: sites.Site) -> tuple[str, str]:
+    """Streams a draft and returns its text and what ended it."""
+    async with site.complete(stream=True, max_tokens=TOKENS) as response:
+        raw = (await response.read()).decode()
+    events = [event for event in raw.split("\n\n") if event]
+    chunks = [
+        json.loads(event.removeprefix("data: "))
+        for event in events
+        if event.startswith("data: {")
+    ]
+    text = "".join(chunk["choices"][0]["text"] for chunk in chunks)
+    return text, events[-1]
+
+
+def first_to_run(site: sites.Site) -> engine.Engine:
+    return next(e for e in site.engines if e.requests)
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Waits for a condition; pytest's own limit ends a wait in vain."""
+    while True:
+        if holds():
+            return
+        await asyncio.sleep(0.005)
+
+
+def cut_first(site: sites.Site, name: str, value: Any) -> None:
+    """Makes whichever engine runs the next request fail once."""
+
+    def fail_once(engine_: engine.Engine) -> None:
+        for other in site.engines:
+            other.on_request = None
+            if other is not engine_:
+                setattr(other, name, None)
+
+    for member in site.engines:
+        setattr(member, name, value)
+        member.on_request = fail_once
+
+
+@pytest.mark.parametrize(
+    ("failure", "value", "resumed", "reason"),
+    [
+        pytest.param("cut_after", 0, 0, "connection_lost", id="dies_at_once"),
+        pytest.param("cut_after", 17, 17, "connection_lost", id="dies_midway"),
+        pytest.param("silent_after", 0, 0, "first_byte_timeout", id="no_byte"),
+        pytest.param(
+            "silent_after", 17, 17, "between_bytes_timeout", id="falls_silent"
+        ),
+        pytest.param("skip_at", 17, 17, "protocol_error", id="gap"),
+        pytest.param("repeat_at", 17, 18, "protocol_error", id="repeat"),
+        pytest.param("mix_up_at", 17, 17, "protocol_error", id="other_request"),
+    ],
+)
+async def test_answer_is_resumed_on_another_replica(
+    site: sites.Site, failure: str, value: int, resumed: int, reason: str
+) -> None:
+    cut_first(site, failure, value)
+    text, end = await streamed(site)
+    assert (text, end) == (ANSWER, "data: [DONE]")
+    ran = [e for e in site.engines if e.requests]
+    starts = [len(e.requests[0]["resume_from"]) for e in ran]
+    assert sorted(starts) == [0, resumed]
+    assert await site.counter(FAILED, reason) == 1
+    assert await site.counter("lagooncrank_retries_total", reason) == 1
+
+
+async def test_error_after_the_first_chunk_is_an_event(
+    site: sites.Site,
+) -> None:
+    for member in site.engines:
+        member.cut_after = 17
+    text, end = await streamed(site)
+    kind, _, data = end.partition("\n")
+    problem = json.loads(data.removeprefix("data: "))
+    assert text == _tokens.answer("hello", 17)
+    assert kind == "event: error"
+    assert problem["code"] == results.ResultCode.BACKEND_LOST
+    assert problem["ran"] == "unknown"
+
+
+async def test_dead_replica_is_passed_over(site: sites.Site) -> None:
+    for close in site.engine_closers[:2]:
+        await close()
+    text, end = await streamed(site)
+    again, _ = await streamed(site)
+    assert (text, end) == (ANSWER, "data: [DONE]")
+    assert again == ANSWER
+
+
+@pytest.mark.parametrize("stream", [True, False])
+async def test_caller_that_goes_away_cancels_at_the_engine(
+    site: sites.Site, stream: bool
+) -> None:
+    _, writer = await site.connected()
+    body = json.dumps(
+        {
+            "model": sites.MODEL,
+            "prompt": "x",
+            "max_tokens": 4_000,
+            "stream": stream,
+        }
+    )
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        f"Authorization: Bearer {sites.KEY}\r\nContent-Length: {len(body)}\r\n"
+    )
+    writer.write(f"{head}\r\n{body}".encode())
+    await until(lambda: any(e.requests for e in site.engines))
+    writer.close()
+    ran = first_to_run(site)
+    await until(lambda: bool(ran.cancelled))
+    await site.daemon.lifecycle.idle.wait()
+    assert ran.cancelled == [ran.requests[0]["request_id"]]
+    assert await site.counter(REFUSED, "CALLER_GONE") == 1
+
+
+@pytest.fixture
+async def impatient() -> AsyncIterator[sites.Site]:
+    limits = settings.LimitSettings(
+        reader_timeout_ms=100, reader_buffer_bytes=4_096
+    )
+    options = {"between_tokens_ms": 0, "tokens_per_event": 200}
+    site = await sites.Site.started(limits, options)
+    yield site
+    await site.stop()
+
+
+async def test_caller_that_stops_reading_is_cut_off(
+    impatient: sites.Site,
+) -> None:
+    site = impatient
+    (declared,) = sites.DECLARATIONS.model_services
+    big = dataclasses.replace(declared, max_output_tokens=10_000_000)
+    await site.apply(sites.DECLARATIONS.with_changes(model_services=(big,)))
+    _, writer = await site.connected()
+    body = json.dumps(
+        {
+            "model": sites.MODEL,
+            "prompt": "x",
+            "max_tokens": 10_000_000,
+            "stream": True,
+        }
+    )
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        f"Authorization: Bearer {sites.KEY}\r\nContent-Length: {len(body)}\r\n"
+    )
+    transport = writer.transport
+    assert isinstance(transport, asyncio.ReadTransport)
+    writer.write(f"{head}\r\n{body}".encode())
+    await until(lambda: any(e.requests for e in site.engines))
+    transport.pause_reading()
+    ran = first_to_run(site)
+    await until(lambda: bool(ran.cancelled))
+    await site.daemon.lifecycle.idle.wait()
+    assert await site.counter(REFUSED, "READER_TOO_SLOW") == 1
+    writer.close()
+
+
+async def test_suspended_request_resumes_where_it_stopped(
+    site: sites.Site,
+) -> None:
+    task = asyncio.create_task(streamed(site))
+    await until(lambda: any(e.requests for e in site.engines))
+    ran = first_to_run(site)
+    request_id = ran.requests[0]["request_id"]
+    await asyncio.sleep(0.05)
+    desk = site.daemon.desk
+    desk.carry_out([admission.Suspend(request_id)])
+    await until(lambda: bool(ran.cancelled))
+    desk.carry_out([admission.Start(request_id, 1)])
+    text, end = await task
+    requests = [r for e in site.engines for r in e.requests]
+    assert (text, end) == (ANSWER, "data: [DONE]")
+    assert [r["attempt"] for r in requests] == [1, 2]
+    assert len(requests[1]["resume_from"]) > 0
+
+
+async def test_deadline_ends_a_draft(site: sites.Site) -> None:
+    body = {"model": sites.MODEL, "prompt": "x", "max_tokens": 4_000}
+    headers = sites.HEADERS | {"X-Deadline-Ms": "100"}
+    async with site.session.post(
+        site.url("/v1/completions"), json=body, headers=headers
+    ) as response:
+        problem = await response.json(content_type=None)
+    assert problem["code"] == results.ResultCode.DEADLINE_EXCEEDED
+    assert problem["ran"] == "unknown"
--- /dev/null
+++ b/lagooncrank/server/tests/test_refusals.py
@@ -0,0 +1,222 @@
+"""What an entry refuses, by which code, and that nothing ran."""
+
+import dataclasses
+from typing import Any
+
+import pytest
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank import settings
+from lagooncrank.server import _lifecycle
+from lagooncrank.server.tests import site as sites
+
+Code = results.ResultCode
+COMPLETIONS = "/v1/completions"
+CHAT = "/v1/chat/completions"
+VALID = {"model": sites.MODEL, "prompt": "hello", "max_tokens": 2}
+MESSAGE = {"role": "user", "content": "hello"}
+
+
+async def refused(
+    site: sites.Site, path: str, **options: Any
+) -> dict[str, Any]:
+    """Sends a POST and returns the problem that answers it."""
+    headers = sites.HEADERS | options.pop("headers", {})
+    async with site.session.post(
+        site.url(path), headers=headers, **options
+    ) as response:
+        problem: dict[str, Any] = await response.json(content_type=None)
+    assert response.content_type == "application/problem+json"
+    assert response.status == problem["status"]
+    assert response.headers["X-Request-Id"] == problem["request_id"]
+    return problem
+
+
+@pytest.mark.parametrize(
+    ("path", "options", "code"),
+    [
+        pytest.param(
+            COMPLETIONS, {"data": b"{"}, Code.MALFORMED_REQUEST, id="cut_json"
+        ),
+        pytest.param(
+            COMPLETIONS,
+            {"data": b'{"model":"\xff"}'},
+            Code.MALFORMED_REQUEST,
+            id="not_utf8",
+        ),
+        pytest.param(
+            COMPLETIONS,
+            {"json": {"model": sites.MODEL}},
+            Code.MALFORMED_REQUEST,
+            id="no_prompt",
+        ),
+        pytest.param(
+            COMPLETIONS,
+            {"json": VALID | {"max_tokens": 0}},
+            Code.MALFORMED_REQUEST,
+            id="no_tokens",
+        ),
+        pytest.param(
+            CHAT,
+            {"json": {"model": sites.MODEL, "messages": []}},
+            Code.MALFORMED_REQUEST,
+            id="no_messages",
+        ),
+        pytest.param(
+            COMPLETIONS,
+            {"json": VALID, "headers": {"X-Deadline-Ms": "soon"}},
+            Code.MALFORMED_REQUEST,
+            id="deadline_no_number",
+        ),
+        pytest.param(
+            COMPLETIONS,
+            {"json": VALID, "headers": {"Authorization": "Bearer wrong"}},
+            Code.UNAUTHENTICATED,
+            id="wrong_key",
+        ),
+        pytest.param(
+            COMPLETIONS,
+            {"json": VALID, "headers": {"Authorization": "Basic x"}},
+            Code.UNAUTHENTICATED,
+            id="wrong_scheme",
+        ),
+        pytest.param(
+            COMPLETIONS,
+            {"json": VALID | {"model": "other"}},
+            Code.UNKNOWN_MODEL,
+            id="unknown_model",
+        ),
+        pytest.param(
+            "/v1/services/other/x", {}, Code.UNKNOWN_SERVICE, id="unknown"
+        ),
+        pytest.param(
+            f"/v1/services/{sites.BOOKING}/x",
+            {},
+            Code.KEY_REQUIRED,
+            id="no_key",
+        ),
+        pytest.param(
+            f"/v1/services/{sites.BOOKING}/x",
+            {"headers": {"Idempotency-Key": "k" * 257}},
+            Code.MALFORMED_REQUEST,
+            id="long_key",
+        ),
+        pytest.param("/v1/other", {}, Code.UNKNOWN_RESOURCE, id="no_such_path"),
+        pytest.param("/v1/models", {}, Code.METHOD_NOT_ALLOWED, id="method"),
+        pytest.param(
+            COMPLETIONS,
+            {"data": b"x" * 1_048_577},
+            Code.REQUEST_TOO_LARGE,
+            id="too_large",
+        ),
+        pytest.param(
+            "/v1/announce",
+            {"json": {}},
+            Code.INVALID_ANNOUNCEMENT,
+            id="announce",
+        ),
+    ],
+)
+async def test_refusal(
+    site: sites.Site, path: str, options: dict[str, Any], code: Code
+) -> None:
+    problem = await refused(site, path, **options)
+    assert problem["code"] == code
+    assert problem["ran"] == "not_run"
+    assert [e.requests for e in site.engines] == [[]] * len(site.engines)
+    assert site.booking.runs == {}
+    counted = await site.counter("lagooncrank_refusals_total", code.name)
+    assert counted == 1
+
+
+async def test_chunked_body_over_the_limit(site: sites.Site) -> None:
+    async def chunks() -> Any:
+        for _ in range(20):
+            yield b"x" * 65_536
+
+    problem = await refused(site, COMPLETIONS, data=chunks())
+    assert problem["code"] == Code.REQUEST_TOO_LARGE
+
+
+async def test_account_may_be_kept_from_a_service(site: sites.Site) -> None:
+    (account,) = sites.DECLARATIONS.client_accounts
+    limited = dataclasses.replace(
+        account, services=(model.ServiceName(sites.STATUS),)
+    )
+    await site.apply(
+        sites.DECLARATIONS.with_changes(client_accounts=(limited,))
+    )
+    problem = await refused(site, COMPLETIONS, json=VALID)
+    assert problem["code"] == Code.FORBIDDEN
+
+
+async def test_entry_that_drains_names_itself_stopping(
+    site: sites.Site,
+) -> None:
+    site.daemon.lifecycle.enter(_lifecycle.Phase.DRAINING)
+    problem = await refused(site, COMPLETIONS, json=VALID)
+    assert problem["code"] == Code.STOPPING
+    assert problem["ran"] == "not_run"
+
+
+async def test_no_serving_replica(site: sites.Site) -> None:
+    for engine in site.engines:
+        engine.leaving = True
+    await site.announced()
+    problem = await refused(site, COMPLETIONS, json=VALID)
+    assert problem["code"] == Code.NO_SERVING_REPLICA
+    assert problem["retry_after_ms"] > 0
+
+
+@pytest.mark.parametrize(
+    ("given", "kept"),
+    [
+        pytest.param("caller-1", True, id="usable"),
+        pytest.param("x" * 129, False, id="too_long"),
+        pytest.param('a"b', False, id="unsafe"),
+    ],
+)
+async def test_request_id_comes_back(
+    site: sites.Site, given: str, kept: bool
+) -> None:
+    headers = {"X-Request-Id": given}
+    url = site.url("/v1/entries")
+    async with site.session.get(url, headers=headers) as response:
+        echoed = response.headers["X-Request-Id"]
+    assert (echoed == given) == kept
+    assert echoed
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        pytest.param({"X-Long": "x" * 20_000}, id="long_line"),
+        pytest.param({f"X-{i}": "x" for i in range(100)}, id="many_lines"),
+    ],
+)
+async def test_headers_over_the_limit(
+    site: sites.Site, headers: dict[str, str]
+) -> None:
+    url = site.url("/v1/entries")
+    async with site.session.get(url, headers=headers) as response:
+        assert response.status == 400
+
+
+async def test_body_that_does_not_arrive() -> None:
+    limits = settings.LimitSettings(sender_timeout_ms=50)
+    site = await sites.Site.started(limits)
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        f"Authorization: Bearer {sites.KEY}\r\nContent-Length: 10\r\n\r\n"
+    )
+    reader, writer = await site.connected()
+    writer.write(head.encode())
+    status = await reader.readline()
+    writer.close()
+    counted = await site.counter(
+        "lagooncrank_refusals_total", Code.SENDER_TOO_SLOW.name
+    )
+    await site.stop()
+    assert status.split()[1] == b"408"
+    assert counted == 1
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import dataclasses
 import json
 import os
@@ -56,6 +57,13 @@
         self.silent_after: int | None = None
         #: Offset after which connections are cut, or None.
         self.cut_after: int | None = None
+        #: Offset at which one event is left out, given twice or given
+        #: another request's id; or None.
+        self.skip_at: int | None = None
+        self.repeat_at: int | None = None
+        self.mix_up_at: int | None = None
+        #: Called with this engine when a request arrives.
+        self.on_request: Callable[[Engine], None] | None = None
         #: Bodies of all generate requests, oldest first.
         self.requests: list[dict[str, Any]] = []
         #: Request ids whose streams ended before their last token.
@@ -156,6 +164,8 @@
         if refusal is not None:
             return refusal
         self.requests.append(body)
+        if self.on_request is not None:
+            self.on_request(self)
         if (
             self.options.crash_text
             and self.options.crash_text in body["prompt"]
@@ -204,7 +214,13 @@
                 _tokens.token_at(body["prompt"], position)
                 for position in range(offset, end)
             ]
-            yield _line(body["request_id"], offset, tokens, end == count)
+            request_id = body["request_id"]
+            shown_id = "other" if offset == self.mix_up_at else request_id
+            line = _line(shown_id, offset, tokens, end == count)
+            if offset != self.skip_at:
+                yield line
+            if offset == self.repeat_at:
+                yield line
             offset = end
             await asyncio.sleep(self.options.between_tokens_ms / 1_000)
 
