--- a/lagooncrank/model/_replica.py
+++ b/lagooncrank/model/_replica.py
@@ -46,6 +46,10 @@
     #: Raised by one at each change of the replica.
     epoch: int = 0
     state: ReplicaState = ReplicaState.FORMING
+    #: Role that the members' load orders name.
+    role: str = "mixed"
+    #: Adapters that the members' load orders name.
+    adapters: tuple[str, ...] = ()
 
     @property
     def holds_instances(self) -> bool:
