Answer operators' refusals through the shared error path

Cause: the operators' handlers had their own problem+json writer, so their refusals were not counted and carried no request id.

Change: handlers raise LagooncrankError; the application's middleware answers and counts. Refusal.current_revision carries the revision of a conflict. A proposal whose fate is not known now says ran: unknown.

--- a/lagooncrank/results.py
+++ b/lagooncrank/results.py
@@ -121,6 +121,8 @@
     ran: Ran = Ran.NOT_RUN
     #: When asking again may help, or None where it would not.
     retry_after_ms: int | None = None
+    #: Revision in force, where a change was made to another one.
+    current_revision: int | None = None
 
 
 class LagooncrankError(Exception):
--- a/lagooncrank/server/http/_operator_requests.py
+++ b/lagooncrank/server/http/_operator_requests.py
@@ -5,7 +5,6 @@
 import hashlib
 import hmac
 import json
-from typing import Any
 from typing import TypeVar
 
 from aiohttp import web
@@ -14,6 +13,7 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank import settings
+from lagooncrank.server.http import _problem
 
 #: Largest body of a request, in bytes.
 MAX_BODY_BYTES = 4_194_304
@@ -52,7 +52,7 @@
     digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
     matches = [hmac.compare_digest(digest, d) for d in operator_key_sha256s]
     if not any(matches):
-        raise refused(
+        raise _problem.error(
             results.ResultCode.UNAUTHENTICATED,
             "send an operator key as 'Authorization: Bearer KEY'; its "
             "SHA-256 must stand in operator_key_sha256s of this node",
@@ -69,10 +69,12 @@
     try:
         plain = json.loads(body)
         for fault in settings.check_shape(plain, kind):
-            raise refused(results.ResultCode.MALFORMED_REQUEST, str(fault))
+            raise _problem.error(
+                results.ResultCode.MALFORMED_REQUEST, str(fault)
+            )
         return msgspec.convert(plain, kind)
     except (ValueError, RecursionError) as error:
-        raise refused(
+        raise _problem.error(
             results.ResultCode.MALFORMED_REQUEST,
             f"the body is no {kind.__name__}: {error}",
         ) from error
@@ -83,32 +85,8 @@
     async for chunk in request.content.iter_any():
         body += chunk
         if len(body) > MAX_BODY_BYTES:
-            raise refused(
+            raise _problem.error(
                 results.ResultCode.REQUEST_TOO_LARGE,
                 f"the body is over {MAX_BODY_BYTES} bytes",
             )
     return bytes(body)
-
-
-def refused(code: results.ResultCode, reason: str) -> results.LagooncrankError:
-    """Returns an error that a handler raises to refuse a request."""
-    return results.LagooncrankError(results.Refusal(code, reason))
-
-
-def problem(refusal: results.Refusal, **more: Any) -> web.Response:
-    """Returns a refusal as problem+json with further fields."""
-    code = refusal.code
-    body: dict[str, Any] = {
-        "type": "about:blank",
-        "title": code.name,
-        "status": code.http_status,
-        "code": code.value,
-        "reason": refusal.reason,
-        "ran": refusal.ran,
-        **more,
-    }
-    return web.json_response(
-        body,
-        status=code.http_status,
-        content_type="application/problem+json",
-    )
--- a/lagooncrank/server/http/_operators.py
+++ b/lagooncrank/server/http/_operators.py
@@ -16,6 +16,7 @@
 from lagooncrank.server import _revision_reports
 from lagooncrank.server.http import _operator_requests as requests
 from lagooncrank.server.http import _operator_views as views
+from lagooncrank.server.http import _problem
 
 #: How long a change may wait for the quorum.
 PROPOSE_TIMEOUT_MS = 5_000
@@ -69,11 +70,8 @@
 
     def _guarded(self, handler: _Handler) -> _Handler:
         async def checked(request: web.Request) -> web.StreamResponse:
-            try:
-                requests.authenticate(request, self._digests)
-                return await handler(request)
-            except results.LagooncrankError as error:
-                return requests.problem(error.refusal)
+            requests.authenticate(request, self._digests)
+            return await handler(request)
 
         return checked
 
@@ -91,7 +89,7 @@
         await self._confirm_read()
         record = self._shared.view.configuration
         if record is None:
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.NO_CONFIGURATION,
                 "nothing was applied yet; apply declarations with base "
                 "revision 0",
@@ -111,7 +109,7 @@
             if record.revision == wanted:
                 return web.json_response(views.configuration(record))
         kept = ", ".join(str(r.revision) for r in history) or "none"
-        raise requests.refused(
+        raise _problem.error(
             results.ResultCode.UNKNOWN_RESOURCE,
             f"revision {wanted} is not kept; kept revisions: {kept}",
         )
@@ -121,7 +119,7 @@
         current = record.revision if record else 0
         asked = request.query.get("revision", str(current))
         if not asked.isascii() or not asked.isdigit():
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 f"revision is {asked!r}, must be a whole number",
             )
@@ -140,9 +138,6 @@
                 wall_ms=self._clock.wall_ms(),
             )
         )
-        if not outcome.ok:
-            refusal = results.Refusal(outcome.code, outcome.reason)
-            return requests.problem(refusal, current_revision=outcome.revision)
         return web.json_response(
             {"code": results.ResultCode.OK, "revision": outcome.revision}
         )
@@ -152,13 +147,13 @@
     ) -> requests.ChangeRequest:
         change = await requests.read_json(request, requests.ChangeRequest)
         if not change.change_id or not change.author:
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 "change_id and author must not be empty",
             )
         problems = settings.check_declarations(change.declarations)
         if problems:
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.INVALID_DECLARATIONS,
                 "; ".join(f"{p.field}: {p.message}" for p in problems),
             )
@@ -184,7 +179,7 @@
     async def _drain(self, request: web.Request) -> web.StreamResponse:
         body = await requests.read_json(request, requests.DrainRequest)
         if not body.instance_id:
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 "instance_id must not be empty",
             )
@@ -195,7 +190,7 @@
     async def _end_drain(self, request: web.Request) -> web.StreamResponse:
         instance_id = model.InstanceId(request.match_info["instance_id"])
         if instance_id not in self._shared.view.drains:
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.UNKNOWN_RESOURCE,
                 f"instance {instance_id!r} is not drained; GET /v1/drain "
                 "lists those that are",
@@ -211,32 +206,43 @@
         try:
             digest = bytes.fromhex(text)
         except ValueError as error:
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 f"{text!r} is no digest: give whole bytes in hexadecimal",
             ) from error
         if digest not in self._shared.view.marks:
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.UNKNOWN_RESOURCE,
                 f"no content {text} is marked; GET /v1/quarantine lists them",
             )
         return await self._answer_order(state.LiftMark(digest))
 
     async def _answer_order(self, command: state.Command) -> web.Response:
-        outcome = await self._propose(command)
-        if not outcome.ok:
-            return requests.problem(
-                results.Refusal(outcome.code, outcome.reason)
-            )
+        await self._propose(command)
         return web.json_response({"code": results.ResultCode.OK})
 
     async def _propose(self, command: state.Command) -> state.Outcome:
-        return await self._shared.propose(command, PROPOSE_TIMEOUT_MS)
+        outcome = await self._shared.propose(command, PROPOSE_TIMEOUT_MS)
+        if not outcome.ok:
+            raise results.LagooncrankError(_refusal_of(outcome))
+        return outcome
 
     async def _confirm_read(self) -> None:
         if not await self._shared.confirm_read(READ_TIMEOUT_MS):
-            raise requests.refused(
+            raise _problem.error(
                 results.ResultCode.NO_QUORUM,
                 "this node cannot reach a majority of voters, so its answer "
                 "could be old; ask another entry",
             )
+
+
+def _refusal_of(outcome: state.Outcome) -> results.Refusal:
+    ran = results.Ran.NOT_RUN
+    if outcome.code is results.ResultCode.PROPOSAL_LOST:
+        ran = results.Ran.UNKNOWN
+    return results.Refusal(
+        outcome.code,
+        outcome.reason,
+        ran,
+        current_revision=outcome.revision or None,
+    )
--- a/lagooncrank/server/http/_problem.py
+++ b/lagooncrank/server/http/_problem.py
@@ -25,6 +25,8 @@
     }
     if refusal.retry_after_ms is not None:
         fields["retry_after_ms"] = refusal.retry_after_ms
+    if refusal.current_revision is not None:
+        fields["current_revision"] = refusal.current_revision
     return msgspec.json.encode(fields)
 
 
--- a/lagooncrank/server/http/tests/operator_node.py
+++ b/lagooncrank/server/http/tests/operator_node.py
@@ -12,9 +12,12 @@
 from lagooncrank import settings
 from lagooncrank.core import membership
 from lagooncrank.core import state
+from lagooncrank.server import _metrics
 from lagooncrank.server import _ports
 from lagooncrank.server import _revision_reports
+from lagooncrank.server.http import _app
 from lagooncrank.server.http import _operators
+from lagooncrank.server.http import _request_ids
 
 OPERATOR_KEY = "operator-key"
 NODES = ("n1", "n2")
@@ -110,9 +113,12 @@
             self.reports,
             self.clock,
         )
-        app = web.Application()
-        app.add_routes(handlers.routes())
-        return app
+        return _app.build(
+            [handlers],
+            settings.LimitSettings(),
+            _request_ids.RequestIds(model.NodeId("n1"), 1),
+            _metrics.Metrics(),
+        )
 
 
 def process_settings() -> settings.ProcessSettings:
