Run the daemon on the replicated state; the demo has three nodes

Cause: the daemon used a state of one process. Change: lagooncrankd builds ReplicatedState over its links and data folder (exit status 4 when the folder cannot be used). StateMachine.restore replaces the content in place, so holders of a StateView see a state that arrived as a whole; listeners are then told the revision in force. The demo runs three nodes in three failure domains.

--- a/demo/_files.py
+++ b/demo/_files.py
@@ -9,7 +9,7 @@
 import yaml
 
 LOOPBACK = "127.0.0.1"
-DOMAINS = ("domain-1",)
+DOMAINS = ("domain-1", "domain-2", "domain-3")
 ACCOUNT_KEY = "demo-account-key"
 OPERATOR_KEY = "demo-operator-key"
 MODEL = "quote-drafts"
--- a/lagooncrank/core/state/_machine.py
+++ b/lagooncrank/core/state/_machine.py
@@ -64,15 +64,23 @@
     def from_snapshot(cls, data: bytes) -> "StateMachine":
         """Builds a state machine from what `snapshot` returned.
 
+        Raises:
+            SnapshotVersionError: Another version wrote the snapshot.
+        """
+        machine = cls()
+        machine.restore(data)
+        return machine
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state by what `snapshot` returned.
+
         Raises:
             SnapshotVersionError: Another version wrote the snapshot.
         """
         snapshot = model.from_cbor(data, StateSnapshot)
         if snapshot.version != SNAPSHOT_VERSION:
             raise SnapshotVersionError(snapshot.version)
-        machine = cls()
-        machine._restore(snapshot)
-        return machine
+        self._restore(snapshot)
 
     @property
     def applied_index(self) -> int:
--- a/lagooncrank/server/_applying.py
+++ b/lagooncrank/server/_applying.py
@@ -12,7 +12,7 @@
     """Implements `consensus.Applier` and tells listeners."""
 
     def __init__(self) -> None:
-        #: The state after the last applied entry.
+        #: The state after the last applied entry; always this one object.
         self.view = state.StateMachine()
         #: Called after each applied command.
         self.listeners: list[_ports.AppliedListener] = []
@@ -31,9 +31,25 @@
         return self.view.snapshot()
 
     def restore(self, data: bytes) -> None:
-        """Replaces the state by what `snapshot` returned."""
-        self.view = state.StateMachine.from_snapshot(data)
-        self._tell(state.NoOp(), state.Outcome(results.ResultCode.OK))
+        """Replaces the state by what `snapshot` returned.
+
+        Holders of `view` see the new state. Listeners are told the revision
+        in force, as the command that put it there may have been skipped.
+        """
+        self.view.restore(data)
+        record = self.view.configuration
+        if record is not None:
+            command = state.ApplyDeclarations(
+                record.change_id,
+                record.revision - 1,
+                record.declarations,
+                record.author,
+                record.wall_ms,
+            )
+            outcome = state.Outcome(
+                results.ResultCode.OK, revision=record.revision
+            )
+            self._tell(command, outcome)
 
     def _tell(self, command: state.Command, outcome: state.Outcome) -> None:
         for listener in self.listeners:
--- a/lagooncrank/server/_main.py
+++ b/lagooncrank/server/_main.py
@@ -13,14 +13,17 @@
 from lagooncrank import settings
 from lagooncrank.server import _daemon
 from lagooncrank.server import _logging
-from lagooncrank.server import _single_node
+from lagooncrank.server import _shared_state
 from lagooncrank.server import _sockets
 from lagooncrank.server import links
+from lagooncrank.server import storage
 
 #: Exit status when requests were cut off by the stop deadline.
 CUT_OFF_STATUS = 3
 #: Exit status when the settings cannot be used.
 SETTINGS_STATUS = 2
+#: Exit status when the data folder cannot be used.
+STORAGE_STATUS = 4
 
 _log = logbook.Logger(__name__)
 
@@ -38,7 +41,11 @@
         raise typer.Exit(SETTINGS_STATUS) from error
     clock = clocks.SystemClock()
     _logging.set_up(sys.stderr, clock, process.node_id, process.log_level)
-    in_time = asyncio.run(_serve(process, clock))
+    try:
+        in_time = asyncio.run(_serve(process, clock))
+    except storage.StorageError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(STORAGE_STATUS) from error
     raise typer.Exit(0 if in_time else CUT_OFF_STATUS)
 
 
@@ -51,13 +58,16 @@
     process: settings.ProcessSettings, clock: clocks.Clock
 ) -> bool:
     peer_links = links.Links.from_settings(process, clock)
+    shared = _shared_state.ReplicatedState.from_settings(
+        process, peer_links, clock, incarnation=clock.wall_ms()
+    )
     daemon = _daemon.Daemon(
         process,
         _sockets.listener(process.own.entry_address),
-        _single_node.SingleNodeState(),
+        shared,
         peer_links,
         clock,
-        first_services=(peer_links,),
+        first_services=(peer_links, shared),
     )
     await daemon.start()
     _log.info("serving", extra={"address": process.own.entry_address})
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -192,7 +192,8 @@
     def on_applied(self, listener: _ports.AppliedListener) -> None:
         """Registers a listener for applied commands.
 
-        After a restored snapshot it is called once with a `NoOp`.
+        After a restored snapshot it is called once, with the command that
+        put the present revision in force.
         """
         self._machine.listeners.append(listener)
 
--- a/lagooncrank/server/tests/test_shared_state.py
+++ b/lagooncrank/server/tests/test_shared_state.py
@@ -253,6 +253,12 @@
     with closing(System(tmp_path)) as system:
         await system.run(4_000)
         system.network.cut_off.add("e1")
+        entry = system.nodes["e1"]
+        view = entry.view
+        told: list[state.Command] = []
+        entry.on_applied(lambda command, _: told.append(command))
+        changed = system.nodes["v1"].propose(change("c", 0), TIMEOUT_MS)
+        assert (await system.during(changed)).ok
         marks = [
             state.MarkContent(b"%d" % n, "victim", 1, 10_000_000)
             for n in range(1_100)
@@ -263,9 +269,9 @@
         )
         system.network.cut_off.clear()
         await system.run(1_000)
-        entry = system.nodes["e1"]
-        assert entry.view.marks == node.view.marks
-        assert entry.view.applied_index == node.view.applied_index
+        assert view.marks == node.view.marks
+        assert view.applied_index == node.view.applied_index
+        assert change("c", 0) in told
 
 
 async def test_failed_disk_stops_the_voter_without_an_answer(
