Ledger: time from two entries, answers bounded, earlier starts become unknown

Cause: one entry with a clock running ahead made the ledger forget finished calls, after which a repeat would run twice; stored answers had no bound in bytes (20,000 x 16 KiB an account); each reservation scanned every record; a reservation whose owner died stayed reserved for ever.

--- a/lagooncrank/core/state/__init__.py
+++ b/lagooncrank/core/state/__init__.py
@@ -15,6 +15,7 @@
 from lagooncrank.core.state._commands import LiftMark
 from lagooncrank.core.state._commands import MarkContent
 from lagooncrank.core.state._commands import NoOp
+from lagooncrank.core.state._commands import NoteEntry
 from lagooncrank.core.state._commands import PutReplica
 from lagooncrank.core.state._commands import ReserveCall
 from lagooncrank.core.state._commands import ResolveCall
@@ -27,6 +28,7 @@
 from lagooncrank.core.state._records import ConfigurationRecord
 from lagooncrank.core.state._records import ContentMark
 from lagooncrank.core.state._records import Drain
+from lagooncrank.core.state._records import EntryNote
 from lagooncrank.core.state._records import Outcome
 
 __all__ = [
@@ -43,10 +45,12 @@
     "Drain",
     "DrainInstance",
     "EndDrain",
+    "EntryNote",
     "FinishCall",
     "LiftMark",
     "MarkContent",
     "NoOp",
+    "NoteEntry",
     "Outcome",
     "PutReplica",
     "ReserveCall",
--- a/lagooncrank/core/state/_commands.py
+++ b/lagooncrank/core/state/_commands.py
@@ -27,7 +27,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
 class CallKey:
     """Names one call that may not be repeated."""
 
@@ -115,6 +115,20 @@
     answer: StoredAnswer | None = None
 
 
+@COMMANDS.register("note_entry")
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteEntry:
+    """Tells of an entry's present start and its clock.
+
+    What earlier starts of the entry had reserved becomes UNKNOWN: they may
+    have sent it, and nothing will tell.
+    """
+
+    node_id: model.NodeId
+    incarnation: int
+    wall_ms: int
+
+
 @COMMANDS.register("put_replica")
 @dataclasses.dataclass(frozen=True, slots=True)
 class PutReplica:
@@ -173,6 +187,7 @@
     | ReserveCall
     | FinishCall
     | ResolveCall
+    | NoteEntry
     | PutReplica
     | MarkContent
     | LiftMark
--- a/lagooncrank/core/state/_ledger.py
+++ b/lagooncrank/core/state/_ledger.py
@@ -3,9 +3,13 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import heapq
 
+from lagooncrank import model
 from lagooncrank import results
+from lagooncrank.core.state import _answers
 from lagooncrank.core.state import _commands
+from lagooncrank.core.state import _entry_notes
 from lagooncrank.core.state import _records
 
 #: Records kept for one client account; further reservations are refused.
@@ -25,11 +29,20 @@
     owner that is not heard may only be paused.
     """
 
-    def __init__(self, records: Iterable[_records.CallRecord] = ()) -> None:
-        self._records = {record.call: record for record in records}
-        self._counts = collections.Counter(
-            call.account for call in self._records
+    def __init__(
+        self,
+        records: Iterable[_records.CallRecord] = (),
+        notes: Iterable[_records.EntryNote] = (),
+    ) -> None:
+        self._entries = _entry_notes.EntryNotes(notes)
+        self._records: dict[_commands.CallKey, _records.CallRecord] = {}
+        self._counts: collections.Counter[model.ClientAccountId] = (
+            collections.Counter()
         )
+        self._answers = _answers.AnswerBudget()
+        self._ending: list[tuple[int, _commands.CallKey]] = []
+        for record in records:
+            self._put(record)
 
     def find(self, call: _commands.CallKey) -> _records.CallRecord | None:
         """Returns the record of a call."""
@@ -39,10 +52,33 @@
         """Returns every record, in the order of reservation."""
         return tuple(self._records.values())
 
+    def entry_notes(self) -> tuple[_records.EntryNote, ...]:
+        """Returns what is known of the entries."""
+        return self._entries.notes()
+
+    def note_entry(self, command: _commands.NoteEntry) -> _records.Outcome:
+        """Takes an entry's start and clock, and forgets what ended."""
+        self._entries.note_start(command.node_id, command.incarnation)
+        now_ms = self._entries.note_time(command.node_id, command.wall_ms)
+        for record in tuple(self._records.values()):
+            reserved = record.state is _CallState.RESERVED
+            if reserved and self._entries.is_over(record.owner):
+                self._end(record, _CallState.UNKNOWN, now_ms, None)
+        self._forget_ended(now_ms)
+        return _records.Outcome(_Code.OK)
+
     def reserve(self, command: _commands.ReserveCall) -> _records.Outcome:
         """Reserves a call that no other owner holds and that did not run."""
-        self._forget_ended(command.wall_ms)
+        owner = command.owner
+        now_ms = self._entries.note_time(owner.node_id, command.wall_ms)
+        self._forget_ended(now_ms)
         record = self._records.get(command.call)
+        if self._entries.is_over(owner):
+            return _records.Outcome(
+                _Code.SEND_WINDOW_PASSED,
+                f"entry {owner.node_id!r} started again since",
+                call=record,
+            )
         if record is not None:
             refusal = _refuse_reservation(command, record)
             if refusal is not None:
@@ -58,6 +94,7 @@
 
     def finish(self, command: _commands.FinishCall) -> _records.Outcome:
         """Records how a call ended, on its owner's word."""
+        self._entries.note_time(command.owner.node_id, command.wall_ms)
         record = self._records.get(command.call)
         if record is None:
             return self._finish_unreserved(command)
@@ -103,7 +140,8 @@
                 owner=command.owner,
                 state=_CallState.NOT_RUN,
                 reserved_wall_ms=command.wall_ms,
-                forget_wall_ms=command.wall_ms + TOMBSTONE_RETENTION_MS,
+                forget_wall_ms=self._later(command.wall_ms)
+                + TOMBSTONE_RETENTION_MS,
             )
         )
 
@@ -116,7 +154,7 @@
     ) -> _records.Outcome:
         forget_wall_ms = 0
         if state is not _CallState.UNKNOWN:
-            forget_wall_ms = wall_ms + record.retention_ms
+            forget_wall_ms = self._later(wall_ms) + record.retention_ms
         return self._put(
             dataclasses.replace(
                 record,
@@ -126,21 +164,42 @@
             )
         )
 
+    def _later(self, wall_ms: int) -> int:
+        """Returns a time that is not behind the ledger's."""
+        return max(wall_ms, self._entries.now_ms)
+
     def _put(self, record: _records.CallRecord) -> _records.Outcome:
-        if record.call not in self._records:
+        before = self._records.get(record.call)
+        if before is None:
             self._counts[record.call.account] += 1
+        else:
+            self._answers.removed(before)
         self._records[record.call] = record
+        self._answers.added(record)
+        if record.forget_wall_ms:
+            entry = (record.forget_wall_ms, record.call)
+            heapq.heappush(self._ending, entry)
+        self._drop_answers(record.call.account)
         return _records.Outcome(_Code.OK, call=record)
 
-    def _forget_ended(self, wall_ms: int) -> None:
-        ended = [
-            call
-            for call, record in self._records.items()
-            if 0 < record.forget_wall_ms <= wall_ms
-        ]
-        for call in ended:
+    def _drop_answers(self, account: model.ClientAccountId) -> None:
+        while (chosen := self._answers.next_to_drop(account)) is not None:
+            forget_wall_ms, call = chosen
+            record = self._records.get(call)
+            if record is None or record.forget_wall_ms != forget_wall_ms:
+                continue
+            self._answers.removed(record)
+            self._records[call] = dataclasses.replace(record, answer=None)
+
+    def _forget_ended(self, now_ms: int) -> None:
+        while self._ending and self._ending[0][0] <= now_ms:
+            _, call = heapq.heappop(self._ending)
+            record = self._records.get(call)
+            if record is None or not 0 < record.forget_wall_ms <= now_ms:
+                continue
             del self._records[call]
             self._counts[call.account] -= 1
+            self._answers.removed(record)
 
 
 def _refuse_reservation(
--- a/lagooncrank/core/state/_machine.py
+++ b/lagooncrank/core/state/_machine.py
@@ -40,6 +40,7 @@
     last_fencing_number: int
     marks: tuple[_records.ContentMark, ...]
     drains: tuple[_records.Drain, ...] = ()
+    entry_notes: tuple[_records.EntryNote, ...] = ()
 
 
 class StateMachine:
@@ -145,6 +146,7 @@
                 last_fencing_number=self._assignments.last_fencing_number,
                 marks=tuple(self._quarantine.marks.values()),
                 drains=tuple(self._drains.drains.values()),
+                entry_notes=self._ledger.entry_notes(),
             )
         )
 
@@ -153,7 +155,7 @@
         self._configurations = _configuration.Configurations(
             snapshot.configurations
         )
-        self._ledger = _ledger.CallLedger(snapshot.calls)
+        self._ledger = _ledger.CallLedger(snapshot.calls, snapshot.entry_notes)
         self._assignments = _assignments.Assignments(
             snapshot.replicas, snapshot.last_fencing_number
         )
@@ -184,6 +186,10 @@
     def _(self, command: _commands.ResolveCall) -> _records.Outcome:
         return self._ledger.resolve(command)
 
+    @_apply.register
+    def _(self, command: _commands.NoteEntry) -> _records.Outcome:
+        return self._ledger.note_entry(command)
+
     @_apply.register
     def _(self, command: _commands.PutReplica) -> _records.Outcome:
         return self._assignments.put(command)
--- a/lagooncrank/core/state/_records.py
+++ b/lagooncrank/core/state/_records.py
@@ -33,6 +33,17 @@
     retention_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryNote:
+    """What the ledger knows of one entry."""
+
+    node_id: model.NodeId
+    #: Latest time that the entry told.
+    wall_ms: int = 0
+    #: Latest start of the entry; reservations of earlier ones are refused.
+    incarnation: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ContentMark:
     """Crashes counted against one request content."""
