--- a/bench/_entry.py
+++ b/bench/_entry.py
@@ -57,7 +57,14 @@
             policies.admission
         ).from_config(admission.AdmissionConfig(node_id, 1, scenario.entries))
         self.router = routing.ROUTERS.get(policies.router).from_config(
-            routing.RouterConfig(node_id, self.domain)
+            routing.RouterConfig(
+                node_id,
+                self.domain,
+                tuple(
+                    model.NodeId(f"entry-{peer}")
+                    for peer in range(scenario.entries)
+                ),
+            )
         )
         self.retry = retry.RETRY_POLICIES.get(policies.retry).from_config(
             retry.RetryConfig()
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -7,6 +7,7 @@
 import zlib
 
 from lagooncrank import model
+from lagooncrank.core.routing import _homes
 from lagooncrank.core.routing import _load
 from lagooncrank.core.routing import _policies
 from lagooncrank.core.routing import _prefix
@@ -23,8 +24,8 @@
 PREFILL_MS_PER_TOKEN = 0.1
 #: Cost of a target in another failure domain.
 DISTANCE_MS = 4.0
-#: Spread of the preferences that differ from entry to entry.
-AFFINITY_MS = 100.0
+#: Cost of a target that is at home at another entry.
+AWAY_MS = 1_000.0
 #: A straggler that no lent work measured anew for this long gets owned work.
 OWNED_PROBE_AFTER_MS = 30_000
 
@@ -32,13 +33,27 @@
 class _TargetState:
     """What the router knows of one target."""
 
-    def __init__(self, incarnation: str, affinity: float) -> None:
+    def __init__(self, incarnation: str) -> None:
         self.incarnation = incarnation
-        self.affinity_ms = affinity * AFFINITY_MS
         self.load = _load.TargetLoad()
         self.speed = _speed.TargetSpeed()
 
 
+class _Service:
+    """What the router knows of the targets of one service."""
+
+    def __init__(self, config: _policies.RouterConfig) -> None:
+        self.states: dict[str, _TargetState] = {}
+        self.homes = _homes.Homes(config.node_id, config.entries)
+        self.comparison = _speed.Comparison()
+
+    def update(self, targets: Sequence[_types.Target], now_ms: int) -> None:
+        """Compares speeds and assigns homes, when due."""
+        speeds = (state.speed for state in self.states.values())
+        self.comparison.update(speeds, now_ms)
+        self.homes.update(targets, now_ms)
+
+
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     """An attempt in flight."""
@@ -54,8 +69,7 @@
 
     def __init__(self, config: _policies.RouterConfig) -> None:
         self._config = config
-        self._states: dict[model.ServiceName, dict[str, _TargetState]] = {}
-        self._comparisons: dict[model.ServiceName, _speed.Comparison] = {}
+        self._services: dict[model.ServiceName, _Service] = {}
         self._attempts: dict[model.RequestId, _Attempt] = {}
         self._hints = _prefix.PrefixHints()
 
@@ -71,13 +85,10 @@
         now_ms: int,
     ) -> _types.Target | None:
         """Returns the cheapest allowed target, or None if there is none."""
-        states = self._states.setdefault(query.service, {})
-        comparison = self._comparisons.setdefault(
-            query.service, _speed.Comparison()
-        )
-        comparison.update((s.speed for s in states.values()), now_ms)
+        service = self._service_named(query.service)
+        service.update(targets, now_ms)
         candidates = [
-            (target, self._state(states, target))
+            (target, self._state(service.states, target))
             for target in _sample(query, targets)
             if target.target_id not in query.excluded
         ]
@@ -91,14 +102,18 @@
         ]
         if not usable:
             return _first_to_return(candidates)
-        return min(usable, key=lambda pair: self._cost_ms(query, *pair))[0]
+        cheapest = min(
+            usable,
+            key=lambda pair: self._cost_ms(query, service.homes, *pair),
+        )
+        return cheapest[0]
 
     def sent(
         self, query: _types.RouteQuery, target: _types.Target, now_ms: int
     ) -> None:
         """Counts an attempt against its target."""
-        states = self._states.setdefault(query.service, {})
-        state = self._state(states, target)
+        service = self._service_named(query.service)
+        state = self._state(service.states, target)
         state.load.change(1, now_ms)
         state.load.own_prefill_tokens += query.prompt_tokens
         if state.speed.slow:
@@ -151,20 +166,27 @@
         """Forgets every cache hint of a target."""
         self._hints.lost(target_id)
 
+    def _service_named(self, name: model.ServiceName) -> _Service:
+        service = self._services.get(name)
+        if service is None:
+            service = _Service(self._config)
+            self._services[name] = service
+        return service
+
     def _state(
         self, states: dict[str, _TargetState], target: _types.Target
     ) -> _TargetState:
         state = states.get(target.target_id)
         if state is None or state.incarnation != target.incarnation:
             self._hints.lost(target.target_id)
-            affinity = _hash_fraction(self._config.node_id, target.target_id)
-            state = _TargetState(target.incarnation, affinity)
+            state = _TargetState(target.incarnation)
             states[target.target_id] = state
         return state
 
     def _cost_ms(
         self,
         query: _types.RouteQuery,
+        homes: _homes.Homes,
         target: _types.Target,
         state: _TargetState,
     ) -> float:
@@ -180,8 +202,9 @@
             load / slots * FULL_BATCH_MS
             + max(0.0, load - slots) * QUEUED_MS
             + prefill_tokens * PREFILL_MS_PER_TOKEN
-            + state.affinity_ms
         )
+        if not homes.is_own(target.target_id):
+            cost_ms += AWAY_MS * (1 - cached)
         if target.failure_domain_id != self._config.failure_domain_id:
             cost_ms += DISTANCE_MS
         return cost_ms
@@ -226,7 +249,3 @@
         return None
     by_pause = min(candidates, key=lambda p: p[1].speed.paused_until_ms)
     return by_pause[0]
-
-
-def _hash_fraction(*names: str) -> float:
-    return zlib.crc32("/".join(names).encode()) / 2**32
--- /dev/null
+++ b/lagooncrank/core/routing/_homes.py
@@ -0,0 +1,76 @@
+"""Assignment of a home entry to each target.
+
+An entry knows its own requests exactly and those of others only as old load
+reports tell. If each target gets most of its requests through one entry, that
+entry's count is nearly all there is to know.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import zlib
+
+from lagooncrank import model
+from lagooncrank.core.routing import _types
+
+#: The assignment is made anew this often, if targets came or went.
+REFRESH_MS = 500
+
+
+def assign(
+    target_ids: Iterable[str], entries: Sequence[model.NodeId]
+) -> dict[str, model.NodeId]:
+    """Assigns targets to entries evenly; few move when one comes or goes.
+
+    Entries that know the same targets and entries come to the same result.
+
+    >>> homes = assign(["t1", "t2"], [model.NodeId("a"), model.NodeId("b")])
+    >>> sorted(homes.values())
+    ['a', 'b']
+    """
+    ids = sorted(target_ids)
+    least, more = divmod(len(ids), len(entries))
+    room = {
+        entry: least + (index < more) for index, entry in enumerate(entries)
+    }
+    homes: dict[str, model.NodeId] = {}
+    for target_id in ids:
+        home = max(
+            (entry for entry, left in room.items() if left),
+            key=lambda entry: zlib.crc32(f"{entry}/{target_id}".encode()),
+        )
+        room[home] -= 1
+        homes[target_id] = home
+    return homes
+
+
+class Homes:
+    """Knows which targets of one service are at home at this entry."""
+
+    def __init__(
+        self, node_id: model.NodeId, entries: Sequence[model.NodeId]
+    ) -> None:
+        self._node_id = node_id
+        self._entries = sorted({*entries, node_id})
+        self._known: frozenset[str] = frozenset()
+        self._own: frozenset[str] = frozenset()
+        self._due_ms = 0
+
+    def update(self, targets: Sequence[_types.Target], now_ms: int) -> None:
+        """Assigns the targets anew, when due and if they changed."""
+        if now_ms < self._due_ms and self._known:
+            return
+        self._due_ms = now_ms + REFRESH_MS
+        ids = frozenset(target.target_id for target in targets)
+        if ids == self._known:
+            return
+        self._known = ids
+        homes = assign(ids, self._entries)
+        self._own = frozenset(
+            target_id
+            for target_id, home in homes.items()
+            if home == self._node_id
+        )
+
+    def is_own(self, target_id: str) -> bool:
+        """Returns whether a target is at home at this entry."""
+        return target_id in self._own
--- a/lagooncrank/core/routing/_policies.py
+++ b/lagooncrank/core/routing/_policies.py
@@ -14,6 +14,8 @@
 
     node_id: model.NodeId
     failure_domain_id: model.FailureDomainId
+    #: Entries that route to the same targets, this one included or not.
+    entries: tuple[model.NodeId, ...] = ()
 
 
 class RouterFactory(Protocol):
