Add the weighted placement policy: wait, spares, break-up, load order

Cause: first fit gives up a whole replica for one paused member and lets all loads compete for the weight store. Change: a member silent for less than the declared grace keeps its place; after it a free trusted instance takes the place; with none free, the worst broken replica of the domain gives its members to better ones. Services below their floor go first, surplus replicas (max_replicas) take only what the declared spares leave. Loads run for the replica nearest to serving, as many as the weight store is declared to take. An engine that ignores numbers keeps its weights when it stays in its replica.

--- a/lagooncrank/core/placement/__init__.py
+++ b/lagooncrank/core/placement/__init__.py
@@ -1,6 +1,7 @@
 """Replica formation, repair, load order and fencing."""
 
 from lagooncrank.core.placement import _first_fit as _first_fit
+from lagooncrank.core.placement import _weighted as _weighted
 from lagooncrank.core.placement._fencing import FencingRules
 from lagooncrank.core.placement._planner import Planner
 from lagooncrank.core.placement._policy import POLICIES
--- a/lagooncrank/core/placement/_changes.py
+++ b/lagooncrank/core/placement/_changes.py
@@ -1,5 +1,6 @@
 """Collects the changes of one step, each on top of the ones before."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from lagooncrank import model
@@ -81,14 +82,27 @@
     def reassign(
         self,
         replica: model.Replica,
-        instances: Sequence[_instances.Instance],
+        service: model.ModelService,
+        replacements: Mapping[int, _instances.Instance],
     ) -> None:
-        """Gives a replica other members, by rank, under a new number."""
+        """Forms a replica anew under a new number, as declared now.
+
+        Args:
+            replica: The replica; members without a replacement stay.
+            service: The declared version, role and adapters.
+            replacements: New members by rank.
+        """
+        instances = list(replica.instances)
+        servers = list(replica.backend_servers)
+        for rank, instance in replacements.items():
+            instances[rank] = instance.instance_id
+            servers[rank] = instance.announcement.backend_server_id
         changed = replica.with_changes(
-            instances=tuple(i.instance_id for i in instances),
-            backend_servers=tuple(
-                i.announcement.backend_server_id for i in instances
-            ),
+            instances=tuple(instances),
+            backend_servers=tuple(servers),
+            version=service.version,
+            role=service.role,
+            adapters=service.adapters,
             fencing_number=self._next_fencing_number(),
             state=model.ReplicaState.FORMING,
         )
--- a/lagooncrank/core/placement/_fencing.py
+++ b/lagooncrank/core/placement/_fencing.py
@@ -3,7 +3,8 @@
 An engine that checks fencing numbers refuses late orders by itself. At one
 that ignores them, every older order must be over before the first new one:
 those of this leader, and those that an earlier leader sent up to the end of
-its lease. The engine must then announce that it holds nothing.
+its lease. The engine must then announce that it holds nothing, unless it
+stays in the replica that it is in.
 """
 
 import dataclasses
@@ -54,7 +55,8 @@
         """Returns whether an instance may take a load order of `replica`."""
         if instance.announcement.checks_fencing:
             return True
-        if instance.announcement.loaded is not None:
+        loaded = instance.announcement.loaded
+        if loaded is not None and loaded.replica_id != replica.replica_id:
             return False
         kind = _types.OrderKind.LOAD
         return self._is_quiet(instance, kind, replica.fencing_number, now_ms)
@@ -68,14 +70,14 @@
         kind = _types.OrderKind.UNLOAD
         return self._is_quiet(instance, kind, fencing_number, now_ms)
 
-    def must_unload(self, instance: _instances.Instance) -> bool:
-        """Returns whether what an instance holds must be unloaded first.
-
-        Only asked where the instance holds something else than its replica
-        wants it to.
-        """
-        announcement = instance.announcement
-        return not announcement.checks_fencing and bool(announcement.loaded)
+    def must_unload(
+        self, instance: _instances.Instance, replica: model.Replica
+    ) -> bool:
+        """Returns whether an instance must unload before it joins `replica`."""
+        loaded = instance.announcement.loaded
+        if instance.announcement.checks_fencing or loaded is None:
+            return False
+        return loaded.replica_id != replica.replica_id
 
     def _is_quiet(
         self,
--- a/lagooncrank/core/placement/_first_fit.py
+++ b/lagooncrank/core/placement/_first_fit.py
@@ -9,6 +9,7 @@
 from lagooncrank.core.placement import _instances
 from lagooncrank.core.placement import _orders
 from lagooncrank.core.placement import _policy
+from lagooncrank.core.placement import _pool
 
 _Free = dict[model.FabricDomainId, list[_instances.Instance]]
 
@@ -46,15 +47,9 @@
     ) -> None:
         wanted = service.instances_per_replica
         for domain, instances in free.items():
-            fitting = [i for i in instances if fits(i, service)]
+            fitting = [i for i in instances if _pool.fits(i, service)]
             if len(fitting) >= wanted:
                 chosen = fitting[:wanted]
                 changes.create(service, chosen)
                 free[domain] = [i for i in instances if i not in chosen]
                 return
-
-
-def fits(instance: _instances.Instance, service: model.ModelService) -> bool:
-    """Returns whether an instance can be a member for a service."""
-    announced = instance.announcement.accelerators
-    return announced >= service.accelerators_per_instance
--- a/lagooncrank/core/placement/_fleet.py
+++ b/lagooncrank/core/placement/_fleet.py
@@ -14,6 +14,7 @@
     Args:
         situation: What the leader knows.
         table: What it remembers of instances.
+        leader_since_ms: When this node's leadership began.
         now_ms: Monotonic time of the leader, in milliseconds.
     """
 
@@ -21,11 +22,13 @@
         self,
         situation: _types.Situation,
         table: _instances.InstanceTable,
+        leader_since_ms: int,
         now_ms: int,
     ) -> None:
         self.declarations = situation.declarations
         self.rules = situation.declarations.placement
         self.drained = situation.drained
+        self.leader_since_ms = leader_since_ms
         self.now_ms = now_ms
         self._table = table
         self.replicas = situation.replicas
--- a/lagooncrank/core/placement/_orders.py
+++ b/lagooncrank/core/placement/_orders.py
@@ -82,9 +82,7 @@
     ) -> bool:
         if _fleet.holds(instance, holder) or not instance.is_ready:
             return True
-        if holder.state in (_State.SERVING, _State.DRAINING):
-            return True
-        return not self._fence.must_unload(instance)
+        return not self._fence.must_unload(instance, holder)
 
     def _loads_of(
         self, replica: model.Replica, service: model.ModelService
--- a/lagooncrank/core/placement/_planner.py
+++ b/lagooncrank/core/placement/_planner.py
@@ -36,6 +36,7 @@
         last_fencing_number: int,
     ) -> None:
         self._policy = policy
+        self._leader_since_ms = leader_since_ms
         self._table = _instances.InstanceTable()
         self._book = _order_book.OrderBook(rules.max_order_ms)
         self._fence = _fencing.Fence(
@@ -59,7 +60,9 @@
             self._book.max_order_ms, rules.max_order_ms
         )
         self._book.expire(now_ms)
-        fleet = _fleet.Fleet(situation, self._table, now_ms)
+        fleet = _fleet.Fleet(
+            situation, self._table, self._leader_since_ms, now_ms
+        )
         changes = _changes.Changes(situation.last_fencing_number)
         self._policy.plan(fleet, changes)
         _life_cycle.advance(fleet, self._fence, changes)
--- /dev/null
+++ b/lagooncrank/core/placement/_pool.py
@@ -0,0 +1,69 @@
+"""Free instances that one step may still hand out."""
+
+from collections.abc import Sequence
+
+from lagooncrank import model
+from lagooncrank.core.placement import _fleet
+from lagooncrank.core.placement import _instances
+
+
+class Pool:
+    """Free, trusted instances by fabric domain.
+
+    Args:
+        fleet: Replicas and instances at this step.
+    """
+
+    def __init__(self, fleet: _fleet.Fleet) -> None:
+        self._free = {
+            domain: [i for i in instances if _is_trusted(i, fleet)]
+            for domain, instances in fleet.free().items()
+        }
+
+    def domains(self) -> tuple[model.FabricDomainId, ...]:
+        """Returns the domains that have free instances."""
+        return tuple(d for d, instances in self._free.items() if instances)
+
+    def count(
+        self, domain: model.FabricDomainId, service: model.ModelService
+    ) -> int:
+        """Returns how many instances of a domain fit a service."""
+        return sum(fits(i, service) for i in self._free.get(domain, ()))
+
+    def has(self, instance: _instances.Instance) -> bool:
+        """Returns whether an instance may still be handed out."""
+        domain = instance.announcement.fabric_domain_id
+        return instance in self._free.get(domain, ())
+
+    def take(
+        self,
+        domain: model.FabricDomainId,
+        service: model.ModelService,
+        count: int,
+    ) -> Sequence[_instances.Instance]:
+        """Hands out `count` fitting instances, or none if there are fewer."""
+        fitting = [i for i in self._free.get(domain, ()) if fits(i, service)]
+        if len(fitting) < count:
+            return ()
+        chosen = fitting[:count]
+        self.remove(chosen)
+        return chosen
+
+    def remove(self, instances: Sequence[_instances.Instance]) -> None:
+        """Marks instances as handed out."""
+        taken = {i.instance_id for i in instances}
+        for domain in {i.announcement.fabric_domain_id for i in instances}:
+            self._free[domain] = [
+                i for i in self._free[domain] if i.instance_id not in taken
+            ]
+
+
+def fits(instance: _instances.Instance, service: model.ModelService) -> bool:
+    """Returns whether an instance can be a member for a service."""
+    announced = instance.announcement.accelerators
+    return announced >= service.accelerators_per_instance
+
+
+def _is_trusted(instance: _instances.Instance, fleet: _fleet.Fleet) -> bool:
+    until_ms = instance.held_down_until_ms(fleet.rules.hold_down_ms)
+    return until_ms <= fleet.now_ms
--- a/lagooncrank/model/_declarations.py
+++ b/lagooncrank/model/_declarations.py
@@ -20,6 +20,8 @@
     #: Planned work never leaves fewer serving replicas than this.
     replicas_floor: int
     instances_per_replica: int
+    #: Replicas formed where instances would be idle; 0 means `replicas`.
+    max_replicas: int = 0
     #: Accelerators that each member instance must have at least.
     accelerators_per_instance: int = 8
     #: Adapters loaded beside the model.
--- a/lagooncrank/server/_placement.py
+++ b/lagooncrank/server/_placement.py
@@ -89,6 +89,7 @@
             replicas=self._shared.view.replicas,
             last_fencing_number=self._shared.view.last_fencing_number,
             members=self._members.live(now_ms),
+            drained=frozenset(self._shared.view.drains),
         )
         decision = leadership.planner.step(situation, now_ms)
         for send in decision.orders:
