--- a/lagooncrank/core/state/_machine.py
+++ b/lagooncrank/core/state/_machine.py
@@ -40,6 +40,7 @@
     last_fencing_number: int
     marks: tuple[_records.ContentMark, ...]
     drains: tuple[_records.Drain, ...] = ()
+    entry_notes: tuple[_records.EntryNote, ...] = ()
 
 
 class StateMachine:
@@ -64,15 +65,23 @@
     def from_snapshot(cls, data: bytes) -> "StateMachine":
         """Builds a state machine from what `snapshot` returned.
 
+        Raises:
+            SnapshotVersionError: Another version wrote the snapshot.
+        """
+        machine = cls()
+        machine.restore(data)
+        return machine
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state by what `snapshot` returned.
+
         Raises:
             SnapshotVersionError: Another version wrote the snapshot.
         """
         snapshot = model.from_cbor(data, StateSnapshot)
         if snapshot.version != SNAPSHOT_VERSION:
             raise SnapshotVersionError(snapshot.version)
-        machine = cls()
-        machine._restore(snapshot)
-        return machine
+        self._restore(snapshot)
 
     @property
     def applied_index(self) -> int:
@@ -137,6 +146,7 @@
                 last_fencing_number=self._assignments.last_fencing_number,
                 marks=tuple(self._quarantine.marks.values()),
                 drains=tuple(self._drains.drains.values()),
+                entry_notes=self._ledger.entry_notes(),
             )
         )
 
@@ -145,7 +155,7 @@
         self._configurations = _configuration.Configurations(
             snapshot.configurations
         )
-        self._ledger = _ledger.CallLedger(snapshot.calls)
+        self._ledger = _ledger.CallLedger(snapshot.calls, snapshot.entry_notes)
         self._assignments = _assignments.Assignments(
             snapshot.replicas, snapshot.last_fencing_number
         )
@@ -176,6 +186,10 @@
     def _(self, command: _commands.ResolveCall) -> _records.Outcome:
         return self._ledger.resolve(command)
 
+    @_apply.register
+    def _(self, command: _commands.NoteEntry) -> _records.Outcome:
+        return self._ledger.note_entry(command)
+
     @_apply.register
     def _(self, command: _commands.PutReplica) -> _records.Outcome:
         return self._assignments.put(command)
--- a/lagooncrank/server/_crashes.py
+++ b/lagooncrank/server/_crashes.py
@@ -93,7 +93,7 @@
     ) -> None:
         if not outcome.ok:
             return
-        if isinstance(command, state.NoOp):
+        if isinstance(command, state.ApplyDeclarations):
             self._take_all_marks()
         elif isinstance(command, state.MarkContent):
             mark = retry.CrashMark(command.digest, command.victim)
@@ -102,7 +102,7 @@
             self._suspicion.lifted(command.digest)
 
     def _take_all_marks(self) -> None:
-        """Takes the marks of a snapshot, which came without commands."""
+        """Takes every mark: after a snapshot, none came as a command."""
         for content in self._shared.view.marks.values():
             for victim in content.victims:
                 mark = retry.CrashMark(content.digest, victim)
--- a/lagooncrank/server/_main.py
+++ b/lagooncrank/server/_main.py
@@ -16,11 +16,14 @@
 from lagooncrank.server import _shared_state
 from lagooncrank.server import _sockets
 from lagooncrank.server import links
+from lagooncrank.server import storage
 
 #: Exit status when requests were cut off by the stop deadline.
 CUT_OFF_STATUS = 3
 #: Exit status when the settings cannot be used.
 SETTINGS_STATUS = 2
+#: Exit status when the data folder cannot be used.
+STORAGE_STATUS = 4
 
 _log = logbook.Logger(__name__)
 
@@ -38,7 +41,11 @@
         raise typer.Exit(SETTINGS_STATUS) from error
     clock = clocks.SystemClock()
     _logging.set_up(sys.stderr, clock, process.node_id, process.log_level)
-    in_time = asyncio.run(_serve(process, clock))
+    try:
+        in_time = asyncio.run(_serve(process, clock))
+    except storage.StorageError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(STORAGE_STATUS) from error
     raise typer.Exit(0 if in_time else CUT_OFF_STATUS)
 
 
--- a/lagooncrank/server/tests/single_node.py
+++ b/lagooncrank/server/tests/single_node.py
@@ -3,8 +3,9 @@
 from typing import Any
 
 from lagooncrank import model
-from lagooncrank import results
+from lagooncrank.core import consensus
 from lagooncrank.core import state
+from lagooncrank.server import _applying
 from lagooncrank.server import _ports
 
 
@@ -12,13 +13,12 @@
     """Applies commands at once; nothing survives the process."""
 
     def __init__(self) -> None:
-        self._machine = state.StateMachine()
-        self._listeners: list[_ports.AppliedListener] = []
+        self._machine = _applying.Machine()
 
     @property
     def view(self) -> _ports.StateView:
         """State applied at this node."""
-        return self._machine
+        return self._machine.view
 
     @property
     def is_leader(self) -> bool:
@@ -33,18 +33,17 @@
         self, command: state.Command, timeout_ms: int
     ) -> state.Outcome:
         """Applies a command and returns its outcome."""
-        index = self._machine.applied_index + 1
-        outcome = self._machine.apply(index, command)
-        for listener in self._listeners:
-            listener(command, outcome)
-        return outcome
+        index = self._machine.view.applied_index + 1
+        data = state.encode_command(command)
+        return self._machine.apply(consensus.Entry(index, 1, data))
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state as bytes."""
+        return self._machine.snapshot()
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by a snapshot, as a node that lagged does."""
-        self._machine = state.StateMachine.from_snapshot(data)
-        outcome = state.Outcome(results.ResultCode.OK)
-        for listener in self._listeners:
-            listener(state.NoOp(), outcome)
+        self._machine.restore(data)
 
     async def confirm_read(self, timeout_ms: int) -> bool:
         """Returns true: every command was applied here."""
@@ -52,7 +51,7 @@
 
     def on_applied(self, listener: _ports.AppliedListener) -> None:
         """Registers a listener for applied commands."""
-        self._listeners.append(listener)
+        self._machine.listeners.append(listener)
 
 
 class NoPeers:
--- a/lagooncrank/server/tests/test_refusals.py
+++ b/lagooncrank/server/tests/test_refusals.py
@@ -8,7 +8,9 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank import settings
+from lagooncrank.core import state
 from lagooncrank.server import _lifecycle
+from lagooncrank.server.tests import single_node
 from lagooncrank.server.tests import site as sites
 
 Code = results.ResultCode
@@ -151,6 +153,24 @@
     assert problem["code"] == Code.FORBIDDEN
 
 
+async def test_keys_of_a_restored_snapshot_count(site: sites.Site) -> None:
+    other = dataclasses.replace(
+        sites.DECLARATIONS.client_accounts[0], key_sha256s=("0" * 64,)
+    )
+    ahead = single_node.SingleNodeState()
+    declarations = sites.DECLARATIONS.with_changes(client_accounts=(other,))
+    for revision in range(2):
+        await ahead.propose(
+            state.ApplyDeclarations(
+                f"c{revision}", revision, declarations, "test", 0
+            ),
+            timeout_ms=1,
+        )
+    site.shared.restore(ahead.snapshot())
+    problem = await refused(site, COMPLETIONS, json=VALID)
+    assert problem["code"] == Code.UNAUTHENTICATED
+
+
 async def test_entry_that_drains_names_itself_stopping(
     site: sites.Site,
 ) -> None:
