Run calls that may not be repeated at most once, whatever the owner meets

Cause: aiohttp sends PUT, DELETE and GET a second time over a new connection when the first ends without an answer, also when that one was fresh, so a call could run twice. A reservation of unknown fate could block its key for ever. A repeat of a finished call failed while no backend server was there. Change: OnceClient opens one connection a call and refuses a second; nothing counts as unwritten once the connection stood and the send window was checked. Another server is tried only while no byte was written. A finished call is answered from the local ledger, without quorum or backend server. An abandoned reservation is unknown, never not_run, and resolved by the declared lookup (status 200 only).

--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -18,6 +18,7 @@
 from lagooncrank.core import timeouts
 from lagooncrank.server import _admission_desk
 from lagooncrank.server import _announcements
+from lagooncrank.server import _call_recorder
 from lagooncrank.server import _crashes
 from lagooncrank.server import _drafts
 from lagooncrank.server import _engine_client
@@ -141,6 +142,7 @@
         yield self.desk
         yield self.targets
         yield self.crashes
+        yield self.call_recorder
         yield self.announcements
         yield self.directory
         yield self.revision_reports
@@ -186,6 +188,9 @@
             engine_bounds.between_bytes,
         )
         self.plain_client = _plain_client.PlainClient(self.pools)
+        self.call_recorder = _call_recorder.CallRecorder(
+            self._process.node_id, self._incarnation, self._shared, clock
+        )
         self.targets = _targets.TargetDirectory(
             self._shared.view, self.table, self.desk, clock
         )
@@ -226,12 +231,7 @@
         )
         plain_calls = self._plain_calls()
         once_calls = _once_calls.OnceCalls(
-            self._process.node_id,
-            self._incarnation,
-            shared,
-            clock,
-            plain_calls,
-            self.plain_client,
+            shared, clock, plain_calls, self.plain_client, self.call_recorder
         )
         yield _services.ServiceHandlers(
             gate, plain_calls, once_calls, limits, ids, clock
--- a/lagooncrank/server/_once_calls.py
+++ b/lagooncrank/server/_once_calls.py
@@ -1,21 +1,50 @@
 """Runs calls of plain services that may not be repeated."""
 
-import itertools
+import dataclasses
+from typing import Final
+from typing import Protocol
+import urllib.parse
 
 from lagooncrank import clock as clocks
-from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import routing
 from lagooncrank.core import state
 from lagooncrank.server import _attempts
+from lagooncrank.server import _call_recorder
+from lagooncrank.server import _once_answers
+from lagooncrank.server import _once_client
 from lagooncrank.server import _plain_calls
 from lagooncrank.server import _plain_client
 from lagooncrank.server import _ports
 
-PROPOSE_TIMEOUT_MS = 3_000
-MAX_STORED_BYTES = 16_384
-CONTENT_TYPE = "Content-Type"
-REPLAYED = ("Idempotency-Replayed", "true")
+#: Time from the reservation within which the first byte must be written.
+SEND_WINDOW_MS: Final = 5_000
+#: Allowance for differing clocks before a reservation counts as abandoned.
+CLOCK_MARGIN_MS: Final = 5_000
+#: Backend servers tried while none was written to.
+MAX_CONNECTS: Final = 3
+
+_Code = results.ResultCode
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reservation:
+    call: _plain_calls.PlainCall
+    key: state.CallKey
+    owner: state.CallOwner
+    #: Last time at which the first byte may be written.
+    send_by_ms: int
+
+
+class TargetChooser(Protocol):
+    """Chooses the backend server for an attempt."""
+
+    def choose(self, query: routing.RouteQuery) -> routing.Target:
+        """Returns a backend server.
+
+        Raises:
+            LagooncrankError: None can take the call.
+        """
 
 
 class OnceCalls:
@@ -23,20 +52,18 @@
 
     def __init__(
         self,
-        node_id: model.NodeId,
-        incarnation: int,
         shared: _ports.SharedState,
         clock: clocks.Clock,
-        plain_calls: _plain_calls.PlainCalls,
-        client: _plain_client.PlainClient,
+        targets: TargetChooser,
+        lookup_client: _plain_client.PlainClient,
+        recorder: _call_recorder.CallRecorder,
     ) -> None:
-        self._node_id = node_id
-        self._incarnation = incarnation
-        self._sequences = itertools.count(1)
         self._shared = shared
         self._clock = clock
-        self._plain_calls = plain_calls
-        self._client = client
+        self._targets = targets
+        self._lookup_client = lookup_client
+        self._recorder = recorder
+        self._client = _once_client.OnceClient()
 
     async def run(
         self, call: _plain_calls.PlainCall
@@ -46,129 +73,192 @@
         Raises:
             LagooncrankError: The call did not run, or may have run.
         """
-        target = self._plain_calls.choose(_query(call))
-        owner = self._new_owner()
         key = state.CallKey(
             call.account.name, call.service.name, call.idempotency_key
         )
-        outcome = await self._reserve(key, owner, call)
-        record = outcome.call
-        if record is not None and record.owner != owner:
-            return _repeat(record, outcome)
-        if not outcome.ok:
-            raise _error(outcome.code, outcome.reason)
-        return await self._send(key, owner, call, target)
+        known = self._shared.view.call(key)
+        if known is None:
+            self._targets.choose(_query(call))
+        elif known.state is state.CallState.FINISHED:
+            # A finished call stays finished, so no quorum is needed.
+            return _once_answers.repeat(call, known)
+        owner = self._recorder.new_owner()
+        send_by_ms = self._clock.now_ms() + SEND_WINDOW_MS
+        outcome = await self._reserve(call, key, owner)
+        if outcome.ok:
+            reservation = _Reservation(call, key, owner, send_by_ms)
+            return await self._send(reservation)
+        return await self._answer_unreserved(call, key, outcome)
 
-    async def _send(
+    async def _reserve(
         self,
+        call: _plain_calls.PlainCall,
         key: state.CallKey,
         owner: state.CallOwner,
-        call: _plain_calls.PlainCall,
-        target: routing.Target,
+    ) -> state.Outcome:
+        return await self._recorder.reserve(
+            state.ReserveCall(
+                call=key,
+                body_digest=call.digest,
+                owner=owner,
+                wall_ms=self._clock.wall_ms(),
+                retention_ms=call.service.answer_retention_ms,
+            )
+        )
+
+    async def _send(
+        self, reservation: _Reservation
     ) -> _plain_client.PlainAnswer:
-        try:
-            answer = await self._client.call_once(
-                target.address, call.request, call.service.timeout_ms
+        """Sends a reserved call to one backend server after another.
+
+        Another one is tried only while no byte was written.
+        """
+        excluded: frozenset[str] = frozenset()
+        refusal = None
+        for _ in range(MAX_CONNECTS):
+            try:
+                query = _query(reservation.call, excluded)
+                target = self._targets.choose(query)
+                answer = await self._attempt(reservation, target)
+            except results.LagooncrankError as error:
+                refusal = refusal or error.refusal
+                break
+            except _attempts.AttemptFailedError as error:
+                if error.failure.bytes_written:
+                    return await self._after_loss(reservation, error)
+                excluded |= {target.target_id}
+                refusal = _once_answers.connect_refusal(target, error)
+                continue
+            await self._record(reservation, state.CallState.FINISHED, answer)
+            return answer
+        await self._record(reservation, state.CallState.NOT_RUN)
+        raise results.LagooncrankError(_once_answers.not_run(refusal))
+
+    async def _attempt(
+        self, reservation: _Reservation, target: routing.Target
+    ) -> _plain_client.PlainAnswer:
+        call = reservation.call
+        left_ms = call.deadline_ms - self._clock.now_ms()
+        timeout_ms = max(1, min(call.service.timeout_ms, left_ms))
+        return await self._client.send(
+            target.address,
+            call.request,
+            timeout_ms,
+            lambda: self._check_window(reservation),
+        )
+
+    def _check_window(self, reservation: _Reservation) -> None:
+        """Lets the first byte be written only within the send window.
+
+        Raises:
+            LagooncrankError: The window or the caller's deadline passed.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms > reservation.send_by_ms:
+            raise _once_answers.error(
+                _Code.SEND_WINDOW_PASSED,
+                "the entry was held up between reserving and sending; send "
+                "the call again with the same key",
+            )
+        if now_ms > reservation.call.deadline_ms:
+            raise _once_answers.error(
+                _Code.DEADLINE_EXCEEDED, "the caller stopped waiting"
             )
-        except _attempts.AttemptFailedError as error:
-            raise await self._after_failure(key, owner, error) from error
-        await self._finish(key, owner, state.CallState.FINISHED, answer)
-        return answer
 
-    async def _after_failure(
+    async def _after_loss(
         self,
-        key: state.CallKey,
-        owner: state.CallOwner,
+        reservation: _Reservation,
         error: _attempts.AttemptFailedError,
-    ) -> results.LagooncrankError:
-        failure = error.failure
-        if failure.bytes_written:
-            await self._finish(key, owner, state.CallState.UNKNOWN, None)
-            return _error(
-                results.ResultCode.OUTCOME_UNKNOWN,
-                "the call was sent and no answer came; ask for its outcome",
-                results.Ran.UNKNOWN,
-            )
-        await self._finish(key, owner, state.CallState.NOT_RUN, None)
-        return _error(results.ResultCode.CONNECT_FAILED, failure.detail)
+    ) -> _plain_client.PlainAnswer:
+        await self._record(reservation, state.CallState.UNKNOWN)
+        answer = await self._look_up(reservation.call, reservation.key)
+        if answer is not None:
+            return answer
+        raise _once_answers.unknown(reservation.key) from error
 
-    async def _reserve(
+    async def _record(
         self,
-        key: state.CallKey,
-        owner: state.CallOwner,
-        call: _plain_calls.PlainCall,
-    ) -> state.Outcome:
-        command = state.ReserveCall(
-            call=key,
-            body_digest=call.digest,
-            owner=owner,
-            wall_ms=self._clock.wall_ms(),
-            retention_ms=call.service.answer_retention_ms,
+        reservation: _Reservation,
+        call_state: state.CallState,
+        answer: _plain_client.PlainAnswer | None = None,
+    ) -> None:
+        await self._recorder.finish(
+            reservation.key,
+            reservation.owner,
+            call_state,
+            _once_answers.stored(answer),
         )
-        return await self._shared.propose(command, PROPOSE_TIMEOUT_MS)
 
-    async def _finish(
+    async def _answer_unreserved(
         self,
+        call: _plain_calls.PlainCall,
         key: state.CallKey,
-        owner: state.CallOwner,
-        call_state: state.CallState,
-        answer: _plain_client.PlainAnswer | None,
-    ) -> None:
-        command = state.FinishCall(
-            call=key,
-            owner=owner,
-            state=call_state,
-            wall_ms=self._clock.wall_ms(),
-            answer=_stored(answer),
-        )
-        await self._shared.propose(command, PROPOSE_TIMEOUT_MS)
+        outcome: state.Outcome,
+    ) -> _plain_client.PlainAnswer:
+        """Answers a call that was not reserved and thus is not sent."""
+        record = outcome.call or self._shared.view.call(key)
+        match outcome.code:
+            case _Code.CALL_ALREADY_FINISHED if record is not None:
+                return _once_answers.repeat(call, record)
+            case _Code.CALL_IN_PROGRESS if record is not None:
+                if not self._is_abandoned(call, record):
+                    raise _once_answers.in_progress(key)
+            case _Code.OUTCOME_UNKNOWN:
+                pass
+            case _Code.KEY_REUSED:
+                raise _once_answers.error(outcome.code, outcome.reason)
+            case _:
+                ran = _once_answers.ran(record)
+                raise _once_answers.error(outcome.code, outcome.reason, ran)
+        answer = await self._look_up(call, key)
+        if answer is not None:
+            return answer
+        raise _once_answers.unknown(key)
+
+    def _is_abandoned(
+        self, call: _plain_calls.PlainCall, record: state.CallRecord
+    ) -> bool:
+        """Whether the owner had time enough to tell how the call ended."""
+        age_ms = self._clock.wall_ms() - record.reserved_wall_ms
+        longest_ms = SEND_WINDOW_MS + call.service.timeout_ms
+        return age_ms > longest_ms + CLOCK_MARGIN_MS
 
-    def _new_owner(self) -> state.CallOwner:
-        return state.CallOwner(
-            self._node_id, self._incarnation, next(self._sequences)
+    async def _look_up(
+        self, call: _plain_calls.PlainCall, key: state.CallKey
+    ) -> _plain_client.PlainAnswer | None:
+        """Asks the service how a call ended, if it declares a lookup.
+
+        Only an answer of status 200 tells anything: a service that does not
+        know the key may still be running the call.
+        """
+        path = call.service.outcome_lookup_path
+        if path is None:
+            return None
+        quoted = urllib.parse.quote(key.key, safe="")
+        request = _plain_client.PlainRequest(
+            "GET", path.replace("{key}", quoted), (), b""
         )
+        try:
+            target = self._targets.choose(_query(call))
+            answer = await self._lookup_client.call(
+                target.address, request, call.service.timeout_ms
+            )
+        except (results.LagooncrankError, _attempts.AttemptFailedError):
+            return None
+        if answer.status != 200:
+            return None
+        await self._recorder.resolve(key, _once_answers.stored(answer))
+        return answer
 
 
-def _query(call: _plain_calls.PlainCall) -> routing.RouteQuery:
+def _query(
+    call: _plain_calls.PlainCall, excluded: frozenset[str] = frozenset()
+) -> routing.RouteQuery:
     return routing.RouteQuery(
         request_id=call.request_id,
         service=call.service.name,
         account=call.account.name,
         prompt_tokens=0,
         expected_output_tokens=0,
+        excluded=excluded,
     )
-
-
-def _stored(
-    answer: _plain_client.PlainAnswer | None,
-) -> state.StoredAnswer | None:
-    if answer is None or len(answer.body) > MAX_STORED_BYTES:
-        return None
-    headers = dict(answer.headers)
-    content_type = headers.get(CONTENT_TYPE, "application/octet-stream")
-    return state.StoredAnswer(answer.status, content_type, answer.body)
-
-
-def _repeat(
-    record: state.CallRecord, outcome: state.Outcome
-) -> _plain_client.PlainAnswer:
-    stored = record.answer
-    finished = outcome.code is results.ResultCode.CALL_ALREADY_FINISHED
-    if finished and stored is not None:
-        headers = ((CONTENT_TYPE, stored.content_type), REPLAYED)
-        return _plain_client.PlainAnswer(stored.status, headers, stored.body)
-    raise _error(outcome.code, outcome.reason, _ran(record))
-
-
-def _ran(record: state.CallRecord) -> results.Ran:
-    if record.state is state.CallState.FINISHED:
-        return results.Ran.RAN
-    return results.Ran.UNKNOWN
-
-
-def _error(
-    code: results.ResultCode,
-    reason: str,
-    ran: results.Ran = results.Ran.NOT_RUN,
-) -> results.LagooncrankError:
-    return results.LagooncrankError(results.Refusal(code, reason, ran))
--- /dev/null
+++ b/lagooncrank/server/_once_client.py
@@ -0,0 +1,157 @@
+"""Sends a call over one connection of its own, and never a second time."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import socket
+from types import SimpleNamespace
+from typing import Any
+from typing import Final
+
+import aiohttp
+import multidict
+import yarl
+
+from lagooncrank.core import retry
+from lagooncrank.server import _attempts
+from lagooncrank.server import _plain_client
+from lagooncrank.server import _pools
+from lagooncrank.server import _sockets
+
+CONNECT_TIMEOUT_S: Final = _pools.CONNECT_TIMEOUT_S
+
+
+class SecondConnectionError(Exception):
+    """The client library wanted to send the call again; it was stopped."""
+
+
+class _Connection:
+    """Watches the only connection that one call may open.
+
+    The library repeats PUT, DELETE and GET by itself when a connection ends
+    without an answer, even a fresh one, so a second connection is refused.
+    """
+
+    def __init__(self, before_write: Callable[[], None]) -> None:
+        self._before_write = before_write
+        self._opened = False
+        self._sockets: list[socket.socket] = []
+        #: Whether any byte of the request may have reached the server.
+        self.may_have_written = False
+
+    def session(self) -> aiohttp.ClientSession:
+        """Returns a session for one call."""
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_start.append(self._on_create)
+        trace.on_connection_create_end.append(self._on_created)
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                force_close=True,
+                socket_factory=self._new_socket,
+                happy_eyeballs_delay=None,
+            ),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S
+            ),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            trace_configs=[trace],
+        )
+
+    def shut(self) -> None:
+        """Ends the connection at once, whatever the library still holds."""
+        for sock in self._sockets:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def _new_socket(self, address_info: tuple[Any, ...]) -> socket.socket:
+        sock = _sockets.client_socket(address_info)
+        self._sockets.append(sock)
+        return sock
+
+    async def _on_create(
+        self,
+        _session: aiohttp.ClientSession,
+        _context: SimpleNamespace,
+        _params: aiohttp.TraceConnectionCreateStartParams,
+    ) -> None:
+        if self._opened:
+            raise SecondConnectionError
+        self._opened = True
+
+    async def _on_created(
+        self,
+        _session: aiohttp.ClientSession,
+        _context: SimpleNamespace,
+        _params: aiohttp.TraceConnectionCreateEndParams,
+    ) -> None:
+        self._before_write()
+        self.may_have_written = True
+
+
+class OnceClient:
+    """Sends calls that may not be repeated."""
+
+    async def send(
+        self,
+        address: str,
+        request: _plain_client.PlainRequest,
+        timeout_ms: int,
+        before_write: Callable[[], None],
+    ) -> _plain_client.PlainAnswer:
+        """Sends a call and returns its whole answer.
+
+        Args:
+            address: Backend server.
+            request: The call.
+            timeout_ms: Longest wait for the whole answer.
+            before_write: Called when the connection stands and no byte is
+                written yet; what it raises ends the call unsent.
+
+        Raises:
+            AttemptFailedError: There is no whole answer; it tells whether any
+                byte may have been written.
+        """
+        connection = _Connection(before_write)
+        try:
+            async with (
+                asyncio.timeout(timeout_ms / 1_000),
+                connection.session() as session,
+            ):
+                return await _exchange(session, address, request)
+        except (
+            aiohttp.ClientError,
+            OSError,
+            SecondConnectionError,
+            ValueError,
+        ) as error:
+            written = connection.may_have_written
+            raise _failed(error, written) from error
+        finally:
+            connection.shut()
+
+
+async def _exchange(
+    session: aiohttp.ClientSession,
+    address: str,
+    request: _plain_client.PlainRequest,
+) -> _plain_client.PlainAnswer:
+    url = yarl.URL(f"http://{address}{request.path_qs}", encoded=True)
+    async with session.request(
+        request.method,
+        url,
+        headers=multidict.CIMultiDict(request.headers),
+        data=request.body or None,
+        allow_redirects=False,
+    ) as response:
+        return await _plain_client.whole(response)
+
+
+def _failed(error: Exception, written: bool) -> _attempts.AttemptFailedError:
+    kind = retry.FailureKind.CONNECTION_LOST
+    if not written:
+        kind = retry.FailureKind.CONNECT_FAILED
+    elif isinstance(error, TimeoutError):
+        kind = retry.FailureKind.FIRST_BYTE_TIMEOUT
+    failure = _attempts.AttemptFailure(kind, repr(error), written)
+    return _attempts.AttemptFailedError(failure)
--- a/lagooncrank/server/_plain_client.py
+++ b/lagooncrank/server/_plain_client.py
@@ -66,20 +66,6 @@
                 await self._pools.drop(address)
             raise
 
-    async def call_once(
-        self, address: str, request: PlainRequest, timeout_ms: int
-    ) -> PlainAnswer:
-        """Sends a call over a connection of its own, and never again.
-
-        The client library sends a request a second time only over a kept
-        connection that turned out to be closed.
-
-        Raises:
-            AttemptFailedError: There is no whole answer.
-        """
-        async with _pools.open_session(force_close=True) as session:
-            return await _call(session, address, request, timeout_ms)
-
 
 def end_to_end(
     headers: multidict.CIMultiDictProxy[str],
@@ -112,7 +98,7 @@
                 allow_redirects=False,
             ) as response,
         ):
-            return await _whole(response)
+            return await whole(response)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -125,7 +111,12 @@
         raise _failed(retry.FailureKind.CONNECTION_LOST, error) from error
 
 
-async def _whole(response: aiohttp.ClientResponse) -> PlainAnswer:
+async def whole(response: aiohttp.ClientResponse) -> PlainAnswer:
+    """Returns the whole answer.
+
+    Raises:
+        AttemptFailedError: The answer is too long.
+    """
     body = bytearray()
     async for data in response.content.iter_any():
         body += data
