Stop an entry without cutting off a request, bookings without a caller included

A booking whose caller had gone away was not counted as in flight, so a planned stop could have ended it between send and answer; it now counts until it is recorded. The stop deadline starts when new work is refused.

--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -124,7 +124,6 @@
             self.lifecycle,
             self.directory,
             shared,
-            clock,
             process.stop_deadline_ms,
         )
         shared.on_applied(self._on_applied)
--- a/lagooncrank/server/_http_server.py
+++ b/lagooncrank/server/_http_server.py
@@ -12,8 +12,8 @@
 KEEPALIVE_S = 75.0
 #: Header lines of one request.
 MAX_HEADERS = 64
-#: How long connections may take to close once the entry stops.
-SHUTDOWN_S = 1.0
+#: How long the last bytes of answers may take once the entry stops.
+SHUTDOWN_S = 5.0
 
 
 class HttpServer(mode.Service):
--- a/lagooncrank/server/_lifecycle.py
+++ b/lagooncrank/server/_lifecycle.py
@@ -59,6 +59,12 @@
                     retry_after_ms=0,
                 )
             )
+        with self.continued():
+            yield
+
+    @contextlib.contextmanager
+    def continued(self) -> Iterator[None]:
+        """Counts work as in flight that outlasts the request it came from."""
         self._in_flight += 1
         self.idle.clear()
         self._metrics.in_flight.inc()
--- a/lagooncrank/server/_stop.py
+++ b/lagooncrank/server/_stop.py
@@ -4,7 +4,6 @@
 
 import logbook
 
-from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank.server import _entries
 from lagooncrank.server import _lifecycle
@@ -21,7 +20,7 @@
 
     The entry leaves the answers of `/v1/entries` first. It serves new work
     until no caller may still hold an answer that names it, then refuses new
-    work and waits for the requests in flight.
+    work and waits for the requests in flight, at most for the stop deadline.
     """
 
     def __init__(
@@ -29,13 +28,11 @@
         lifecycle: _lifecycle.Lifecycle,
         directory: _entries.EntryDirectory,
         shared: _ports.SharedState,
-        clock: clocks.Clock,
         deadline_ms: int,
     ) -> None:
         self._lifecycle = lifecycle
         self._directory = directory
         self._shared = shared
-        self._clock = clock
         self._deadline_ms = deadline_ms
         self._hurry = asyncio.Event()
 
@@ -52,17 +49,15 @@
         Returns:
             Whether all requests ended before the stop deadline.
         """
-        end_ms = self._clock.now_ms() + self._deadline_ms
         self._lifecycle.enter(_lifecycle.Phase.LEAVING)
         self._directory.tell()
         keep_ms = self.longest_keep_ms()
         _log.info("leaving the entry list", extra={"keep_for_ms": keep_ms})
-        await self._wait(self._hurry, keep_ms)
+        await _ended(self._hurry, keep_ms)
         self._lifecycle.enter(_lifecycle.Phase.DRAINING)
         in_flight = self._lifecycle.in_flight
         _log.info("refusing new work", extra={"in_flight": in_flight})
-        left_ms = max(0, end_ms - self._clock.now_ms())
-        return await self._wait(self._lifecycle.idle, left_ms)
+        return await _ended(self._lifecycle.idle, self._deadline_ms)
 
     def longest_keep_ms(self) -> int:
         """Returns how long a caller may still use an answer given now."""
@@ -71,10 +66,12 @@
         default_ms = model.LeaseRules().entries_keep_for_ms
         return max(kept, default=default_ms) + PEER_NOTICE_MS
 
-    async def _wait(self, event: asyncio.Event, timeout_ms: int) -> bool:
-        try:
-            async with asyncio.timeout(timeout_ms / 1_000):
-                await event.wait()
-        except TimeoutError:
-            return False
-        return True
+
+async def _ended(event: asyncio.Event, timeout_ms: int) -> bool:
+    """Waits for an event and returns whether it came in time."""
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
--- a/lagooncrank/server/http/_gate.py
+++ b/lagooncrank/server/http/_gate.py
@@ -39,6 +39,10 @@
         with self._lifecycle.request():
             yield account
 
+    def continued(self) -> contextlib.AbstractContextManager[None]:
+        """Counts work as in flight whose caller may have gone away."""
+        return self._lifecycle.continued()
+
     def record(self) -> state.ConfigurationRecord:
         """Returns the configuration that new work runs under.
 
--- a/lagooncrank/server/http/_services.py
+++ b/lagooncrank/server/http/_services.py
@@ -1,11 +1,9 @@
 """Calls of plain services."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Sequence
 import hashlib
 from typing import Protocol
-from typing import TypeVar
 
 from aiohttp import web
 import multidict
@@ -23,8 +21,6 @@
 from lagooncrank.server.http import _problem
 from lagooncrank.server.http import _request_ids
 
-T = TypeVar("T")
-
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 256
 PREFIX = "/v1/services/"
@@ -77,18 +73,23 @@
             if service.repeatable:
                 answer = await self._repeatable.run(call)
             else:
-                answer = await self._shielded(self._once.run(call))
+                answer = await self._run_once(call)
         return web.Response(
             status=answer.status,
             headers=multidict.CIMultiDict(answer.headers),
             body=answer.body,
         )
 
-    async def _shielded(
-        self, run: Awaitable[_plain_client.PlainAnswer]
+    async def _run_once(
+        self, call: _plain_calls.PlainCall
     ) -> _plain_client.PlainAnswer:
         """Lets a call end and be recorded though its caller went away."""
-        future = asyncio.ensure_future(run)
+
+        async def run() -> _plain_client.PlainAnswer:
+            with self._gate.continued():
+                return await self._once.run(call)
+
+        future = asyncio.ensure_future(run())
         self._running.add(future)
         future.add_done_callback(self._running.discard)
         return await asyncio.shield(future)
--- a/lagooncrank/server/tests/site.py
+++ b/lagooncrank/server/tests/site.py
@@ -1,6 +1,7 @@
 """One daemon with stand-in engines and a plain service, in one loop."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import hashlib
@@ -29,6 +30,8 @@
 BOOKING = "booking"
 STATUS = "status"
 REPLICAS = 2
+#: Ends a wait for what never happens; no test measures by it.
+UNTIL_TIMEOUT_S = 20.0
 #: Silence bounds small enough for tests to meet them.
 SHORT_BOUNDS = timeouts.TimeoutBounds(
     initial_ms=300, floor_ms=300, ceiling_ms=600
@@ -212,6 +215,19 @@
         self.daemon.targets.refresh_capacity()
 
 
+async def until(holds: Callable[[], bool]) -> None:
+    """Waits for a condition.
+
+    Raises:
+        TimeoutError: It did not come to hold.
+    """
+    async with asyncio.timeout(UNTIL_TIMEOUT_S):
+        while True:
+            if holds():
+                return
+            await asyncio.sleep(0.005)
+
+
 def _process_settings(
     address: str, limits: settings.LimitSettings
 ) -> settings.ProcessSettings:
--- a/lagooncrank/server/tests/test_failures.py
+++ b/lagooncrank/server/tests/test_failures.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Callable
 import dataclasses
 import json
 from typing import Any
@@ -40,14 +39,6 @@
     return next(e for e in site.engines if e.requests)
 
 
-async def until(holds: Callable[[], bool]) -> None:
-    """Waits for a condition; pytest's own limit ends a wait in vain."""
-    while True:
-        if holds():
-            return
-        await asyncio.sleep(0.005)
-
-
 def cut_first(site: sites.Site, name: str, value: Any) -> None:
     """Makes whichever engine runs the next request fail once."""
 
@@ -130,10 +121,10 @@
         f"Authorization: Bearer {sites.KEY}\r\nContent-Length: {len(body)}\r\n"
     )
     writer.write(f"{head}\r\n{body}".encode())
-    await until(lambda: any(e.requests for e in site.engines))
+    await sites.until(lambda: any(e.requests for e in site.engines))
     writer.close()
     ran = first_to_run(site)
-    await until(lambda: bool(ran.cancelled))
+    await sites.until(lambda: bool(ran.cancelled))
     await site.daemon.lifecycle.idle.wait()
     assert ran.cancelled == [ran.requests[0]["request_id"]]
     assert await site.counter(REFUSED, "CALLER_GONE") == 1
@@ -173,10 +164,10 @@
     transport = writer.transport
     assert isinstance(transport, asyncio.ReadTransport)
     writer.write(f"{head}\r\n{body}".encode())
-    await until(lambda: any(e.requests for e in site.engines))
+    await sites.until(lambda: any(e.requests for e in site.engines))
     transport.pause_reading()
     ran = first_to_run(site)
-    await until(lambda: bool(ran.cancelled))
+    await sites.until(lambda: bool(ran.cancelled))
     await site.daemon.lifecycle.idle.wait()
     assert await site.counter(REFUSED, "READER_TOO_SLOW") == 1
     writer.close()
@@ -186,13 +177,13 @@
     site: sites.Site,
 ) -> None:
     task = asyncio.create_task(streamed(site))
-    await until(lambda: any(e.requests for e in site.engines))
+    await sites.until(lambda: any(e.requests for e in site.engines))
     ran = first_to_run(site)
     request_id = ran.requests[0]["request_id"]
     await asyncio.sleep(0.05)
     desk = site.daemon.desk
     desk.carry_out([admission.Suspend(request_id)])
-    await until(lambda: bool(ran.cancelled))
+    await sites.until(lambda: bool(ran.cancelled))
     desk.carry_out([admission.Start(request_id, 1)])
     text, end = await task
     requests = [r for e in site.engines for r in e.requests]
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -30,6 +30,9 @@
         self.leaving = False
         #: Runs by idempotency key, each one a method and path.
         self.runs: dict[str, list[str]] = {}
+        #: Calls run and wait here before they are answered.
+        self.answering = asyncio.Event()
+        self.answering.set()
         #: When set, calls run and their connection is cut before the answer.
         self.cut_answers = False
 
@@ -70,6 +73,7 @@
         if self.cut_answers and request.transport is not None:
             request.transport.abort()
             await asyncio.Event().wait()
+        await self.answering.wait()
         answer = {
             "server": self._backend_server_id,
             "path": request.path_qs,
