--- /dev/null
+++ b/bench/load_tool.py
@@ -0,0 +1,155 @@
+"""Open-loop load on an entry: streams drafts and reports percentiles.
+
+Requests arrive by a Poisson process with a fixed seed, whether or not earlier
+ones were answered, and are measured from the time at which they were due.
+
+Run: python -m bench.load_tool --entry IP:PORT --key KEY --model NAME
+"""
+
+import argparse
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterator
+import dataclasses
+import json
+import random
+import time
+from typing import Any
+
+from bench import load_client
+
+NS_PER_S = 1_000_000_000
+PERCENTILES = (50.0, 95.0, 99.0)
+US_PER_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """How many requests arrive, and for how long."""
+
+    requests_per_s: float
+    duration_s: float
+    seed: int = 1
+
+    def arrivals_ns(self) -> Iterator[int]:
+        """Yields the times of arrival from the start of the run."""
+        rng = random.Random(self.seed)
+        at_s = rng.expovariate(self.requests_per_s)
+        while at_s < self.duration_s:
+            yield int(at_s * NS_PER_S)
+            at_s += rng.expovariate(self.requests_per_s)
+
+
+#: Sends the request with a number that is due at a time in nanoseconds.
+Sender = Callable[[int, int], Coroutine[Any, Any, None]]
+
+
+async def run(load: Load, send: Sender) -> float:
+    """Sends every request of a load and waits for all answers.
+
+    Returns:
+        Seconds from the first arrival to the last answer.
+    """
+    start_ns = time.perf_counter_ns()
+    tasks: list[asyncio.Task[None]] = []
+    for index, arrival_ns in enumerate(load.arrivals_ns()):
+        due_ns = start_ns + arrival_ns
+        wait_ns = due_ns - time.perf_counter_ns()
+        if wait_ns > 0:
+            await asyncio.sleep(wait_ns / NS_PER_S)
+        tasks.append(asyncio.create_task(send(index, due_ns)))
+    await asyncio.gather(*tasks)
+    return (time.perf_counter_ns() - start_ns) / NS_PER_S
+
+
+def summary(measured: load_client.Measurements) -> dict[str, Any]:
+    """Returns the percentiles of a run, in milliseconds."""
+    histograms = {
+        "first_token_ms": measured.first_token_us,
+        "between_tokens_ms": measured.between_tokens_us,
+        "whole_ms": measured.whole_us,
+    }
+    figures: dict[str, Any] = {
+        name: {
+            f"p{percentile:g}": round(
+                values.get_value_at_percentile(percentile) / US_PER_MS, 3
+            )
+            for percentile in PERCENTILES
+        }
+        for name, values in histograms.items()
+    }
+    return figures | {"answers": measured.answers, "tokens": measured.tokens}
+
+
+def table(rows: dict[str, dict[str, Any]]) -> str:
+    """Returns a Markdown table with a line for each summary."""
+    lines = [
+        "| run | first token p50/p95/p99 ms | between tokens p50/p95/p99 ms "
+        "| answers |",
+        "| --- | --- | --- | --- |",
+    ]
+    for name, figures in rows.items():
+        first = _joined(figures["first_token_ms"])
+        between = _joined(figures["between_tokens_ms"])
+        lines.append(f"| {name} | {first} | {between} | {figures['answers']} |")
+    return "\n".join(lines)
+
+
+def draft_request(
+    entry: str, key: str, model: str, prompt: str, tokens: int
+) -> load_client.Request:
+    """Returns a streaming completion request."""
+    body = {
+        "model": model,
+        "prompt": prompt,
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    path = "/v1/completions"
+    return load_client.Request.to(entry, path, body, tokens, key)
+
+
+def _joined(percentiles: dict[str, float]) -> str:
+    return " / ".join(f"{value:.2f}" for value in percentiles.values())
+
+
+async def _main(arguments: argparse.Namespace) -> None:
+    client = load_client.StreamClient(arguments.entry)
+    measured = load_client.Measurements()
+
+    async def send(index: int, due_ns: int) -> None:
+        request = draft_request(
+            arguments.entry,
+            arguments.key,
+            arguments.model,
+            f"Draft number {index}.",
+            arguments.tokens,
+        )
+        await client.ask(request, measured, due_ns)
+
+    load = Load(arguments.rate, arguments.seconds, arguments.seed)
+    taken_s = await run(load, send)
+    client.close()
+    figures = summary(measured) | {"duration_s": round(taken_s, 2)}
+    if arguments.json:
+        print(json.dumps(figures, indent=1))
+    else:
+        print(table({"load": figures}))
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--entry", required=True, help="ip:port")
+    parser.add_argument("--key", required=True, help="bearer key")
+    parser.add_argument("--model", required=True, help="model service")
+    parser.add_argument("--rate", type=float, default=20.0, help="per second")
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--tokens", type=int, default=50)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(_arguments()))
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -15,8 +15,8 @@
 
 from demo import _caller
 from demo import _files
-from demo import _processes
 from standins import _tokens
+from standins import processes
 
 PROMPT = "Route sketch and cost of a gas connection for a bakery in Giza."
 DRAFT_TOKENS = 24
@@ -33,11 +33,11 @@
     def __init__(
         self,
         files: _files.Files,
-        processes: _processes.Processes,
+        running: processes.Processes,
         caller: _caller.Caller,
     ) -> None:
         self._files = files
-        self._processes = processes
+        self._processes = running
         self._caller = caller
         self._booking_address = _files.free_addresses(1)[0]
 
@@ -164,18 +164,18 @@
 
 
 async def _main(folder: pathlib.Path) -> None:
-    processes = _processes.Processes(folder)
+    running = processes.Processes(folder)
     timeout = aiohttp.ClientTimeout(total=30)
     try:
         async with aiohttp.ClientSession(timeout=timeout) as session:
             files = _files.Files.written_to(folder)
             caller = _caller.Caller(session)
-            await Demo(files, processes, caller).run()
+            await Demo(files, running, caller).run()
     finally:
-        for name in processes.names():
+        for name in running.names():
             print(f"--- {name}", file=sys.stderr)
-            print(processes.log_path(name).read_text(), file=sys.stderr)
-        processes.kill_all()
+            print(running.log_path(name).read_text(), file=sys.stderr)
+        await running.kill_all()
 
 
 if __name__ == "__main__":
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -251,6 +251,7 @@
     parser.add_argument("--first-token-ms", type=int, default=5)
     parser.add_argument("--between-tokens-ms", type=int, default=5)
     parser.add_argument("--tokens-per-event", type=int, default=1)
+    parser.add_argument("--concurrency", type=int, default=1_000)
     parser.add_argument("--load-ms", type=int, default=50)
     parser.add_argument("--crash-text", default="")
     return parser.parse_args()
@@ -267,6 +268,7 @@
             first_token_ms=arguments.first_token_ms,
             between_tokens_ms=arguments.between_tokens_ms,
             tokens_per_event=arguments.tokens_per_event,
+            concurrency=arguments.concurrency,
             load_ms=arguments.load_ms,
             crash_text=arguments.crash_text,
         )
--- a/demo/_processes.py
+++ b/standins/processes.py
@@ -1,4 +1,4 @@
-"""Starts and stops the demo's processes."""
+"""Starts and stops processes of the system and of stand-ins."""
 
 import asyncio
 import pathlib
@@ -9,7 +9,7 @@
 
 
 class Processes:
-    """Every process that the demo started, with a log file for each."""
+    """Every process that one run started, with a log file for each."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -52,11 +52,16 @@
         async with asyncio.timeout(STOP_TIMEOUT_S):
             return await process.wait()
 
-    def kill_all(self) -> None:
-        """Kills what is left after a failure."""
+    async def kill_all(self) -> None:
+        """Kills what is left and waits for its end."""
         for process in self._running.values():
             if process.returncode is None:
                 process.kill()
+            await process.wait()
+
+    def pid(self, name: str) -> int:
+        """Returns the process id of a running process."""
+        return self._running[name].pid
 
     def names(self) -> tuple[str, ...]:
         """Returns the names of the running processes."""
