--- /dev/null
+++ b/bench/_capacity_decisions.py
@@ -0,0 +1,187 @@
+"""Slopes of decisions: processor time of the core."""
+
+from collections.abc import Iterator
+import itertools
+from typing import Any
+
+from bench import _objects
+from bench import _slopes
+from bench import announcements
+from lagooncrank import model
+from lagooncrank.core import admission
+from lagooncrank.core import membership
+from lagooncrank.core import placement
+from lagooncrank.core import routing
+from lagooncrank.core import state
+
+_REPEATS = 200
+_SERVICE = model.ServiceName("drafts-000")
+
+
+@_slopes.measurement(
+    "cpu_admission", "us", "client account", "offer, start, end of one request"
+)
+def _cpu_admission() -> Iterator[_slopes.Point]:
+    for size in (10, 100, 400):
+        policy = _policy(size)
+        numbers = itertools.count()
+
+        def decide(policy: Any = policy, numbers: Any = numbers) -> None:
+            request_id = model.RequestId(f"r{next(numbers)}")
+            name = _objects.account(next(numbers) % 10).name
+            policy.offer(
+                admission.Offer(request_id, name, _SERVICE, 500, 400, 10_000),
+                0,
+            )
+            policy.first_token(request_id, 1)
+            policy.ended(request_id, 2)
+
+        yield _slopes.Point(size, _slopes.cpu_us(decide, _REPEATS))
+
+
+@_slopes.measurement(
+    "cpu_admission_tick", "us", "client account", "one tick with new limits"
+)
+def _cpu_admission_tick() -> Iterator[_slopes.Point]:
+    for size in (10, 100, 400):
+        policy = _policy(size)
+        times = itertools.count(0, admission.LIMITS_INTERVAL_MS)
+
+        def tick(policy: Any = policy, times: Any = times) -> None:
+            policy.tick(next(times))
+
+        yield _slopes.Point(size, _slopes.cpu_us(tick, _REPEATS // 10))
+
+
+@_slopes.measurement("cpu_route", "us", "replica", "choose, send, end")
+def _cpu_route() -> Iterator[_slopes.Point]:
+    domain = model.FailureDomainId("domain-0")
+    for size in (4, 16, 64):
+        router = routing.ROUTERS.get("balanced").from_config(
+            routing.RouterConfig(_objects.NODE, domain)
+        )
+        targets = [_target(index) for index in range(size)]
+        numbers = itertools.count()
+
+        def choose(
+            router: Any = router, targets: Any = targets, numbers: Any = numbers
+        ) -> None:
+            request_id = model.RequestId(f"r{next(numbers)}")
+            name = _objects.account(0).name
+            query = routing.RouteQuery(request_id, _SERVICE, name, 500, 400)
+            target = router.choose(query, targets, 0)
+            if target is not None:
+                router.sent(query, target, 0)
+                router.ended(request_id, routing.AttemptEnd.COMPLETED, 5)
+
+        yield _slopes.Point(size, _slopes.cpu_us(choose, _REPEATS))
+
+
+@_slopes.measurement(
+    "cpu_placement", "us", "instance", "one step, every replica serving"
+)
+def _cpu_placement() -> Iterator[_slopes.Point]:
+    for size in (64, 256, 1_024):
+        replicas = {
+            replica.replica_id: replica
+            for replica in map(
+                _objects.replica, range(size // _objects.INSTANCES_PER_REPLICA)
+            )
+        }
+        planner = _planner()
+        situation = placement.Situation(
+            declarations=_objects.declarations(1),
+            replicas=replicas,
+            last_fencing_number=len(replicas),
+            members=tuple(_members(size)),
+        )
+
+        def step(planner: Any = planner, situation: Any = situation) -> None:
+            planner.step(situation, 1_000)
+
+        yield _slopes.Point(size, _slopes.cpu_us(step, 5))
+
+
+@_slopes.measurement(
+    "cpu_booking",
+    "us",
+    "booking on record",
+    "one more booking: decode and apply its two entries",
+)
+def _cpu_booking() -> Iterator[_slopes.Point]:
+    for size in (1_000, 4_000, 16_000):
+        machine = _objects.machine(*_objects.bookings(size))
+        numbers = itertools.count(size)
+
+        def book(machine: Any = machine, numbers: Any = numbers) -> None:
+            number = next(numbers)
+            for command in (_objects.reserve(number), _objects.finish(number)):
+                data = state.encode_command(command)
+                index = machine.applied_index + 1
+                machine.apply(index, state.decode_command(data))
+
+        yield _slopes.Point(size, _slopes.cpu_us(book, _REPEATS // 10))
+
+
+@_slopes.measurement(
+    "cpu_change", "us", "client account", "decode and apply one change"
+)
+def _cpu_change() -> Iterator[_slopes.Point]:
+    for size in (100, 400, 1_600):
+        command = _objects.apply_command(_objects.declarations(size))
+        data = state.encode_command(command)
+
+        def apply(data: bytes = data) -> None:
+            state.StateMachine().apply(1, state.decode_command(data))
+
+        yield _slopes.Point(size, _slopes.cpu_us(apply, 3))
+
+
+def _policy(accounts: int) -> admission.Admission:
+    config = admission.AdmissionConfig(
+        node_id=_objects.NODE, incarnation=1, entries=3
+    )
+    policy = admission.ADMISSIONS.get("fair_share").from_config(config)
+    policy.configure(_objects.declarations(accounts), 0)
+    policy.set_capacity(admission.Capacity(_SERVICE, 50, 1_600, 100_000), 0)
+    return policy
+
+
+def _target(index: int) -> routing.Target:
+    return routing.Target(
+        target_id=f"replica-{index}",
+        address=f"127.0.0.1:{9_000 + index}",
+        failure_domain_id=model.FailureDomainId(f"domain-{index % 3}"),
+        incarnation="1",
+        load=model.LoadReport(running=index % 7),
+        load_received_ms=0,
+        concurrency=32,
+    )
+
+
+def _planner() -> placement.Planner:
+    return placement.Planner(
+        policy=placement.POLICIES.get("weighted")(),
+        rules=placement.FencingRules(10_000, 30_000),
+        leader_since_ms=0,
+        last_fencing_number=10_000,
+    )
+
+
+def _members(instances: int) -> Iterator[membership.Member]:
+    for index in range(instances):
+        replica = _objects.replica(index // _objects.INSTANCES_PER_REPLICA)
+        rank = index % _objects.INSTANCES_PER_REPLICA
+        announcement = announcements.announcement(index, 1).with_changes(
+            backend_server_id=replica.backend_servers[rank],
+            instance_id=replica.instances[rank],
+            fabric_domain_id=replica.fabric_domain_id,
+            loaded=model.LoadedModel(
+                replica.service,
+                replica.replica_id,
+                replica.version,
+                replica.fencing_number,
+                ready=True,
+            ),
+        )
+        yield membership.Member(announcement, 900, 3_400)
--- /dev/null
+++ b/bench/_capacity_process.py
@@ -0,0 +1,104 @@
+"""Slopes of a whole process: memory of the interpreter and of links."""
+
+import asyncio
+from collections.abc import Iterator
+import gc
+import socket
+import subprocess
+import sys
+import tracemalloc
+
+from bench import _slopes
+from lagooncrank import clock
+from lagooncrank import model
+from lagooncrank.server import links
+
+BYTES_PER_KIB = 1_024
+LINK_CHECK_INTERVAL_S = 0.05
+LINK_CHECKS = 400
+_REPORT = (
+    "import re, sys; {code}; "
+    "text = open('/proc/self/status').read(); "
+    "print(re.search('VmRSS:\\\\s*(\\\\d+)', text).group(1))"
+)
+
+
+def resident_bytes(code: str) -> int:
+    """Returns the resident memory of a new interpreter that ran `code`."""
+    command = [sys.executable, "-c", _REPORT.format(code=code)]
+    printed = subprocess.run(
+        command, check=True, capture_output=True, text=True
+    ).stdout
+    return int(printed) * BYTES_PER_KIB
+
+
+@_slopes.measurement(
+    "memory_interpreter", "B", "process", "resident, Python alone"
+)
+def _memory_interpreter() -> Iterator[_slopes.Point]:
+    for size in (1, 2, 3):
+        yield _slopes.Point(size, size * resident_bytes("pass"))
+
+
+@_slopes.measurement(
+    "memory_daemon", "B", "process", "resident, the daemon's code loaded"
+)
+def _memory_daemon() -> Iterator[_slopes.Point]:
+    code = "import lagooncrank.server._main"
+    for size in (1, 2, 3):
+        yield _slopes.Point(size, size * resident_bytes(code))
+
+
+@_slopes.measurement("memory_link", "B", "link end", "memory, open links")
+def _memory_link() -> Iterator[_slopes.Point]:
+    for nodes in (2, 4, 8, 16):
+        held = asyncio.run(_mesh_bytes(nodes))
+        yield _slopes.Point(nodes * (nodes - 1), held)
+
+
+async def _mesh_bytes(nodes: int) -> int:
+    """Returns the memory of a full mesh of links in this process."""
+    gc.collect()
+    tracemalloc.start()
+    mesh = _mesh(nodes)
+    try:
+        for node in mesh:
+            await node.start()
+        await _until_connected(mesh)
+        gc.collect()
+        held, _ = tracemalloc.get_traced_memory()
+        return held
+    finally:
+        tracemalloc.stop()
+        for node in mesh:
+            await node.stop()
+
+
+async def _until_connected(mesh: list[links.Links]) -> None:
+    for _ in range(LINK_CHECKS):
+        if all(len(node.connected()) == len(mesh) - 1 for node in mesh):
+            return
+        await asyncio.sleep(LINK_CHECK_INTERVAL_S)
+    raise TimeoutError("the links of the mesh did not open")
+
+
+def _mesh(nodes: int) -> list[links.Links]:
+    listeners = {}
+    for index in range(nodes):
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listeners[model.NodeId(f"node-{index:03d}")] = listener
+    addresses = {
+        node_id: f"127.0.0.1:{listener.getsockname()[1]}"
+        for node_id, listener in listeners.items()
+    }
+    return [
+        links.Links(
+            node_id,
+            addresses,
+            b"bench-key",
+            clock.SystemClock(),
+            listener=listener,
+        )
+        for node_id, listener in listeners.items()
+    ]
