--- a/bench/_capacity_decisions.py
+++ b/bench/_capacity_decisions.py
@@ -40,11 +40,19 @@
 
 
 @_slopes.measurement(
-    "cpu_admission_tick", "us", "client account", "one tick with new limits"
+    "cpu_admission_tick",
+    "us",
+    "client account in use",
+    "one tick with new limits for one service",
 )
 def _cpu_admission_tick() -> Iterator[_slopes.Point]:
     for size in (10, 100, 400):
         policy = _policy(size)
+        for index in range(size):
+            request_id = model.RequestId(f"r{index}")
+            name = _objects.account(index).name
+            offer = admission.Offer(request_id, name, _SERVICE, 500, 400, 10**9)
+            policy.offer(offer, 0)
         times = itertools.count(0, admission.LIMITS_INTERVAL_MS)
 
         def tick(policy: Any = policy, times: Any = times) -> None:
--- a/bench/_capacity_process.py
+++ b/bench/_capacity_process.py
@@ -2,12 +2,18 @@
 
 import asyncio
 from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
 import gc
 import socket
 import subprocess
 import sys
+import time
 import tracemalloc
 
+from aiohttp import test_utils
+from aiohttp import web
+
 from bench import _slopes
 from lagooncrank import clock
 from lagooncrank import model
@@ -16,6 +22,8 @@
 BYTES_PER_KIB = 1_024
 LINK_CHECK_INTERVAL_S = 0.05
 LINK_CHECKS = 400
+#: Request line, or status line, with the empty line after the headers.
+FIRST_LINE_BYTES = 28
 _REPORT = (
     "import re, sys; {code}; "
     "text = open('/proc/self/status').read(); "
@@ -49,6 +57,63 @@
         yield _slopes.Point(size, size * resident_bytes(code))
 
 
+@_slopes.measurement(
+    "cpu_http", "us", "exchange", "HTTP request and answer, both ends"
+)
+def _cpu_http() -> Iterator[_slopes.Point]:
+    for size in (100, 200, 400):
+        runs = [
+            asyncio.run(_http_exchanges(size)) for _ in range(_slopes.TIMINGS)
+        ]
+        yield _slopes.Point(size, min(run.cpu_us for run in runs))
+
+
+@_slopes.measurement(
+    "http_headers", "B", "exchange", "headers of request and answer"
+)
+def _http_headers() -> Iterator[_slopes.Point]:
+    for size in (10, 20, 40):
+        totals = asyncio.run(_http_exchanges(size))
+        yield _slopes.Point(size, totals.header_bytes)
+
+
+@dataclasses.dataclass(slots=True)
+class _HttpTotals:
+    cpu_us: float = 0.0
+    header_bytes: int = 0
+
+
+async def _http_exchanges(count: int) -> _HttpTotals:
+    """Makes a number of HTTP exchanges over one connection."""
+    totals = _HttpTotals()
+
+    async def answer(request: web.Request) -> web.Response:
+        await request.read()
+        return web.json_response({"code": 0})
+
+    app = web.Application()
+    app.router.add_post("/v1/announce", answer)
+    server = test_utils.TestServer(app)
+    async with test_utils.TestClient(server) as client:
+        await client.post("/v1/announce", json={})
+        start_ns = time.process_time_ns()
+        for _ in range(count):
+            response = await client.post("/v1/announce", json={})
+            await response.read()
+            totals.header_bytes += _header_bytes(
+                response.request_info.headers
+            ) + _header_bytes(response.headers)
+        elapsed_ns = time.process_time_ns() - start_ns
+        totals.cpu_us = elapsed_ns / _slopes.NS_PER_US
+    return totals
+
+
+def _header_bytes(headers: Mapping[str, str]) -> int:
+    """Returns the bytes of header lines and a first line of usual length."""
+    lines = sum(len(f"{name}: {headers[name]}") + 2 for name in headers)
+    return lines + FIRST_LINE_BYTES
+
+
 @_slopes.measurement("memory_link", "B", "link end", "memory, open links")
 def _memory_link() -> Iterator[_slopes.Point]:
     for nodes in (2, 4, 8, 16):
