Keep the last known use of silent entries, scaled by what engines report

An entry cut off from the others dropped their reports after 1.5 s and fell back to a sixth of every share. Limits are no longer set anew at every unchanged capacity.

--- a/lagooncrank/core/admission/_fair_share.py
+++ b/lagooncrank/core/admission/_fair_share.py
@@ -51,7 +51,10 @@
     ) -> Sequence[_types.Effect]:
         """Takes the capacity of one service."""
         service = self._service_named(capacity.service)
+        before = service.limits.capacity
         service.limits.capacity = capacity
+        if before.concurrency == capacity.concurrency:
+            return ()
         return self._noted(self._set_limits(service, now_ms))
 
     def offer(
--- a/lagooncrank/core/admission/_limits.py
+++ b/lagooncrank/core/admission/_limits.py
@@ -14,22 +14,29 @@
 LENT_FRACTION = 0.97
 #: Part by which the unexplained use shrinks at each look.
 UNEXPLAINED_DECAY = 0.9
+#: Lapsed use is taken to have grown at most so many times.
+MAX_LAPSED_FACTOR = 1.5
 
 _NOTHING = _remote.RemoteUse()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peers:
-    """How many entries share the capacity, and how many were heard."""
+    """How many entries share the capacity, and how many ever reported."""
 
     entries: int
-    heard: int
+    known: int
 
     @property
-    def unheard_fraction(self) -> float:
-        """Part of the entries whose use is not known."""
-        unheard = max(0, self.entries - 1 - self.heard)
-        return unheard / max(1, self.entries)
+    def sharing(self) -> int:
+        """Entries that divide the capacity, this one included."""
+        return 1 + self.known if self.known else max(1, self.entries)
+
+    @property
+    def unknown_fraction(self) -> float:
+        """Part of the entries that never reported."""
+        unknown = max(0, self.entries - 1 - self.known)
+        return unknown / max(1, self.entries)
 
 
 class Limits:
@@ -57,15 +64,15 @@
     def update(
         self,
         accounts: Mapping[model.ClientAccountId, _account.Account],
-        remote: Mapping[model.ClientAccountId, _remote.RemoteUse],
+        uses: _remote.Uses,
         peers: Peers,
     ) -> None:
         """Sets the limits from what is known now."""
-        self._measure(accounts.values(), remote.values(), peers)
+        self._measure(accounts.values(), uses.values(), peers)
         active = [
-            (account, _spread(account, remote.get(name, _NOTHING)))
+            (account, _spread(account, uses.get(name, _NOTHING)))
             for name, account in accounts.items()
-            if not account.idle or name in remote
+            if not account.idle or name in uses
         ]
         claims = [
             _shares.Claim(account.share, spread.demand)
@@ -75,7 +82,19 @@
             self._usable_weight, claims, self.total_share, LENT_FRACTION
         )
         for (account, spread), grant in zip(active, grants, strict=True):
-            self._limit(account, spread, grant, peers.entries)
+            self._limit(account, spread, grant, peers.sharing)
+
+    def lapsed_factor(
+        self, own_running: int, fresh: _remote.Uses, lapsed: _remote.Uses
+    ) -> float:
+        """Returns the part of the lapsed use that the engines still show."""
+        last_running = sum(use.running for use in lapsed.values())
+        reported = self.capacity.reported_running
+        if not last_running or reported is None:
+            return 1.0
+        known = own_running + sum(use.running for use in fresh.values())
+        factor = (reported - known) / last_running
+        return min(MAX_LAPSED_FACTOR, max(0.0, factor))
 
     def limit_idle(self, account: _account.Account, entries: int) -> None:
         """Sets the limits of an account that had no demand until now."""
@@ -120,10 +139,10 @@
     def _usable_slots(self, running: int, peers: Peers) -> float:
         """Returns the slots left by entries whose use is not known."""
         slots = self.capacity.concurrency
-        if not peers.unheard_fraction:
+        if not peers.unknown_fraction:
             self._unexplained = 0.0
             return slots
-        known_part = slots * (1 - peers.unheard_fraction)
+        known_part = slots * (1 - peers.unknown_fraction)
         reported = self.capacity.reported_running
         if reported is None:
             return known_part
--- a/lagooncrank/core/admission/_remote.py
+++ b/lagooncrank/core/admission/_remote.py
@@ -6,8 +6,10 @@
 from lagooncrank import model
 from lagooncrank.core.admission import _types
 
-#: A report older than this no longer counts.
+#: A report older than this is taken for lapsed.
 REPORT_LIFETIME_MS = 1_500
+#: A report older than this is dropped.
+LAPSED_LIFETIME_MS = 60_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,25 +27,35 @@
         self.waiting_weight += sign * usage.queued_centiweight / 100
 
 
+#: Use by account.
+Uses = dict[model.ClientAccountId, RemoteUse]
+
+
 class RemoteUsage:
-    """Sums the latest report of each other entry."""
+    """Sums the latest report of each other entry.
+
+    An entry that falls silent may be gone or only cut off. What it reported
+    last is kept apart, as lapsed, until it is too old to mean anything.
+    """
 
     def __init__(self) -> None:
         self._reports: dict[model.NodeId, tuple[_types.UsageReport, int]] = {}
-        self._uses: dict[
-            model.ServiceName, dict[model.ClientAccountId, RemoteUse]
-        ] = {}
+        self._fresh: dict[model.ServiceName, Uses] = {}
+        self._lapsed: dict[model.ServiceName, Uses] = {}
+        self._silent: set[model.NodeId] = set()
 
     @property
-    def heard(self) -> int:
-        """Number of other entries whose report counts."""
+    def known(self) -> int:
+        """Number of other entries that reported, lapsed ones included."""
         return len(self._reports)
 
-    def uses(
-        self, service: model.ServiceName
-    ) -> dict[model.ClientAccountId, RemoteUse]:
-        """Returns the use of one service by account."""
-        return self._uses.get(service, {})
+    def fresh(self, service: model.ServiceName) -> Uses:
+        """Returns the use by entries that were heard lately."""
+        return self._fresh.get(service, {})
+
+    def lapsed(self, service: model.ServiceName) -> Uses:
+        """Returns the last known use by entries that fell silent."""
+        return self._lapsed.get(service, {})
 
     def observe(self, report: _types.UsageReport, now_ms: int) -> None:
         """Takes a report unless a newer one of that entry was taken."""
@@ -51,24 +63,58 @@
         if known is not None and _order(known[0]) >= _order(report):
             return
         if known is not None:
-            self._count(known[0].usages, -1)
+            self._forget(known[0])
         self._reports[report.node_id] = (report, now_ms)
-        self._count(report.usages, 1)
+        _count(self._fresh, report.usages, 1)
 
     def expire(self, now_ms: int) -> None:
-        """Drops the reports that are too old to count."""
+        """Lets old reports lapse and drops very old ones."""
         for report, heard_ms in tuple(self._reports.values()):
-            if now_ms - heard_ms > REPORT_LIFETIME_MS:
+            age_ms = now_ms - heard_ms
+            if age_ms > LAPSED_LIFETIME_MS:
+                self._forget(report)
                 del self._reports[report.node_id]
-                self._count(report.usages, -1)
-
-    def _count(self, usages: Iterable[_types.AccountUsage], sign: int) -> None:
-        for usage in usages:
-            by_account = self._uses.setdefault(usage.service, {})
-            use = by_account.setdefault(usage.account, RemoteUse())
-            use.add(usage, sign)
-            if use.running_weight < 0.005 and use.waiting_weight < 0.005:
-                del by_account[usage.account]
+            elif age_ms > REPORT_LIFETIME_MS:
+                self._lapse(report)
+
+    def _lapse(self, report: _types.UsageReport) -> None:
+        if report.node_id not in self._silent:
+            self._silent.add(report.node_id)
+            _count(self._fresh, report.usages, -1)
+            _count(self._lapsed, report.usages, 1)
+
+    def _forget(self, report: _types.UsageReport) -> None:
+        if report.node_id in self._silent:
+            self._silent.discard(report.node_id)
+            _count(self._lapsed, report.usages, -1)
+        else:
+            _count(self._fresh, report.usages, -1)
+
+
+def combine(fresh: Uses, lapsed: Uses, factor: float) -> Uses:
+    """Returns fresh use and `factor` times the lapsed use."""
+    if not lapsed or factor <= 0:
+        return fresh
+    sums = {name: dataclasses.replace(use) for name, use in fresh.items()}
+    for name, use in lapsed.items():
+        total = sums.setdefault(name, RemoteUse())
+        total.running += round(factor * use.running)
+        total.running_weight += factor * use.running_weight
+        total.waiting_weight += factor * use.waiting_weight
+    return sums
+
+
+def _count(
+    uses: dict[model.ServiceName, Uses],
+    usages: Iterable[_types.AccountUsage],
+    sign: int,
+) -> None:
+    for usage in usages:
+        by_account = uses.setdefault(usage.service, {})
+        use = by_account.setdefault(usage.account, RemoteUse())
+        use.add(usage, sign)
+        if use.running_weight < 0.005 and use.waiting_weight < 0.005:
+            del by_account[usage.account]
 
 
 def _order(report: _types.UsageReport) -> tuple[int, int]:
--- a/lagooncrank/core/admission/_service.py
+++ b/lagooncrank/core/admission/_service.py
@@ -35,7 +35,7 @@
     def __init__(self, limits: _limits.Limits) -> None:
         self.limits = limits
         self.accounts: dict[model.ClientAccountId, _account.Account] = {}
-        self.peers = _limits.Peers(entries=1, heard=0)
+        self.peers = _limits.Peers(entries=1, known=0)
         self._queued: dict[model.ClientAccountId, _account.Account] = {}
         self._deadlines: list[tuple[int, int, _account.Work]] = []
         self._pushed = 0
@@ -49,7 +49,7 @@
     ) -> Iterator[_types.Effect]:
         """Starts, queues or refuses a request."""
         if account.idle:
-            self.limits.limit_idle(account, self.peers.entries)
+            self.limits.limit_idle(account, self.peers.sharing)
         refusal = self._refusal(account, offer, now_ms)
         if refusal is not None:
             yield _types.Refuse(offer.request_id, refusal)
@@ -83,8 +83,8 @@
         self, remote: _remote.RemoteUsage, entries: int, now_ms: int
     ) -> Iterator[_types.Effect]:
         """Sets the limits anew and takes lent capacity back."""
-        self.peers = _limits.Peers(entries, remote.heard)
-        uses = remote.uses(self.limits.capacity.service)
+        self.peers = _limits.Peers(entries, remote.known)
+        uses = self._other_uses(remote)
         self.limits.update(self.accounts, uses, self.peers)
         self._other_running = sum(use.running for use in uses.values())
         active = [a for a in self.accounts.values() if not a.idle]
@@ -116,6 +116,12 @@
         residence_ms = account.residence_ms(self.limits.ms_per_token)
         return account.waiting_weight * residence_ms / limit
 
+    def _other_uses(self, remote: _remote.RemoteUsage) -> _remote.Uses:
+        name = self.limits.capacity.service
+        fresh, lapsed = remote.fresh(name), remote.lapsed(name)
+        factor = self.limits.lapsed_factor(self._running, fresh, lapsed)
+        return _remote.combine(fresh, lapsed, factor)
+
     def _refusal(
         self, account: _account.Account, offer: _types.Offer, now_ms: int
     ) -> results.Refusal | None:
