--- a/bench/_entry.py
+++ b/bench/_entry.py
@@ -74,6 +74,7 @@
         self.requests: dict[model.RequestId, Request] = {}
         self._outcome = outcome
         self._target_ms = scenario.first_token_target_ms
+        self._tokens_per_s = scenario.tokens_per_s_per_replica
         self._send = send
         self._cancel = cancel
         self._sent = 0
@@ -97,6 +98,20 @@
         self.retry.first_attempt(self._call(request), int(now_ms))
         self.carry_out(self.admission.offer(offer, int(now_ms)), now_ms)
 
+    def set_capacity(self, now_ms: float) -> None:
+        """Tells admission what the targets in use can take."""
+        at_ms = int(now_ms)
+        avoided = self.router.avoided(_scenario.SERVICE, at_ms)
+        used = [t for t in self.targets if t.target_id not in avoided]
+        capacity = admission.Capacity(
+            _scenario.SERVICE,
+            len(used),
+            sum(target.concurrency for target in used),
+            len(used) * self._tokens_per_s,
+            sum(t.load.running + t.load.queued for t in used),
+        )
+        self.carry_out(self.admission.set_capacity(capacity, at_ms), now_ms)
+
     def carry_out(
         self, effects: Sequence[admission.Effect], now_ms: float
     ) -> None:
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -18,8 +18,12 @@
 MAX_CANDIDATES = 64
 #: Cost of a full batch against an empty one.
 FULL_BATCH_MS = 1_000.0
-#: Cost of each request over the batch size.
-QUEUED_MS = 300.0
+#: Cost of a request over the batch size, in mean waits for a free place.
+QUEUED_WAITS = 3.0
+#: Time in the batch expected before any answer ended.
+FIRST_GUESS_RESIDENCE_MS = 3_200.0
+#: Weight of the newest answer in the mean time in the batch.
+RESIDENCE_GAIN = 0.02
 #: Cost of a prompt token that must be computed.
 PREFILL_MS_PER_TOKEN = 0.1
 #: Cost of a target in another failure domain.
@@ -46,6 +50,8 @@
         self.states: dict[str, _TargetState] = {}
         self.homes = _homes.Homes(config.node_id, config.entries)
         self.comparison = _speed.Comparison()
+        #: Mean time that an answer holds its place in a batch.
+        self.residence_ms = FIRST_GUESS_RESIDENCE_MS
 
     def update(self, targets: Sequence[_types.Target], now_ms: int) -> None:
         """Compares speeds and assigns homes, when due."""
@@ -53,13 +59,20 @@
         self.comparison.update(speeds, now_ms)
         self.homes.update(targets, now_ms)
 
+    def learn_residence(self, duration_ms: int) -> None:
+        """Moves the mean time in a batch towards one answer's."""
+        difference_ms = duration_ms - self.residence_ms
+        self.residence_ms += RESIDENCE_GAIN * difference_ms
+
 
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     """An attempt in flight."""
 
+    service: _Service
     state: _TargetState
     prefill_tokens: int
+    sent_ms: int
     last_token_ms: int = -1
 
 
@@ -98,13 +111,13 @@
         usable = [
             (target, state)
             for target, state in candidates
-            if not state.speed.slow and state.speed.paused_until_ms <= now_ms
+            if not state.speed.avoided(now_ms)
         ]
         if not usable:
             return _first_to_return(candidates)
         cheapest = min(
             usable,
-            key=lambda pair: self._cost_ms(query, service.homes, *pair),
+            key=lambda pair: self._cost_ms(query, service, *pair),
         )
         return cheapest[0]
 
@@ -118,7 +131,9 @@
         state.load.own_prefill_tokens += query.prompt_tokens
         if state.speed.slow:
             state.speed.try_again(now_ms)
-        self._attempts[query.request_id] = _Attempt(state, query.prompt_tokens)
+        self._attempts[query.request_id] = _Attempt(
+            service, state, query.prompt_tokens, now_ms
+        )
 
     def first_token(self, request_id: model.RequestId, now_ms: int) -> None:
         """Notes that an attempt's prompt was computed."""
@@ -151,6 +166,7 @@
         speed = attempt.state.speed
         if end is _types.AttemptEnd.COMPLETED:
             speed.completed()
+            attempt.service.learn_residence(now_ms - attempt.sent_ms)
         elif end is _types.AttemptEnd.REFUSED:
             speed.pause_briefly(now_ms)
         elif end is not _types.AttemptEnd.CANCELLED:
@@ -166,6 +182,16 @@
         """Forgets every cache hint of a target."""
         self._hints.lost(target_id)
 
+    def avoided(
+        self, service: model.ServiceName, now_ms: int
+    ) -> frozenset[str]:
+        """Returns the stragglers and the targets that failed lately."""
+        return frozenset(
+            target_id
+            for target_id, state in self._service_named(service).states.items()
+            if state.speed.avoided(now_ms)
+        )
+
     def _service_named(self, name: model.ServiceName) -> _Service:
         service = self._services.get(name)
         if service is None:
@@ -186,7 +212,7 @@
     def _cost_ms(
         self,
         query: _types.RouteQuery,
-        homes: _homes.Homes,
+        service: _Service,
         target: _types.Target,
         state: _TargetState,
     ) -> float:
@@ -200,10 +226,13 @@
         )
         cost_ms = (
             load / slots * FULL_BATCH_MS
-            + max(0.0, load - slots) * QUEUED_MS
+            + max(0.0, load - slots)
+            * service.residence_ms
+            / slots
+            * QUEUED_WAITS
             + prefill_tokens * PREFILL_MS_PER_TOKEN
         )
-        if not homes.is_own(target.target_id):
+        if not service.homes.is_own(target.target_id):
             cost_ms += AWAY_MS * (1 - cached)
         if target.failure_domain_id != self._config.failure_domain_id:
             cost_ms += DISTANCE_MS
--- a/lagooncrank/core/routing/_round_robin.py
+++ b/lagooncrank/core/routing/_round_robin.py
@@ -58,3 +58,9 @@
 
     def cache_lost(self, target_id: str) -> None:
         """Ignores cache hints."""
+
+    def avoided(
+        self, service: model.ServiceName, now_ms: int
+    ) -> frozenset[str]:
+        """Returns no targets."""
+        return frozenset()
--- a/lagooncrank/core/routing/_speed.py
+++ b/lagooncrank/core/routing/_speed.py
@@ -34,6 +34,10 @@
         self._pause_ms = MIN_PAUSE_MS
         self._tokens = 0
 
+    def avoided(self, now_ms: int) -> bool:
+        """Returns whether the target gets no ordinary work."""
+        return self.slow or self.paused_until_ms > now_ms
+
     def add_tokens(self, count: int, duration_ms: int) -> None:
         """Notes that `count` tokens took `duration_ms`."""
         sample_ms = duration_ms / count
--- a/lagooncrank/core/routing/_types.py
+++ b/lagooncrank/core/routing/_types.py
@@ -86,3 +86,11 @@
 
     def cache_lost(self, target_id: str) -> None:
         """Forgets every cache hint of a target, after a gap in its events."""
+
+    def avoided(
+        self, service: model.ServiceName, now_ms: int
+    ) -> frozenset[str]:
+        """Returns the targets that get no ordinary work now.
+
+        They are stragglers or failed lately, so capacity is without them.
+        """
