--- a/bench/_entry.py
+++ b/bench/_entry.py
@@ -13,6 +13,9 @@
 from lagooncrank.core import retry
 from lagooncrank.core import routing
 
+#: Entries that did not report for this long are silent.
+SILENT_AFTER_MS = 600
+
 
 @dataclasses.dataclass(slots=True)
 class Request:
@@ -70,6 +73,8 @@
             retry.RetryConfig()
         )
         self.alive = True
+        #: When each other entry's report came last.
+        self.heard_ms: dict[model.NodeId, float] = {}
         self.targets: Sequence[routing.Target] = ()
         self.requests: dict[model.RequestId, Request] = {}
         self._outcome = outcome
@@ -98,6 +103,15 @@
         self.retry.first_attempt(self._call(request), int(now_ms))
         self.carry_out(self.admission.offer(offer, int(now_ms)), now_ms)
 
+    def note_silent(self, now_ms: float) -> None:
+        """Tells the router which entries were not heard from lately."""
+        silent = [
+            node_id
+            for node_id, heard_ms in self.heard_ms.items()
+            if now_ms - heard_ms > SILENT_AFTER_MS
+        ]
+        self.router.set_silent(silent)
+
     def set_capacity(self, now_ms: float) -> None:
         """Tells admission what the targets in use can take."""
         at_ms = int(now_ms)
--- a/bench/_scenario.py
+++ b/bench/_scenario.py
@@ -101,7 +101,7 @@
     plain = Scenario("bursts", ten_accounts(), SMALL)
     change = functools.partial(dataclasses.replace, plain)
     long_answers = ten_accounts(output_tokens=1_000)
-    # A third of the replicas is lost, so half a share becomes three quarters.
+    # After a loss six tenths are more than a share of what is left.
     small_at_40 = ten_accounts(small_part=0.4)
     small_at_60 = ten_accounts(small_part=0.6)
     lost = functools.partial(change, domain_lost_ms=14_000)
@@ -111,9 +111,13 @@
         change(name="reports 2 s late", report_lag_ms=2_000),
         change(name="10 % stragglers", stragglers=0.1),
         lost(name="failure domain lost"),
-        lost(name="domain lost, small at 40 %", loads=small_at_40),
         lost(name="domain lost, small at 60 %", loads=small_at_60),
-        lost(name="all at once", report_lag_ms=2_000, stragglers=0.1),
+        lost(
+            name="all at once, small at 40 %",
+            loads=small_at_40,
+            report_lag_ms=2_000,
+            stragglers=0.1,
+        ),
         change(name="entry cut off", entry_cut_off_ms=8_000),
     )
 
--- a/lagooncrank/core/admission/_account.py
+++ b/lagooncrank/core/admission/_account.py
@@ -13,6 +13,8 @@
 FIRST_GUESS_FIRST_TOKEN_MS = 150
 #: Weight of the newest sample in the learned means.
 GAIN = 0.05
+#: Weight of the newest look at how an account spreads over the entries.
+USUAL_PART_GAIN = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +52,8 @@
         self.limit = 0.0
         #: Running weight over `limit` when limits were last set.
         self.excess = 0.0
+        #: Part of the account's running weight that is usually at this entry.
+        self.usual_part = _estimates.MovingAverage(0.0, USUAL_PART_GAIN)
         self.waiting: dict[model.RequestId, Work] = {}
         self.resumable: dict[model.RequestId, Work] = {}
         self.running: dict[model.RequestId, Work] = {}
--- a/lagooncrank/core/admission/_limits.py
+++ b/lagooncrank/core/admission/_limits.py
@@ -98,7 +98,8 @@
 
     def limit_idle(self, account: _account.Account, entries: int) -> None:
         """Sets the limits of an account that had no demand until now."""
-        account.owned_limit = self.own_share(account) / max(1, entries)
+        part = max(account.usual_part.value, 1 / max(1, entries))
+        account.owned_limit = self.own_share(account) * part
         account.limit = account.owned_limit
         account.excess = 0.0
 
@@ -110,7 +111,12 @@
         entries: int,
     ) -> None:
         own_share = max(grant.owned, self.own_share(account))
-        account.owned_limit = spread.own_limit(own_share, entries)
+        if spread.running > 0:
+            account.usual_part.add(spread.own_running / spread.running)
+        account.owned_limit = max(
+            spread.own_limit(own_share, entries),
+            own_share * account.usual_part.value,
+        )
         account.limit = max(
             spread.own_limit(grant.allowed, entries),
             min(account.owned_limit, account.running_weight),
--- a/lagooncrank/core/admission/_remote.py
+++ b/lagooncrank/core/admission/_remote.py
@@ -7,7 +7,7 @@
 from lagooncrank.core.admission import _types
 
 #: A report older than this is taken for lapsed.
-REPORT_LIFETIME_MS = 1_500
+REPORT_LIFETIME_MS = 600
 #: A report older than this is dropped.
 LAPSED_LIFETIME_MS = 60_000
 
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -1,5 +1,6 @@
 """Routing by estimated cost: load, speed, cached prefix and distance."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -85,6 +86,7 @@
         self._services: dict[model.ServiceName, _Service] = {}
         self._attempts: dict[model.RequestId, _Attempt] = {}
         self._hints = _prefix.PrefixHints()
+        self._silent: frozenset[model.NodeId] = frozenset()
 
     @classmethod
     def from_config(cls, config: _policies.RouterConfig) -> "Balanced":
@@ -182,6 +184,12 @@
         """Forgets every cache hint of a target."""
         self._hints.lost(target_id)
 
+    def set_silent(self, entries: Collection[model.NodeId]) -> None:
+        """Takes the entries that were not heard from lately."""
+        self._silent = frozenset(entries)
+        for service in self._services.values():
+            service.homes.silent = self._silent
+
     def avoided(
         self, service: model.ServiceName, now_ms: int
     ) -> frozenset[str]:
@@ -196,6 +204,7 @@
         service = self._services.get(name)
         if service is None:
             service = _Service(self._config)
+            service.homes.silent = self._silent
             self._services[name] = service
         return service
 
@@ -232,8 +241,8 @@
             * QUEUED_WAITS
             + prefill_tokens * PREFILL_MS_PER_TOKEN
         )
-        if not service.homes.is_own(target.target_id):
-            cost_ms += AWAY_MS * (1 - cached)
+        away = service.homes.away(target.target_id)
+        cost_ms += AWAY_MS * away * (1 - cached)
         if target.failure_domain_id != self._config.failure_domain_id:
             cost_ms += DISTANCE_MS
         return cost_ms
--- a/lagooncrank/core/routing/_homes.py
+++ b/lagooncrank/core/routing/_homes.py
@@ -14,6 +14,8 @@
 
 #: The assignment is made anew this often, if targets came or went.
 REFRESH_MS = 500
+#: How far away a silent entry's target counts.
+ORPHAN = 0.3
 
 
 def assign(
@@ -52,7 +54,9 @@
         self._node_id = node_id
         self._entries = sorted({*entries, node_id})
         self._known: frozenset[str] = frozenset()
-        self._own: frozenset[str] = frozenset()
+        self._homes: dict[str, model.NodeId] = {}
+        #: Entries that were not heard from lately.
+        self.silent: frozenset[model.NodeId] = frozenset()
         self._due_ms = 0
 
     def update(self, targets: Sequence[_types.Target], now_ms: int) -> None:
@@ -64,13 +68,15 @@
         if ids == self._known:
             return
         self._known = ids
-        homes = assign(ids, self._entries)
-        self._own = frozenset(
-            target_id
-            for target_id, home in homes.items()
-            if home == self._node_id
-        )
+        self._homes = assign(ids, self._entries)
+
+    def away(self, target_id: str) -> float:
+        """Returns 0.0 for a target at home here and 1.0 for one elsewhere.
 
-    def is_own(self, target_id: str) -> bool:
-        """Returns whether a target is at home at this entry."""
-        return target_id in self._own
+        The target of a silent entry lies between: the entry may be gone, and
+        then all others share its targets, or it may only be cut off.
+        """
+        home = self._homes.get(target_id)
+        if home == self._node_id:
+            return 0.0
+        return ORPHAN if home in self.silent else 1.0
--- a/lagooncrank/core/routing/_round_robin.py
+++ b/lagooncrank/core/routing/_round_robin.py
@@ -1,5 +1,6 @@
 """Takes targets in turn, whatever their load. The baseline."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 from lagooncrank import model
@@ -59,6 +60,9 @@
     def cache_lost(self, target_id: str) -> None:
         """Ignores cache hints."""
 
+    def set_silent(self, entries: Collection[model.NodeId]) -> None:
+        """Ignores other entries."""
+
     def avoided(
         self, service: model.ServiceName, now_ms: int
     ) -> frozenset[str]:
--- a/lagooncrank/core/routing/_types.py
+++ b/lagooncrank/core/routing/_types.py
@@ -1,5 +1,6 @@
 """What routing is asked and what it answers."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 import dataclasses
 import enum
@@ -87,6 +88,9 @@
     def cache_lost(self, target_id: str) -> None:
         """Forgets every cache hint of a target, after a gap in its events."""
 
+    def set_silent(self, entries: Collection[model.NodeId]) -> None:
+        """Takes the entries that were not heard from lately."""
+
     def avoided(
         self, service: model.ServiceName, now_ms: int
     ) -> frozenset[str]:
