--- a/lagooncrank/core/consensus/__init__.py
+++ b/lagooncrank/core/consensus/__init__.py
@@ -1,1 +1,81 @@
-"""Replicated log: election, replication, snapshots, voter changes."""
+"""Replicated log: election, replication, snapshots, voter replacement."""
+
+from lagooncrank.core.consensus._context import Role
+from lagooncrank.core.consensus._context import Timing
+from lagooncrank.core.consensus._genesis import BlankHello
+from lagooncrank.core.consensus._genesis import BlankReply
+from lagooncrank.core.consensus._log import CommittedEntryError
+from lagooncrank.core.consensus._messages import AppendReply
+from lagooncrank.core.consensus._messages import AppendRequest
+from lagooncrank.core.consensus._messages import DurableState
+from lagooncrank.core.consensus._messages import Entry
+from lagooncrank.core.consensus._messages import Envelope
+from lagooncrank.core.consensus._messages import HardState
+from lagooncrank.core.consensus._messages import InstallSnapshot
+from lagooncrank.core.consensus._messages import Message
+from lagooncrank.core.consensus._messages import Output
+from lagooncrank.core.consensus._messages import ProposalId
+from lagooncrank.core.consensus._messages import ReadResult
+from lagooncrank.core.consensus._messages import Snapshot
+from lagooncrank.core.consensus._messages import Voter
+from lagooncrank.core.consensus._messages import VoteReply
+from lagooncrank.core.consensus._messages import VoteRequest
+from lagooncrank.core.consensus._messages import VoterSet
+from lagooncrank.core.consensus._node import Node
+from lagooncrank.core.consensus._node import Status
+from lagooncrank.core.consensus._participant import Participant
+from lagooncrank.core.consensus._participation import Applier
+from lagooncrank.core.consensus._participation import Outgoing
+from lagooncrank.core.consensus._participation import Result
+from lagooncrank.core.consensus._participation import Setup
+from lagooncrank.core.consensus._participation import Work
+from lagooncrank.core.consensus._proposals import ForwardedProposal
+from lagooncrank.core.consensus._proposals import ProposalRefusal
+from lagooncrank.core.consensus._proposals import Settled
+from lagooncrank.core.consensus._relay import PollReply
+from lagooncrank.core.consensus._relay import PollRequest
+from lagooncrank.core.consensus._relay import StateTransfer
+from lagooncrank.core.consensus._relay import upstream_layers
+from lagooncrank.core.consensus._voter_changes import JoinRequest
+from lagooncrank.core.consensus._voting import NODE_MESSAGES
+
+__all__ = [
+    "NODE_MESSAGES",
+    "AppendReply",
+    "AppendRequest",
+    "Applier",
+    "BlankHello",
+    "BlankReply",
+    "CommittedEntryError",
+    "DurableState",
+    "Entry",
+    "Envelope",
+    "ForwardedProposal",
+    "HardState",
+    "InstallSnapshot",
+    "JoinRequest",
+    "Message",
+    "Node",
+    "Outgoing",
+    "Output",
+    "Participant",
+    "PollReply",
+    "PollRequest",
+    "ProposalId",
+    "ProposalRefusal",
+    "ReadResult",
+    "Result",
+    "Role",
+    "Settled",
+    "Setup",
+    "Snapshot",
+    "StateTransfer",
+    "Status",
+    "Timing",
+    "VoteReply",
+    "VoteRequest",
+    "Voter",
+    "VoterSet",
+    "Work",
+    "upstream_layers",
+]
--- a/lagooncrank/core/state/_commands.py
+++ b/lagooncrank/core/state/_commands.py
@@ -27,7 +27,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
 class CallKey:
     """Names one call that may not be repeated."""
 
@@ -115,6 +115,20 @@
     answer: StoredAnswer | None = None
 
 
+@COMMANDS.register("note_entry")
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteEntry:
+    """Tells of an entry's present start and its clock.
+
+    What earlier starts of the entry had reserved becomes UNKNOWN: they may
+    have sent it, and nothing will tell.
+    """
+
+    node_id: model.NodeId
+    incarnation: int
+    wall_ms: int
+
+
 @COMMANDS.register("put_replica")
 @dataclasses.dataclass(frozen=True, slots=True)
 class PutReplica:
@@ -149,6 +163,23 @@
     digest: bytes
 
 
+@COMMANDS.register("drain_instance")
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainInstance:
+    """Has an instance give up its work and get no more, until EndDrain."""
+
+    instance_id: model.InstanceId
+    wall_ms: int
+
+
+@COMMANDS.register("end_drain")
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndDrain:
+    """Lets a drained instance be used again."""
+
+    instance_id: model.InstanceId
+
+
 #: Union of all commands.
 Command = (
     NoOp
@@ -156,7 +187,10 @@
     | ReserveCall
     | FinishCall
     | ResolveCall
+    | NoteEntry
     | PutReplica
     | MarkContent
     | LiftMark
+    | DrainInstance
+    | EndDrain
 )
--- a/lagooncrank/core/state/_records.py
+++ b/lagooncrank/core/state/_records.py
@@ -33,6 +33,17 @@
     retention_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryNote:
+    """What the ledger knows of one entry."""
+
+    node_id: model.NodeId
+    #: Latest time that the entry told.
+    wall_ms: int = 0
+    #: Latest start of the entry; reservations of earlier ones are refused.
+    incarnation: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ContentMark:
     """Crashes counted against one request content."""
@@ -43,6 +54,15 @@
     lapses_wall_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """An instance that an operator wants free of work."""
+
+    instance_id: model.InstanceId
+    #: When the drain was ordered.
+    wall_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """What applying a command did, the same on every node."""
--- a/lagooncrank/server/_ports.py
+++ b/lagooncrank/server/_ports.py
@@ -28,10 +28,18 @@
     def replicas(self) -> dict[model.ReplicaId, model.Replica]:
         """Every replica that is not yet forgotten."""
 
+    @property
+    def last_fencing_number(self) -> int:
+        """Highest fencing number given to any replica."""
+
     @property
     def marks(self) -> dict[bytes, state.ContentMark]:
         """Crash marks by content digest."""
 
+    @property
+    def drains(self) -> dict[model.InstanceId, state.Drain]:
+        """Instances that operators want free of work."""
+
     def call(self, key: state.CallKey) -> state.CallRecord | None:
         """Returns what the ledger holds of a call."""
 
