--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -76,6 +76,7 @@
         shared: The replicated state.
         links: Links to the other nodes.
         clock: Clock of the process.
+        incarnation: Number of this start; higher than that of any earlier.
         first_services: Services behind `shared` and `links`; they start
             before and stop after all others.
         policies: Names of the policies to use.
@@ -89,6 +90,7 @@
         shared: _ports.SharedState,
         links: _ports.PeerLinks,
         clock: clocks.Clock,
+        incarnation: int,
         first_services: Sequence[mode.Service] = (),
         policies: Policies = Policies(),
         engine_bounds: EngineBounds = EngineBounds(),
@@ -100,7 +102,9 @@
         self._links = links
         self._clock = clock
         self._first_services = first_services
-        self._incarnation = clock.wall_ms()
+        self._incarnation = incarnation
+        #: Revision that the parts of this node were given.
+        self._revision = 0
         self.metrics = _metrics.Metrics()
         self.lifecycle = _lifecycle.Lifecycle(self.metrics)
         self._order_sender = _orders.HttpOrderSender()
@@ -119,8 +123,7 @@
         self.planned_stop = _stop.PlannedStop(
             self.lifecycle,
             self.directory,
-            shared.view,
-            clock,
+            shared,
             process.stop_deadline_ms,
         )
         shared.on_applied(self._on_applied)
@@ -194,7 +197,7 @@
             self._process.node_id, self._incarnation, self._shared, clock
         )
         self.targets = _targets.TargetDirectory(
-            self._shared.view, self.table, self.desk, clock
+            self._shared, self.table, self.desk, clock
         )
         self.announcements = _announcements.AnnouncementExchange(
             self.table, self._links, clock
@@ -218,7 +221,7 @@
         clock = self._clock
         gate = _gate.Gate(shared, self.lifecycle)
         yield _entry_handlers.EntryHandlers(
-            self.directory, self.table, shared.view, limits, clock
+            self.directory, self.table, shared, limits, clock
         )
         yield _operators.OperatorHandlers(
             self._process,
@@ -244,7 +247,7 @@
         return _drafts.DraftParts(
             clock=self._clock,
             metrics=self.metrics,
-            view=self._shared.view,
+            shared=self._shared,
             desk=self.desk,
             targets=self.targets,
             router=self.router,
@@ -266,13 +269,14 @@
     def _on_applied(
         self, command: state.Command, outcome: state.Outcome
     ) -> None:
-        if isinstance(command, state.ApplyDeclarations) and outcome.ok:
-            self._configure()
+        self._configure()
 
     def _configure(self) -> None:
+        """Hands a revision that is new here to the parts that depend on it."""
         record = self._shared.view.configuration
-        if record is None:
+        if record is None or record.revision == self._revision:
             return
+        self._revision = record.revision
         declarations = record.declarations
         self.table.configure(declarations.leases)
         self.retry_policy.configure(declarations.retries)
