--- a/lagooncrank/core/placement/_fleet.py
+++ b/lagooncrank/core/placement/_fleet.py
@@ -2,12 +2,20 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
+import dataclasses
 
 from lagooncrank import model
 from lagooncrank.core.placement import _instances
 from lagooncrank.core.placement import _types
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Status:
+    members: tuple[_instances.Instance | None, ...]
+    silent_ranks: tuple[int, ...]
+    missing_ranks: tuple[int, ...]
+
+
 class Fleet:
     """Replicas and instances at one step.
 
@@ -31,6 +39,7 @@
         self.leader_since_ms = leader_since_ms
         self.now_ms = now_ms
         self._table = table
+        self._statuses: dict[model.ReplicaId, _Status] = {}
         self.replicas = situation.replicas
         self.holding = tuple(
             r for r in situation.replicas.values() if r.holds_instances
@@ -44,12 +53,6 @@
             for instance_id in replica.instances
         }
 
-    def instance(
-        self, instance_id: model.InstanceId
-    ) -> _instances.Instance | None:
-        """Returns what the leader remembers of an instance."""
-        return self._table.get(instance_id)
-
     def instances(self) -> Iterator[_instances.Instance]:
         """Yields every instance that the leader remembers."""
         return iter(self._table)
@@ -58,30 +61,37 @@
         self, replica: model.Replica
     ) -> tuple[_instances.Instance | None, ...]:
         """Returns the members of a replica by rank, None where never heard."""
-        return tuple(self._table.get(i) for i in replica.instances)
+        return self._status(replica).members
 
     def silent_ranks(self, replica: model.Replica) -> tuple[int, ...]:
         """Returns the ranks of a replica whose instance is not ready."""
-        return tuple(
-            rank
-            for rank, instance in enumerate(self.members(replica))
-            if instance is None or not instance.is_ready
-        )
+        return self._status(replica).silent_ranks
+
+    def missing_ranks(self, replica: model.Replica) -> tuple[int, ...]:
+        """Returns the ranks whose instance is not loaded for the replica."""
+        return self._status(replica).missing_ranks
+
+    def _status(self, replica: model.Replica) -> _Status:
+        status = self._statuses.get(replica.replica_id)
+        if status is None:
+            status = _status_of(replica, self._table)
+            self._statuses[replica.replica_id] = status
+        return status
 
     def free(self) -> dict[model.FabricDomainId, list[_instances.Instance]]:
         """Returns the instances that a replica may take, by domain."""
         found: dict[model.FabricDomainId, list[_instances.Instance]] = {}
-        for instance in sorted(self._table, key=lambda i: i.instance_id):
-            if self.is_free(instance):
-                domain = instance.announcement.fabric_domain_id
-                found.setdefault(domain, []).append(instance)
+        free = [instance for instance in self._table if self.is_free(instance)]
+        for instance in sorted(free, key=lambda i: i.instance_id):
+            domain = instance.announcement.fabric_domain_id
+            found.setdefault(domain, []).append(instance)
         return found
 
     def is_free(self, instance: _instances.Instance) -> bool:
         """Returns whether a replica may take an instance now."""
         return (
-            instance.is_ready
-            and instance.instance_id not in self.holders
+            instance.instance_id not in self.holders
+            and instance.is_ready
             and instance.instance_id not in self.drained
         )
 
@@ -106,3 +116,22 @@
     """Returns whether a member is loaded for exactly this assignment."""
     loaded = holds(instance, replica)
     return loaded is not None and loaded.ready
+
+
+def _status_of(
+    replica: model.Replica, table: _instances.InstanceTable
+) -> _Status:
+    members = tuple(table.get(i) for i in replica.instances)
+    return _Status(
+        members=members,
+        silent_ranks=tuple(
+            rank
+            for rank, member in enumerate(members)
+            if member is None or not member.is_ready
+        ),
+        missing_ranks=tuple(
+            rank
+            for rank, member in enumerate(members)
+            if not is_ready_for(member, replica)
+        ),
+    )
--- a/lagooncrank/core/placement/_instances.py
+++ b/lagooncrank/core/placement/_instances.py
@@ -13,39 +13,52 @@
 FLAP_WINDOW_HOLD_DOWNS = 10
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Instance:
     """What the leader remembers of one instance."""
 
+    instance_id: model.InstanceId
     #: Latest announcement, also after its lease ended.
     member: membership.Member
+    #: What the instance's model engine said last.
+    announcement: model.Announcement
+    #: Whether the instance is heard and not leaving.
+    is_ready: bool
     #: When the lease ended, or None while the instance is heard.
     silent_since_ms: int | None = None
-    #: When the instance was first heard since it was last silent.
-    heard_since_ms: int = 0
     #: When the instance was lost or restarted, oldest first.
     losses_ms: tuple[int, ...] = ()
 
-    @property
-    def announcement(self) -> model.Announcement:
-        """What the instance's model engine said last."""
-        return self.member.announcement
-
-    @property
-    def instance_id(self) -> model.InstanceId:
-        """Identifier of the instance."""
-        return self.announcement.instance_id
+    @classmethod
+    def from_member(cls, member: membership.Member) -> "Instance":
+        """Returns what the first word of an instance tells."""
+        announcement = member.announcement
+        ready = announcement.state is model.BackendServerState.READY
+        return cls(announcement.instance_id, member, announcement, ready)
 
     @property
     def is_heard(self) -> bool:
         """Whether the lease of the instance holds."""
         return self.silent_since_ms is None
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether the instance is heard and not leaving."""
-        ready = model.BackendServerState.READY
-        return self.is_heard and self.announcement.state is ready
+    def hear(self, member: membership.Member, now_ms: int) -> None:
+        """Takes a later word of the instance."""
+        self.member = member
+        announcement = member.announcement
+        if announcement is self.announcement and self.is_heard:
+            return
+        restarted = announcement.incarnation > self.announcement.incarnation
+        if restarted and self.is_heard:
+            self.losses_ms += (now_ms,)
+        self.announcement = announcement
+        self.is_ready = announcement.state is model.BackendServerState.READY
+        self.silent_since_ms = None
+
+    def lose(self, now_ms: int) -> None:
+        """Notes that the lease ended."""
+        self.silent_since_ms = min(now_ms, self.member.lease_end_ms)
+        self.losses_ms += (now_ms,)
+        self.is_ready = False
 
     def held_down_until_ms(self, hold_down_ms: int) -> int:
         """Returns when a flapping instance is trusted again.
@@ -86,19 +99,15 @@
             hold_down_ms: Declared hold-down of flapping instances.
             now_ms: Monotonic time of the leader, in milliseconds.
         """
-        heard = set()
-        engine = model.BackendServerKind.MODEL_ENGINE
-        for member in members:
-            if member.announcement.kind is engine:
-                heard.add(member.announcement.instance_id)
-                self._heard(member, now_ms)
-        window_ms = hold_down_ms * FLAP_WINDOW_HOLD_DOWNS
-        for instance in self._instances.values():
-            if instance.instance_id not in heard and instance.is_heard:
-                self._lost(instance, now_ms)
-            instance.losses_ms = tuple(
-                ms for ms in instance.losses_ms if ms > now_ms - window_ms
-            )
+        heard = self._hear_all(members, now_ms)
+        since_ms = now_ms - hold_down_ms * FLAP_WINDOW_HOLD_DOWNS
+        for instance_id, instance in self._instances.items():
+            if instance.silent_since_ms is None and instance_id not in heard:
+                instance.lose(now_ms)
+            if instance.losses_ms and instance.losses_ms[0] <= since_ms:
+                instance.losses_ms = tuple(
+                    ms for ms in instance.losses_ms if ms > since_ms
+                )
 
     def forget(self, silent_ms: int, now_ms: int) -> None:
         """Drops instances that have been silent for `silent_ms` or longer."""
@@ -111,23 +120,20 @@
         for instance_id in gone:
             del self._instances[instance_id]
 
-    def _heard(self, member: membership.Member, now_ms: int) -> None:
-        instance_id = member.announcement.instance_id
-        instance = self._instances.get(instance_id)
-        if instance is None:
-            self._instances[instance_id] = Instance(
-                member, heard_since_ms=now_ms
-            )
-            return
-        before = instance.announcement.incarnation
-        restarted = member.announcement.incarnation > before
-        if restarted and instance.is_heard:
-            instance.losses_ms += (now_ms,)
-        if not instance.is_heard:
-            instance.heard_since_ms = now_ms
-        instance.member = member
-        instance.silent_since_ms = None
-
-    def _lost(self, instance: Instance, now_ms: int) -> None:
-        instance.silent_since_ms = min(now_ms, instance.member.lease_end_ms)
-        instance.losses_ms += (now_ms,)
+    def _hear_all(
+        self, members: Iterable[membership.Member], now_ms: int
+    ) -> set[model.InstanceId]:
+        heard = set()
+        for member in members:
+            announcement = member.announcement
+            if announcement.kind is not model.BackendServerKind.MODEL_ENGINE:
+                continue
+            instance_id = announcement.instance_id
+            heard.add(instance_id)
+            instance = self._instances.get(instance_id)
+            if instance is None:
+                new = Instance.from_member(member)
+                self._instances[instance_id] = new
+            else:
+                instance.hear(member, now_ms)
+        return heard
--- a/lagooncrank/core/placement/_life_cycle.py
+++ b/lagooncrank/core/placement/_life_cycle.py
@@ -47,25 +47,19 @@
 def _next_state(
     replica: model.Replica, fleet: _fleet.Fleet, fence: _fencing.Fence
 ) -> _State:
-    members = fleet.members(replica)
+    missing = fleet.missing_ranks(replica)
+    if replica.state is _State.LOADING:
+        return _State.LOADING if missing else _State.SERVING
+    if not missing and replica.state is _State.SERVING:
+        return _State.SERVING
+    heard = [m for m in fleet.members(replica) if m is not None and m.is_ready]
     if replica.state is _State.FORMING:
         may_start = any(
-            m is not None
-            and m.is_ready
-            and (
-                _fleet.holds(m, replica)
-                or fence.may_load(m, replica, fleet.now_ms)
-            )
-            for m in members
+            _fleet.holds(m, replica) or fence.may_load(m, replica, fleet.now_ms)
+            for m in heard
         )
         return _State.LOADING if may_start else _State.FORMING
-    if replica.state is _State.LOADING:
-        whole = all(_fleet.is_ready_for(m, replica) for m in members)
-        return _State.SERVING if whole else _State.LOADING
     if replica.state is _State.SERVING:
-        must_load = any(
-            m is not None and m.is_ready and not _fleet.is_ready_for(m, replica)
-            for m in members
-        )
+        must_load = not all(_fleet.is_ready_for(m, replica) for m in heard)
         return _State.LOADING if must_load else _State.SERVING
     return replica.state
--- a/lagooncrank/core/placement/_needs.py
+++ b/lagooncrank/core/placement/_needs.py
@@ -71,4 +71,4 @@
     """Returns whether a replica serves with every member ready for it."""
     if replica.state is not model.ReplicaState.SERVING:
         return False
-    return all(_fleet.is_ready_for(m, replica) for m in fleet.members(replica))
+    return not fleet.missing_ranks(replica)
--- a/lagooncrank/core/placement/_orders.py
+++ b/lagooncrank/core/placement/_orders.py
@@ -67,7 +67,7 @@
         """Yields the orders that free engines of what they must not hold."""
         for instance in self._fleet.instances():
             loaded = instance.announcement.loaded
-            if loaded is None or not instance.is_heard:
+            if loaded is None or instance.silent_since_ms is not None:
                 continue
             holder = self._fleet.holders.get(instance.instance_id)
             if holder is not None and self._may_keep(instance, holder):
@@ -87,32 +87,38 @@
     def _loads_of(
         self, replica: model.Replica, service: model.ModelService
     ) -> Iterator[Load]:
-        for rank, instance in enumerate(self._fleet.members(replica)):
+        members = self._fleet.members(replica)
+        for rank in self._fleet.missing_ranks(replica):
+            instance = members[rank]
             if instance is None or not instance.is_ready:
                 continue
             loaded = _fleet.holds(instance, replica)
-            if loaded is not None and loaded.ready:
-                continue
-            load = Load(instance, replica, service, rank, loaded is not None)
-            if load.started:
-                yield load
-            elif self._fence.may_load(instance, replica, self._fleet.now_ms):
-                started = self._is_accepted(load)
-                yield dataclasses.replace(load, started=started)
-
-    def _is_accepted(self, load: Load) -> bool:
+            started = loaded is not None
+            if not started:
+                if not self._fence.may_load(
+                    instance, replica, self._fleet.now_ms
+                ):
+                    continue
+                started = self._is_accepted(instance, replica)
+            yield Load(instance, replica, service, rank, started)
+
+    def _is_accepted(
+        self, instance: _instances.Instance, replica: model.Replica
+    ) -> bool:
         return self._book.is_accepted(
-            load.instance.instance_id, self._load_order_id(load)
+            instance.instance_id, self._load_order_id(instance, replica)
         )
 
-    def _load_order_id(self, load: Load) -> str:
-        number = load.replica.fencing_number
-        return self._order_id(load.instance, _types.OrderKind.LOAD, number)
+    def _load_order_id(
+        self, instance: _instances.Instance, replica: model.Replica
+    ) -> str:
+        number = replica.fencing_number
+        return self._order_id(instance, _types.OrderKind.LOAD, number)
 
     def _load_order(self, load: Load) -> _types.Order:
         replica = load.replica
         return _types.Order(
-            order_id=self._load_order_id(load),
+            order_id=self._load_order_id(load.instance, replica),
             kind=_types.OrderKind.LOAD,
             replica_id=replica.replica_id,
             service=replica.service,
