--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -18,6 +18,7 @@
 from lagooncrank.core import timeouts
 from lagooncrank.server import _admission_desk
 from lagooncrank.server import _announcements
+from lagooncrank.server import _call_recorder
 from lagooncrank.server import _crashes
 from lagooncrank.server import _drafts
 from lagooncrank.server import _engine_client
@@ -35,6 +36,7 @@
 from lagooncrank.server import _revision_reports
 from lagooncrank.server import _stop
 from lagooncrank.server import _targets
+from lagooncrank.server import _usage
 from lagooncrank.server import _watchdog
 from lagooncrank.server.http import _app
 from lagooncrank.server.http import _completions
@@ -50,9 +52,9 @@
 class Policies:
     """Names under which the policies of an entry are registered."""
 
-    admission: str = "first_come"
-    router: str = "round_robin"
-    retry: str = "always"
+    admission: str = "fair_share"
+    router: str = "balanced"
+    retry: str = "budget"
     suspicion: str = "none"
     placement: str = "first_fit"
 
@@ -141,8 +143,10 @@
         yield self.desk
         yield self.targets
         yield self.crashes
+        yield self.call_recorder
         yield self.announcements
         yield self.directory
+        yield self.usage
         yield self.revision_reports
         yield self.placement
         yield self._http_server()
@@ -186,12 +190,16 @@
             engine_bounds.between_bytes,
         )
         self.plain_client = _plain_client.PlainClient(self.pools)
+        self.call_recorder = _call_recorder.CallRecorder(
+            self._process.node_id, self._incarnation, self._shared, clock
+        )
         self.targets = _targets.TargetDirectory(
             self._shared.view, self.table, self.desk, clock
         )
         self.announcements = _announcements.AnnouncementExchange(
             self.table, self._links, clock
         )
+        self.usage = _usage.UsageExchange(self.desk, self._links)
         self.directory = _entries.EntryDirectory(
             self._process, self.lifecycle, self._links, clock
         )
@@ -226,12 +234,7 @@
         )
         plain_calls = self._plain_calls()
         once_calls = _once_calls.OnceCalls(
-            self._process.node_id,
-            self._incarnation,
-            shared,
-            clock,
-            plain_calls,
-            self.plain_client,
+            shared, clock, plain_calls, self.plain_client, self.call_recorder
         )
         yield _services.ServiceHandlers(
             gate, plain_calls, once_calls, limits, ids, clock
