--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
 
@@ -18,6 +19,7 @@
 from lagooncrank.server import _engine_client
 from lagooncrank.server import _engine_stream
 from lagooncrank.server import _relay
+from lagooncrank.server import _token_notes
 
 #: Pause before the router is asked again for a target with room.
 ROUTE_INTERVAL_S = 0.02
@@ -47,6 +49,7 @@
         self._progress = streams.Progress(draft.request_id)
         self._stream: _engine_stream.EngineStream | None = None
         self._excluded: frozenset[str] = frozenset()
+        self._notes = _token_notes.TokenNotes(parts, draft)
         self._attempts = 0
         self._ran = results.Ran.NOT_RUN
         self._ran_before_attempt = results.Ran.NOT_RUN
@@ -57,18 +60,33 @@
         Raises:
             LagooncrankError: The answer cannot be completed.
         """
-        draft = self._draft
-        self._parts.crashes.check(draft.digest)
+        self._parts.crashes.check(self._draft.digest)
         self._check_targets()
         now_ms = self._parts.clock.now_ms()
         self._parts.retry_policy.first_attempt(self._call, now_ms)
+        with self._admitted() as ticket:
+            while not self._progress.done:
+                priority = await self._wait_for_start(ticket)
+                query = self._query(priority)
+                target = await self._choose(query)
+                async with (
+                    self._followed(query, target),
+                    self._opened(target, priority) as (number, stream),
+                ):
+                    while not self._progress.done:
+                        batch = self._take(number, await stream.read())
+                        if batch.tokens or batch.finish_reason:
+                            yield batch
+                        self._check_failure(batch)
+
+    @contextlib.contextmanager
+    def _admitted(self) -> Iterator[_admission_desk.Ticket]:
+        """Offers the draft to admission and counts its tokens at the end."""
+        draft = self._draft
         with self._parts.desk.offered(draft.offer()) as ticket:
             ticket.on_suspend = self._suspend
             try:
-                while not self._progress.done:
-                    priority = await self._wait_for_start(ticket)
-                    async for batch in self._attempt(priority):
-                        yield batch
+                yield ticket
             finally:
                 tokens = self._progress.delivered
                 self._parts.metrics.answered(draft.service.name, tokens)
@@ -81,16 +99,19 @@
         except TimeoutError as error:
             raise self._deadline_passed() from error
 
-    async def _attempt(
-        self, priority: int
-    ) -> AsyncGenerator[_relay.TokenBatch, None]:
-        query = self._query(priority)
-        target = await self._choose(query)
+    @contextlib.asynccontextmanager
+    async def _followed(
+        self, query: routing.RouteQuery, target: routing.Target
+    ) -> AsyncIterator[None]:
+        """Ends an attempt's failure here if another attempt follows.
+
+        Raises:
+            LagooncrankError: No other attempt follows.
+        """
         self._attempts += 1
         try:
             with self._noted(query, target):
-                async for batch in self._relayed(target, priority):
-                    yield batch
+                yield
         except _attempts.SuspendedError:
             _log.info("request suspended", extra=self._log_fields())
         except _attempts.DeadlinePassedError as error:
@@ -98,30 +119,32 @@
         except _attempts.AttemptFailedError as error:
             await self._after_failure(target, error.failure)
 
-    async def _relayed(
+    @contextlib.asynccontextmanager
+    async def _opened(
         self, target: routing.Target, priority: int
-    ) -> AsyncGenerator[_relay.TokenBatch, None]:
-        parts = self._parts
-        attempt = self._progress.begin_attempt()
-        stream = parts.client.new_stream(self._draft.service.name)
+    ) -> AsyncIterator[tuple[int, _engine_stream.EngineStream]]:
+        """Sends the request and yields its number and the open answer."""
+        client = self._parts.client
+        number = self._progress.begin_attempt()
+        stream = client.new_stream(self._draft.service.name)
         stream.deadline_ms = self._draft.deadline_ms
-        request = self._generate_request(target, attempt, priority)
+        request = self._generate_request(target, number, priority)
         self._stream = stream
         self._ran_before_attempt = self._ran
         self._ran = results.Ran.UNKNOWN
         try:
-            async with parts.client.opened(stream, target.address, request):
-                while not self._progress.done:
-                    batch = self._take(attempt, await stream.read())
-                    if batch.tokens or batch.finish_reason:
-                        yield batch
-                    if batch.failure is not None and not self._progress.done:
-                        raise _attempts.AttemptFailedError(batch.failure)
+            async with client.opened(stream, target.address, request):
+                yield number, stream
         finally:
             self._stream = None
+            self._notes.flush()
+
+    def _check_failure(self, batch: _relay.TokenBatch) -> None:
+        if batch.failure is not None and not self._progress.done:
+            raise _attempts.AttemptFailedError(batch.failure)
 
     def _take(
-        self, attempt: int, events: list[streams.EngineEvent]
+        self, number: int, events: list[streams.EngineEvent]
     ) -> _relay.TokenBatch:
         if not events:
             raise _attempts.AttemptFailedError(
@@ -131,31 +154,10 @@
                     bytes_written=True,
                 )
             )
-        is_first = self._progress.delivered == 0
-        batch = _relay.take_batch(self._progress, attempt, events)
-        self._note_tokens(batch.tokens, is_first)
+        batch = _relay.take_batch(self._progress, number, events)
+        self._notes.add(batch.tokens)
         return batch
 
-    def _note_tokens(self, count: int, is_first: bool) -> None:
-        if not count:
-            return
-        parts = self._parts
-        request_id = self._draft.request_id
-        now_ms = parts.clock.now_ms()
-        if is_first:
-            self._note_first_token(now_ms)
-            count -= 1
-        if count:
-            parts.desk.tokens(request_id, count)
-            parts.router.tokens(request_id, count, now_ms)
-
-    def _note_first_token(self, now_ms: int) -> None:
-        parts = self._parts
-        parts.desk.first_token(self._draft.request_id)
-        parts.router.first_token(self._draft.request_id, now_ms)
-        waited_ms = now_ms - self._draft.arrived_ms
-        parts.metrics.first_token(self._draft.service.name, waited_ms)
-
     async def _choose(self, query: routing.RouteQuery) -> routing.Target:
         parts = self._parts
         while True:
--- a/lagooncrank/server/http/_event_stream.py
+++ b/lagooncrank/server/http/_event_stream.py
@@ -2,6 +2,7 @@
 
 import types
 
+from aiohttp import abc
 from aiohttp import web
 
 from lagooncrank import clock as clocks
@@ -33,6 +34,7 @@
         self._watchdog = watchdog
         self._metrics = metrics
         self._watch = _watchdog.Watch(self._abort)
+        self._writer: abc.AbstractStreamWriter | None = None
         self._response = web.StreamResponse(
             headers={
                 "Content-Type": "text/event-stream",
@@ -65,11 +67,12 @@
 
     async def write(self, event: bytes) -> None:
         """Sends an event; waits while the caller's buffer is full."""
-        if not self._response.prepared:
-            await self._response.prepare(self._request)
+        if self._writer is None:
+            self._writer = await self._response.prepare(self._request)
+            assert self._writer is not None
         timeout_ms = self._limits.reader_timeout_ms
         self._watch.due_ms = self._clock.now_ms() + timeout_ms
-        await self._response.write(event)
+        await self._writer.write(event)
         self._watch.due_ms = 0
 
     async def write_error(self, refusal: results.Refusal) -> None:
