--- a/lagooncrank/core/retry/__init__.py
+++ b/lagooncrank/core/retry/__init__.py
@@ -2,6 +2,7 @@
 
 from lagooncrank.core.retry._always import Always
 from lagooncrank.core.retry._budget import Budget
+from lagooncrank.core.retry._crash_marks import CrashMarks
 from lagooncrank.core.retry._policies import RETRY_POLICIES
 from lagooncrank.core.retry._policies import RetryConfig
 from lagooncrank.core.retry._policies import RetryFactory
@@ -26,6 +27,7 @@
     "Budget",
     "Call",
     "CrashMark",
+    "CrashMarks",
     "Decision",
     "Failure",
     "FailureKind",
--- a/lagooncrank/core/retry/_types.py
+++ b/lagooncrank/core/retry/_types.py
@@ -106,8 +106,20 @@
     def running(self, digest: bytes, victim: str, now_ms: int) -> None:
         """Notes that a content runs at a target."""
 
-    def finished(self, digest: bytes, victim: str, now_ms: int) -> None:
-        """Notes that a content left a target without a crash."""
+    def finished(
+        self, digest: bytes, victim: str, now_ms: int, completed: bool = False
+    ) -> bool:
+        """Notes that a content left a target without a crash.
+
+        Returns:
+            Whether its mark is cleared by that, for the others to know.
+        """
+
+    def occupied(self, digest: bytes, now_ms: int) -> frozenset[str]:
+        """Returns the targets at which another marked content runs."""
+
+    def running_at(self, digest: bytes) -> str | None:
+        """Returns a target at which this content runs already."""
 
     def crashed(self, victim: str, now_ms: int) -> Sequence[CrashMark]:
         """Returns the marks that a target's crash leaves, to be shared."""
--- a/lagooncrank/core/retry/_unsuspecting.py
+++ b/lagooncrank/core/retry/_unsuspecting.py
@@ -22,8 +22,19 @@
     def running(self, digest: bytes, victim: str, now_ms: int) -> None:
         """Ignores what runs."""
 
-    def finished(self, digest: bytes, victim: str, now_ms: int) -> None:
+    def finished(
+        self, digest: bytes, victim: str, now_ms: int, completed: bool = False
+    ) -> bool:
         """Ignores what finished."""
+        return False
+
+    def occupied(self, digest: bytes, now_ms: int) -> frozenset[str]:
+        """Returns no targets."""
+        return frozenset()
+
+    def running_at(self, digest: bytes) -> str | None:
+        """Returns None."""
+        return None
 
     def crashed(self, victim: str, now_ms: int) -> Sequence[_types.CrashMark]:
         """Returns no marks."""
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -60,6 +60,17 @@
         self.comparison.update(speeds, now_ms)
         self.homes.update(targets, now_ms)
 
+    def at_home(
+        self, candidates: list[tuple[_types.Target, _TargetState]]
+    ) -> list[tuple[_types.Target, _TargetState]]:
+        """Returns the candidates at home here, or all if there are none."""
+        homes = [
+            (target, state)
+            for target, state in candidates
+            if self.homes.away(target.target_id) == 0
+        ]
+        return homes or candidates
+
     def learn_residence(self, duration_ms: int) -> None:
         """Moves the mean time in a batch towards one answer's."""
         difference_ms = duration_ms - self.residence_ms
@@ -107,6 +118,8 @@
             for target in _sample(query, targets)
             if target.target_id not in query.excluded
         ]
+        if query.isolated:
+            candidates = service.at_home(candidates)
         probe = _due_probe(query, candidates, now_ms)
         if probe is not None:
             return probe
--- a/lagooncrank/core/routing/_types.py
+++ b/lagooncrank/core/routing/_types.py
@@ -43,6 +43,9 @@
     #: Engine priority of the attempt; only lent work (above 0) is used to
     #: measure a straggler anew.
     priority: int = 0
+    #: Whether only this entry's home targets may be chosen, so that no other
+    #: entry puts another suspect content at the same target.
+    isolated: bool = False
 
 
 class AttemptEnd(enum.StrEnum):
