Wire crash marks, homes and engines' load into the daemon; test the router

The daemon runs with crash_marks: a suspect content is marked with its target in the shared log before it runs there, so that one copy at a time is tried through whichever entry; a clean end lifts the marks, a trial that ends early takes its own mark back, and a caller is answered after the marks of a crash committed. Capacity leaves avoided targets out and carries what engines report. A straggler that is well again is used at once (its pause outlasted it).

--- a/lagooncrank/core/retry/__init__.py
+++ b/lagooncrank/core/retry/__init__.py
@@ -3,6 +3,7 @@
 from lagooncrank.core.retry._always import Always
 from lagooncrank.core.retry._budget import Budget
 from lagooncrank.core.retry._crash_marks import CrashMarks
+from lagooncrank.core.retry._crash_marks import MAX_VICTIMS
 from lagooncrank.core.retry._policies import RETRY_POLICIES
 from lagooncrank.core.retry._policies import RetryConfig
 from lagooncrank.core.retry._policies import RetryFactory
@@ -21,6 +22,7 @@
 from lagooncrank.core.retry._unsuspecting import Unsuspecting
 
 __all__ = [
+    "MAX_VICTIMS",
     "RETRY_POLICIES",
     "SUSPICIONS",
     "Always",
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -59,6 +59,14 @@
         speeds = (state.speed for state in self.states.values())
         self.comparison.update(speeds, now_ms)
         self.homes.update(targets, now_ms)
+        if len(self.states) > 2 * len(targets):
+            self._forget_gone(targets)
+
+    def _forget_gone(self, targets: Sequence[_types.Target]) -> None:
+        present = {target.target_id for target in targets}
+        for target_id in self.states.keys() - present:
+            if not self.states[target_id].load.own:
+                del self.states[target_id]
 
     def at_home(
         self, candidates: list[tuple[_types.Target, _TargetState]]
@@ -206,12 +214,17 @@
     def avoided(
         self, service: model.ServiceName, now_ms: int
     ) -> frozenset[str]:
-        """Returns the stragglers and the targets that failed lately."""
-        return frozenset(
+        """Returns the stragglers and the targets that failed lately.
+
+        If that is all of them, none is avoided: trying beats waiting.
+        """
+        states = self._service_named(service).states
+        avoided = frozenset(
             target_id
-            for target_id, state in self._service_named(service).states.items()
+            for target_id, state in states.items()
             if state.speed.avoided(now_ms)
         )
+        return avoided if len(avoided) < len(states) else frozenset()
 
     def _service_named(self, name: model.ServiceName) -> _Service:
         service = self._services.get(name)
--- a/lagooncrank/core/routing/_speed.py
+++ b/lagooncrank/core/routing/_speed.py
@@ -57,6 +57,7 @@
             self.pause(now_ms)
         elif self.slow and ratio < RETURN_RATIO:
             self.slow = False
+            self.paused_until_ms = now_ms
             self._pause_ms = MIN_PAUSE_MS
 
     def try_again(self, now_ms: int) -> None:
--- /dev/null
+++ b/lagooncrank/core/routing/tests/test_balanced.py
@@ -0,0 +1,198 @@
+import collections
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from lagooncrank import model
+from lagooncrank.core import routing
+
+ENTRIES = tuple(model.NodeId(f"e{i}") for i in range(3))
+FD = model.FailureDomainId("fd")
+
+
+def _router(node: str = "e0", name: str = "balanced") -> routing.Router:
+    config = routing.RouterConfig(model.NodeId(node), FD, ENTRIES)
+    return routing.ROUTERS.get(name).from_config(config)
+
+
+def _target(
+    name: str, running: int = 0, received_ms: int = 0, age_ms: int = 0
+) -> routing.Target:
+    return routing.Target(
+        name,
+        "127.0.0.1:1",
+        FD,
+        "1",
+        model.LoadReport(running=running, age_ms=age_ms),
+        load_received_ms=received_ms,
+        concurrency=8,
+    )
+
+
+def _query(
+    name: str,
+    priority: int = 1,
+    excluded: frozenset[str] = frozenset(),
+    prefix: tuple[int, ...] = (),
+) -> routing.RouteQuery:
+    return routing.RouteQuery(
+        model.RequestId(name),
+        model.ServiceName("s"),
+        model.ClientAccountId("a"),
+        prompt_tokens=4_000,
+        expected_output_tokens=100,
+        prefix_digests=prefix,
+        excluded=excluded,
+        priority=priority,
+    )
+
+
+def _send(
+    router: routing.Router,
+    query: routing.RouteQuery,
+    targets: Sequence[routing.Target],
+    now_ms: int,
+) -> str:
+    target = router.choose(query, targets, now_ms)
+    assert target is not None
+    router.sent(query, target, now_ms)
+    return target.target_id
+
+
+def test_own_requests_in_a_report_do_not_count_twice() -> None:
+    router = _router()
+    quiet = [_target("a"), _target("b")]
+    first = _send(router, _query("r1"), quiet, 0)
+    # The report of 100 ms counts r1; the other target has one of others.
+    other = "b" if first == "a" else "a"
+    reported = [
+        _target(first, 1, received_ms=600, age_ms=500),
+        _target(other, 3, received_ms=600, age_ms=500),
+    ]
+    assert _send(router, _query("r2"), reported, 600) == first
+
+
+@pytest.mark.parametrize("name", ["balanced", "round_robin"])
+def test_excluded_targets_are_never_chosen(name: str) -> None:
+    router = _router(name=name)
+    targets = [_target("a"), _target("b")]
+    query = _query("r", excluded=frozenset({"a"}))
+    assert router.choose(query, targets, 0) == targets[1]
+    nothing = _query("r", excluded=frozenset({"a", "b"}))
+    assert router.choose(nothing, targets, 0) is None
+
+
+def test_report_of_an_empty_target_draws_no_herd() -> None:
+    # Three entries act on the same report, which shows one empty target.
+    targets = [_target(f"t{i}", running=7) for i in range(8)]
+    targets.append(_target("empty", running=0))
+    chosen: collections.Counter[str] = collections.Counter()
+    for node in ENTRIES:
+        router = _router(node)
+        for index in range(4):
+            query = _query(f"{node}-{index}")
+            chosen[_send(router, query, targets, 0)] += 1
+    assert chosen["empty"] <= targets[-1].concurrency
+    assert chosen.total() == 4 * len(ENTRIES)
+
+
+def _serve(
+    router: routing.Router, request: str, ms_per_token: int, now_ms: int
+) -> int:
+    """Lets a request run to its end and returns the time after it."""
+    request_id = model.RequestId(request)
+    router.first_token(request_id, now_ms)
+    now_ms += 30 * ms_per_token
+    router.tokens(request_id, 30, now_ms)
+    router.ended(request_id, routing.AttemptEnd.COMPLETED, now_ms)
+    return now_ms
+
+
+def test_straggler_is_left_and_tried_again_until_it_is_well() -> None:
+    router = _router()
+    targets = [_target(f"t{i}") for i in range(4)]
+    slow, now_ms = "t0", 0
+    for index in range(12):
+        others = frozenset(f"t{i}" for i in range(4) if i != index % 4)
+        query = _query(f"warm-{index}", excluded=others)
+        name = _send(router, query, targets, now_ms)
+        speed = 80 if name == slow else 16
+        now_ms = _serve(router, f"warm-{index}", speed, now_ms)
+    router.choose(_query("look"), targets, now_ms + 300)
+    assert router.avoided(model.ServiceName("s"), now_ms + 300) == {slow}
+    # Work on its own share is kept away; lent work tries it after a pause.
+    now_ms += 10_000
+    owned = _send(router, _query("owned", priority=0), targets, now_ms)
+    assert owned != slow
+    assert _send(router, _query("probe"), targets, now_ms) == slow
+    assert _send(router, _query("next"), targets, now_ms) != slow
+    for index in range(6):
+        probe = "probe" if index == 0 else f"probe-{index}"
+        if index:
+            only = frozenset({"t1", "t2", "t3"})
+            query = _query(probe, excluded=only)
+            assert _send(router, query, targets, now_ms) == slow
+        now_ms = _serve(router, probe, 16, now_ms)
+    router.choose(_query("look again"), targets, now_ms + 300)
+    assert slow not in router.avoided(model.ServiceName("s"), now_ms + 300)
+
+
+def test_failed_target_is_avoided_then_used_again() -> None:
+    router = _router()
+    targets = [_target("a"), _target("b")]
+    failed = _send(router, _query("r1"), targets, 0)
+    end = routing.AttemptEnd.CONNECT_FAILED
+    router.ended(model.RequestId("r1"), end, 1)
+    names = {_send(router, _query(f"x{i}"), targets, 2) for i in range(8)}
+    assert failed not in names
+    later = {_send(router, _query(f"y{i}"), targets, 1_500) for i in range(9)}
+    assert failed in later
+
+
+def test_cached_prefix_draws_and_a_gap_forgets_it() -> None:
+    router = _router()
+    targets = [_target(f"t{i}", running=2) for i in range(6)]
+    query = _query("r", prefix=(1, 2, 3, 4))
+    plain = router.choose(query, targets, 0)
+    assert plain is not None
+    cached = next(t for t in targets if t is not plain)
+    router.cached(cached.target_id, [1, 2, 3, 4], [])
+    assert router.choose(query, targets, 0) == cached
+    router.cache_lost(cached.target_id)
+    assert router.choose(query, targets, 0) == plain
+
+
+def test_new_incarnation_starts_with_a_clean_sheet() -> None:
+    router = _router()
+    target = _target("a")
+    _send(router, _query("r1"), [target], 0)
+    router.ended(model.RequestId("r1"), routing.AttemptEnd.LOST, 1)
+    both = [dataclasses.replace(target, incarnation="2"), _target("b", 8)]
+    assert _send(router, _query("r2"), both, 2) == "a"
+
+
+@given(seed=st.integers(0, 10_000), count=st.integers(1, 40))
+def test_every_target_has_one_home_whatever_the_entry(
+    seed: int, count: int
+) -> None:
+    source = random.Random(seed)
+    targets = [_target(f"t{i}", running=8) for i in range(count)]
+    source.shuffle(targets)
+    isolated = dataclasses.replace(_query("r"), isolated=True)
+    homes: list[set[str]] = []
+    for node in ENTRIES:
+        router = _router(node)
+        names = set()
+        for index in range(count):
+            query = dataclasses.replace(
+                isolated, request_id=model.RequestId(f"r{index}")
+            )
+            names.add(_send(router, query, targets, 0))
+        homes.append(names)
+    if count >= len(ENTRIES):
+        assert sum(len(names) for names in homes) == count
+        assert set.union(*homes) == {t.target_id for t in targets}
--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -55,7 +55,7 @@
     admission: str = "fair_share"
     router: str = "balanced"
     retry: str = "budget"
-    suspicion: str = "none"
+    suspicion: str = "crash_marks"
     placement: str = "first_fit"
 
 
@@ -169,7 +169,11 @@
         )
         self.desk = _admission_desk.AdmissionDesk(policy, self._clock)
         self.router = routing.ROUTERS.get(policies.router).from_config(
-            routing.RouterConfig(own.node_id, own.failure_domain_id)
+            routing.RouterConfig(
+                own.node_id,
+                own.failure_domain_id,
+                tuple(node.node_id for node in self._process.nodes),
+            )
         )
         config = retry.RetryConfig(counts=self.metrics)
         self.retry_policy = retry.RETRY_POLICIES.get(
@@ -197,12 +201,12 @@
             self._process.node_id, self._incarnation, self._shared, clock
         )
         self.targets = _targets.TargetDirectory(
-            self._shared, self.table, self.desk, clock
+            self._shared, self.table, self.desk, self.router, clock
         )
         self.announcements = _announcements.AnnouncementExchange(
             self.table, self._links, clock
         )
-        self.usage = _usage.UsageExchange(self.desk, self._links)
+        self.usage = _usage.UsageExchange(self.desk, self.router, self._links)
         self.directory = _entries.EntryDirectory(
             self._process, self.lifecycle, self._links, clock
         )
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -84,8 +84,14 @@
     async def _attempt(
         self, priority: int
     ) -> AsyncGenerator[_relay.TokenBatch, None]:
-        query = self._query(priority)
+        crashes = self._parts.crashes
+        verdict = crashes.check(self._draft.digest, self._ran)
+        suspect = verdict is retry.Verdict.ISOLATE
+        query = self._query(priority, suspect)
         target = await self._choose(query)
+        if suspect:
+            digest = self._draft.digest
+            await crashes.begin_trial(digest, target, self._ran)
         self._attempts += 1
         try:
             with self._noted(query, target):
@@ -196,7 +202,8 @@
             if end is routing.AttemptEnd.LOST:
                 parts.crashes.target_crashed(target)
             else:
-                parts.crashes.finished(digest, target)
+                completed = end is routing.AttemptEnd.COMPLETED
+                parts.crashes.finished(digest, target, completed)
 
     async def _after_failure(
         self, target: routing.Target, failure: _attempts.AttemptFailure
@@ -218,21 +225,27 @@
         )
         fields = self._log_fields(target=target.target_id, kind=failure.kind)
         _log.warning("attempt failed: {}", failure.detail, extra=fields)
+        if failure.kind is retry.FailureKind.CONNECTION_LOST:
+            await parts.crashes.settle()
         if isinstance(decision, retry.GiveUp):
             raise results.LagooncrankError(decision.refusal)
         self._excluded |= decision.excluded
         await asyncio.sleep(decision.delay_ms / 1_000)
 
-    def _query(self, priority: int) -> routing.RouteQuery:
+    def _query(self, priority: int, suspect: bool) -> routing.RouteQuery:
         draft = self._draft
+        excluded = self._excluded
+        if suspect:
+            excluded |= self._parts.crashes.occupied(draft.digest)
         return routing.RouteQuery(
             request_id=draft.request_id,
             service=draft.service.name,
             account=draft.account.name,
             prompt_tokens=draft.prompt_tokens,
             expected_output_tokens=draft.max_tokens,
-            excluded=self._excluded,
+            excluded=excluded,
             priority=priority,
+            isolated=suspect,
         )
 
     def _generate_request(
--- a/lagooncrank/server/_targets.py
+++ b/lagooncrank/server/_targets.py
@@ -32,12 +32,14 @@
         shared: _ports.SharedState,
         table: membership.Membership,
         desk: _admission_desk.AdmissionDesk,
+        router: routing.Router,
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
         self._shared = shared
         self._table = table
         self._desk = desk
+        self._router = router
         self._clock = clock
         self._cache: dict[str, _Targets] = {}
 
@@ -71,20 +73,30 @@
         return targets
 
     def refresh_capacity(self) -> None:
-        """Tells admission what the serving replicas can take."""
+        """Tells admission what the replicas in use can take."""
         record = self._shared.view.configuration
         if record is None:
             return
         for service in record.declarations.model_services:
-            replicas = len(self.of_model(service))
-            self._desk.set_capacity(
-                admission.Capacity(
-                    service=service.name,
-                    replicas=replicas,
-                    concurrency=replicas * service.concurrency_per_replica,
-                    tokens_per_s=replicas * service.tokens_per_s_per_replica,
-                )
-            )
+            self._desk.set_capacity(self._capacity(service))
+
+    def _capacity(self, service: model.ModelService) -> admission.Capacity:
+        now_ms = self._clock.now_ms()
+        avoided = self._router.avoided(service.name, now_ms)
+        used = [
+            target
+            for target in self.of_model(service)
+            if target.target_id not in avoided
+        ]
+        return admission.Capacity(
+            service=service.name,
+            replicas=len(used),
+            concurrency=len(used) * service.concurrency_per_replica,
+            tokens_per_s=len(used) * service.tokens_per_s_per_replica,
+            reported_running=sum(
+                target.load.running + target.load.queued for target in used
+            ),
+        )
 
     @mode.Service.task
     async def _refresh_regularly(self) -> None:
