--- a/lagooncrank/core/admission/_account.py
+++ b/lagooncrank/core/admission/_account.py
@@ -59,6 +59,9 @@
         self.running: dict[model.RequestId, Work] = {}
         self.running_weight = 0.0
         self.waiting_weight = 0.0
+        #: Weight that was refused lately; without it, demand would look met
+        #: whenever a short queue makes requests be refused early.
+        self.unmet_weight = 0.0
         self.started_tokens = 0
         self._output = _estimates.MovingAverage(FIRST_GUESS_OUTPUT_TOKENS, GAIN)
         self._first_token = _estimates.MovingAverage(
@@ -71,6 +74,11 @@
         """Number of requests that wait."""
         return len(self.waiting) + len(self.resumable)
 
+    @property
+    def wanted_weight(self) -> float:
+        """Weight that would start here if it could."""
+        return self.waiting_weight + self.unmet_weight
+
     @property
     def idle(self) -> bool:
         """Whether nothing runs or waits here."""
--- a/lagooncrank/core/admission/_fair_share.py
+++ b/lagooncrank/core/admission/_fair_share.py
@@ -211,5 +211,5 @@
         queued_tokens=queued_tokens,
         started_tokens=account.started_tokens,
         running_centiweight=round(100 * account.running_weight),
-        queued_centiweight=round(100 * account.waiting_weight),
+        queued_centiweight=round(100 * account.wanted_weight),
     )
--- a/lagooncrank/core/admission/_limits.py
+++ b/lagooncrank/core/admission/_limits.py
@@ -14,6 +14,8 @@
 LENT_FRACTION = 0.97
 #: Part by which the unexplained use shrinks at each look.
 UNEXPLAINED_DECAY = 0.9
+#: Part of the refused weight that still counts at the next look.
+UNMET_DECAY = 0.5
 #: Lapsed use is taken to have grown at most so many times.
 MAX_LAPSED_FACTOR = 1.5
 
@@ -111,6 +113,7 @@
         entries: int,
     ) -> None:
         own_share = max(grant.owned, self.own_share(account))
+        account.unmet_weight *= UNMET_DECAY
         if spread.running > 0:
             account.usual_part.add(spread.own_running / spread.running)
         account.owned_limit = max(
@@ -163,7 +166,7 @@
 ) -> _shares.Spread:
     return _shares.Spread(
         account.running_weight,
-        account.waiting_weight,
+        account.wanted_weight,
         other.running_weight,
         other.waiting_weight,
     )
--- a/lagooncrank/core/admission/_remote.py
+++ b/lagooncrank/core/admission/_remote.py
@@ -6,8 +6,11 @@
 from lagooncrank import model
 from lagooncrank.core.admission import _types
 
-#: A report older than this is taken for lapsed.
+#: A report older than this no longer counts as it is.
 REPORT_LIFETIME_MS = 600
+#: Until a report is so old it does not count at all: its entry may be gone,
+#: and the engines' reports do not tell yet.
+UNCLEAR_LIFETIME_MS = 3_000
 #: A report older than this is dropped.
 LAPSED_LIFETIME_MS = 60_000
 
@@ -35,14 +38,19 @@
     """Sums the latest report of each other entry.
 
     An entry that falls silent may be gone or only cut off. What it reported
-    last is kept apart, as lapsed, until it is too old to mean anything.
+    last is kept apart, as lapsed, until it is too old to mean anything. For
+    the first seconds it is not counted: refusing work that a gone entry's
+    callers bring is worse than a short overload of the engines' queues.
     """
 
     def __init__(self) -> None:
         self._reports: dict[model.NodeId, tuple[_types.UsageReport, int]] = {}
         self._fresh: dict[model.ServiceName, Uses] = {}
         self._lapsed: dict[model.ServiceName, Uses] = {}
-        self._silent: set[model.NodeId] = set()
+        #: Where each entry's report is counted; None while it is unclear.
+        self._counted_in: dict[
+            model.NodeId, dict[model.ServiceName, Uses] | None
+        ] = {}
 
     @property
     def known(self) -> int:
@@ -65,7 +73,7 @@
         if known is not None:
             self._forget(known[0])
         self._reports[report.node_id] = (report, now_ms)
-        _count(self._fresh, report.usages, 1)
+        self._put(report, self._fresh)
 
     def expire(self, now_ms: int) -> None:
         """Lets old reports lapse and drops very old ones."""
@@ -74,21 +82,35 @@
             if age_ms > LAPSED_LIFETIME_MS:
                 self._forget(report)
                 del self._reports[report.node_id]
+            elif age_ms > UNCLEAR_LIFETIME_MS:
+                self._set_aside(report, self._lapsed)
             elif age_ms > REPORT_LIFETIME_MS:
-                self._lapse(report)
-
-    def _lapse(self, report: _types.UsageReport) -> None:
-        if report.node_id not in self._silent:
-            self._silent.add(report.node_id)
-            _count(self._fresh, report.usages, -1)
-            _count(self._lapsed, report.usages, 1)
+                self._set_aside(report, None)
+
+    def _set_aside(
+        self,
+        report: _types.UsageReport,
+        counted_in: dict[model.ServiceName, Uses] | None,
+    ) -> None:
+        """Moves a report's use to where reports of its age are counted."""
+        if self._counted_in[report.node_id] is counted_in:
+            return
+        self._forget(report)
+        self._put(report, counted_in)
+
+    def _put(
+        self,
+        report: _types.UsageReport,
+        counted_in: dict[model.ServiceName, Uses] | None,
+    ) -> None:
+        self._counted_in[report.node_id] = counted_in
+        if counted_in is not None:
+            _count(counted_in, report.usages, 1)
 
     def _forget(self, report: _types.UsageReport) -> None:
-        if report.node_id in self._silent:
-            self._silent.discard(report.node_id)
-            _count(self._lapsed, report.usages, -1)
-        else:
-            _count(self._fresh, report.usages, -1)
+        counted_in = self._counted_in.pop(report.node_id)
+        if counted_in is not None:
+            _count(counted_in, report.usages, -1)
 
 
 def combine(fresh: Uses, lapsed: Uses, factor: float) -> Uses:
--- a/lagooncrank/core/admission/_service.py
+++ b/lagooncrank/core/admission/_service.py
@@ -52,6 +52,7 @@
             self.limits.limit_idle(account, self.peers.sharing)
         refusal = self._refusal(account, offer, now_ms)
         if refusal is not None:
+            account.unmet_weight += account.new_work(offer, now_ms).weight
             yield _types.Refuse(offer.request_id, refusal)
             return
         work = account.new_work(offer, now_ms)
