Bound the time that admission keeps for the engine's first token

After a lost failure domain the learned time to first token passed a second, so owned requests were given up while they waited 150 ms for a slot.

--- a/lagooncrank/core/admission/_service.py
+++ b/lagooncrank/core/admission/_service.py
@@ -21,6 +21,8 @@
 OWNED_WAIT_MS = 150
 #: Lent work is suspended for owned work if no slot is expected within this.
 SUSPEND_BEYOND_MS = 100
+#: Largest part of the time to the deadline kept for the engine's answer.
+MAX_START_FRACTION = 0.5
 #: Excess that ends by itself within this time is not suspended.
 ATTRITION_MS = 400
 #: Times that one request may be suspended.
@@ -56,7 +58,7 @@
             yield _types.Refuse(offer.request_id, refusal)
             return
         work = account.new_work(offer, now_ms)
-        self._enqueue(account, work, self._last_start_ms(account, offer))
+        self._enqueue(account, work, _last_start_ms(account, offer, now_ms))
         yield from self._start_account(account, now_ms)
 
     def ended(
@@ -129,17 +131,11 @@
         wait_ms = self.wait_ms(account)
         if account.queued >= account.max_queued_requests:
             return _refusals.queue_full(offer, wait_ms)
-        late_ms = now_ms + wait_ms - self._last_start_ms(account, offer)
+        late_ms = now_ms + wait_ms - _last_start_ms(account, offer, now_ms)
         if account.queued and late_ms > 0:
             return _refusals.cannot_start_in_time(offer, late_ms)
         return None
 
-    def _last_start_ms(
-        self, account: _account.Account, offer: _types.Offer
-    ) -> int:
-        """Returns when an offer must start to get its first token in time."""
-        return offer.first_token_deadline_ms - round(account.first_token_ms)
-
     def _refuse_late(self, now_ms: int) -> Iterator[_types.Effect]:
         while self._deadlines and self._deadlines[0][0] <= now_ms:
             _, _, work = heapq.heappop(self._deadlines)
@@ -252,3 +248,16 @@
         work.suspensions += 1
         self._enqueue(account, work, now_ms + MAX_SUSPENDED_MS)
         return _types.Suspend(work.offer.request_id)
+
+
+def _last_start_ms(
+    account: _account.Account, offer: _types.Offer, now_ms: int
+) -> int:
+    """Returns when an offer must start to get its first token in time.
+
+    However slow first tokens were lately, part of the time is left for the
+    queue: otherwise a short disturbance would have everything refused.
+    """
+    left_ms = offer.first_token_deadline_ms - now_ms
+    first_token_ms = min(account.first_token_ms, MAX_START_FRACTION * left_ms)
+    return offer.first_token_deadline_ms - round(first_token_ms)
