--- a/lagooncrank/core/retry/__init__.py
+++ b/lagooncrank/core/retry/__init__.py
@@ -2,6 +2,8 @@
 
 from lagooncrank.core.retry._always import Always
 from lagooncrank.core.retry._budget import Budget
+from lagooncrank.core.retry._crash_marks import CrashMarks
+from lagooncrank.core.retry._crash_marks import MAX_VICTIMS
 from lagooncrank.core.retry._policies import RETRY_POLICIES
 from lagooncrank.core.retry._policies import RetryConfig
 from lagooncrank.core.retry._policies import RetryFactory
@@ -20,12 +22,14 @@
 from lagooncrank.core.retry._unsuspecting import Unsuspecting
 
 __all__ = [
+    "MAX_VICTIMS",
     "RETRY_POLICIES",
     "SUSPICIONS",
     "Always",
     "Budget",
     "Call",
     "CrashMark",
+    "CrashMarks",
     "Decision",
     "Failure",
     "FailureKind",
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -15,6 +15,7 @@
 from lagooncrank.core import streams
 from lagooncrank.server import _admission_desk
 from lagooncrank.server import _attempts
+from lagooncrank.server import _draft_refusals
 from lagooncrank.server import _drafts
 from lagooncrank.server import _engine_client
 from lagooncrank.server import _engine_stream
@@ -23,8 +24,6 @@
 
 #: Pause before the router is asked again for a target with room.
 ROUTE_INTERVAL_S = 0.02
-#: When a caller may try again while no replica serves.
-NO_REPLICA_RETRY_AFTER_MS = 1_000
 
 _log = logbook.Logger(__name__)
 
@@ -67,8 +66,7 @@
         with self._admitted() as ticket:
             while not self._progress.done:
                 priority = await self._wait_for_start(ticket)
-                query = self._query(priority)
-                target = await self._choose(query)
+                query, target = await self._placed(priority)
                 async with (
                     self._followed(query, target),
                     self._opened(target, priority) as (number, stream),
@@ -97,7 +95,25 @@
             async with asyncio.timeout(left_ms / 1_000):
                 return await ticket.wait_for_start()
         except TimeoutError as error:
-            raise self._deadline_passed() from error
+            raise _draft_refusals.deadline_passed(self._ran) from error
+
+    async def _placed(
+        self, priority: int
+    ) -> tuple[routing.RouteQuery, routing.Target]:
+        """Finds a target, one without other suspects for a suspect content.
+
+        Raises:
+            LagooncrankError: The draft may not run, or nowhere.
+        """
+        crashes = self._parts.crashes
+        verdict = crashes.check(self._draft.digest, self._ran)
+        suspect = verdict is retry.Verdict.ISOLATE
+        query = self._query(priority, suspect)
+        target = await self._choose(query)
+        if suspect:
+            digest = self._draft.digest
+            await crashes.begin_trial(digest, target, self._ran)
+        return query, target
 
     @contextlib.asynccontextmanager
     async def _followed(
@@ -115,7 +131,7 @@
         except _attempts.SuspendedError:
             _log.info("request suspended", extra=self._log_fields())
         except _attempts.DeadlinePassedError as error:
-            raise self._deadline_passed() from error
+            raise _draft_refusals.deadline_passed(self._ran) from error
         except _attempts.AttemptFailedError as error:
             await self._after_failure(target, error.failure)
 
@@ -167,13 +183,15 @@
             if target is not None:
                 return target
             if now_ms >= self._draft.deadline_ms:
-                raise self._deadline_passed()
+                raise _draft_refusals.deadline_passed(self._ran)
             await asyncio.sleep(ROUTE_INTERVAL_S)
 
     def _check_targets(self) -> tuple[routing.Target, ...]:
         targets = self._parts.targets.of_model(self._draft.service)
         if all(t.target_id in self._excluded for t in targets):
-            raise self._no_replica()
+            raise _draft_refusals.no_replica(
+                self._draft.service.name, self._ran
+            )
         return targets
 
     @contextlib.contextmanager
@@ -198,7 +216,8 @@
             if end is routing.AttemptEnd.LOST:
                 parts.crashes.target_crashed(target)
             else:
-                parts.crashes.finished(digest, target)
+                completed = end is routing.AttemptEnd.COMPLETED
+                parts.crashes.finished(digest, target, completed)
 
     async def _after_failure(
         self, target: routing.Target, failure: _attempts.AttemptFailure
@@ -220,21 +239,27 @@
         )
         fields = self._log_fields(target=target.target_id, kind=failure.kind)
         _log.warning("attempt failed: {}", failure.detail, extra=fields)
+        if failure.kind is retry.FailureKind.CONNECTION_LOST:
+            await parts.crashes.settle()
         if isinstance(decision, retry.GiveUp):
             raise results.LagooncrankError(decision.refusal)
         self._excluded |= decision.excluded
         await asyncio.sleep(decision.delay_ms / 1_000)
 
-    def _query(self, priority: int) -> routing.RouteQuery:
+    def _query(self, priority: int, suspect: bool) -> routing.RouteQuery:
         draft = self._draft
+        excluded = self._excluded
+        if suspect:
+            excluded |= self._parts.crashes.occupied(draft.digest)
         return routing.RouteQuery(
             request_id=draft.request_id,
             service=draft.service.name,
             account=draft.account.name,
             prompt_tokens=draft.prompt_tokens,
             expected_output_tokens=draft.max_tokens,
-            excluded=self._excluded,
+            excluded=excluded,
             priority=priority,
+            isolated=suspect,
         )
 
     def _generate_request(
@@ -259,27 +284,6 @@
         if self._stream is not None:
             self._stream.interrupt(_attempts.SuspendedError())
 
-    def _no_replica(self) -> results.LagooncrankError:
-        service = self._draft.service.name
-        return results.LagooncrankError(
-            results.Refusal(
-                results.ResultCode.NO_SERVING_REPLICA,
-                f"no replica of model service {service!r} can take this "
-                "request now; ask again later",
-                ran=self._ran,
-                retry_after_ms=NO_REPLICA_RETRY_AFTER_MS,
-            )
-        )
-
-    def _deadline_passed(self) -> results.LagooncrankError:
-        return results.LagooncrankError(
-            results.Refusal(
-                results.ResultCode.DEADLINE_EXCEEDED,
-                "the request's deadline passed before its answer was complete",
-                ran=self._ran,
-            )
-        )
-
     def _log_fields(self, **more: str) -> dict[str, str]:
         return {
             "request_id": self._draft.request_id,
