Roll changes, drain instances and shed replicas above the floor

Cause: declared versions, roles, adapters, drains and counts changed nothing once replicas had formed. Change: core/placement/_moves.py takes one replica of a service at a time out of service, once its requests are done, while the floor holds; with room for one more it forms that one first. Replicas that do not serve change at once. What remains to be done follows from the replicated state, so a new leader goes on. Ruled out: counting a surplus replica that was formed beforehand as the one to dissolve, which undid each move at once.

--- a/lagooncrank/core/placement/_first_fit.py
+++ b/lagooncrank/core/placement/_first_fit.py
@@ -21,8 +21,7 @@
     def plan(self, fleet: _fleet.Fleet, changes: _changes.Changes) -> None:
         """Ends broken replicas and forms those that are wanted."""
         for replica in fleet.holding:
-            unwanted = replica.service not in fleet.services
-            if fleet.silent_ranks(replica) or unwanted:
+            if fleet.silent_ranks(replica):
                 changes.end(replica, model.ReplicaState.LOST)
         free = fleet.free()
         for service in fleet.services.values():
--- a/lagooncrank/core/placement/_planner.py
+++ b/lagooncrank/core/placement/_planner.py
@@ -5,6 +5,7 @@
 from lagooncrank.core.placement import _fleet
 from lagooncrank.core.placement import _instances
 from lagooncrank.core.placement import _life_cycle
+from lagooncrank.core.placement import _moves
 from lagooncrank.core.placement import _order_book
 from lagooncrank.core.placement import _orders
 from lagooncrank.core.placement import _policy
@@ -38,6 +39,7 @@
         self._policy = policy
         self._leader_since_ms = leader_since_ms
         self._table = _instances.InstanceTable()
+        self._moves = _moves.Moves()
         self._book = _order_book.OrderBook(rules.max_order_ms)
         self._fence = _fencing.Fence(
             rules,
@@ -65,6 +67,7 @@
         )
         changes = _changes.Changes(situation.last_fencing_number)
         self._policy.plan(fleet, changes)
+        self._moves.plan(fleet, changes)
         _life_cycle.advance(fleet, self._fence, changes)
         return _types.Decision(
             changes.commands, self._orders(fleet, changes, now_ms)
--- a/lagooncrank/core/placement/_pool.py
+++ b/lagooncrank/core/placement/_pool.py
@@ -12,11 +12,20 @@
 
     Args:
         fleet: Replicas and instances at this step.
+        claimed: Instances that the step handed out before.
     """
 
-    def __init__(self, fleet: _fleet.Fleet) -> None:
+    def __init__(
+        self,
+        fleet: _fleet.Fleet,
+        claimed: frozenset[model.InstanceId] = frozenset(),
+    ) -> None:
         self._free = {
-            domain: [i for i in instances if _is_trusted(i, fleet)]
+            domain: [
+                i
+                for i in instances
+                if i.instance_id not in claimed and _is_trusted(i, fleet)
+            ]
             for domain, instances in fleet.free().items()
         }
 
--- a/lagooncrank/core/placement/tests/test_properties.py
+++ b/lagooncrank/core/placement/tests/test_properties.py
@@ -31,6 +31,9 @@
     "cut_off_leader": lambda w, i: w.change_leader(cut_off=True),
     "delay_orders": lambda w, i: _set_delay(w, i),
     "lose_answers": lambda w, i: _set_answers_lost(w, i),
+    "drain": lambda w, i: _drain(w, i),
+    "end_drains": lambda w, i: w.end_drains(),
+    "new_version": lambda w, i: w.declare_version(f"v{i}"),
     "calm": lambda w, i: None,
 }
 
@@ -66,6 +69,10 @@
     world.delay_ms = index * _world.MAX_ORDER_MS // 11
 
 
+def _drain(world: _world.World, index: int) -> None:
+    world.drained |= {_engine(world, index).instance_id}
+
+
 def _set_answers_lost(world: _world.World, index: int) -> None:
     world.answers_lost = bool(index % 2)
 
@@ -92,6 +99,8 @@
         _invariants.check(world)
     for service in world.declarations.model_services:
         assert world.serving_count(service) == service.replicas
+        served = [r for r in world.served() if r.service == service.name]
+        assert {r.version for r in served} == {service.version}
 
 
 def test_skipped_fencing_guard_is_caught(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -70,6 +70,10 @@
         """Makes the engine announce that it is ready or leaving."""
         self._announcement = self._announcement.with_changes(state=state)
 
+    def set_load(self, load: model.LoadReport) -> None:
+        """Makes the engine announce another load."""
+        self._announcement = self._announcement.with_changes(load=load)
+
     def stop(self) -> None:
         """Ends the process; its memory is lost."""
         self.is_running = False
