--- a/bench/_simulation.py
+++ b/bench/_simulation.py
@@ -33,6 +33,8 @@
         self._now_ms = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._pushed = 0
+        #: Arrivals whose entry was lost and that went to another.
+        self._moved = 0
         slow = round(scenario.stragglers * scenario.replicas)
         self._replicas = {
             f"replica-{index}": _batching.BatchingReplica(
@@ -90,13 +92,17 @@
 
     def _arrive(self, arrival: _workload.Arrival) -> None:
         entry = self._entries[arrival.entry]
-        while not entry.alive:
-            entry = self._entries[(entry.index + 1) % len(self._entries)]
+        if not entry.alive:
+            living = [other for other in self._entries if other.alive]
+            self._moved += 1
+            entry = living[self._moved % len(living)]
         entry.offer(arrival, self._now_ms)
 
     def _tick(self, entry: _entry.Entry) -> None:
         if not entry.alive:
             return
+        entry.note_silent(self._now_ms)
+        entry.set_capacity(self._now_ms)
         effects = entry.admission.tick(int(self._now_ms))
         entry.carry_out(effects, self._now_ms)
         self._after(TICK_MS, lambda: self._tick(entry))
@@ -125,6 +131,7 @@
         self, entry: _entry.Entry, report: admission.UsageReport
     ) -> None:
         if entry.alive:
+            entry.heard_ms[report.node_id] = self._now_ms
             effects = entry.admission.observe_usage(report, int(self._now_ms))
             entry.carry_out(effects, self._now_ms)
 
@@ -143,7 +150,7 @@
         self._refresh_targets()
 
     def _refresh_targets(self) -> None:
-        """Gives every entry its targets and the capacity that they have."""
+        """Gives every entry its targets and their latest load."""
         slots = self._scenario.slots_per_replica
         none = (model.LoadReport(), 0)
         targets = [
@@ -158,22 +165,10 @@
             for index, name in enumerate(self._replicas)
             if name in self._listed
         ]
-        capacity = admission.Capacity(
-            _scenario.SERVICE,
-            len(targets),
-            len(targets) * slots,
-            len(targets) * self._scenario.tokens_per_s_per_replica,
-            reported_running=sum(
-                t.load.running + t.load.queued for t in targets
-            ),
-        )
         for entry in self._entries:
             if entry.alive:
                 entry.targets = targets
-                effects = entry.admission.set_capacity(
-                    capacity, int(self._now_ms)
-                )
-                entry.carry_out(effects, self._now_ms)
+                entry.set_capacity(self._now_ms)
 
     def _send(self, entry: _entry.Entry, request: _entry.Request) -> bool:
         replica = self._replicas[request.replica]
--- a/lagooncrank/server/http/_gate.py
+++ b/lagooncrank/server/http/_gate.py
@@ -24,7 +24,7 @@
     ) -> None:
         self._shared = shared
         self._lifecycle = lifecycle
-        self._authenticator = _auth.Authenticator(shared.view)
+        self._authenticator = _auth.Authenticator(shared)
 
     @contextlib.contextmanager
     def entered(self, request: web.Request) -> Iterator[model.ClientAccount]:
@@ -39,6 +39,10 @@
         with self._lifecycle.request():
             yield account
 
+    def continued(self) -> contextlib.AbstractContextManager[None]:
+        """Counts work as in flight whose caller may have gone away."""
+        return self._lifecycle.continued()
+
     def record(self) -> state.ConfigurationRecord:
         """Returns the configuration that new work runs under.
 
--- a/lagooncrank/server/_single_node.py
+++ b/lagooncrank/server/tests/single_node.py
@@ -3,7 +3,9 @@
 from typing import Any
 
 from lagooncrank import model
+from lagooncrank.core import consensus
 from lagooncrank.core import state
+from lagooncrank.server import _applying
 from lagooncrank.server import _ports
 
 
@@ -11,13 +13,13 @@
     """Applies commands at once; nothing survives the process."""
 
     def __init__(self) -> None:
-        self._machine = state.StateMachine()
-        self._listeners: list[_ports.AppliedListener] = []
+        self._machine = _applying.Machine()
+        self.has_quorum = True
 
     @property
     def view(self) -> _ports.StateView:
         """State applied at this node."""
-        return self._machine
+        return self._machine.view
 
     @property
     def is_leader(self) -> bool:
@@ -25,18 +27,24 @@
         return True
 
     def lease_holds(self) -> bool:
-        """Returns true: the node is its own quorum."""
-        return True
+        """Returns whether the test lets the node have a quorum."""
+        return self.has_quorum
 
     async def propose(
         self, command: state.Command, timeout_ms: int
     ) -> state.Outcome:
         """Applies a command and returns its outcome."""
-        index = self._machine.applied_index + 1
-        outcome = self._machine.apply(index, command)
-        for listener in self._listeners:
-            listener(command, outcome)
-        return outcome
+        index = self._machine.view.applied_index + 1
+        data = state.encode_command(command)
+        return self._machine.apply(consensus.Entry(index, 1, data))
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state as bytes."""
+        return self._machine.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by a snapshot, as a node that lagged does."""
+        self._machine.restore(data)
 
     async def confirm_read(self, timeout_ms: int) -> bool:
         """Returns true: every command was applied here."""
@@ -44,7 +52,7 @@
 
     def on_applied(self, listener: _ports.AppliedListener) -> None:
         """Registers a listener for applied commands."""
-        self._listeners.append(listener)
+        self._machine.listeners.append(listener)
 
 
 class NoPeers:
--- a/lagooncrank/server/tests/site.py
+++ b/lagooncrank/server/tests/site.py
@@ -1,5 +1,7 @@
 """One daemon with stand-in engines and a plain service, in one loop."""
 
+import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import hashlib
@@ -7,6 +9,7 @@
 
 import aiohttp
 import mode
+import yarl
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
@@ -14,8 +17,9 @@
 from lagooncrank.core import state
 from lagooncrank.core import timeouts
 from lagooncrank.server import _daemon
-from lagooncrank.server import _single_node
 from lagooncrank.server import _sockets
+from lagooncrank.server import _targets
+from lagooncrank.server.tests import single_node
 from standins import _announcer
 from standins import _process
 from standins import engine
@@ -27,6 +31,8 @@
 BOOKING = "booking"
 STATUS = "status"
 REPLICAS = 2
+#: Ends a wait for what never happens; no test measures by it.
+UNTIL_TIMEOUT_S = 20.0
 #: Silence bounds small enough for tests to meet them.
 SHORT_BOUNDS = timeouts.TimeoutBounds(
     initial_ms=300, floor_ms=300, ceiling_ms=600
@@ -64,15 +70,16 @@
 
     address: str
     daemon: _daemon.Daemon
-    shared: _single_node.SingleNodeState
+    shared: single_node.SingleNodeState
     #: First member of each replica first.
     engines: list[engine.Engine]
-    booking: plain_service.PlainServiceStandIn
     session: aiohttp.ClientSession
     #: Closes the listening socket and connections of an engine, by index.
     engine_closers: list[_process.Closer]
     services: list[mode.Service]
     closers: list[_process.Closer]
+    #: The plain service that was started last.
+    booking: plain_service.PlainServiceStandIn = dataclasses.field(init=False)
 
     @classmethod
     async def started(
@@ -84,13 +91,14 @@
         """Starts everything and waits until every replica serves."""
         listener = _sockets.listener(f"{_process.LOOPBACK}:0")
         address = _sockets.bound_address(listener)
-        shared = _single_node.SingleNodeState()
+        shared = single_node.SingleNodeState()
         daemon = _daemon.Daemon(
             _process_settings(address, limits),
             listener,
             shared,
-            _single_node.NoPeers(),
+            single_node.NoPeers(),
             clocks.SystemClock(),
+            incarnation=1,
             engine_bounds=_daemon.EngineBounds(SHORT_BOUNDS, SHORT_BOUNDS),
         )
         await daemon.start()
@@ -99,9 +107,6 @@
             daemon=daemon,
             shared=shared,
             engines=[],
-            booking=plain_service.PlainServiceStandIn(
-                "b0", "ib0", "d1", (BOOKING, STATUS)
-            ),
             session=aiohttp.ClientSession(),
             engine_closers=[],
             services=[],
@@ -109,7 +114,7 @@
         )
         await site.apply(declarations)
         await site._start_engines(engine_options or {})
-        await site._start_booking()
+        await site.start_booking("b0")
         return site
 
     async def stop(self) -> None:
@@ -144,6 +149,21 @@
             self.url("/v1/completions"), json=body, headers=HEADERS
         )
 
+    async def announced(self) -> None:
+        """Lets every backend server announce its present state."""
+        for service in self.services:
+            assert isinstance(service, _announcer.Announcer)
+            await service.announce()
+        await asyncio.sleep(_targets.REFRESH_INTERVAL_MS / 1_000)
+        self.daemon.targets.refresh_capacity()
+
+    async def connected(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a plain connection to the entry."""
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
     async def counter(self, name: str, reason: str) -> float:
         """Returns a counter of the daemon, by its `reason` label."""
         for family in self.daemon.metrics.registry.collect():
@@ -173,12 +193,17 @@
             await self._announce(member.announcement)
         await self._wait_for_replicas()
 
-    async def _start_booking(self) -> None:
+    async def start_booking(self, name: str) -> None:
+        """Starts a plain service; `booking` becomes the newest one."""
+        self.booking = plain_service.PlainServiceStandIn(
+            name, f"i{name}", "d1", (BOOKING, STATUS)
+        )
         listener = _process.listen(0)
         self.booking.address = _process.address_of(listener)
         app = self.booking.app()
         self.closers.append(await _process.serve(app, listener))
         await self._announce(self.booking.announcement)
+        await self.announced()
 
     async def _announce(self, make: _announcer.AnnouncementMaker) -> None:
         announcer = _announcer.Announcer((self.address,), make, 0.02)
@@ -191,6 +216,25 @@
         while len(self.daemon.targets.of_model(service)) < REPLICAS:
             await self.daemon.placement.step()
             await self.services[0].sleep(0.02)
+        self.daemon.targets.refresh_capacity()
+
+
+def encoded(url: str) -> yarl.URL:
+    """Returns a URL that is sent exactly as written."""
+    return yarl.URL(url, encoded=True)
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Waits for a condition.
+
+    Raises:
+        TimeoutError: It did not come to hold.
+    """
+    async with asyncio.timeout(UNTIL_TIMEOUT_S):
+        while True:
+            if holds():
+                return
+            await asyncio.sleep(0.005)
 
 
 def _process_settings(
