Form elsewhere what cannot be repaired; take paused members back

Cause: at the plan's size a replica in a domain without a spare waited for its member while other domains held idle instances; and a member that came back during its replacement's load was unloaded. Change: a replica that waits past the grace does not count towards what is formed, so another is formed where there is room, and it is the first to be dissolved when there are too many. A replaced member that comes back with its weights, at an engine that checks numbers, takes its place again if the replacement is not ready yet.

--- a/lagooncrank/core/placement/_formation.py
+++ b/lagooncrank/core/placement/_formation.py
@@ -10,6 +10,9 @@
 class Formation:
     """Forms what is wanted first, then surplus where spares remain.
 
+    A replica that waits for a lost member does not count, so another one is
+    formed in its place where there is room.
+
     Args:
         fleet: Replicas and instances at this step.
         needs: Whole and held replicas of each service.
@@ -31,12 +34,21 @@
         self._in_domain: dict[tuple[str, str], int] = {}
         for replica in fleet.holding:
             self._count(replica.service, replica.fabric_domain_id)
+            if self._is_given_up(replica):
+                self._held[fleet.services[replica.service]] -= 1
 
     def run(self) -> None:
         """Forms replicas until nothing is wanted or nothing fits."""
         while self._form_next():
             pass
 
+    def _is_given_up(self, replica: model.Replica) -> bool:
+        return (
+            replica.service in self._fleet.services
+            and not self._changes.has_changed(replica)
+            and _needs.is_stuck(replica, self._fleet)
+        )
+
     def _form_next(self) -> bool:
         wanting = sorted(
             (_needs.need_for(service, held), service.name)
--- a/lagooncrank/core/placement/_moves.py
+++ b/lagooncrank/core/placement/_moves.py
@@ -155,8 +155,9 @@
 
     def _worth(
         self, replica: model.Replica, service: model.ModelService
-    ) -> tuple[bool, bool, bool, bool, str]:
+    ) -> tuple[bool, bool, bool, bool, bool, str]:
         return (
+            not _needs.is_stuck(replica, self._fleet),
             not any(True for _ in self._drained_ranks(replica)),
             not is_outdated(replica, service),
             replica.state is not _State.DRAINING,
--- a/lagooncrank/core/placement/_needs.py
+++ b/lagooncrank/core/placement/_needs.py
@@ -4,6 +4,7 @@
 
 from lagooncrank import model
 from lagooncrank.core.placement import _fleet
+from lagooncrank.core.placement import _instances
 
 
 class Need(enum.IntEnum):
@@ -72,3 +73,24 @@
     if replica.state is not model.ReplicaState.SERVING:
         return False
     return not fleet.missing_ranks(replica)
+
+
+def is_stuck(replica: model.Replica, fleet: _fleet.Fleet) -> bool:
+    """Returns whether a replica waits for a member past the grace."""
+    members = fleet.members(replica)
+    return any(
+        is_overdue(members[rank], fleet) for rank in fleet.silent_ranks(replica)
+    )
+
+
+def is_overdue(
+    instance: _instances.Instance | None, fleet: _fleet.Fleet
+) -> bool:
+    """Returns whether a member that is not ready was waited for enough."""
+    if instance is None:
+        since_ms = fleet.leader_since_ms
+    elif instance.silent_since_ms is None:
+        return True
+    else:
+        since_ms = instance.silent_since_ms
+    return fleet.now_ms >= since_ms + fleet.rules.pause_grace_ms
--- a/lagooncrank/core/placement/_repair.py
+++ b/lagooncrank/core/placement/_repair.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 
 from lagooncrank import model
@@ -10,6 +11,7 @@
 from lagooncrank.core.placement import _instances
 from lagooncrank.core.placement import _needs
 from lagooncrank.core.placement import _pool
+from lagooncrank.core.placement import _returns
 
 _State = model.ReplicaState
 
@@ -37,6 +39,7 @@
         needs: Whole and held replicas of each service.
         pool: Free instances.
         changes: Receives the changes.
+        returns: Is told whom a repair replaces.
     """
 
     def __init__(
@@ -45,11 +48,13 @@
         needs: _needs.Needs,
         pool: _pool.Pool,
         changes: _changes.Changes,
+        returns: _returns.Returns,
     ) -> None:
         self._fleet = fleet
         self._needs = needs
         self._pool = pool
         self._changes = changes
+        self._returns = returns
 
     def run(self) -> None:
         """Repairs what can be repaired, the most needed replica first."""
@@ -65,6 +70,8 @@
                 continue
             if replica.state is _State.DRAINING:
                 continue
+            if self._changes.has_changed(replica):
+                continue
             yield _Broken(
                 replica=replica,
                 service=service,
@@ -78,26 +85,15 @@
     ) -> Iterator[int]:
         members = self._fleet.members(replica)
         for rank in silent:
-            if self._is_due(members[rank]):
+            if _needs.is_overdue(members[rank], self._fleet):
                 yield rank
 
-    def _is_due(self, instance: _instances.Instance | None) -> bool:
-        grace_ms = self._fleet.rules.pause_grace_ms
-        if instance is None:
-            since_ms = self._fleet.leader_since_ms
-        elif instance.silent_since_ms is None:
-            return True
-        else:
-            since_ms = instance.silent_since_ms
-        return self._fleet.now_ms >= since_ms + grace_ms
-
     def _fill(self, broken: _Broken) -> bool:
         domain = broken.replica.fabric_domain_id
         found = self._pool.take(domain, broken.service, len(broken.due))
         if not found:
             return False
-        replacements = dict(zip(broken.due, found, strict=True))
-        self._changes.reassign(broken.replica, broken.service, replacements)
+        self._replace(broken, found)
         return True
 
     def _break_up(self, unfilled: list[_Broken]) -> None:
@@ -141,5 +137,15 @@
         found = list(self._pool.take(domain, best.service, count))
         given = self._usable(donor, best.service)
         found += given[: len(best.due) - count]
-        replacements = dict(zip(best.due, found, strict=True))
-        self._changes.reassign(best.replica, best.service, replacements)
+        self._replace(best, found)
+
+    def _replace(
+        self, broken: _Broken, found: Sequence[_instances.Instance]
+    ) -> None:
+        members = self._fleet.members(broken.replica)
+        for rank in broken.due:
+            member = members[rank]
+            if member is not None:
+                self._returns.note(broken.replica, rank, member)
+        replacements = dict(zip(broken.due, found, strict=True))
+        self._changes.reassign(broken.replica, broken.service, replacements)
