--- a/lagooncrank/core/placement/_load_order.py
+++ b/lagooncrank/core/placement/_load_order.py
@@ -15,7 +15,8 @@
     """Returns the loads that may run, at most as many as are declared.
 
     The replica with the fewest bytes to load goes first within its class of
-    need: on a shared store that gives the earliest serving replicas.
+    need: on a shared store that gives the earliest serving replicas. Members
+    that keep their weights do not use the store.
 
     Args:
         fleet: Replicas and instances at this step.
@@ -30,10 +31,12 @@
         key=lambda group: _key(group, needs, fleet),
     )
     in_order = [load for group in queue for load in group]
-    running = [load for load in in_order if load.started]
-    waiting = [load for load in in_order if not load.started]
+    free = [load for load in in_order if load.weight_bytes == 0]
+    costly = [load for load in in_order if load.weight_bytes > 0]
+    running = [load for load in costly if load.started]
+    waiting = [load for load in costly if not load.started]
     slots = fleet.declarations.weight_store.concurrent_loads - len(running)
-    return running + waiting[: max(0, slots)]
+    return free + running + waiting[: max(0, slots)]
 
 
 def _key(
@@ -41,5 +44,5 @@
 ) -> tuple[int, int, int, str]:
     replica = group[0].replica
     missing = len(fleet.silent_ranks(replica))
-    weight_bytes = len(group) * group[0].service.weight_bytes_per_instance
+    weight_bytes = sum(load.weight_bytes for load in group)
     return (needs.of(replica), missing, weight_bytes, replica.replica_id)
--- a/lagooncrank/core/placement/_orders.py
+++ b/lagooncrank/core/placement/_orders.py
@@ -28,6 +28,8 @@
     rank: int
     #: Whether the engine is at it already.
     started: bool
+    #: Bytes to load; none where the engine keeps its place in the replica.
+    weight_bytes: int
 
 
 class Orders:
@@ -100,7 +102,8 @@
                 ):
                     continue
                 started = self._is_accepted(instance, replica)
-            yield Load(instance, replica, service, rank, started)
+            weight_bytes = _missing_bytes(instance, replica, service)
+            yield Load(instance, replica, service, rank, started, weight_bytes)
 
     def _is_accepted(
         self, instance: _instances.Instance, replica: model.Replica
@@ -174,3 +177,17 @@
 
 def _is_visible(load: Load) -> bool:
     return _fleet.holds(load.instance, load.replica) is not None
+
+
+def _missing_bytes(
+    instance: _instances.Instance,
+    replica: model.Replica,
+    service: model.ModelService,
+) -> int:
+    loaded = instance.announcement.loaded
+    if loaded is None or not loaded.ready:
+        return service.weight_bytes_per_instance
+    held = (loaded.replica_id, loaded.version)
+    if held == (replica.replica_id, replica.version):
+        return 0
+    return service.weight_bytes_per_instance
