Hold spares only while they cost less than a surplus replica

Change: the declared spares are held back from a surplus replica only where their worth (losses in the domain times the load of a replica, at the weight of downtime) is over the stranded accelerators' price. Orders are tested over HTTP as well: refused connections reach nothing, a closed connection leaves an order open.

--- a/lagooncrank/core/placement/_formation.py
+++ b/lagooncrank/core/placement/_formation.py
@@ -5,6 +5,7 @@
 from lagooncrank.core.placement import _fleet
 from lagooncrank.core.placement import _needs
 from lagooncrank.core.placement import _pool
+from lagooncrank.core.placement import _spares
 
 
 class Formation:
@@ -30,6 +31,7 @@
         self._fleet = fleet
         self._pool = pool
         self._changes = changes
+        self._sizes = _spares.domain_sizes(fleet)
         self._held = {s: needs.held(s) for s in fleet.services.values()}
         self._in_domain: dict[tuple[str, str], int] = {}
         for replica in fleet.holding:
@@ -73,16 +75,26 @@
     def _best_domain(
         self, service: model.ModelService, need: _needs.Need
     ) -> model.FabricDomainId | None:
-        least = service.instances_per_replica
-        if need is _needs.Need.SURPLUS:
-            least += self._fleet.rules.spare_instances
         candidates = [
             (self._in_domain.get((service.name, domain), 0), -free, domain)
             for domain in self._pool.domains()
-            if (free := self._pool.count(domain, service)) >= least
+            if (free := self._pool.count(domain, service))
+            >= self._least_free(service, domain, need)
         ]
         return min(candidates)[2] if candidates else None
 
+    def _least_free(
+        self,
+        service: model.ModelService,
+        domain: model.FabricDomainId,
+        need: _needs.Need,
+    ) -> int:
+        if need is not _needs.Need.SURPLUS:
+            return service.instances_per_replica
+        size = self._sizes[domain]
+        spares = _spares.spares_to_hold(self._fleet, service, size)
+        return service.instances_per_replica + spares
+
     def _count(
         self, service: model.ServiceName, domain: model.FabricDomainId
     ) -> None:
--- /dev/null
+++ b/lagooncrank/server/tests/test_orders.py
@@ -0,0 +1,101 @@
+import asyncio
+from typing import Any
+
+from aiohttp import test_utils
+from aiohttp import web
+import pytest
+
+from lagooncrank import model
+from lagooncrank.core import placement
+from lagooncrank.server import _orders
+from standins import _orders as desks
+
+State = placement.OrderState
+
+
+def send_to(address: str, number: int) -> placement.SendOrder:
+    order = placement.Order(
+        order_id=f"i1/1/{number}/load/0",
+        kind=placement.OrderKind.LOAD,
+        replica_id=model.ReplicaId("r"),
+        service=model.ServiceName("drafts"),
+        version="v1",
+        fencing_number=number,
+        weight_bytes=10,
+    )
+    return placement.SendOrder(model.InstanceId("i1"), address, order)
+
+
+async def answer_to(address: str, number: int) -> State:
+    sender = _orders.HttpOrderSender()
+    await sender.open()
+    try:
+        return (await sender.send(send_to(address, number))).state
+    finally:
+        await sender.close()
+
+
+def desk_app(desk: desks.OrderDesk) -> web.Application:
+    async def handle(request: web.Request) -> web.Response:
+        order = model.from_plain(await request.json(), placement.Order)
+        reply = desk.take(order)
+        stale = reply.state is State.STALE
+        body = model.to_plain(reply)
+        return web.json_response(body, status=409 if stale else 200)
+
+    app = web.Application()
+    app.router.add_post("/orders", handle)
+    return app
+
+
+def fixed_app(**answer: Any) -> web.Application:
+    async def handle(request: web.Request) -> web.Response:
+        return web.Response(**answer)
+
+    app = web.Application()
+    app.router.add_post("/orders", handle)
+    return app
+
+
+async def test_orders_and_their_answers_cross_http() -> None:
+    desk = desks.OrderDesk(checks_fencing=True)
+    async with test_utils.TestServer(desk_app(desk)) as server:
+        address = f"{server.host}:{server.port}"
+        assert await answer_to(address, 5) is State.ACCEPTED
+        assert await answer_to(address, 4) is State.STALE
+        assert await answer_to(address, 5) is State.ACCEPTED
+    assert [order.fencing_number for order in desk.obeyed] == [5]
+
+
+@pytest.mark.parametrize(
+    ("answer", "state"),
+    [
+        pytest.param({"status": 500}, State.FAILED, id="error"),
+        pytest.param({"text": "no JSON"}, State.FAILED, id="no_json"),
+        pytest.param({"text": '{"state": "x"}'}, State.FAILED, id="state"),
+    ],
+)
+async def test_invalid_answers_are_failures(
+    answer: dict[str, Any], state: State
+) -> None:
+    async with test_utils.TestServer(fixed_app(**answer)) as server:
+        assert await answer_to(f"{server.host}:{server.port}", 1) is state
+
+
+async def test_refused_connection_reaches_nothing() -> None:
+    async with test_utils.TestServer(fixed_app()) as server:
+        address = f"{server.host}:{server.port}"
+    assert await answer_to(address, 1) is State.UNREACHED
+
+
+async def test_connection_closed_without_answer_leaves_it_open() -> None:
+    async def close(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readline()
+        writer.close()
+
+    server = await asyncio.start_server(close, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    async with server:
+        assert await answer_to(f"{host}:{port}", 1) is State.UNANSWERED
