--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -215,7 +215,9 @@
         limits = self._process.limits
         ids = _request_ids.RequestIds(self._process.node_id, self._incarnation)
         app = _app.build(self._handlers(ids), limits, ids, self.metrics)
-        return _http_server.HttpServer(app, self._listener, limits)
+        return _http_server.HttpServer(
+            app, self._listener, limits, self.metrics, self._clock
+        )
 
     def _handlers(
         self, ids: _request_ids.RequestIds
--- a/lagooncrank/server/tests/test_refusals.py
+++ b/lagooncrank/server/tests/test_refusals.py
@@ -1,5 +1,6 @@
 """What an entry refuses, by which code, and that nothing ran."""
 
+import asyncio
 import dataclasses
 from typing import Any
 
@@ -223,6 +224,21 @@
         assert response.status == 400
 
 
+async def test_head_that_does_not_arrive() -> None:
+    limits = settings.LimitSettings(sender_timeout_ms=50)
+    site = await sites.Site.started(limits)
+    reader, writer = await site.connected()
+    writer.write(b"POST /v1/completions HT")
+    (rest,) = await asyncio.gather(reader.read(), return_exceptions=True)
+    counted = await site.counter(
+        "lagooncrank_refusals_total", Code.SENDER_TOO_SLOW.name
+    )
+    writer.close()
+    await site.stop()
+    assert isinstance(rest, ConnectionResetError) or rest == b""
+    assert counted == 1
+
+
 async def test_body_that_does_not_arrive() -> None:
     limits = settings.LimitSettings(sender_timeout_ms=50)
     site = await sites.Site.started(limits)
