Follow the longest recent pause in adaptive timeouts; compare with other ways

Cause: limits from mean and mean deviation gave up drafts that were coming. Change: a limit is also three times the longest recent duration; the floor between bytes is 2 s. Ruled out: a longer floor alone (the pause of a slowed engine grows with it).

--- a/lagooncrank/core/timeouts/_adaptive.py
+++ b/lagooncrank/core/timeouts/_adaptive.py
@@ -2,7 +2,9 @@
 
 One covers the time from a request to the first byte of its answer, the other
 the time between two bytes. Each follows the mean and the mean deviation of
-recent answers, as TCP's retransmission timer does.
+recent answers, as TCP's retransmission timer does, and the longest recent
+one: an engine that computes a long prompt pauses every other stream, which is
+rare and so hardly moves mean and deviation.
 """
 
 import dataclasses
@@ -10,6 +12,10 @@
 MEAN_GAIN = 0.125
 DEVIATION_GAIN = 0.25
 DEVIATIONS = 4.0
+#: Part of the longest duration that each further measurement leaves.
+PEAK_DECAY = 0.999
+#: Times the longest recent duration that must pass in silence at least.
+PEAK_FACTOR = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +51,7 @@
         self._bounds = bounds
         self._mean_ms = -1.0
         self._deviation_ms = 0.0
+        self._peak_ms = 0.0
         self._timeout_ms = bounds.initial_ms
 
     @property
@@ -63,7 +70,10 @@
         self._deviation_ms += DEVIATION_GAIN * spread
         by_deviation = self._mean_ms + DEVIATIONS * self._deviation_ms
         by_factor = self._mean_ms * self._bounds.factor
-        self._timeout_ms = self._bounds.clamp(max(by_deviation, by_factor))
+        self._peak_ms = max(self._peak_ms * PEAK_DECAY, duration_ms)
+        by_peak = self._peak_ms * PEAK_FACTOR
+        timeout_ms = max(by_deviation, by_factor, by_peak)
+        self._timeout_ms = self._bounds.clamp(timeout_ms)
 
     def expired(self) -> None:
         """Doubles the timeout after it expired, up to the ceiling.
--- a/lagooncrank/server/_engine_client.py
+++ b/lagooncrank/server/_engine_client.py
@@ -19,7 +19,7 @@
     initial_ms=10_000, floor_ms=1_000, ceiling_ms=60_000
 )
 BETWEEN_BYTES_BOUNDS = timeouts.TimeoutBounds(
-    initial_ms=5_000, floor_ms=1_000, ceiling_ms=20_000
+    initial_ms=5_000, floor_ms=2_000, ceiling_ms=20_000
 )
 SILENT_KINDS = frozenset(
     {
