Add a failure drill with real processes, callers and a booking service

Cause: the parts are proved one by one; nothing showed the promises of the whole system under kills and freezes of its processes. Change: `python -m bench.drill` runs three daemons, nine stand-in engines and a booking service, strikes eight faults one after another (leader killed, leader frozen, engine killed, engine frozen, fabric domain frozen, booking service frozen, planned stop, two entries killed) and compares what callers were told with what the service counted. Conclusion: kept as a bench, since it takes two minutes and real time.

--- /dev/null
+++ b/bench/_drill_site.py
@@ -0,0 +1,294 @@
+"""Processes of the failure drill: daemons, stand-in engines, a service."""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import time
+from typing import Any
+
+import aiohttp
+
+LOOPBACK = "127.0.0.1"
+DOMAINS = ("domain-1", "domain-2", "domain-3")
+ACCOUNT_KEY = "drill-account-key"
+OPERATOR_KEY = "drill-operator-key"
+ACCOUNT_HEADERS = {"Authorization": f"Bearer {ACCOUNT_KEY}"}
+OPERATOR_HEADERS = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+MODEL = "drafts"
+BOOKING = "bookings"
+REPLICAS = 3
+INSTANCES_PER_REPLICA = 2
+#: Instances of each fabric domain; one more than its replica needs.
+INSTANCES_PER_FABRIC = 3
+KEEP_FOR_MS = 1_000
+BETWEEN_TOKENS_MS = 10
+READY_TIMEOUT_S = 40.0
+STOP_TIMEOUT_S = 60.0
+POLL_S = 0.1
+NS_PER_MS = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """How one process is started, the same each time."""
+
+    name: str
+    module: str
+    arguments: tuple[str, ...]
+
+
+class Site:
+    """Every process, by name, with the means to make each of them fail."""
+
+    def __init__(
+        self, folder: pathlib.Path, session: aiohttp.ClientSession
+    ) -> None:
+        self._folder = folder
+        self._session = session
+        self._commands: dict[str, Command] = {}
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._start_ns = time.monotonic_ns()
+        ports = _free_ports(3 * len(DOMAINS) + 1)
+        self.entries = tuple(f"{LOOPBACK}:{p}" for p in ports[:3])
+        self._peers = tuple(f"{LOOPBACK}:{p}" for p in ports[3:6])
+        self.booking_port = ports[6]
+
+    def now_ms(self) -> int:
+        """Returns milliseconds since the drill began."""
+        return (time.monotonic_ns() - self._start_ns) // NS_PER_MS
+
+    async def start_all(self) -> None:
+        """Starts everything, applies declarations, waits until all serve."""
+        shared_key = self._folder / "shared.key"
+        shared_key.write_text("drill-shared-key-of-all-nodes-0123456789\n")
+        for number in range(len(DOMAINS)):
+            await self._start_new(self._daemon(number, shared_key))
+        await self._apply()
+        for number in range(len(DOMAINS)):
+            for member in range(INSTANCES_PER_FABRIC):
+                await self._start_new(self._engine(number, member))
+        await self._start_new(self._service())
+        await self.wait_until_all_serve()
+
+    async def restart(self, name: str) -> None:
+        """Starts a process that ended, with the same command."""
+        await self._start(self._commands[name])
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one process of the drill."""
+        self._processes[name].send_signal(number)
+
+    async def ended(self, name: str) -> int:
+        """Waits for a process to end and returns its exit status."""
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await self._processes[name].wait()
+
+    async def leader(self) -> str:
+        """Returns the name of the daemon that leads."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                for index, entry in enumerate(self.entries):
+                    status = await self._status(entry)
+                    if status and status.get("leader") is True:
+                        return f"n{index + 1}"
+                await asyncio.sleep(POLL_S)
+
+    async def wait_until_all_serve(self) -> None:
+        """Waits until every entry is healthy and every replica serves."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for entry in self.entries:
+                await self._wait_until_serving(entry)
+
+    async def runs(self) -> dict[str, int]:
+        """Returns how often each booking ran, told by the service itself."""
+        url = f"http://{LOOPBACK}:{self.booking_port}/runs"
+        async with self._session.get(url) as response:
+            counts: dict[str, int] = await response.json()
+        return counts
+
+    async def revisions(self) -> list[int]:
+        """Returns the revision in force at each entry."""
+        statuses = [await self._status(entry) for entry in self.entries]
+        return [status.get("revision", 0) for status in statuses]
+
+    async def stop_all(self) -> None:
+        """Kills what still runs."""
+        for process in self._processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    def log_tail(self, name: str, lines: int = 20) -> str:
+        """Returns the last lines that a process printed."""
+        text = self._log(name).read_text(errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+    async def _start_new(self, command: Command) -> None:
+        self._commands[command.name] = command
+        await self._start(command)
+
+    async def _start(self, command: Command) -> None:
+        with self._log(command.name).open("ab") as log:
+            self._processes[
+                command.name
+            ] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                command.module,
+                *command.arguments,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
+            )
+
+    async def _all_serve(self, entry: str) -> bool:
+        status = await self._status(entry)
+        serving = status.get("replicas", {}).get("serving", 0)
+        return bool(serving >= REPLICAS and await self._healthy(entry))
+
+    async def _wait_until_serving(self, entry: str) -> None:
+        while True:
+            if await self._all_serve(entry):
+                return
+            await asyncio.sleep(POLL_S)
+
+    async def _healthy(self, entry: str) -> bool:
+        try:
+            url = f"http://{entry}/healthz"
+            async with self._session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _status(self, entry: str) -> dict[str, Any]:
+        url = f"http://{entry}/v1/status"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self._session.get(
+                url, headers=OPERATOR_HEADERS, timeout=timeout
+            ) as response:
+                status: dict[str, Any] = await response.json()
+        except (aiohttp.ClientError, TimeoutError):
+            return {}
+        return status
+
+    async def _apply(self) -> None:
+        body = {
+            "change_id": "drill",
+            "base_revision": 0,
+            "author": "drill",
+            "declarations": _declarations(),
+        }
+        url = f"http://{self.entries[0]}/v1/config"
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                try:
+                    async with self._session.post(
+                        url, json=body, headers=OPERATOR_HEADERS
+                    ) as response:
+                        if response.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(POLL_S)
+
+    def _daemon(self, number: int, shared_key: pathlib.Path) -> Command:
+        name = f"n{number + 1}"
+        data = self._folder / f"{name}-data"
+        data.mkdir()
+        path = self._folder / f"{name}.yaml"
+        values = {
+            "node_id": name,
+            "nodes": [self._node(index) for index in range(len(DOMAINS))],
+            "shared_key_file": str(shared_key),
+            "operator_key_sha256s": [_sha256(OPERATOR_KEY)],
+            "data_folder": str(data),
+        }
+        path.write_text(json.dumps(values))
+        return Command(name, "lagooncrank.server", (str(path),))
+
+    def _node(self, index: int) -> dict[str, Any]:
+        return {
+            "node_id": f"n{index + 1}",
+            "peer_address": self._peers[index],
+            "entry_address": self.entries[index],
+            "failure_domain_id": DOMAINS[index],
+            "roles": ["entry", "control"],
+        }
+
+    def _engine(self, fabric: int, member: int) -> Command:
+        name = f"engine-{fabric}-{member}"
+        arguments = (
+            f"--id={name}",
+            f"--instance=i{fabric}{member}",
+            f"--failure-domain={DOMAINS[fabric]}",
+            f"--fabric-domain=fabric-{fabric}",
+            f"--between-tokens-ms={BETWEEN_TOKENS_MS}",
+            f"--entries={','.join(self._announced_to(fabric))}",
+        )
+        return Command(name, "standins.engine", arguments)
+
+    def _service(self) -> Command:
+        arguments = (
+            "--id=booking",
+            "--instance=ib",
+            f"--failure-domain={DOMAINS[0]}",
+            f"--serves={BOOKING}",
+            f"--port={self.booking_port}",
+            f"--entries={','.join(self._announced_to(0))}",
+        )
+        return Command("booking", "standins.plain_service", arguments)
+
+    def _announced_to(self, index: int) -> list[str]:
+        """Returns two entries, others for each fabric domain."""
+        return [self.entries[(index + step) % 3] for step in range(2)]
+
+    def _log(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.log"
+
+
+def _sha256(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind((LOOPBACK, 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def _declarations() -> dict[str, Any]:
+    return {
+        "model_services": [
+            {
+                "name": MODEL,
+                "version": "v1",
+                "replicas": REPLICAS,
+                "replicas_floor": 1,
+                "instances_per_replica": INSTANCES_PER_REPLICA,
+            }
+        ],
+        "plain_services": [
+            {"name": BOOKING, "repeatable": False, "timeout_ms": 3_000}
+        ],
+        "client_accounts": [
+            {
+                "name": "call-centre",
+                "key_sha256s": [_sha256(ACCOUNT_KEY)],
+                "share": 1,
+                "first_token_target_ms": 5_000,
+            }
+        ],
+        "leases": {"entries_keep_for_ms": KEEP_FOR_MS},
+        "placement": {"max_order_ms": 5_000},
+    }
