Name an entry to callers only once it has settled

Cause: the failure drill saw a draft refused with CONFIGURATION_STALE by an entry that had just started again after a planned stop: it listed itself, and told its peers that it serves, before it had a lease or a configuration. One that had been frozen refused with NO_SERVING_REPLICA in the same way. Ruled out: the planned stop itself (no request was cut off or refused before the old process ended). An entry that knows of no serving entry names all others in place of none.

--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -33,6 +33,7 @@
 from lagooncrank.server import _plain_client
 from lagooncrank.server import _pools
 from lagooncrank.server import _ports
+from lagooncrank.server import _readiness
 from lagooncrank.server import _revision_reports
 from lagooncrank.server import _stop
 from lagooncrank.server import _targets
@@ -208,7 +209,11 @@
         )
         self.usage = _usage.UsageExchange(self.desk, self.router, self._links)
         self.directory = _entries.EntryDirectory(
-            self._process, self.lifecycle, self._links, clock
+            self._process,
+            self.lifecycle,
+            _readiness.Readiness(self._shared, clock),
+            self._links,
+            clock,
         )
 
     def _http_server(self) -> _http_server.HttpServer:
--- a/lagooncrank/server/_entries.py
+++ b/lagooncrank/server/_entries.py
@@ -9,6 +9,7 @@
 from lagooncrank import settings
 from lagooncrank.server import _lifecycle
 from lagooncrank.server import _ports
+from lagooncrank.server import _readiness
 
 STATE_KIND = "entry_state"
 STATE_INTERVAL_S = 0.5
@@ -30,6 +31,7 @@
         self,
         process: settings.ProcessSettings,
         lifecycle: _lifecycle.Lifecycle,
+        readiness: _readiness.Readiness,
         links: _ports.PeerLinks,
         clock: clocks.Clock,
     ) -> None:
@@ -42,6 +44,7 @@
             and settings.Role.ENTRY in node.roles
         )
         self._lifecycle = lifecycle
+        self._readiness = readiness
         self._links = links
         self._clock = clock
         self._serving_until_ms: dict[model.NodeId, int] = {}
@@ -55,8 +58,9 @@
 
         Entries of the caller's failure domain come first. Within one failure
         domain each answer begins with another entry, which spreads callers.
+        An entry that knows of none, as when it is cut off, names all others.
         """
-        serving = self._serving()
+        serving = self._serving() or list(self._peers)
         self._turn += 1
         turn = self._turn % max(1, len(serving))
         rotated = serving[turn:] + serving[:turn]
@@ -69,7 +73,7 @@
 
     def tell(self) -> None:
         """Tells the other entries whether this one serves."""
-        serving = self._lifecycle.phase is _lifecycle.Phase.SERVING
+        serving = self._serves()
         for node_id in self._links.connected():
             self._links.send(node_id, STATE_KIND, EntryState(serving))
 
@@ -82,10 +86,14 @@
             if node.node_id in connected
             and self._serving_until_ms.get(node.node_id, 0) > now_ms
         ]
-        if self._lifecycle.phase is _lifecycle.Phase.SERVING:
+        if self._serves():
             serving.insert(0, self._own)
         return serving
 
+    def _serves(self) -> bool:
+        settled = self._readiness.check()
+        return settled and self._lifecycle.phase is _lifecycle.Phase.SERVING
+
     def _on_state(self, node_id: model.NodeId, body: EntryState) -> None:
         until_ms = self._clock.now_ms() + STATE_LIFETIME_MS
         self._serving_until_ms[node_id] = until_ms if body.serving else 0
--- a/lagooncrank/server/tests/test_entries.py
+++ b/lagooncrank/server/tests/test_entries.py
@@ -2,15 +2,20 @@
 from typing import Any
 
 import pytest
+import pytest_asyncio
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank import settings
+from lagooncrank.core import state
 from lagooncrank.server import _entries
 from lagooncrank.server import _lifecycle
 from lagooncrank.server import _metrics
 from lagooncrank.server import _ports
+from lagooncrank.server import _readiness
+from lagooncrank.server.tests import single_node
 
+TELL_MS = int(_entries.STATE_INTERVAL_S * 1_000)
 D1 = model.FailureDomainId("d1")
 D2 = model.FailureDomainId("d2")
 
@@ -59,22 +64,38 @@
         self.links = Links()
         self.clock = clocks.ManualClock(1_000)
         self.lifecycle = _lifecycle.Lifecycle(_metrics.Metrics())
+        self.shared = single_node.SingleNodeState()
+        readiness = _readiness.Readiness(self.shared, self.clock)
         process = settings.ProcessSettings(
             model.NodeId("n1"), (*NODES, VOTER), shared_key_file=""
         )
         self.directory = _entries.EntryDirectory(
-            process, self.lifecycle, self.links, self.clock
+            process, self.lifecycle, readiness, self.links, self.clock
         )
+
+    async def settle(self) -> None:
+        declarations = model.Declarations()
+        change = state.ApplyDeclarations("c", 0, declarations, "ann", 0)
+        await self.shared.propose(change, 1_000)
+        self.let_pass(2 * _readiness.SETTLE_MS)
         for name in ("n2", "n3", "n4"):
             self.links.say(name, serving=True)
 
+    def let_pass(self, duration_ms: int) -> None:
+        """Lets time pass with the directory's regular work."""
+        for _ in range(0, duration_ms, TELL_MS):
+            self.clock.advance(TELL_MS)
+            self.directory.tell()
+
     def listed(self, domain: model.FailureDomainId | None = None) -> list[str]:
         return [entry.address for entry in self.directory.addresses(domain)]
 
 
-@pytest.fixture
-def entry() -> Entry:
-    return Entry()
+@pytest_asyncio.fixture
+async def entry() -> Entry:
+    settled = Entry()
+    await settled.settle()
+    return settled
 
 
 @pytest.mark.parametrize(
@@ -105,7 +126,7 @@
 
 
 def test_silent_peer_is_not_listed(entry: Entry) -> None:
-    entry.clock.advance(_entries.STATE_LIFETIME_MS)
+    entry.let_pass(_entries.STATE_LIFETIME_MS)
     entry.links.say("n4", serving=True)
     assert set(entry.listed()) == {"n1", "n4"}
 
@@ -118,8 +139,40 @@
 def test_leaving_entry_tells_its_peers_and_lists_only_them(
     entry: Entry,
 ) -> None:
+    entry.links.sent.clear()
     entry.lifecycle.enter(_lifecycle.Phase.LEAVING)
     entry.directory.tell()
     assert {node_id for node_id, _ in entry.links.sent} == entry.links.up
     assert {body.serving for _, body in entry.links.sent} == {False}
     assert set(entry.listed()) == {"n2", "n3", "n4"}
+
+
+def test_entry_without_its_lease_names_the_others(entry: Entry) -> None:
+    entry.shared.has_quorum = False
+    assert set(entry.listed()) == {"n2", "n3", "n4"}
+
+
+def test_entry_is_listed_again_only_once_settled(entry: Entry) -> None:
+    entry.shared.has_quorum = False
+    entry.let_pass(TELL_MS)
+    entry.shared.has_quorum = True
+    entry.let_pass(_readiness.SETTLE_MS)
+    assert "n1" not in entry.listed()
+    entry.let_pass(TELL_MS)
+    assert "n1" in entry.listed()
+
+
+def test_entry_that_stood_still_settles_anew(entry: Entry) -> None:
+    entry.clock.advance(_readiness.MAX_CHECK_GAP_MS + 1)
+    assert "n1" not in entry.listed()
+
+
+def test_entry_before_its_first_configuration_is_not_listed() -> None:
+    entry = Entry()
+    entry.let_pass(2 * _readiness.SETTLE_MS)
+    entry.links.say("n2", serving=True)
+    assert entry.listed() == ["n2"]
+
+
+def test_entry_that_knows_of_none_names_all_others() -> None:
+    assert set(Entry().listed()) == {"n2", "n3", "n4"}
--- a/lagooncrank/server/tests/test_stop.py
+++ b/lagooncrank/server/tests/test_stop.py
@@ -18,6 +18,8 @@
 
 
 async def test_stop_cuts_off_nothing(site: sites.Site) -> None:
+    directory = site.daemon.directory
+    await sites.until(lambda: bool(directory.addresses(None)))
     assert await entries_of(site) == [site.address]
     stop = asyncio.create_task(site.daemon.planned_stop.run())
     await asyncio.sleep(0)
