--- a/lagooncrank/core/routing/__init__.py
+++ b/lagooncrank/core/routing/__init__.py
@@ -1,6 +1,7 @@
 """Choice of replica or backend server."""
 
 from lagooncrank.core.routing._balanced import Balanced
+from lagooncrank.core.routing._blocks import prefix_digests
 from lagooncrank.core.routing._policies import RouterConfig
 from lagooncrank.core.routing._policies import RouterFactory
 from lagooncrank.core.routing._policies import ROUTERS
@@ -26,6 +27,7 @@
     "Target",
     "index_members",
     "plain_targets",
+    "prefix_digests",
     "replica_targets",
     "serves_whole",
 ]
--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -18,6 +18,7 @@
 from lagooncrank.core import timeouts
 from lagooncrank.server import _admission_desk
 from lagooncrank.server import _announcements
+from lagooncrank.server import _cache_hints
 from lagooncrank.server import _call_recorder
 from lagooncrank.server import _crashes
 from lagooncrank.server import _drafts
@@ -40,6 +41,7 @@
 from lagooncrank.server import _usage
 from lagooncrank.server import _watchdog
 from lagooncrank.server.http import _app
+from lagooncrank.server.http import _cache_events
 from lagooncrank.server.http import _completions
 from lagooncrank.server.http import _entries as _entry_handlers
 from lagooncrank.server.http import _gate
@@ -242,6 +244,9 @@
             self.revision_reports,
             clock,
         )
+        yield _cache_events.CacheEventHandlers(
+            _cache_hints.CacheHints(self.router), shared, limits
+        )
         yield _health.HealthHandlers(self.lifecycle, shared, self.metrics)
         yield _completions.CompletionHandlers(
             gate, self._draft_parts(), limits, ids, self.watchdog
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -257,6 +257,7 @@
             account=draft.account.name,
             prompt_tokens=draft.prompt_tokens,
             expected_output_tokens=draft.max_tokens,
+            prefix_digests=routing.prefix_digests(draft.prompt),
             excluded=excluded,
             priority=priority,
             isolated=suspect,
--- /dev/null
+++ b/lagooncrank/server/http/_cache_events.py
@@ -0,0 +1,47 @@
+"""Cache events of model engines."""
+
+from collections.abc import Sequence
+
+from aiohttp import web
+import msgspec
+
+from lagooncrank import results
+from lagooncrank import settings
+from lagooncrank.server import _cache_hints
+from lagooncrank.server import _ports
+from lagooncrank.server.http import _body
+from lagooncrank.server.http import _problem
+
+_decoder = msgspec.json.Decoder(_cache_hints.CacheEvents)
+
+
+class CacheEventHandlers:
+    """Answers `/v1/cache-events`."""
+
+    def __init__(
+        self,
+        hints: _cache_hints.CacheHints,
+        shared: _ports.SharedState,
+        limits: settings.LimitSettings,
+    ) -> None:
+        self._hints = hints
+        self._shared = shared
+        self._limits = limits
+
+    def routes(self) -> Sequence[web.AbstractRouteDef]:
+        """Returns the routes to mount."""
+        return [web.post("/v1/cache-events", self._take)]
+
+    async def _take(self, request: web.Request) -> web.StreamResponse:
+        body = await _body.read(request, self._limits)
+        events = _body.decode(body, _decoder)
+        replicas = self._shared.view.replicas
+        if events.replica_id not in replicas:
+            raise _problem.error(
+                results.ResultCode.UNKNOWN_RESOURCE,
+                f"no replica is named {events.replica_id!r}",
+            )
+        self._hints.keep_only(frozenset(replicas))
+        taken = self._hints.take(events)
+        code = results.ResultCode.OK.value
+        return web.json_response({"code": code, "taken": taken})
--- /dev/null
+++ b/lagooncrank/server/tests/test_cache_hints.py
@@ -0,0 +1,75 @@
+from collections.abc import Sequence
+
+import pytest
+
+from lagooncrank import model
+from lagooncrank.core import routing
+from lagooncrank.server import _cache_hints
+from lagooncrank.server.tests import site as sites
+
+REPLICA = model.ReplicaId("r1")
+
+
+class Router(routing.RoundRobin):
+    """Router that keeps what it is told of caches."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.known: set[int] = set()
+
+    def cached(
+        self, target_id: str, added: Sequence[int], removed: Sequence[int]
+    ) -> None:
+        self.known.difference_update(removed)
+        self.known.update(added)
+
+    def cache_lost(self, target_id: str) -> None:
+        self.known.clear()
+
+
+def events(
+    incarnation: int, sequence: int, *added: int
+) -> _cache_hints.CacheEvents:
+    return _cache_hints.CacheEvents(REPLICA, incarnation, sequence, added)
+
+
+@pytest.mark.parametrize(
+    ("bodies", "known"),
+    [
+        pytest.param([events(1, 7, 1), events(1, 8, 2)], {1, 2}, id="in_order"),
+        pytest.param([events(1, 7, 1), events(1, 9, 2)], {2}, id="gap"),
+        pytest.param([events(1, 7, 1), events(1, 7, 2)], {1}, id="repeat"),
+        pytest.param([events(1, 7, 1), events(1, 6, 2)], {1}, id="late"),
+        pytest.param([events(1, 7, 1), events(2, 1, 2)], {2}, id="restart"),
+        pytest.param([events(2, 1, 1), events(1, 8, 2)], {1}, id="old_start"),
+    ],
+)
+def test_hints(bodies: list[_cache_hints.CacheEvents], known: set[int]) -> None:
+    router = Router()
+    hints = _cache_hints.CacheHints(router)
+    for body in bodies:
+        hints.take(body)
+    assert router.known == known
+
+
+def test_hints_of_forgotten_replicas_go() -> None:
+    router = Router()
+    hints = _cache_hints.CacheHints(router)
+    hints.take(events(1, 1, 1))
+    hints.keep_only(frozenset())
+    assert router.known == set()
+    assert hints.take(events(1, 1, 2))
+
+
+async def test_events_arrive_over_http(site: sites.Site) -> None:
+    replica_id = next(iter(site.shared.view.replicas))
+    body = {"replica_id": replica_id, "incarnation": 1, "sequence": 1}
+    url = site.url("/v1/cache-events")
+    taken = []
+    for added in ([1], [2]):
+        fields = body | {"added": added}
+        async with site.session.post(url, json=fields) as response:
+            taken.append((await response.json())["taken"])
+    async with site.session.post(url, json=body | {"replica_id": "x"}) as other:
+        assert other.status == 404
+    assert taken == [True, False]
