--- a/lagooncrank/core/consensus/tests/cluster.py
+++ b/lagooncrank/core/consensus/tests/cluster.py
@@ -35,6 +35,9 @@
         self._set(snapshot=snapshot, entries=kept)
         self.sync()
 
+    def adopt(self, genesis: consensus.VoterSet) -> None:
+        self._set(genesis=genesis)
+
     def sync(self) -> None:
         if not self.loses_syncs:
             self.synced = self.written
--- a/lagooncrank/core/consensus/tests/test_node.py
+++ b/lagooncrank/core/consensus/tests/test_node.py
@@ -1,10 +1,14 @@
 """Behaviour of a few nodes under single faults."""
 
+from collections.abc import Callable
+
 import pytest
 
+from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import consensus
 from lagooncrank.core.consensus.tests import cluster as clusters
+from lagooncrank.core.consensus.tests import guards
 
 
 def led_cluster(
@@ -59,12 +63,14 @@
 def test_lease_ends_before_another_node_can_lead() -> None:
     cluster, leader = led_cluster()
     cluster.isolate(leader)
-    while len(cluster.leaders()) < 2 and leader in cluster.leaders():
-        now_ms = cluster.clock.now_ms()
-        others = [p for p in cluster.leaders() if p is not leader]
-        assert not (others and leader.node.lease_holds(now_ms))
-        cluster.run(clusters.TICK_MS)
+    timing = consensus.Timing()
+    assert timing.lease_ms < timing.election_min_ms
+    cluster.clock.advance(timing.lease_ms)
+    assert leader.node.status.role is consensus.Role.LEADER
     assert not leader.node.lease_holds(cluster.clock.now_ms())
+    while cluster.leaders() in ([], [leader]):
+        cluster.run(clusters.TICK_MS)
+        assert not leader.node.lease_holds(cluster.clock.now_ms())
 
 
 def test_read_of_a_deposed_leader_is_not_confirmed() -> None:
@@ -126,6 +132,72 @@
     assert not envelope.message.granted
 
 
+def asked_for_vote(
+    cluster: clusters.Cluster,
+    voter: clusters.Process,
+    candidate: str,
+    last_index: int = 99,
+) -> bool:
+    """Whether a voter votes for a candidate in term 50."""
+    candidate_voter = cluster.processes[model.NodeId(candidate)].disk.voter
+    last_term = voter.node.status.term
+    request = consensus.VoteRequest(
+        50, candidate_voter, last_index, last_term, pre_vote=False
+    )
+    voter.node.receive(request, cluster.clock.now_ms())
+    sent = len(cluster.packets)
+    cluster.pump(voter)
+    reply = cluster.packets[sent].message
+    assert isinstance(reply, consensus.VoteReply)
+    return reply.granted
+
+
+def test_restarted_voter_keeps_its_vote() -> None:
+    cluster = clusters.Cluster(3, seed=1)
+    voter = cluster.processes[model.NodeId("n0")]
+    promise_ms = consensus.Timing().election_min_ms
+    cluster.clock.advance(promise_ms)
+    assert asked_for_vote(cluster, voter, "n1")
+    cluster.crash(voter)
+    cluster.restart(voter)
+    cluster.clock.advance(promise_ms)
+    assert not asked_for_vote(cluster, voter, "n2")
+    assert asked_for_vote(cluster, voter, "n1")
+
+
+def test_candidate_that_lacks_entries_gets_no_vote() -> None:
+    cluster, leader = led_cluster()
+    follower = next(p for p in cluster.processes.values() if p is not leader)
+    cluster.crash(leader)
+    cluster.clock.advance(consensus.Timing().election_min_ms)
+    last_index = follower.node.status.last_index
+    candidate = leader.node_id
+    assert not asked_for_vote(cluster, follower, candidate, last_index - 1)
+    assert asked_for_vote(cluster, follower, candidate, last_index)
+
+
+@pytest.mark.parametrize(
+    ("name", "directed_test"),
+    [
+        ("vote_not_stored", test_restarted_voter_keeps_its_vote),
+        (
+            "candidate_may_lack_entries",
+            test_candidate_that_lacks_entries_gets_no_vote,
+        ),
+        (
+            "lease_without_quorum",
+            test_lease_ends_before_another_node_can_lead,
+        ),
+    ],
+    ids=["vote_not_stored", "candidate_may_lack_entries", "lease"],
+)
+def test_missing_guard_is_found_by_its_test(
+    name: str, directed_test: Callable[[], None]
+) -> None:
+    with guards.without(name), pytest.raises(AssertionError):
+        directed_test()
+
+
 def test_replaced_disk_votes_only_after_a_learner_stage() -> None:
     cluster, leader = led_cluster()
     old = next(p for p in cluster.processes.values() if p is not leader)
