Ask for the leader lease again before an order is written

Cause: a leader paused while it connects could write an order long after its lease, past the quiet period of engines that ignore numbers. Change: the order sender asks again once the connection stands and writes nothing if the lease is over. A second faulty guard, blind to the orders of earlier leaders, is tested as well.

--- a/lagooncrank/core/placement/tests/test_properties.py
+++ b/lagooncrank/core/placement/tests/test_properties.py
@@ -7,6 +7,7 @@
 from lagooncrank import model
 from lagooncrank.core import placement
 from lagooncrank.core.placement import _fencing
+from lagooncrank.core.placement import _instances
 from lagooncrank.core.placement.tests import _invariants
 from lagooncrank.core.placement.tests import _world
 from standins import fleet as fleets
@@ -103,13 +104,35 @@
         assert {r.version for r in served} == {service.version}
 
 
+def _only_own_orders(
+    fence: _fencing.Fence,
+    instance: _instances.Instance,
+    kind: placement.OrderKind,
+    fencing_number: int,
+    now_ms: int,
+) -> bool:
+    own_ms = fence._orders.quiet_from_ms(
+        instance.instance_id, kind, fencing_number
+    )
+    return own_ms <= min(now_ms, instance.member.heard_ms)
+
+
+#: Faulty guards, each of which lets an old order through.
+MUTANTS: dict[str, Callable[..., bool]] = {
+    "no_quiet_period": lambda *_: True,
+    "only_own_orders": _only_own_orders,
+}
+
+
+@pytest.mark.parametrize("mutant", sorted(MUTANTS))
 def test_skipped_fencing_guard_is_caught(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, mutant: str
 ) -> None:
-    monkeypatch.setattr(_fencing.Fence, "_is_quiet", lambda *_: True)
+    monkeypatch.setattr(_fencing.Fence, "_is_quiet", MUTANTS[mutant])
+    names = ("delay_orders", "pause", "resume", "cut_off_leader")
 
-    @hypothesis.settings(max_examples=400, phases=[hypothesis.Phase.generate])
-    @hypothesis.given(actions=actions_of("delay_orders", "pause", "resume"))
+    @hypothesis.settings(max_examples=1_000, phases=[hypothesis.Phase.generate])
+    @hypothesis.given(actions=actions_of(*names))
     def search(actions: list[Action]) -> None:
         run(_world.World("first_fit", (False,), domains=(4,)), actions)
 
--- a/lagooncrank/server/_placement.py
+++ b/lagooncrank/server/_placement.py
@@ -167,9 +167,12 @@
     async def _send(
         self, leadership: _Leadership, send: placement.SendOrder
     ) -> None:
-        if not self._shared.is_leader or not self._still_leads(leadership):
+        def may_write() -> bool:
+            return self._shared.is_leader and self._still_leads(leadership)
+
+        if not may_write():
             return
-        answer = await self._sender.send(send)
+        answer = await self._sender.send(send, may_write)
         leadership.planner.answered(answer, self._clock.now_ms())
         _log.info(
             "order {} to {}: {}",
--- a/lagooncrank/server/tests/test_orders.py
+++ b/lagooncrank/server/tests/test_orders.py
@@ -26,11 +26,12 @@
     return placement.SendOrder(model.InstanceId("i1"), address, order)
 
 
-async def answer_to(address: str, number: int) -> State:
+async def answer_to(address: str, number: int, may_write: bool = True) -> State:
     sender = _orders.HttpOrderSender()
     await sender.open()
     try:
-        return (await sender.send(send_to(address, number))).state
+        order = send_to(address, number)
+        return (await sender.send(order, lambda: may_write)).state
     finally:
         await sender.close()
 
@@ -99,3 +100,11 @@
     host, port = server.sockets[0].getsockname()[:2]
     async with server:
         assert await answer_to(f"{host}:{port}", 1) is State.UNANSWERED
+
+
+async def test_order_is_not_written_after_the_permission_ended() -> None:
+    desk = desks.OrderDesk(checks_fencing=False)
+    async with test_utils.TestServer(desk_app(desk)) as server:
+        address = f"{server.host}:{server.port}"
+        assert await answer_to(address, 5, may_write=False) is State.UNREACHED
+    assert desk.obeyed == []
--- a/lagooncrank/server/tests/test_placement.py
+++ b/lagooncrank/server/tests/test_placement.py
@@ -5,6 +5,7 @@
 from lagooncrank.core import placement
 from lagooncrank.core import routing
 from lagooncrank.core import state
+from lagooncrank.server import _orders
 from lagooncrank.server import _placement
 from lagooncrank.server import _ports
 from standins import fleet as fleets
@@ -55,7 +56,9 @@
         self.fleet = fleet
         self.sent: list[placement.SendOrder] = []
 
-    async def send(self, send: placement.SendOrder) -> placement.OrderAnswer:
+    async def send(
+        self, send: placement.SendOrder, may_write: _orders.Permission
+    ) -> placement.OrderAnswer:
         self.sent.append(send)
         order_id = send.order.order_id
         answer = self.fleet.deliver(send)
