Split the balanced router; measure the cost of decisions

Cause: the router's module did several jobs, and the cost of a decision was not known. Change: candidates of a target get a module of their own; a bench measures decisions by accounts and replicas.

--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,169 @@
+"""Processor time of the decisions on one request, by accounts and replicas.
+
+Run with `python -m bench.decision_cost`; writes
+`bench/results/decision_cost.json`. One entry is driven at three times its
+capacity: offers, starts, routes, tokens, ends, ticks and reports.
+"""
+
+import collections
+import json
+import pathlib
+import random
+import time
+from typing import Any
+
+from lagooncrank import model
+from lagooncrank.core import admission
+from lagooncrank.core import routing
+
+RESULTS = pathlib.Path(__file__).with_name("results") / "decision_cost.json"
+SERVICE = model.ServiceName("drafts")
+ENTRIES = 6
+SLOTS_PER_REPLICA = 32
+#: Slots of the one entry under test, as a part of all.
+ENTRY_PART = 6
+REQUESTS = 4_000
+SEED = 7
+RESIDENCE_MS = 3_000
+TICK_MS = 20
+
+
+class _Run:
+    """Drives one entry."""
+
+    def __init__(self, accounts: int, replicas: int) -> None:
+        self._names = [f"account-{index}" for index in range(accounts)]
+        node_id = model.NodeId("entry-0")
+        nodes = tuple(model.NodeId(f"entry-{i}") for i in range(ENTRIES))
+        self._admission = admission.ADMISSIONS.get("fair_share").from_config(
+            admission.AdmissionConfig(node_id, 1)
+        )
+        declared = tuple(
+            model.ClientAccount(model.ClientAccountId(name), (), 10)
+            for name in self._names
+        )
+        declarations = model.Declarations(client_accounts=declared)
+        self._admission.configure(declarations, 0)
+        domain = model.FailureDomainId("fd-0")
+        self._router = routing.ROUTERS.get("balanced").from_config(
+            routing.RouterConfig(node_id, domain, nodes)
+        )
+        self._slots = replicas * SLOTS_PER_REPLICA // ENTRY_PART
+        self._admission.set_capacity(
+            admission.Capacity(SERVICE, replicas, self._slots, 100_000), 0
+        )
+        self._targets = tuple(
+            routing.Target(
+                f"replica-{index}",
+                "127.0.0.1:1",
+                domain,
+                "1",
+                model.LoadReport(),
+                load_received_ms=0,
+                concurrency=SLOTS_PER_REPLICA,
+            )
+            for index in range(replicas)
+        )
+        self._source = random.Random(SEED)
+        self._offers: dict[model.RequestId, admission.Offer] = {}
+        self._running: collections.deque[tuple[int, model.RequestId]] = (
+            collections.deque()
+        )
+        self.now_ms = 0
+        self.started = 0
+
+    def run(self, requests: int) -> None:
+        """Offers `requests` at three times the capacity."""
+        per_tick = 3 * self._slots * TICK_MS / RESIDENCE_MS
+        offered = due = 0.0
+        while offered < requests:
+            due += per_tick
+            while offered < due:
+                offered += 1
+                self._offer(int(offered))
+            self._end_due()
+            self._carry_out(self._admission.tick(self.now_ms))
+            if self.now_ms % admission.LIMITS_INTERVAL_MS == 0:
+                self._admission.usage_report(self.now_ms)
+            self.now_ms += TICK_MS
+
+    def _offer(self, number: int) -> None:
+        request_id = model.RequestId(f"{self.now_ms}-{number}")
+        offer = admission.Offer(
+            request_id,
+            model.ClientAccountId(self._source.choice(self._names)),
+            SERVICE,
+            prompt_tokens=300,
+            max_output_tokens=200,
+            first_token_deadline_ms=self.now_ms + 1_300,
+        )
+        self._offers[request_id] = offer
+        self._carry_out(self._admission.offer(offer, self.now_ms))
+
+    def _carry_out(self, effects: Any) -> None:
+        for effect in effects:
+            offer = self._offers[effect.request_id]
+            if not isinstance(effect, admission.Start):
+                continue
+            self.started += 1
+            query = routing.RouteQuery(
+                offer.request_id,
+                SERVICE,
+                offer.account,
+                offer.prompt_tokens,
+                200,
+                priority=effect.priority,
+            )
+            target = self._router.choose(query, self._targets, self.now_ms)
+            if target is not None:
+                self._router.sent(query, target, self.now_ms)
+            end = (self.now_ms + RESIDENCE_MS, effect.request_id)
+            self._running.append(end)
+
+    def _end_due(self) -> None:
+        while self._running and self._running[0][0] <= self.now_ms:
+            _, request_id = self._running.popleft()
+            self._router.first_token(request_id, self.now_ms)
+            self._admission.first_token(request_id, self.now_ms)
+            for _ in range(12):
+                self._router.tokens(request_id, 16, self.now_ms)
+                self._admission.tokens(request_id, 16, self.now_ms)
+            end = routing.AttemptEnd.COMPLETED
+            self._router.ended(request_id, end, self.now_ms)
+            self._carry_out(self._admission.ended(request_id, self.now_ms))
+
+
+def measure(accounts: int, replicas: int) -> dict[str, float]:
+    """Returns microseconds for each offered and for each started request."""
+    run = _Run(accounts, replicas)
+    run.run(REQUESTS)
+    before = run.started
+    began_ns = time.process_time_ns()
+    run.run(REQUESTS)
+    spent_us = (time.process_time_ns() - began_ns) / 1_000
+    return {
+        "accounts": accounts,
+        "replicas": replicas,
+        "us_per_offered": spent_us / REQUESTS,
+        "us_per_started": spent_us / max(1, run.started - before),
+    }
+
+
+def main() -> None:
+    """Measures every size and prints a table."""
+    rows = [
+        measure(accounts, replicas)
+        for accounts in (10, 100, 1_000)
+        for replicas in (50, 200, 1_600)
+    ]
+    print("| accounts | replicas | us per offered | us per started |")
+    print("| --- | --- | --- | --- |")
+    for row in rows:
+        cells = (f"{value:.0f}" for value in row.values())
+        print("| " + " | ".join(cells) + " |")
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text(json.dumps(rows, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/lagooncrank/core/admission/_service.py
+++ b/lagooncrank/core/admission/_service.py
@@ -21,6 +21,9 @@
 OWNED_WAIT_MS = 150
 #: Lent work is suspended for owned work if no slot is expected within this.
 SUSPEND_BEYOND_MS = 100
+#: With more queued accounts, a free slot goes to the account that left it, and
+#: the others are looked at once a tick.
+MAX_SCANNED_AT_ONCE = 32
 #: Largest part of the time to the deadline kept for the engine's answer.
 MAX_START_FRACTION = 0.5
 #: Excess that ends by itself within this time is not suspended.
@@ -75,7 +78,10 @@
             return
         self._note_stopped(work)
         account.learn_end(work, now_ms)
-        yield from self.start_waiting(now_ms)
+        if len(self._queued) <= MAX_SCANNED_AT_ONCE:
+            yield from self.start_waiting(now_ms)
+        else:
+            yield from self._start_account(account, now_ms)
 
     def tick(self, now_ms: int) -> Iterator[_types.Effect]:
         """Refuses what can no longer start in time and starts what may."""
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -1,96 +1,33 @@
 """Routing by estimated cost: load, speed, cached prefix and distance."""
 
 from collections.abc import Collection
-from collections.abc import Iterable
-from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
-import zlib
 
 from lagooncrank import model
-from lagooncrank.core.routing import _homes
-from lagooncrank.core.routing import _load
+from lagooncrank.core.routing import _candidates
 from lagooncrank.core.routing import _policies
 from lagooncrank.core.routing import _prefix
-from lagooncrank.core.routing import _speed
 from lagooncrank.core.routing import _types
 
-#: Targets weighed for one attempt; more are sampled by request id.
-MAX_CANDIDATES = 64
 #: Cost of a full batch against an empty one.
 FULL_BATCH_MS = 1_000.0
 #: Cost of a request over the batch size, in mean waits for a free place.
 QUEUED_WAITS = 3.0
-#: Time in the batch expected before any answer ended.
-FIRST_GUESS_RESIDENCE_MS = 3_200.0
-#: Weight of the newest answer in the mean time in the batch.
-RESIDENCE_GAIN = 0.02
 #: Cost of a prompt token that must be computed.
 PREFILL_MS_PER_TOKEN = 0.1
 #: Cost of a target in another failure domain.
 DISTANCE_MS = 4.0
 #: Cost of a target that is at home at another entry.
 AWAY_MS = 1_000.0
-#: A straggler that no lent work measured anew for this long gets owned work.
-OWNED_PROBE_AFTER_MS = 30_000
-
-
-class _TargetState:
-    """What the router knows of one target."""
-
-    def __init__(self, incarnation: str) -> None:
-        self.incarnation = incarnation
-        self.load = _load.TargetLoad()
-        self.speed = _speed.TargetSpeed()
-
-
-class _Service:
-    """What the router knows of the targets of one service."""
-
-    def __init__(self, config: _policies.RouterConfig) -> None:
-        self.states: dict[str, _TargetState] = {}
-        self.homes = _homes.Homes(config.node_id, config.entries)
-        self.comparison = _speed.Comparison()
-        #: Mean time that an answer holds its place in a batch.
-        self.residence_ms = FIRST_GUESS_RESIDENCE_MS
-
-    def update(self, targets: Sequence[_types.Target], now_ms: int) -> None:
-        """Compares speeds and assigns homes, when due."""
-        speeds = (state.speed for state in self.states.values())
-        self.comparison.update(speeds, now_ms)
-        self.homes.update(targets, now_ms)
-        if len(self.states) > 2 * len(targets):
-            self._forget_gone(targets)
-
-    def _forget_gone(self, targets: Sequence[_types.Target]) -> None:
-        present = {target.target_id for target in targets}
-        for target_id in self.states.keys() - present:
-            if not self.states[target_id].load.own:
-                del self.states[target_id]
-
-    def at_home(
-        self, candidates: list[tuple[_types.Target, _TargetState]]
-    ) -> list[tuple[_types.Target, _TargetState]]:
-        """Returns the candidates at home here, or all if there are none."""
-        homes = [
-            (target, state)
-            for target, state in candidates
-            if self.homes.away(target.target_id) == 0
-        ]
-        return homes or candidates
-
-    def learn_residence(self, duration_ms: int) -> None:
-        """Moves the mean time in a batch towards one answer's."""
-        difference_ms = duration_ms - self.residence_ms
-        self.residence_ms += RESIDENCE_GAIN * difference_ms
 
 
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     """An attempt in flight."""
 
-    service: _Service
-    state: _TargetState
+    service: _candidates.Service
+    state: _candidates.TargetState
     prefill_tokens: int
     sent_ms: int
     last_token_ms: int = -1
@@ -102,7 +39,7 @@
 
     def __init__(self, config: _policies.RouterConfig) -> None:
         self._config = config
-        self._services: dict[model.ServiceName, _Service] = {}
+        self._services: dict[model.ServiceName, _candidates.Service] = {}
         self._attempts: dict[model.RequestId, _Attempt] = {}
         self._hints = _prefix.PrefixHints()
         self._silent: frozenset[model.NodeId] = frozenset()
@@ -123,12 +60,12 @@
         service.update(targets, now_ms)
         candidates = [
             (target, self._state(service.states, target))
-            for target in _sample(query, targets)
+            for target in _candidates.sample(query, targets, service.homes)
             if target.target_id not in query.excluded
         ]
         if query.isolated:
             candidates = service.at_home(candidates)
-        probe = _due_probe(query, candidates, now_ms)
+        probe = _candidates.due_probe(query, candidates, now_ms)
         if probe is not None:
             return probe
         usable = [
@@ -137,7 +74,7 @@
             if not state.speed.avoided(now_ms)
         ]
         if not usable:
-            return _first_to_return(candidates)
+            return _candidates.first_to_return(candidates)
         cheapest = min(
             usable,
             key=lambda pair: self._cost_ms(query, service, *pair),
@@ -226,30 +163,30 @@
         )
         return avoided if len(avoided) < len(states) else frozenset()
 
-    def _service_named(self, name: model.ServiceName) -> _Service:
+    def _service_named(self, name: model.ServiceName) -> _candidates.Service:
         service = self._services.get(name)
         if service is None:
-            service = _Service(self._config)
+            service = _candidates.Service(self._config)
             service.homes.silent = self._silent
             self._services[name] = service
         return service
 
     def _state(
-        self, states: dict[str, _TargetState], target: _types.Target
-    ) -> _TargetState:
+        self, states: dict[str, _candidates.TargetState], target: _types.Target
+    ) -> _candidates.TargetState:
         state = states.get(target.target_id)
         if state is None or state.incarnation != target.incarnation:
             self._hints.lost(target.target_id)
-            state = _TargetState(target.incarnation)
+            state = _candidates.TargetState(target.incarnation)
             states[target.target_id] = state
         return state
 
     def _cost_ms(
         self,
         query: _types.RouteQuery,
-        service: _Service,
+        service: _candidates.Service,
         target: _types.Target,
-        state: _TargetState,
+        state: _candidates.TargetState,
     ) -> float:
         slots = max(1, target.concurrency)
         load = state.load.running(target) + 1
@@ -276,40 +213,3 @@
     def _end_prefill(self, attempt: _Attempt) -> None:
         attempt.state.load.own_prefill_tokens -= attempt.prefill_tokens
         attempt.prefill_tokens = 0
-
-
-def _sample(
-    query: _types.RouteQuery, targets: Sequence[_types.Target]
-) -> Iterator[_types.Target]:
-    """Yields the targets to weigh, different ones for each request."""
-    count = len(targets)
-    if count <= MAX_CANDIDATES:
-        yield from targets
-        return
-    first = zlib.crc32(query.request_id.encode())
-    for index in range(MAX_CANDIDATES):
-        yield targets[(first + index * count // MAX_CANDIDATES) % count]
-
-
-def _due_probe(
-    query: _types.RouteQuery,
-    candidates: Iterable[tuple[_types.Target, _TargetState]],
-    now_ms: int,
-) -> _types.Target | None:
-    """Returns a slow target that is due to be measured anew."""
-    patience_ms = 0 if query.priority > 0 else OWNED_PROBE_AFTER_MS
-    for target, state in candidates:
-        due_ms = state.speed.paused_until_ms + patience_ms
-        if state.speed.slow and due_ms <= now_ms:
-            return target
-    return None
-
-
-def _first_to_return(
-    candidates: Sequence[tuple[_types.Target, _TargetState]],
-) -> _types.Target | None:
-    """Returns the avoided target whose pause ends first."""
-    if not candidates:
-        return None
-    by_pause = min(candidates, key=lambda p: p[1].speed.paused_until_ms)
-    return by_pause[0]
--- a/lagooncrank/core/routing/_homes.py
+++ b/lagooncrank/core/routing/_homes.py
@@ -58,6 +58,8 @@
         #: Entries that were not heard from lately.
         self.silent: frozenset[model.NodeId] = frozenset()
         self._due_ms = 0
+        self._of_targets: Sequence[_types.Target] = ()
+        self._own_targets: list[_types.Target] = []
 
     def update(self, targets: Sequence[_types.Target], now_ms: int) -> None:
         """Assigns the targets anew, when due and if they changed."""
@@ -69,6 +71,18 @@
             return
         self._known = ids
         self._homes = assign(ids, self._entries)
+        self._of_targets = ()
+
+    def own(self, targets: Sequence[_types.Target]) -> list[_types.Target]:
+        """Returns the targets at home here."""
+        if targets is not self._of_targets:
+            self._of_targets = targets
+            self._own_targets = [
+                target
+                for target in targets
+                if self._homes.get(target.target_id) == self._node_id
+            ]
+        return self._own_targets
 
     def away(self, target_id: str) -> float:
         """Returns 0.0 for a target at home here and 1.0 for one elsewhere.
--- a/lagooncrank/core/routing/_prefix.py
+++ b/lagooncrank/core/routing/_prefix.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 
-#: Digests kept per target; the oldest go first.
-MAX_DIGESTS = 20_000
+#: Digests kept for all targets together, in equal parts; oldest go first.
+MAX_DIGESTS = 100_000
 
 
 class PrefixHints:
@@ -24,7 +24,8 @@
         for digest in removed:
             digests.pop(digest, None)
         digests.update(dict.fromkeys(added))
-        while len(digests) > MAX_DIGESTS:
+        part = MAX_DIGESTS // len(self._digests)
+        while len(digests) > part:
             del digests[next(iter(digests))]
 
     def lost(self, target_id: str) -> None:
