--- a/bench/_capacity_wire.py
+++ b/bench/_capacity_wire.py
@@ -109,19 +109,20 @@
 @_slopes.measurement("wire_usage", "B", "client account", "usage report")
 def _wire_usage() -> Iterator[_slopes.Point]:
     for size in _SIZES:
-        usages = tuple(
+        usages = [
             admission.AccountUsage(
                 _objects.account(index).name,
                 model.ServiceName("drafts"),
                 3,
-                5_000,
-                10**7,
-                300,
-                200,
+                running_centiweight=300,
+                wanted_centiweight=200,
             )
             for index in range(size)
+        ]
+        service = admission.ServiceUsage.from_usages(
+            model.ServiceName("drafts"), usages
         )
-        report = admission.UsageReport(_objects.NODE, 10**12, 10**6, usages)
+        report = admission.UsageReport(_objects.NODE, 10**12, 10**6, (service,))
         yield _slopes.Point(size, wire_bytes("usage", report))
 
 
--- /dev/null
+++ b/bench/_fairness_plot.py
@@ -0,0 +1,37 @@
+"""Plot of the fairness bench."""
+
+import pathlib
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+
+from matplotlib import pyplot as plt
+
+#: Part of first tokens that must be in time.
+TARGET = 0.95
+WIDTH = 0.38
+
+
+def draw(results: dict[str, Any], path: pathlib.Path) -> None:
+    """Draws timeliness and goodput of both policies for each scenario."""
+    names = list(results)
+    figure, axes = plt.subplots(2, 1, figsize=(10, 8), sharex=True)
+    for offset, policy in (
+        (-WIDTH / 2, "first_come"),
+        (WIDTH / 2, "fair_share"),
+    ):
+        places = [index + offset for index in range(len(names))]
+        timely = [results[name][policy]["small_in_time"] for name in names]
+        tokens = [results[name][policy]["tokens_per_s"] for name in names]
+        axes[0].bar(places, timely, WIDTH, label=policy)
+        axes[1].bar(places, tokens, WIDTH, label=policy)
+    axes[0].axhline(TARGET, color="black", linewidth=0.8, linestyle="--")
+    axes[0].set_ylabel("first tokens in time,\nworst small account")
+    axes[1].set_ylabel("tokens of completed answers per s")
+    axes[1].set_xticks(range(len(names)), names, rotation=25, ha="right")
+    axes[0].legend(loc="center right")
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+    plt.close(figure)
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -1,6 +1,7 @@
 """Small accounts under the bursts of large ones, naive policies and ours.
 
-Run with `python -m bench.fairness`; writes `bench/results/fairness.json`.
+Run with `python -m bench.fairness`; writes `bench/results/fairness.json` and
+a plot beside it.
 """
 
 import json
@@ -8,6 +9,7 @@
 import sys
 from typing import Any
 
+from bench import _fairness_plot
 from bench import _outcomes
 from bench import _scenario
 from bench import _simulation
@@ -78,6 +80,7 @@
     if only is None:
         RESULTS.parent.mkdir(exist_ok=True)
         RESULTS.write_text(json.dumps(results, indent=1) + "\n")
+        _fairness_plot.draw(results, RESULTS.with_suffix(".svg"))
 
 
 COLUMNS = (
--- a/lagooncrank/core/admission/__init__.py
+++ b/lagooncrank/core/admission/__init__.py
@@ -12,6 +12,7 @@
 from lagooncrank.core.admission._types import Effect
 from lagooncrank.core.admission._types import Offer
 from lagooncrank.core.admission._types import Refuse
+from lagooncrank.core.admission._types import ServiceUsage
 from lagooncrank.core.admission._types import Start
 from lagooncrank.core.admission._types import Suspend
 from lagooncrank.core.admission._types import UsageReport
@@ -29,6 +30,7 @@
     "FirstCome",
     "Offer",
     "Refuse",
+    "ServiceUsage",
     "Start",
     "Suspend",
     "UsageReport",
--- a/lagooncrank/core/admission/_account.py
+++ b/lagooncrank/core/admission/_account.py
@@ -31,11 +31,6 @@
     output_tokens: int = 0
     suspensions: int = 0
 
-    @property
-    def estimated_tokens(self) -> int:
-        """Tokens of the prompt and of the expected output."""
-        return self.offer.prompt_tokens + self.expected_output_tokens
-
 
 class Account:
     """Queue, running work and learned means of one account."""
@@ -62,7 +57,6 @@
         #: Weight that was refused lately; without it, demand would look met
         #: whenever a short queue makes requests be refused early.
         self.unmet_weight = 0.0
-        self.started_tokens = 0
         self._output = _estimates.MovingAverage(FIRST_GUESS_OUTPUT_TOKENS, GAIN)
         self._first_token = _estimates.MovingAverage(
             FIRST_GUESS_FIRST_TOKEN_MS, GAIN
@@ -121,8 +115,6 @@
         work.priority = priority
         self.running[work.offer.request_id] = work
         self.running_weight += work.weight
-        if not work.suspensions:
-            self.started_tokens += work.estimated_tokens
 
     def leave_queue(self, request_id: model.RequestId) -> Work | None:
         """Takes work out of the queue, if it is there."""
--- a/lagooncrank/core/admission/_fair_share.py
+++ b/lagooncrank/core/admission/_fair_share.py
@@ -14,7 +14,7 @@
 from lagooncrank.core.admission import _types
 
 #: Limits are set anew, and usage is to be reported, this often.
-LIMITS_INTERVAL_MS = 200
+LIMITS_INTERVAL_MS = 400
 
 
 @_policies.ADMISSIONS.register("fair_share")
@@ -115,17 +115,15 @@
     def usage_report(self, now_ms: int) -> _types.UsageReport:
         """Returns the use of every account that has any here."""
         self._sequence += 1
-        usages = tuple(
-            _usage(name, account)
+        reports = (
+            _service_usage(name, service)
             for name, service in self._services.items()
-            for account in service.accounts.values()
-            if not account.idle
         )
         return _types.UsageReport(
             self._config.node_id,
             self._config.incarnation,
             self._sequence,
-            usages,
+            tuple(report for report in reports if report.accounts),
         )
 
     def observe_usage(
@@ -196,20 +194,18 @@
         return noted
 
 
-def _usage(
-    service: model.ServiceName, account: _account.Account
-) -> _types.AccountUsage:
-    queued_tokens = sum(
-        work.estimated_tokens
-        for queue in (account.waiting, account.resumable)
-        for work in queue.values()
-    )
-    return _types.AccountUsage(
-        account.name,
-        service,
-        running=len(account.running),
-        queued_tokens=queued_tokens,
-        started_tokens=account.started_tokens,
-        running_centiweight=round(100 * account.running_weight),
-        queued_centiweight=round(100 * account.wanted_weight),
-    )
+def _service_usage(
+    name: model.ServiceName, service: _service.Service
+) -> _types.ServiceUsage:
+    usages = [
+        _types.AccountUsage(
+            account.name,
+            name,
+            running=len(account.running),
+            running_centiweight=round(100 * account.running_weight),
+            wanted_centiweight=round(100 * account.wanted_weight),
+        )
+        for account in service.accounts.values()
+        if not account.idle
+    ]
+    return _types.ServiceUsage.from_usages(name, usages)
--- a/lagooncrank/core/admission/_remote.py
+++ b/lagooncrank/core/admission/_remote.py
@@ -7,7 +7,7 @@
 from lagooncrank.core.admission import _types
 
 #: A report older than this no longer counts as it is.
-REPORT_LIFETIME_MS = 600
+REPORT_LIFETIME_MS = 1_000
 #: Until a report is so old it does not count at all: its entry may be gone,
 #: and the engines' reports do not tell yet.
 UNCLEAR_LIFETIME_MS = 3_000
@@ -27,7 +27,7 @@
         """Adds (`sign` 1) or takes away (`sign` -1) one entry's usage."""
         self.running += sign * usage.running
         self.running_weight += sign * usage.running_centiweight / 100
-        self.waiting_weight += sign * usage.queued_centiweight / 100
+        self.waiting_weight += sign * usage.wanted_centiweight / 100
 
 
 #: Use by account.
@@ -105,12 +105,12 @@
     ) -> None:
         self._counted_in[report.node_id] = counted_in
         if counted_in is not None:
-            _count(counted_in, report.usages, 1)
+            _count(counted_in, report.usages(), 1)
 
     def _forget(self, report: _types.UsageReport) -> None:
         counted_in = self._counted_in.pop(report.node_id)
         if counted_in is not None:
-            _count(counted_in, report.usages, -1)
+            _count(counted_in, report.usages(), -1)
 
 
 def combine(fresh: Uses, lapsed: Uses, factor: float) -> Uses:
--- a/lagooncrank/core/admission/_types.py
+++ b/lagooncrank/core/admission/_types.py
@@ -1,5 +1,6 @@
 """What admission is told and what it decides."""
 
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
 from typing import Protocol
@@ -61,14 +62,48 @@
     service: model.ServiceName
     #: Requests started and not ended.
     running: int
-    #: Estimated tokens of requests that wait.
-    queued_tokens: int
-    #: Estimated tokens started so far, over the life of the entry.
-    started_tokens: int
     #: Weight of the running requests, in hundredths; see `_estimates.weight`.
-    running_centiweight: int = 0
-    #: Weight of the waiting requests, in hundredths.
-    queued_centiweight: int = 0
+    running_centiweight: int
+    #: Weight that waits or was refused lately, in hundredths.
+    wanted_centiweight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceUsage:
+    """Use of one service, a column for each figure to keep reports short."""
+
+    service: model.ServiceName
+    accounts: tuple[model.ClientAccountId, ...]
+    running: tuple[int, ...]
+    running_centiweight: tuple[int, ...]
+    wanted_centiweight: tuple[int, ...]
+
+    @classmethod
+    def from_usages(
+        cls, service: model.ServiceName, usages: Sequence[AccountUsage]
+    ) -> "ServiceUsage":
+        """Returns the columns of the usages of one service."""
+        return cls(
+            service,
+            tuple(usage.account for usage in usages),
+            tuple(usage.running for usage in usages),
+            tuple(usage.running_centiweight for usage in usages),
+            tuple(usage.wanted_centiweight for usage in usages),
+        )
+
+    def usages(self) -> Iterator[AccountUsage]:
+        """Yields the use of each account."""
+        columns = zip(
+            self.accounts,
+            self.running,
+            self.running_centiweight,
+            self.wanted_centiweight,
+            strict=True,
+        )
+        for account, running, running_weight, wanted_weight in columns:
+            yield AccountUsage(
+                account, self.service, running, running_weight, wanted_weight
+            )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +113,12 @@
     node_id: model.NodeId
     incarnation: int
     sequence: int
-    usages: tuple[AccountUsage, ...]
+    services: tuple[ServiceUsage, ...]
+
+    def usages(self) -> Iterator[AccountUsage]:
+        """Yields the use of each account and service."""
+        for service in self.services:
+            yield from service.usages()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagooncrank/server/_usage.py
+++ b/lagooncrank/server/_usage.py
@@ -9,9 +9,9 @@
 from lagooncrank.server import _ports
 
 USAGE_KIND = "usage"
-REPORT_INTERVAL_S = 0.2
+REPORT_INTERVAL_S = admission.LIMITS_INTERVAL_MS / 1_000
 #: An entry without use reports once in so many intervals.
-IDLE_TURNS = 10
+IDLE_TURNS = 5
 
 
 class UsageExchange(mode.Service):
@@ -45,7 +45,7 @@
                 self._links.send(node_id, USAGE_KIND, report)
 
     def _is_due(self, report: admission.UsageReport) -> bool:
-        if report.usages:
+        if report.services:
             self._turns_without_use = 0
             return True
         self._turns_without_use += 1
