--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -56,7 +56,7 @@
     router: str = "balanced"
     retry: str = "budget"
     suspicion: str = "crash_marks"
-    placement: str = "first_fit"
+    placement: str = "weighted"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
