--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -48,17 +48,6 @@
 from lagooncrank.server.http import _services
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Policies:
-    """Names under which the policies of an entry are registered."""
-
-    admission: str = "fair_share"
-    router: str = "balanced"
-    retry: str = "budget"
-    suspicion: str = "crash_marks"
-    placement: str = "weighted"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineBounds:
     """Bounds of the adaptive timeouts towards model engines."""
@@ -79,7 +68,6 @@
         incarnation: Number of this start; higher than that of any earlier.
         first_services: Services behind `shared` and `links`; they start
             before and stop after all others.
-        policies: Names of the policies to use.
         engine_bounds: Bounds of the adaptive timeouts.
     """
 
@@ -92,7 +80,6 @@
         clock: clocks.Clock,
         incarnation: int,
         first_services: Sequence[mode.Service] = (),
-        policies: Policies = Policies(),
         engine_bounds: EngineBounds = EngineBounds(),
     ) -> None:
         super().__init__()
@@ -108,10 +95,14 @@
         self.metrics = _metrics.Metrics()
         self.lifecycle = _lifecycle.Lifecycle(self.metrics)
         self._order_sender = _orders.HttpOrderSender()
-        self._build_core(policies)
+        self._build_core()
         self._build_clients(engine_bounds)
         self.placement = _placement.PlacementDriver(
-            shared, self.table, self._order_sender, clock, policies.placement
+            shared,
+            self.table,
+            self._order_sender,
+            clock,
+            process.policies.placement,
         )
         self.revision_reports = _revision_reports.RevisionReports(
             process.node_id,
@@ -154,7 +145,8 @@
         yield self.placement
         yield self._http_server()
 
-    def _build_core(self, policies: Policies) -> None:
+    def _build_core(self) -> None:
+        policies = self._process.policies
         own = self._process.own
         self.table = membership.MembershipTable(
             own.node_id, self._incarnation, model.LeaseRules()
--- a/lagooncrank/settings/__init__.py
+++ b/lagooncrank/settings/__init__.py
@@ -5,6 +5,7 @@
 from lagooncrank.settings._problems import SettingsError
 from lagooncrank.settings._process import LimitSettings
 from lagooncrank.settings._process import PeerSettings
+from lagooncrank.settings._process import PolicySettings
 from lagooncrank.settings._process import ProcessSettings
 from lagooncrank.settings._process import Role
 from lagooncrank.settings._process_checks import check_process_settings
@@ -20,6 +21,7 @@
 __all__ = [
     "LimitSettings",
     "PeerSettings",
+    "PolicySettings",
     "Problem",
     "ProcessSettings",
     "Role",
--- a/lagooncrank/settings/_process.py
+++ b/lagooncrank/settings/_process.py
@@ -45,6 +45,17 @@
     reader_buffer_bytes: int = 262_144
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicySettings:
+    """Names under which the policies of an entry are registered."""
+
+    admission: str = "fair_share"
+    router: str = "balanced"
+    retry: str = "budget"
+    suspicion: str = "crash_marks"
+    placement: str = "weighted"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
     """Everything that one daemon reads at its start."""
@@ -59,6 +70,7 @@
     #: Folder for durable state; empty on nodes without a disk.
     data_folder: str = ""
     limits: LimitSettings = LimitSettings()
+    policies: PolicySettings = PolicySettings()
     #: Longest wait for requests in flight at a planned stop.
     stop_deadline_ms: int = 120_000
     log_level: str = "INFO"
