--- a/bench/placement.py
+++ b/bench/placement.py
@@ -171,7 +171,8 @@
     memory_kb = _memory_kb(next(deployments(arguments.size)))
     print(f"\nplanner, state and fakes together: {memory_kb} KB")
     RESULTS.mkdir(exist_ok=True)
-    path = RESULTS / f"placement-{arguments.size}.json"
+    name = "-".join(filter(None, (arguments.size, arguments.user)))
+    path = RESULTS / f"placement-{name}.json"
     result = {
         "seed": SEED,
         "hours": arguments.hours,
--- a/lagooncrank/server/_placement.py
+++ b/lagooncrank/server/_placement.py
@@ -13,9 +13,12 @@
 from lagooncrank.core import placement
 from lagooncrank.core import state
 from lagooncrank.server import _orders
+from lagooncrank.server import _placement_metrics
 from lagooncrank.server import _ports
 
-STEP_INTERVAL_S: Final = 0.25
+STEP_INTERVAL_S: Final = 0.5
+#: Steps made at once, as long as each changes something.
+MAX_STEPS_AT_ONCE: Final = 4
 PROPOSAL_TIMEOUT_MS: Final = 3_000
 READ_TIMEOUT_MS: Final = 2_000
 #: Longest time that a deposed leader believes itself leader.
@@ -72,17 +75,23 @@
 
     @mode.Service.timer(STEP_INTERVAL_S)
     async def _step_regularly(self) -> None:
-        await self.step()
+        for _ in range(MAX_STEPS_AT_ONCE):
+            if not await self.step():
+                return
+
+    async def step(self) -> bool:
+        """Makes one decision and carries it out, if this node leads.
 
-    async def step(self) -> None:
-        """Makes one decision and carries it out, if this node leads."""
+        Returns:
+            Whether the state changed, so that another step may do more.
+        """
         configuration = self._shared.view.configuration
         if configuration is None:
-            return
+            return False
         rules = configuration.declarations.placement
         leadership = await self._current_leadership(rules)
         if leadership is None:
-            return
+            return False
         now_ms = self._clock.now_ms()
         situation = placement.Situation(
             declarations=configuration.declarations,
@@ -96,7 +105,8 @@
             self._start_sending(leadership, send)
         for command in decision.commands:
             if not await self._commit(command):
-                return
+                return False
+        return bool(decision.commands)
 
     async def sent(self) -> None:
         """Waits until every order underway is answered or given up."""
@@ -139,6 +149,9 @@
     async def _commit(self, command: state.PutReplica) -> bool:
         outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
         replica = command.replica
+        _placement_metrics.CHANGES.labels(
+            replica.state.value, outcome.code.name
+        ).inc()
         if not outcome.ok:
             _log.warn(
                 "change of replica {} to {} refused: {} {}",
@@ -174,6 +187,9 @@
             return
         answer = await self._sender.send(send, may_write)
         leadership.planner.answered(answer, self._clock.now_ms())
+        _placement_metrics.ORDERS.labels(
+            send.order.kind.value, answer.state.value
+        ).inc()
         _log.info(
             "order {} to {}: {}",
             send.order.order_id,
--- /dev/null
+++ b/lagooncrank/server/_placement_metrics.py
@@ -0,0 +1,14 @@
+"""Counters of placement."""
+
+import prometheus_client
+
+CHANGES = prometheus_client.Counter(
+    "lagooncrank_replica_changes",
+    "Changes of replicas proposed here, by the state aimed at and the result.",
+    ["state", "result"],
+)
+ORDERS = prometheus_client.Counter(
+    "lagooncrank_orders",
+    "Orders sent to model engines, by kind and by how the sending ended.",
+    ["kind", "answer"],
+)
--- a/lagooncrank/server/tests/test_placement.py
+++ b/lagooncrank/server/tests/test_placement.py
@@ -1,3 +1,5 @@
+import prometheus_client
+
 from lagooncrank import clock
 from lagooncrank import model
 from lagooncrank import results
@@ -141,6 +143,22 @@
     assert {s.order.fencing_number for s in bench.sender.sent} == numbers
 
 
+def accepted_loads() -> float:
+    labels = {"kind": "load", "answer": "accepted"}
+    value = prometheus_client.REGISTRY.get_sample_value(
+        "lagooncrank_orders_total", labels
+    )
+    return value or 0.0
+
+
+async def test_orders_are_counted_by_kind_and_answer() -> None:
+    before = accepted_loads()
+    bench = Bench()
+    await bench.declare()
+    await bench.run(3)
+    assert accepted_loads() - before == len(bench.sender.sent) == 4
+
+
 async def test_new_leadership_resumes_loads_without_new_orders() -> None:
     bench = Bench()
     await bench.declare()
