Follow renamed backend servers; hold changes to the life cycle

Cause: an instance whose engine came back under another server id was loaded, and its replica called serving, while every entry looked for the old id; and the table of transitions was held by nobody. Change: such a member is assigned again under its new id. Two engines on one instance no longer take turns: the known one counts. Changes refuse a transition that the life cycle lacks.

--- a/lagooncrank/core/placement/_changes.py
+++ b/lagooncrank/core/placement/_changes.py
@@ -7,10 +7,48 @@
 from lagooncrank.core import state
 from lagooncrank.core.placement import _instances
 
+_State = model.ReplicaState
+
+#: States that may follow each state.
+TRANSITIONS: dict[_State, frozenset[_State]] = {
+    _State.FORMING: frozenset(
+        {_State.FORMING, _State.LOADING, _State.DISSOLVED, _State.LOST}
+    ),
+    _State.LOADING: frozenset(
+        {_State.FORMING, _State.SERVING, _State.DISSOLVED, _State.LOST}
+    ),
+    _State.SERVING: frozenset(
+        {
+            _State.FORMING,
+            _State.LOADING,
+            _State.DRAINING,
+            _State.DISSOLVED,
+            _State.LOST,
+        }
+    ),
+    _State.DRAINING: frozenset(
+        {_State.FORMING, _State.SERVING, _State.DISSOLVED, _State.LOST}
+    ),
+    _State.DISSOLVED: frozenset(),
+    _State.LOST: frozenset(),
+}
+
 #: Epoch that a command names when its replica does not exist yet.
 _NO_EPOCH = -1
 
 
+class TransitionError(Exception):
+    """A change that the life cycle of replicas does not have."""
+
+    def __init__(self, before: model.Replica, after: model.Replica) -> None:
+        self.before = before
+        self.after = after
+        super().__init__(
+            f"replica {before.replica_id!r} cannot go from {before.state} "
+            f"to {after.state}; report this fault"
+        )
+
+
 class Changes:
     """Builds `PutReplica` commands with fresh fencing numbers.
 
@@ -109,6 +147,8 @@
         self._change(changed, replica)
 
     def _change(self, changed: model.Replica, before: model.Replica) -> None:
+        if changed.state not in TRANSITIONS[before.state]:
+            raise TransitionError(before, changed)
         after = changed.with_changes(epoch=before.epoch + 1)
         self._put(after, before.epoch)
 
--- a/lagooncrank/core/placement/_instances.py
+++ b/lagooncrank/core/placement/_instances.py
@@ -123,17 +123,34 @@
     def _hear_all(
         self, members: Iterable[membership.Member], now_ms: int
     ) -> set[model.InstanceId]:
-        heard = set()
-        for member in members:
-            announcement = member.announcement
-            if announcement.kind is not model.BackendServerKind.MODEL_ENGINE:
-                continue
-            instance_id = announcement.instance_id
-            heard.add(instance_id)
+        heard = self._one_for_each(members)
+        for instance_id, member in heard.items():
             instance = self._instances.get(instance_id)
             if instance is None:
                 new = Instance.from_member(member)
                 self._instances[instance_id] = new
             else:
                 instance.hear(member, now_ms)
-        return heard
+        return set(heard)
+
+    def _one_for_each(
+        self, members: Iterable[membership.Member]
+    ) -> dict[model.InstanceId, membership.Member]:
+        """Returns one model engine for each instance, a known one if heard."""
+        found: dict[model.InstanceId, membership.Member] = {}
+        for member in members:
+            announcement = member.announcement
+            if announcement.kind is not model.BackendServerKind.MODEL_ENGINE:
+                continue
+            instance_id = announcement.instance_id
+            if instance_id in found and not self._is_known(announcement):
+                continue
+            found[instance_id] = member
+        return found
+
+    def _is_known(self, announcement: model.Announcement) -> bool:
+        instance = self._instances.get(announcement.instance_id)
+        if instance is None:
+            return False
+        known = instance.announcement.backend_server_id
+        return announcement.backend_server_id == known
--- a/lagooncrank/core/placement/_life_cycle.py
+++ b/lagooncrank/core/placement/_life_cycle.py
@@ -1,30 +1,15 @@
 """Moves replicas on in their life cycle, by what their members announce."""
 
+from collections.abc import Iterator
+
 from lagooncrank import model
 from lagooncrank.core.placement import _changes
 from lagooncrank.core.placement import _fencing
 from lagooncrank.core.placement import _fleet
+from lagooncrank.core.placement import _instances
 
 _State = model.ReplicaState
 
-#: States that may follow each state.
-TRANSITIONS: dict[_State, frozenset[_State]] = {
-    _State.FORMING: frozenset(
-        {_State.FORMING, _State.LOADING, _State.DISSOLVED, _State.LOST}
-    ),
-    _State.LOADING: frozenset(
-        {_State.FORMING, _State.SERVING, _State.DISSOLVED, _State.LOST}
-    ),
-    _State.SERVING: frozenset(
-        {_State.FORMING, _State.LOADING, _State.DRAINING, _State.LOST}
-    ),
-    _State.DRAINING: frozenset(
-        {_State.FORMING, _State.SERVING, _State.DISSOLVED, _State.LOST}
-    ),
-    _State.DISSOLVED: frozenset(),
-    _State.LOST: frozenset(),
-}
-
 
 def advance(
     fleet: _fleet.Fleet, fence: _fencing.Fence, changes: _changes.Changes
@@ -39,11 +24,28 @@
     for replica in fleet.holding:
         if changes.has_changed(replica):
             continue
+        service = fleet.services.get(replica.service)
+        renamed = dict(_renamed(replica, fleet))
+        if renamed and service is not None:
+            changes.reassign(replica, service, renamed)
+            continue
         following = _next_state(replica, fleet, fence)
         if following is not replica.state:
             changes.set_state(replica, following)
 
 
+def _renamed(
+    replica: model.Replica, fleet: _fleet.Fleet
+) -> Iterator[tuple[int, _instances.Instance]]:
+    """Yields members whose instance runs another backend server now."""
+    for rank, member in enumerate(fleet.members(replica)):
+        if member is None or not member.is_ready:
+            continue
+        server_id = member.announcement.backend_server_id
+        if server_id != replica.backend_servers[rank]:
+            yield rank, member
+
+
 def _next_state(
     replica: model.Replica, fleet: _fleet.Fleet, fence: _fencing.Fence
 ) -> _State:
--- a/lagooncrank/core/placement/tests/test_repair.py
+++ b/lagooncrank/core/placement/tests/test_repair.py
@@ -149,3 +149,13 @@
         world.step()
     assert hurt_least.desk.obeyed
     assert not any(e.desk.obeyed for e in hurt_most)
+
+
+def test_instance_with_another_server_is_assigned_again() -> None:
+    world = formed((3,), replicas=1)
+    engine = member(world, 1)
+    engine.stop()
+    engine.rename_server("b-new")
+    engine.start()
+    run(world, 40)
+    assert world.serving_count(_world.DRAFTS) == 1
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -74,6 +74,12 @@
         """Makes the engine announce another load."""
         self._announcement = self._announcement.with_changes(load=load)
 
+    def rename_server(self, name: str) -> None:
+        """Gives the backend server another id, as a new process may have."""
+        self._announcement = self._announcement.with_changes(
+            backend_server_id=model.BackendServerId(name)
+        )
+
     def stop(self) -> None:
         """Ends the process; its memory is lost."""
         self.is_running = False
