--- a/lagooncrank/cli/_apply.py
+++ b/lagooncrank/cli/_apply.py
@@ -14,6 +14,8 @@
 
 #: Time between two questions where a revision is in force.
 POLL_INTERVAL_MS = 500
+#: Wait that is reported for the first time.
+LONG_WAIT_MS = 1_000
 #: Time after which an unchanged wait is reported again.
 PROGRESS_INTERVAL_MS = 5_000
 
@@ -95,7 +97,7 @@
         LagooncrankError: NOT_IN_FORCE_YET, naming the nodes that lag.
     """
     deadline_ms = time.now_ms() + timeout_ms
-    reporter = _Reporter(revision, time)
+    reporter = Reporter(revision, time)
     while True:
         answer = await client.get(f"/v1/config/in-force?revision={revision}")
         if not answer["lagging"]:
@@ -106,18 +108,27 @@
         await asyncio.sleep(POLL_INTERVAL_MS / _MS_PER_S)
 
 
-class _Reporter:
-    """Prints who lags when that changes, and now and then while it stays."""
+class Reporter:
+    """Prints who lags once a wait is long, when that changes, now and then.
+
+    Args:
+        revision: The revision waited for.
+        time: Clock of the process.
+    """
 
     def __init__(self, revision: int, time: clock.Clock) -> None:
         self._revision = revision
         self._clock = time
         self._lagging: list[str] = []
+        self._started_ms = time.now_ms()
         self._printed_ms = 0
 
     def report(self, answer: Any) -> None:
+        """Takes an answer of `GET /v1/config/in-force`."""
         lagging = [lag["node_id"] for lag in answer["lagging"]]
         now_ms = self._clock.now_ms()
+        if now_ms - self._started_ms < LONG_WAIT_MS:
+            return
         due = now_ms - self._printed_ms >= PROGRESS_INTERVAL_MS
         if lagging == self._lagging and not due:
             return
@@ -156,8 +167,7 @@
     return results.Refusal(
         results.ResultCode.NOT_IN_FORCE_YET,
         f"revision {revision} was accepted and stays accepted, but is not in "
-        f"force at {describe_lagging(answer['lagging'])}; check that these "
-        f"nodes run, or stop them, then run "
-        f"'lagooncrank apply --wait' again",
+        f"force at {describe_lagging(answer['lagging'])}; check that they "
+        "run and reach the others, then run the same command again",
         results.Ran.RAN,
     )
--- /dev/null
+++ b/lagooncrank/cli/tests/test_real_daemons.py
@@ -0,0 +1,165 @@
+"""The tool against three daemons that a questionnaire configured."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import hashlib
+import json
+import pathlib
+import sys
+from typing import Any
+
+import pytest_asyncio
+import yaml
+
+from demo import _files
+from demo import _processes
+from lagooncrank import questionnaire
+from lagooncrank.cli import _exits
+
+Exit = _exits.ExitCode
+NODES = ("n1", "n2", "n3")
+KEY = "operator-key"
+STARTED_S = 30
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """How a command ended."""
+
+    code: int
+    out: str
+    err: str
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.out)
+
+
+class System:
+    """Three daemons on loopback and the tool that operates them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes = _processes.Processes(folder)
+        addresses = _files.free_addresses(2 * len(NODES))
+        self.ports = [int(a.rpartition(":")[2]) for a in addresses]
+        self.entries = addresses[: len(NODES)]
+        (folder / "key").write_text(KEY)
+        (folder / "shared.key").write_text("shared")
+
+    async def generate(self) -> None:
+        path = self.folder / "answers.yaml"
+        path.write_text(yaml.safe_dump(self.answers()))
+        ended = await self.tool(
+            "questionnaire", f"--answers={path}", f"--out={self.folder}"
+        )
+        assert ended.code == Exit.OK, ended.err
+
+    async def start(self, node: str) -> None:
+        path = self.folder / f"settings-{node}.yaml"
+        await self.processes.start(node, "lagooncrank.server", str(path))
+
+    async def operate(self, *arguments: str) -> Ended:
+        entries = [f"--entry={entry}" for entry in self.entries]
+        key = f"--key-file={self.folder / 'key'}"
+        return await self.tool(*arguments, *entries, key, "--output=json")
+
+    async def tool(self, *arguments: str) -> Ended:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "lagooncrank.cli",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await process.communicate()
+        assert process.returncode is not None
+        return Ended(process.returncode, out.decode(), err.decode())
+
+    async def until_accepted(self, *arguments: str) -> Ended:
+        """Runs a command again while no entry can answer yet."""
+        async with asyncio.timeout(STARTED_S):
+            while True:
+                ended = await self.operate(*arguments)
+                if ended.code != Exit.UNREACHABLE:
+                    return ended
+
+    def declarations(self, share: int) -> str:
+        path = self.folder / f"share-{share}.yaml"
+        text = (self.folder / "declarations.yaml").read_text()
+        plain = yaml.safe_load(text)
+        plain["client_accounts"][0]["share"] = share
+        path.write_text(yaml.safe_dump(plain))
+        return str(path)
+
+    def answers(self) -> dict[str, Any]:
+        form = yaml.safe_load(questionnaire.blank_form())
+        form["shared_key_file"] = str(self.folder / "shared.key")
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        form["operator_key_sha256s"] = [digest]
+        form["tolerance"]["addresses_kept_s"] = 0.1
+        form["entry_instances"] = [
+            {
+                "name": node,
+                "ip": "127.0.0.1",
+                "failure_domain": f"site-{node}",
+                "data_folder": str(self.folder / f"data-{node}"),
+                "entry_port": self.ports[index],
+                "peer_port": self.ports[len(NODES) + index],
+            }
+            for index, node in enumerate(NODES)
+        ]
+        return dict(form)
+
+
+@pytest_asyncio.fixture
+async def system(tmp_path: pathlib.Path) -> AsyncIterator[System]:
+    system = System(tmp_path)
+    await system.generate()
+    try:
+        for node in NODES:
+            await system.start(node)
+        yield system
+    finally:
+        system.processes.kill_all()
+        for node in system.processes.names():
+            await system.processes.stop(node)
+
+
+async def test_tool_operates_a_real_system(system: System) -> None:
+    first = system.declarations(10)
+    ended = await system.until_accepted("apply", first, "--wait")
+    assert (ended.code, "revision 1" in ended.err) == (Exit.OK, True), ended
+    assert ended.json == {"revision": 1, "in_force": list(NODES)}
+
+    raced = await asyncio.gather(
+        *(
+            system.operate(
+                "apply", system.declarations(share), "--base-revision=1"
+            )
+            for share in (20, 30)
+        )
+    )
+    assert sorted(r.code for r in raced) == [Exit.OK, Exit.CONFLICT], raced
+    history = await system.operate("history")
+    assert [line["revision"] for line in history.json] == [1, 2]
+
+    assert await system.processes.stop("n3") == 0
+    third = system.declarations(40)
+    lagging = await system.operate("apply", third, "--wait", "--timeout-s=0")
+    assert lagging.code == Exit.NOT_IN_FORCE, lagging
+    assert "n3 (has revision 2, heard" in lagging.err
+    await system.start("n3")
+    caught_up = await system.operate("apply", third, "--wait")
+    assert caught_up.json == {"revision": 3, "in_force": list(NODES)}
+
+    for command in ("status", "accounts", "replicas", "backends"):
+        assert (await system.operate(command)).code == Exit.OK
+    assert (await system.operate("drain", "i1")).code == Exit.OK
+    drained = await system.operate("drain")
+    assert [drain["instance_id"] for drain in drained.json] == ["i1"]
+    for node in NODES:
+        assert await system.processes.stop(node) == 0
+    assert (await system.operate("status")).code == Exit.UNREACHABLE
