--- a/lagooncrank/cli/tests/test_real_daemons.py
+++ b/lagooncrank/cli/tests/test_real_daemons.py
@@ -160,6 +160,6 @@
     assert (await system.operate("drain", "i1")).code == Exit.OK
     drained = await system.operate("drain")
     assert [drain["instance_id"] for drain in drained.json] == ["i1"]
-    for node in NODES:
-        assert await system.processes.stop(node) == 0
+    stopped = await asyncio.gather(*map(system.processes.stop, NODES))
+    assert stopped == [0, 0, 0]
     assert (await system.operate("status")).code == Exit.UNREACHABLE
--- a/lagooncrank/server/_ports.py
+++ b/lagooncrank/server/_ports.py
@@ -58,6 +58,14 @@
     def is_leader(self) -> bool:
         """Whether this node leads and its leader lease holds."""
 
+    @property
+    def leader(self) -> model.NodeId | None:
+        """The leader as far as this node knows."""
+
+    @property
+    def term(self) -> int:
+        """The newest term that this node knows of."""
+
     def lease_holds(self) -> bool:
         """Whether quorum contact is recent enough to take new work."""
 
--- a/lagooncrank/server/_revision_reports.py
+++ b/lagooncrank/server/_revision_reports.py
@@ -64,6 +64,7 @@
         self._clock = time
         self._table = revisions.RevisionTable()
         self._changed = asyncio.Event()
+        self._reported_revision = 0
         self._sequence = 0
         self._waiting: dict[int, set[model.NodeId]] = {}
         self._answered = asyncio.Event()
@@ -125,13 +126,15 @@
 
     def _send_report(self) -> None:
         report = self._own_report()
+        self._reported_revision = report.revision
         for voter in sorted(self._voters - {self._node_id}):
             self._links.send(voter, _REPORT, report)
 
     def _on_applied(
         self, command: state.Command, outcome: state.Outcome
     ) -> None:
-        if isinstance(command, state.ApplyDeclarations) and outcome.ok:
+        # A snapshot that replaced the state is told as another command.
+        if self._own_report().revision != self._reported_revision:
             self._changed.set()
 
     def _on_report(
--- a/lagooncrank/server/http/tests/operator_node.py
+++ b/lagooncrank/server/http/tests/operator_node.py
@@ -29,6 +29,8 @@
     def __init__(self) -> None:
         self.view = state.StateMachine()
         self.is_leader = True
+        self.leader = model.NodeId("n1")
+        self.term = 1
         self.cut_off = False
 
     def lease_holds(self) -> bool:
--- a/lagooncrank/server/tests/single_node.py
+++ b/lagooncrank/server/tests/single_node.py
@@ -12,6 +12,9 @@
 class SingleNodeState:
     """Applies commands at once; nothing survives the process."""
 
+    leader = model.NodeId("n1")
+    term = 1
+
     def __init__(self) -> None:
         self._machine = _applying.Machine()
         self.has_quorum = True
--- a/lagooncrank/server/tests/test_once_calls.py
+++ b/lagooncrank/server/tests/test_once_calls.py
@@ -36,6 +36,9 @@
 class Log:
     """One state machine for all entries, and proposals that came late."""
 
+    leader = model.NodeId("n1")
+    term = 1
+
     def __init__(self) -> None:
         self.machine = state.StateMachine()
         self.listeners: list[_ports.AppliedListener] = []
--- a/lagooncrank/server/tests/test_placement.py
+++ b/lagooncrank/server/tests/test_placement.py
@@ -23,6 +23,9 @@
 class FakeShared:
     """Implements `SharedState` over one state machine."""
 
+    leader = model.NodeId("n1")
+    term = 1
+
     def __init__(self) -> None:
         self.view = state.StateMachine()
         self.is_leader = True
