Refuse daemons that cannot start with a message; say what holds a drained instance

Cause: tried as a new user would. A missing shared key file or an address of another machine ended the daemon in a traceback with status 1; an empty shared key file was accepted, so that any process could have joined; `drain` said "drained" while the replica floor kept the instance in use.

GET /v1/drain names the replica that still holds the instance.

--- a/lagooncrank/server/_main.py
+++ b/lagooncrank/server/_main.py
@@ -4,6 +4,7 @@
 import enum
 import pathlib
 import signal
+import socket
 import sys
 from typing import Annotated
 
@@ -11,6 +12,7 @@
 import typer
 
 from lagooncrank import clock as clocks
+from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.server import _daemon
 from lagooncrank.server import _logging
@@ -43,17 +45,16 @@
     ],
 ) -> None:
     """Runs one node until SIGTERM or SIGINT."""
-    try:
-        process = settings.load_process_settings(settings_file)
-    except settings.SettingsError as error:
-        print(error, file=sys.stderr)
-        raise typer.Exit(ExitStatus.SETTINGS) from error
     clock = clocks.SystemClock()
     try:
+        process = settings.load_process_settings(settings_file)
         with _logging.json_lines(
             sys.stderr, clock, process.node_id, process.log_level
         ):
             status = asyncio.run(_serve(process, clock))
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(ExitStatus.SETTINGS) from error
     except storage.StorageError as error:
         print(error, file=sys.stderr)
         raise typer.Exit(ExitStatus.STORAGE) from error
@@ -84,13 +85,15 @@
     process: settings.ProcessSettings, clock: clocks.Clock
 ) -> ExitStatus:
     incarnation = clock.wall_ms()
-    peer_links = links.Links.from_settings(process, clock)
+    entry_listener = _listener("entry_address", process.own.entry_address)
+    peer_listener = _listener("peer_address", process.own.peer_address)
+    peer_links = links.Links.from_settings(process, clock, peer_listener)
     shared = _shared_state.ReplicatedState.from_settings(
         process, peer_links, clock, incarnation
     )
     daemon = _daemon.Daemon(
         process,
-        _sockets.listener(process.own.entry_address),
+        entry_listener,
         shared,
         peer_links,
         clock,
@@ -104,6 +107,24 @@
     return await run_until(daemon, stopping)
 
 
+def _listener(field: str, address: str) -> socket.socket:
+    """Returns a listening socket of this node.
+
+    Raises:
+        SettingsError: The address cannot be listened on.
+    """
+    try:
+        return _sockets.listener(address)
+    except OSError as error:
+        problem = settings.Problem(
+            field,
+            f"cannot listen on {address}: {error.strerror}; give an address "
+            "of this machine and a free port",
+        )
+        code = results.ResultCode.INVALID_SETTINGS
+        raise settings.SettingsError(code, "own node", [problem]) from error
+
+
 def _on_signals(stopping: asyncio.Event, daemon: _daemon.Daemon) -> None:
     """Makes the first signal stop the node and the second one hurry it."""
 
--- a/lagooncrank/server/http/_operator_views.py
+++ b/lagooncrank/server/http/_operator_views.py
@@ -64,9 +64,18 @@
     ]
 
 
-def drains(known: dict[model.InstanceId, state.Drain]) -> list[Any]:
-    """Returns each drained instance, in the order of their ids."""
-    return [model.to_plain(drain) for _, drain in sorted(known.items())]
+def drains(view: _ports.StateView) -> list[Any]:
+    """Returns each drained instance with the replica that still holds it."""
+    holders = {
+        instance_id: replica.replica_id
+        for replica in view.replicas.values()
+        if replica.holds_instances
+        for instance_id in replica.instances
+    }
+    return [
+        {**model.to_plain(drain), "held_by": holders.get(instance_id)}
+        for instance_id, drain in sorted(view.drains.items())
+    ]
 
 
 def quarantine(marks: dict[bytes, state.ContentMark]) -> list[Any]:
--- a/lagooncrank/server/http/_operators.py
+++ b/lagooncrank/server/http/_operators.py
@@ -173,8 +173,7 @@
         return web.json_response(views.backends(members, now_ms))
 
     async def _drains(self, request: web.Request) -> web.StreamResponse:
-        drains = self._shared.view.drains
-        return web.json_response(views.drains(drains))
+        return web.json_response(views.drains(self._shared.view))
 
     async def _drain(self, request: web.Request) -> web.StreamResponse:
         body = await requests.read_json(request, requests.DrainRequest)
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import inspect
-import pathlib
 import socket
 from typing import Any
 from typing import Final
@@ -87,16 +86,19 @@
 
     @classmethod
     def from_settings(
-        cls, process: settings.ProcessSettings, clock_: clock.Clock
+        cls,
+        process: settings.ProcessSettings,
+        clock_: clock.Clock,
+        listener: socket.socket | None = None,
     ) -> "Links":
         """Builds the links that the process settings describe.
 
         Raises:
-            OSError: The shared key file cannot be read.
+            SettingsError: The shared key cannot be used.
         """
-        key = pathlib.Path(process.shared_key_file).read_bytes().strip()
+        key = settings.load_shared_key(process)
         addresses = {n.node_id: n.peer_address for n in process.nodes}
-        return cls(process.node_id, addresses, key, clock_)
+        return cls(process.node_id, addresses, key, clock_, listener=listener)
 
     async def on_start(self) -> None:
         """Listens, and starts to dial the nodes that this one dials."""
--- a/lagooncrank/settings/__init__.py
+++ b/lagooncrank/settings/__init__.py
@@ -10,6 +10,7 @@
 from lagooncrank.settings._process_checks import check_process_settings
 from lagooncrank.settings._process_checks import is_address
 from lagooncrank.settings._shapes import check_shape
+from lagooncrank.settings._shared_key import load_shared_key
 from lagooncrank.settings._yaml import load
 from lagooncrank.settings._yaml import load_declarations
 from lagooncrank.settings._yaml import load_process_settings
@@ -31,6 +32,7 @@
     "load",
     "load_declarations",
     "load_process_settings",
+    "load_shared_key",
     "parse",
     "parse_declarations",
     "parse_process_settings",
