--- a/lagooncrank/cli/_apply.py
+++ b/lagooncrank/cli/_apply.py
@@ -1,10 +1,13 @@
 """Applies declarations and waits until they are in force everywhere."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import hashlib
 import json
 from typing import Any
+from typing import TypeVar
 
 from lagooncrank import clock
 from lagooncrank import model
@@ -20,6 +23,18 @@
 PROGRESS_INTERVAL_MS = 5_000
 
 _MS_PER_S = 1_000
+#: Refusals that pass by themselves, such as during an election.
+_PASSING = frozenset(
+    {
+        results.ResultCode.CONNECT_FAILED,
+        results.ResultCode.NO_QUORUM,
+        results.ResultCode.NOT_LEADER,
+        results.ResultCode.PEER_SILENT,
+        results.ResultCode.PROPOSAL_LOST,
+        results.ResultCode.STOPPING,
+    }
+)
+T = TypeVar("T")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +47,25 @@
     declarations: model.Declarations
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What an operator wants in force."""
+
+    declarations: model.Declarations
+    #: Revision that the declarations were edited from; None takes any.
+    base_revision: int | None
+    #: Name of the change; None has one made from base and content.
+    change_id: str | None
+    author: str
+
+    def change_to(self, base_revision: int) -> Change:
+        """Returns the change to send; the same at each call."""
+        change_id = self.change_id or default_change_id(
+            base_revision, self.declarations
+        )
+        return Change(change_id, base_revision, self.author, self.declarations)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Current:
     """The accepted configuration; revision 0 before the first."""
@@ -82,30 +116,82 @@
     return int(answer["revision"])
 
 
-async def wait_in_force(
-    client: _client.OperatorClient,
-    revision: int,
-    timeout_ms: int,
-    time: clock.Clock,
-) -> Any:
-    """Waits until a revision is in force at every node.
-
-    Returns:
-        The last answer of `GET /v1/config/in-force`.
+class Applying:
+    """One run of `apply`.
 
-    Raises:
-        LagooncrankError: NOT_IN_FORCE_YET, naming the nodes that lag.
+    Args:
+        client: Client for any entry.
+        wanted: What to put in force.
+        wait_ms: How long to wait until it is in force everywhere; None does
+            not wait.
+        time: Clock of the process.
     """
-    deadline_ms = time.now_ms() + timeout_ms
-    reporter = Reporter(revision, time)
-    while True:
-        answer = await client.get(f"/v1/config/in-force?revision={revision}")
-        if not answer["lagging"]:
-            return answer
-        reporter.report(answer)
-        if time.now_ms() >= deadline_ms:
-            raise results.LagooncrankError(_not_yet(revision, answer))
-        await asyncio.sleep(POLL_INTERVAL_MS / _MS_PER_S)
+
+    def __init__(
+        self,
+        client: _client.OperatorClient,
+        wanted: Wanted,
+        wait_ms: int | None,
+        time: clock.Clock,
+    ) -> None:
+        self._client = client
+        self._wanted = wanted
+        self._wait_ms = wait_ms
+        self._clock = time
+        self._deadline_ms = time.now_ms() + (wait_ms or 0)
+
+    async def run(self) -> dict[str, Any]:
+        """Sends the change, waits if wanted, and returns what to show.
+
+        Raises:
+            LagooncrankError: The change was refused, its answer was lost, or
+                it is not in force everywhere in time.
+        """
+        revision = await self._patiently(self._accept)
+        if self._wait_ms is None:
+            return {"revision": revision}
+        in_force = await self._wait_in_force(revision)
+        return {"revision": revision, "in_force": in_force}
+
+    async def _accept(self) -> int:
+        wanted = self._wanted
+        base_revision = wanted.base_revision
+        if base_revision is None:
+            current = await read_current(self._client)
+            base_revision = current.revision
+            if not wanted.change_id and current.declares(wanted.declarations):
+                _output.progress(f"revision {base_revision} declares this")
+                return base_revision
+        revision = await send(self._client, wanted.change_to(base_revision))
+        _output.progress(f"accepted as revision {revision}")
+        return revision
+
+    async def _patiently(self, call: Callable[[], Awaitable[T]]) -> T:
+        """Makes a call that is safe to repeat until an entry can answer."""
+        told = False
+        while True:
+            try:
+                return await call()
+            except results.LagooncrankError as error:
+                passing = error.refusal.code in _PASSING
+                if not passing or self._clock.now_ms() >= self._deadline_ms:
+                    raise
+                if not told:
+                    _output.progress(f"trying again: {error}")
+                told = True
+            await asyncio.sleep(POLL_INTERVAL_MS / _MS_PER_S)
+
+    async def _wait_in_force(self, revision: int) -> list[str]:
+        reporter = Reporter(revision, self._clock)
+        path = f"/v1/config/in-force?revision={revision}"
+        while True:
+            answer = await self._patiently(lambda: self._client.get(path))
+            if not answer["lagging"]:
+                return list(answer["in_force"])
+            reporter.report(answer)
+            if self._clock.now_ms() >= self._deadline_ms:
+                raise results.LagooncrankError(_not_yet(revision, answer))
+            await asyncio.sleep(POLL_INTERVAL_MS / _MS_PER_S)
 
 
 class Reporter:
--- a/lagooncrank/cli/_client.py
+++ b/lagooncrank/cli/_client.py
@@ -96,7 +96,8 @@
                 text = await response.text()
                 status = response.status
         except aiohttp.ClientConnectorError as error:
-            return _unreachable(entry, str(error))
+            cause = error.os_error.strerror or str(error.os_error)
+            return _unreachable(entry, f"cannot connect: {cause}")
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             return _answer_lost(entry, method, error)
         return _read_answer(entry, status, text)
--- a/lagooncrank/cli/_configuration_commands.py
+++ b/lagooncrank/cli/_configuration_commands.py
@@ -10,7 +10,6 @@
 from lagooncrank import model
 from lagooncrank import settings
 from lagooncrank.cli import _apply
-from lagooncrank.cli import _client
 from lagooncrank.cli import _differences
 from lagooncrank.cli import _exits
 from lagooncrank.cli import _options
@@ -99,47 +98,10 @@
     """Checks a declarations file in full, then puts it in force."""
     declarations = settings.load_declarations(file)
     client = _options.operator_client(entry, key_file)
-    answer = asyncio.run(
-        _apply_file(
-            client,
-            declarations,
-            base_revision,
-            change_id,
-            author or getpass.getuser(),
-            int(timeout_s * _MS_PER_S) if wait else None,
-        )
+    wanted = _apply.Wanted(
+        declarations, base_revision, change_id, author or getpass.getuser()
     )
+    wait_ms = int(timeout_s * _MS_PER_S) if wait else None
+    applying = _apply.Applying(client, wanted, wait_ms, clock.SystemClock())
+    answer = asyncio.run(applying.run())
     _output.show(answer, output)
-
-
-async def _apply_file(
-    client: _client.OperatorClient,
-    declarations: model.Declarations,
-    base_revision: int | None,
-    change_id: str | None,
-    author: str,
-    wait_ms: int | None,
-) -> dict[str, object]:
-    if base_revision is None:
-        current = await _apply.read_current(client)
-        base_revision = current.revision
-        same = change_id is None and current.declares(declarations)
-    else:
-        same = False
-    if same:
-        revision = base_revision
-        _output.progress(f"revision {revision} already declares this")
-    else:
-        change = _apply.Change(
-            change_id or _apply.default_change_id(base_revision, declarations),
-            base_revision,
-            author,
-            declarations,
-        )
-        revision = await _apply.send(client, change)
-        _output.progress(f"accepted as revision {revision}")
-    if wait_ms is None:
-        return {"revision": revision}
-    time = clock.SystemClock()
-    in_force = await _apply.wait_in_force(client, revision, wait_ms, time)
-    return {"revision": revision, "in_force": in_force["in_force"]}
--- a/lagooncrank/cli/_order_commands.py
+++ b/lagooncrank/cli/_order_commands.py
@@ -46,7 +46,7 @@
     if instance is None:
         if end:
             raise typer.BadParameter("--end needs an INSTANCE")
-        columns = ("instance_id", "wall_ms")
+        columns = ("instance_id", "wall_ms", "held_by")
         listed = asyncio.run(client.get("/v1/drain"))
         _output.show(listed, output, columns)
     elif end:
--- a/lagooncrank/cli/_output.py
+++ b/lagooncrank/cli/_output.py
@@ -2,11 +2,17 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import datetime
 import enum
+import itertools
 import json
 import sys
 from typing import Any
 
+#: Column heads of fields that a table shows in another form.
+_HEADS = {"wall_ms": "time", "lapses_wall_ms": "lapses"}
+_MS_PER_S = 1_000
+
 
 class OutputFormat(enum.StrEnum):
     """How a command prints its answer."""
@@ -37,16 +43,21 @@
 
 
 def facts(value: Mapping[str, Any]) -> str:
-    """Returns one line per key.
+    """Returns one line per key, or per item of a list of mappings.
 
     >>> print(facts({"node_id": "n1", "roles": ["entry", "control"]}))
     node_id  n1
     roles    entry, control
     """
     width = max((len(key) for key in value), default=0)
-    return "\n".join(
-        f"{key:<{width}}  {_cell(item)}".rstrip() for key, item in value.items()
-    )
+    lines = []
+    for key, item in value.items():
+        heads = itertools.chain([key], itertools.repeat(""))
+        lines += [
+            f"{head:<{width}}  {line}".rstrip()
+            for head, line in zip(heads, _lines(item), strict=False)
+        ]
+    return "\n".join(lines)
 
 
 def table(
@@ -58,12 +69,17 @@
     name  share
     a     10
     bc
+    >>> print(table([{"revision": 1, "wall_ms": 0}]))
+    revision  time
+    1         1970-01-01 00:00:00 UTC
     """
     if not rows:
         return "(none)"
     names = list(columns) or list(rows[0])
-    lines = [names]
-    lines += [[_cell(row.get(name)) for name in names] for row in rows]
+    lines = [[_HEADS.get(name, name) for name in names]]
+    lines += [
+        [_named_cell(name, row.get(name)) for name in names] for row in rows
+    ]
     widths = [max(len(line[i]) for line in lines) for i in range(len(names))]
     return "\n".join(
         "  ".join(
@@ -73,6 +89,22 @@
     )
 
 
+def _named_cell(name: str, value: Any) -> str:
+    if name in _HEADS and isinstance(value, int):
+        moment = datetime.datetime.fromtimestamp(
+            value / _MS_PER_S, datetime.UTC
+        )
+        return f"{moment:%Y-%m-%d %H:%M:%S} UTC"
+    return _cell(value)
+
+
+def _lines(value: Any) -> list[str]:
+    """Returns the lines of one fact; a list of mappings has one for each."""
+    if isinstance(value, list) and value and isinstance(value[0], Mapping):
+        return [_cell(item) for item in value]
+    return [_cell(value)]
+
+
 def _cell(value: Any) -> str:
     if value is None:
         return ""
--- a/lagooncrank/questionnaire/_room.py
+++ b/lagooncrank/questionnaire/_room.py
@@ -12,6 +12,8 @@
 
     model: str
     by_fabric_domain: dict[str, int]
+    #: Further replicas that the instances left over would carry.
+    further: int = 0
 
     @property
     def replicas(self) -> int:
@@ -33,7 +35,15 @@
         answers.models, key=lambda m: m.instances_per_replica, reverse=True
     )
     placed = {m.name: _place(m, free) for m in widest_first}
-    return tuple(placed[model.name] for model in answers.models)
+    return tuple(
+        dataclasses.replace(
+            placed[model.name],
+            further=sum(
+                left // model.instances_per_replica for left in free.values()
+            ),
+        )
+        for model in answers.models
+    )
 
 
 def _place(model: _answers.ModelAnswers, free: dict[str, int]) -> Room:
--- a/lagooncrank/questionnaire/_rules.py
+++ b/lagooncrank/questionnaire/_rules.py
@@ -35,6 +35,14 @@
     return LoadEstimate(gib * store.loads_at_once / store.gib_per_s, gib)
 
 
+def downtime_goes_first(
+    answers: _answers.Answers, model: _answers.ModelAnswers
+) -> bool:
+    """Returns whether a replica down is worse than its accelerators idle."""
+    minutes = answers.tolerance.idle_accelerator_minutes
+    return minutes > _accelerators(model)
+
+
 def placement_section(answers: _answers.Answers) -> _explained.Section:
     """Returns the declared weights and waits of placement."""
     tolerance = answers.tolerance
@@ -140,15 +148,16 @@
     )
 
 
+def _accelerators(model: _answers.ModelAnswers) -> int:
+    return model.instances_per_replica * model.accelerators_per_instance
+
+
 def _order_of_harms(answers: _answers.Answers) -> str:
     """Says for each model which of the two harms goes first."""
-    minutes = answers.tolerance.idle_accelerator_minutes
     parts = []
     for model in answers.models:
-        accelerators = (
-            model.instances_per_replica * model.accelerators_per_instance
-        )
-        if minutes > accelerators:
+        accelerators = _accelerators(model)
+        if downtime_goes_first(answers, model):
             first = "downtime goes first"
         else:
             first = "idle accelerators go first"
--- a/lagooncrank/questionnaire/_services.py
+++ b/lagooncrank/questionnaire/_services.py
@@ -6,6 +6,7 @@
 from lagooncrank.questionnaire import _demand
 from lagooncrank.questionnaire import _explained
 from lagooncrank.questionnaire import _room
+from lagooncrank.questionnaire import _rules
 from lagooncrank.questionnaire import _shares
 
 MS_PER_S = 1_000
@@ -47,6 +48,7 @@
                 f"as answered; the small accounts alone need "
                 f"{_demand.replicas_for(model, demand.small)}",
             ),
+            "max_replicas": _E(*_most_replicas(answers, model, room)),
             "instances_per_replica": _E(
                 model.instances_per_replica, "machines of one copy"
             ),
@@ -134,6 +136,21 @@
     )
 
 
+def _most_replicas(
+    answers: _answers.Answers, model: _answers.ModelAnswers, room: _room.Room
+) -> tuple[int, str]:
+    if _rules.downtime_goes_first(answers, model):
+        return (
+            model.replicas,
+            "downtime goes first: instances left over stay free for repairs",
+        )
+    return (
+        model.replicas + room.further,
+        f"idle accelerators go first: instances left over carry "
+        f"{room.further} more",
+    )
+
+
 def _strictest_wait_ms(
     answers: _answers.Answers, model: _answers.ModelAnswers
 ) -> int:
