--- a/lagooncrank/cli/tests/test_real_daemons.py
+++ b/lagooncrank/cli/tests/test_real_daemons.py
@@ -13,9 +13,9 @@
 import yaml
 
 from demo import _files
-from demo import _processes
 from lagooncrank import questionnaire
 from lagooncrank.cli import _exits
+from standins import processes
 
 Exit = _exits.ExitCode
 NODES = ("n1", "n2", "n3")
@@ -41,7 +41,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
-        self.processes = _processes.Processes(folder)
+        self.processes = processes.Processes(folder)
         addresses = _files.free_addresses(2 * len(NODES))
         self.ports = [int(a.rpartition(":")[2]) for a in addresses]
         self.entries = addresses[: len(NODES)]
@@ -123,9 +123,7 @@
             await system.start(node)
         yield system
     finally:
-        system.processes.kill_all()
-        for node in system.processes.names():
-            await system.processes.stop(node)
+        await system.processes.kill_all()
 
 
 async def test_tool_operates_a_real_system(system: System) -> None:
