--- /dev/null
+++ b/lagooncrank/server/tests/test_operations_page.py
@@ -0,0 +1,41 @@
+"""The operators' page names what the daemon shows."""
+
+import pathlib
+import re
+
+import prometheus_client
+
+from lagooncrank import results
+from lagooncrank.server import _main
+from lagooncrank.server import _metrics
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
+
+
+def metric_names() -> set[str]:
+    families = [
+        *_metrics.Metrics().registry.collect(),
+        *prometheus_client.REGISTRY.collect(),
+    ]
+    return {
+        f"{family.name}_total" if family.type == "counter" else family.name
+        for family in families
+        if family.name.startswith("lagooncrank_")
+    }
+
+
+def test_exit_statuses_of_the_page_are_those_of_the_daemon() -> None:
+    rows = re.findall(r"^\| (\d) \| ([A-Z_]+) \|", PAGE.read_text(), re.M)
+    for status in _main.ExitStatus:
+        assert (str(status.value), status.name) in rows
+
+
+def test_counters_of_the_page_are_those_of_the_daemon() -> None:
+    listed = re.findall(r"^\| `(lagooncrank_\w+)`", PAGE.read_text(), re.M)
+    assert set(listed) == metric_names()
+
+
+def test_result_codes_of_the_page_exist() -> None:
+    named = set(re.findall(r"`([A-Z]+(?:_[A-Z]+)+)`", PAGE.read_text()))
+    assert named
+    assert named <= {code.name for code in results.ResultCode}
