Say formats and units once; split long files

Change: settings/_formats.py and questionnaire/_units.py hold them; the property tests of the questionnaire and the capacity rows of entries and of control roles are files of their own.

--- a/bench/_capacity_page.py
+++ b/bench/_capacity_page.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 import re
 
+from bench import _capacity_control
+from bench import _capacity_entry
 from bench import _capacity_plan
 from bench import _capacity_rows
 from bench import _slopes
@@ -36,11 +38,10 @@
         PageError: The page lacks a section.
     """
     rounded = {name: _rounded(slope) for name, slope in slopes.items()}
-    rows = tuple(
-        _capacity_rows.Costs(
-            rounded, _capacity_plan.Plan(), _capacity_plan.Rates()
-        ).rows()
+    lines = _capacity_rows.Lines(
+        rounded, _capacity_plan.Plan(), _capacity_plan.Rates()
     )
+    rows = (*_capacity_entry.rows(lines), *_capacity_control.rows(lines))
     page = _replace(page, "slopes", _slope_table(rounded.values()))
     page = _replace(page, "costs", _cost_tables(rows))
     return _replace(page, "misses", _misses(rows))
--- a/lagooncrank/questionnaire/_feasibility.py
+++ b/lagooncrank/questionnaire/_feasibility.py
@@ -7,10 +7,9 @@
 from lagooncrank.questionnaire import _demand
 from lagooncrank.questionnaire import _numbers
 from lagooncrank.questionnaire import _room
+from lagooncrank.questionnaire import _units
 from lagooncrank.questionnaire import _voters
 
-_MS_PER_S = 1_000
-
 
 def find_clashes(answers: _answers.Answers) -> tuple[_clashes.Clash, ...]:
     """Returns every clash; none means that a configuration can be made."""
@@ -121,14 +120,14 @@
             f"lower replicas_floor to {model.replicas} or less",
         )
     pace_ms = (
-        _MS_PER_S
+        _units.MS_PER_S
         * model.concurrency_per_replica
         / model.tokens_per_s_per_replica
     )
     if pace_ms > model.between_tokens_ms:
         fitting = (
             model.between_tokens_ms * model.tokens_per_s_per_replica
-        ) // _MS_PER_S
+        ) // _units.MS_PER_S
         yield _clashes.Clash(
             (
                 f"{field}.between_tokens_ms",
--- a/lagooncrank/questionnaire/_numbers.py
+++ b/lagooncrank/questionnaire/_numbers.py
@@ -2,18 +2,16 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-import ipaddress
 import math
-import re
 import typing
 
+from lagooncrank import settings
 from lagooncrank.questionnaire import _answers
 from lagooncrank.questionnaire import _clashes
 from lagooncrank.questionnaire import _question
 
 #: Largest number that an answer may give.
 MAX_ANSWER = 1e9
-MAX_PORT = 65_535
 
 #: Number fields that may be zero; all others must be above it.
 _MAY_BE_ZERO = frozenset(
@@ -26,8 +24,6 @@
         "remembered_h",
     }
 )
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-_DIGEST = re.compile(r"[0-9a-f]{64}")
 
 
 def check_single_answers(
@@ -58,7 +54,7 @@
 ) -> Iterator[_clashes.Clash]:
     least = "0 or more" if name in _MAY_BE_ZERO else "above 0"
     low = number >= 0 if name in _MAY_BE_ZERO else number > 0
-    most = MAX_PORT if name.endswith("_port") else MAX_ANSWER
+    most = settings.MAX_PORT if name.endswith("_port") else MAX_ANSWER
     if not low or not number <= most or math.isnan(number):
         yield _clashes.Clash(
             (field,),
@@ -75,7 +71,7 @@
     for index, service in enumerate(answers.services):
         models[f"services[{index}]"] = service.name
     yield from _distinct(models)
-    if not _NAME.fullmatch(answers.deployment):
+    if not settings.is_name(answers.deployment):
         yield _bad_name("deployment", answers.deployment)
 
 
@@ -91,14 +87,14 @@
     yield from _distinct(named)
     for index, item in enumerate(items):
         domain = getattr(item, "failure_domain", None)
-        if domain is not None and not _NAME.fullmatch(domain):
+        if domain is not None and not settings.is_name(domain):
             yield _bad_name(f"{field}[{index}].failure_domain", domain)
 
 
 def _distinct(named: dict[str, str]) -> Iterator[_clashes.Clash]:
     seen: dict[str, str] = {}
     for field, name in named.items():
-        if not _NAME.fullmatch(name):
+        if not settings.is_name(name):
             yield _bad_name(f"{field}.name", name)
         elif name in seen:
             yield _clashes.Clash(
@@ -113,7 +109,7 @@
     return _clashes.Clash(
         (field,),
         f"{name!r} cannot be a name",
-        "use 1 to 63 letters, digits, '.', '_' or '-', a letter or digit first",
+        f"use {settings.NAME_RULE}",
     )
 
 
@@ -121,9 +117,7 @@
     taken: dict[tuple[str, int], str] = {}
     for index, instance in enumerate(answers.entry_instances):
         field = f"entry_instances[{index}]"
-        try:
-            ipaddress.ip_address(instance.ip)
-        except ValueError:
+        if not settings.is_ip(instance.ip):
             yield _clashes.Clash(
                 (f"{field}.ip",),
                 f"{instance.ip!r} is no IP address",
@@ -151,7 +145,7 @@
             digests[f"accounts[{at}].key_sha256s[{index}]"] = digest
     seen: dict[str, str] = {}
     for field, digest in digests.items():
-        if not _DIGEST.fullmatch(digest):
+        if not settings.is_key_digest(digest):
             yield _clashes.Clash(
                 (field,),
                 "is no SHA-256 digest",
--- a/lagooncrank/questionnaire/_processes.py
+++ b/lagooncrank/questionnaire/_processes.py
@@ -2,9 +2,9 @@
 
 from lagooncrank.questionnaire import _answers
 from lagooncrank.questionnaire import _explained
+from lagooncrank.questionnaire import _units
 from lagooncrank.questionnaire import _voters
 
-MS_PER_S = 1_000
 #: Bytes of one token of a prompt, generously.
 BYTES_PER_TOKEN = 8
 #: Smallest limit on the body of a request.
@@ -91,10 +91,10 @@
         default=0,
     )
     service_ms = max(
-        (round(s.longest_answer_s * MS_PER_S) for s in answers.services),
+        (_units.s_to_ms(s.longest_answer_s) for s in answers.services),
         default=0,
     )
-    kept_ms = round(answers.tolerance.addresses_kept_s * MS_PER_S)
+    kept_ms = _units.s_to_ms(answers.tolerance.addresses_kept_s)
     return (
         kept_ms + max(longest_ms, service_ms),
         f"applications keep the address for {kept_ms} ms, then the longest "
--- a/lagooncrank/questionnaire/_rules.py
+++ b/lagooncrank/questionnaire/_rules.py
@@ -5,9 +5,8 @@
 from lagooncrank import model as lagooncrank_model
 from lagooncrank.questionnaire import _answers
 from lagooncrank.questionnaire import _explained
+from lagooncrank.questionnaire import _units
 
-MS_PER_S = 1_000
-BYTES_PER_GIB = 2**30
 #: Shortest time in which an order is given up, in seconds.
 MIN_ORDER_S = 30.0
 #: How much longer than one load an order may take.
@@ -67,17 +66,17 @@
                 "repair",
             ),
             "pause_grace_ms": _E(
-                _ms(grace_s),
+                _units.s_to_ms(grace_s),
                 f"a pause usually lasts {tolerance.usual_pause_s:g} s and a "
                 f"load of {load.gib:g} GiB {load.seconds:g} s; waiting longer "
                 "than the shorter of the two does not pay",
             ),
             "hold_down_ms": _E(
-                _ms(tolerance.trusted_after_s),
+                _units.s_to_ms(tolerance.trusted_after_s),
                 "time up after which an instance that failed is used again",
             ),
             "max_order_ms": _E(
-                _ms(order_s),
+                _units.s_to_ms(order_s),
                 f"{ORDER_HEADROOM:g} times a load of {load.seconds:g} s, at "
                 f"least {MIN_ORDER_S:g} s",
             ),
@@ -92,7 +91,7 @@
         {
             "address": _E(store.address, "as answered"),
             "bytes_per_s": _E(
-                max(round(store.gib_per_s * BYTES_PER_GIB), 1),
+                max(_units.gib_to_bytes(store.gib_per_s), 1),
                 f"{store.gib_per_s:g} GiB/s in all",
             ),
             "concurrent_loads": _E(store.loads_at_once, "as answered"),
@@ -111,11 +110,11 @@
                 "that leaves gets no new work after 3 s",
             ),
             "configuration_ms": _E(
-                _ms(tolerance.cut_off_s),
+                _units.s_to_ms(tolerance.cut_off_s),
                 "how long an entry that is cut off goes on",
             ),
             "entries_keep_for_ms": _E(
-                _ms(tolerance.addresses_kept_s),
+                _units.s_to_ms(tolerance.addresses_kept_s),
                 "how long applications keep an address; a planned stop of an "
                 "entry waits as long",
             ),
@@ -166,7 +165,3 @@
             f"{first}"
         )
     return "".join(parts)
-
-
-def _ms(duration_s: float) -> int:
-    return round(duration_s * MS_PER_S)
--- a/lagooncrank/questionnaire/_services.py
+++ b/lagooncrank/questionnaire/_services.py
@@ -8,10 +8,8 @@
 from lagooncrank.questionnaire import _room
 from lagooncrank.questionnaire import _rules
 from lagooncrank.questionnaire import _shares
+from lagooncrank.questionnaire import _units
 
-MS_PER_S = 1_000
-BYTES_PER_GIB = 2**30
-MS_PER_H = 3_600_000
 #: Fewest requests that an account may have waiting.
 MIN_QUEUED_REQUESTS = 10
 
@@ -33,7 +31,7 @@
         for domain, count in room.by_fabric_domain.items()
     )
     first_token_ms = _strictest_wait_ms(answers, model)
-    weight_bytes = round(model.weight_gib_per_instance * BYTES_PER_GIB)
+    weight_bytes = _units.gib_to_bytes(model.weight_gib_per_instance)
     return _explained.Section(
         {
             "name": _E(model.name, "what callers ask for"),
@@ -90,7 +88,7 @@
         lookup_why = "tells whether a call ran whose answer was lost"
     else:
         lookup_why = "no lookup: a call whose answer was lost stays unknown"
-    retention_ms = max(round(service.remembered_h * MS_PER_H), 1)
+    retention_ms = max(round(service.remembered_h * _units.MS_PER_H), 1)
     return _explained.Section(
         {
             "name": _E(service.name, "part of the path that callers use"),
@@ -164,4 +162,4 @@
 
 
 def _ms(duration_s: float) -> int:
-    return max(round(duration_s * MS_PER_S), 1)
+    return max(_units.s_to_ms(duration_s), 1)
--- /dev/null
+++ b/lagooncrank/questionnaire/_units.py
@@ -0,0 +1,19 @@
+"""Turns the units of answers into those of declarations."""
+
+MS_PER_S = 1_000
+MS_PER_H = 3_600_000
+BYTES_PER_GIB = 2**30
+
+
+def s_to_ms(duration_s: float) -> int:
+    """Returns whole milliseconds.
+
+    >>> s_to_ms(1.3)
+    1300
+    """
+    return round(duration_s * MS_PER_S)
+
+
+def gib_to_bytes(size_gib: float) -> int:
+    """Returns whole bytes."""
+    return round(size_gib * BYTES_PER_GIB)
--- a/lagooncrank/questionnaire/tests/test_generate.py
+++ b/lagooncrank/questionnaire/tests/test_generate.py
@@ -3,20 +3,15 @@
 import pathlib
 from typing import Any
 
-import hypothesis
-from hypothesis import strategies as st
 import pytest
 from returns import result
 
-from lagooncrank import model
 from lagooncrank import questionnaire
 from lagooncrank import results
 from lagooncrank import settings
-from lagooncrank.core import membership
-from lagooncrank.core import state
+from lagooncrank.questionnaire.tests import acceptance
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
-NODE = model.NodeId("n1")
 Answers = questionnaire.Answers
 Change = Callable[[Answers], Answers]
 
@@ -198,7 +193,7 @@
 def test_ready_answers_are_accepted(name: str) -> None:
     first = questionnaire.generate(load(name)).unwrap()
     assert questionnaire.generate(load(name)).unwrap() == first
-    check_accepted(first)
+    acceptance.check_accepted(first)
 
 
 def test_harms_are_weighed_as_each_deployment_does() -> None:
@@ -210,130 +205,3 @@
         stranded = placement.stranded_accelerator_weight * accelerators
         weights[name] = placement.group_downtime_weight / stranded
     assert weights["nilegrid"] > 1 > weights["siam"]
-
-
-def check_accepted(configuration: questionnaire.Configuration) -> None:
-    """Checks that every part which a daemon feeds takes the files."""
-    text = configuration.declarations.text
-    declarations = settings.parse_declarations(text, "declarations.yaml")
-    command = state.ApplyDeclarations("c", 0, declarations, "author", 0)
-    decoded = state.decode_command(state.encode_command(command))
-    machine = state.StateMachine()
-    assert machine.apply(1, decoded).ok
-    restored = state.StateMachine.from_snapshot(machine.snapshot())
-    assert restored.configuration is not None
-    assert restored.configuration.declarations == declarations
-    membership.MembershipTable(NODE, 1, declarations.leases)
-    nodes = set()
-    for file in configuration.settings:
-        process = settings.parse_process_settings(file.text, file.name)
-        assert process.own.votes == bool(process.data_folder)
-        nodes.add(process.nodes)
-    assert len(nodes) == 1
-    for line in [t for f in configuration.files for t in f.text.splitlines()]:
-        assert line == line.rstrip()
-
-
-names = st.from_regex(r"[a-z][a-z0-9.-]{0,8}", fullmatch=True)
-digests = st.integers(0, 16**64 - 1).map(lambda n: f"{n:064x}")
-
-
-@st.composite
-def answer_sets(draw: st.DrawFn) -> Answers:
-    """Draws answers, of which many but not all are accepted."""
-    sites = [f"site-{index}" for index in range(draw(st.integers(1, 5)))]
-    instances = tuple(
-        questionnaire.EntryInstanceAnswers(
-            name=f"e{index}",
-            ip=f"10.0.0.{index + 1}",
-            failure_domain=sites[index % len(sites)],
-            data_folder="/data" if draw(st.integers(0, 9)) else "",
-        )
-        for index in range(draw(st.integers(1, 9)))
-    )
-    domains = tuple(
-        questionnaire.FabricDomainAnswers(
-            f"f{index}", sites[index % len(sites)], draw(st.integers(1, 40))
-        )
-        for index in range(draw(st.integers(1, 6)))
-    )
-    replicas = draw(st.integers(1, 6))
-    drafts = questionnaire.ModelAnswers(
-        name=draw(names),
-        version=draw(st.text(min_size=1, max_size=8)),
-        replicas=replicas,
-        replicas_floor=draw(st.integers(0, replicas)),
-        instances_per_replica=draw(st.integers(1, 6)),
-        tokens_per_s_per_replica=draw(st.integers(500, 5_000)),
-        concurrency_per_replica=draw(st.integers(1, 40)),
-        fastest_first_token_s=draw(st.floats(0.01, 1.5)),
-        weight_gib_per_instance=draw(st.floats(0, 500)),
-    )
-    accounts = tuple(
-        questionnaire.AccountAnswers(
-            name=f"a{index}",
-            size=draw(st.sampled_from(questionnaire.AccountSize)),
-            key_sha256s=(f"{index:064x}",),
-            first_token_wait_s=draw(st.floats(1.0, 60.0)),
-            traffic=(
-                questionnaire.TrafficAnswers(
-                    drafts.name,
-                    draw(st.floats(0.01, 2.0)),
-                    draw(st.integers(1, 1_000)),
-                ),
-            ),
-        )
-        for index in range(draw(st.integers(0, 8)))
-    )
-    return Answers(
-        deployment=draw(names),
-        entry_instances=instances,
-        fabric_domains=domains,
-        models=(drafts,),
-        services=(
-            questionnaire.ServiceAnswers(
-                "service_0",
-                draw(st.booleans()),
-                longest_answer_s=draw(st.floats(0.001, 1_000)),
-                remembered_h=draw(st.floats(0.001, 1_000)),
-            ),
-        ),
-        accounts=accounts,
-        tolerance=questionnaire.ToleranceAnswers(
-            idle_accelerator_minutes=draw(st.floats(0.001, 1e6)),
-            further_losses=draw(st.integers(0, 3)),
-            survive=draw(st.sampled_from(questionnaire.Survival)),
-            usual_pause_s=draw(st.floats(0, 100)),
-            cut_off_s=draw(st.floats(0.1, 100)),
-        ),
-        weight_store=questionnaire.WeightStoreAnswers(
-            draw(st.floats(0.001, 1e5)), draw(st.integers(1, 100))
-        ),
-        operator_key_sha256s=tuple(draw(st.lists(digests, max_size=2))),
-    )
-
-
-@hypothesis.given(answer_sets())
-def test_answers_are_accepted_whole_or_refused(answers: Answers) -> None:
-    made = questionnaire.generate(answers)
-    if isinstance(made, result.Success):
-        check_accepted(made.unwrap())
-        assert questionnaire.generate(answers) == made
-    else:
-        clashes = made.failure()
-        assert clashes
-        assert all(c.answers and c.reason and c.remedy for c in clashes)
-
-
-def test_many_drawn_answers_are_accepted() -> None:
-    """Keeps the property test above from holding for want of cases."""
-    outcomes = []
-
-    @hypothesis.settings(max_examples=100)
-    @hypothesis.given(answer_sets())
-    def collect(answers: Answers) -> None:
-        made = questionnaire.generate(answers)
-        outcomes.append(isinstance(made, result.Success))
-
-    collect()
-    assert len(outcomes) / 5 < sum(outcomes) < len(outcomes)
--- a/lagooncrank/settings/__init__.py
+++ b/lagooncrank/settings/__init__.py
@@ -1,6 +1,12 @@
 """Process settings and declarations, read from YAML and checked."""
 
 from lagooncrank.settings._checks import check_declarations
+from lagooncrank.settings._formats import is_address
+from lagooncrank.settings._formats import is_ip
+from lagooncrank.settings._formats import is_key_digest
+from lagooncrank.settings._formats import is_name
+from lagooncrank.settings._formats import MAX_PORT
+from lagooncrank.settings._formats import NAME_RULE
 from lagooncrank.settings._problems import Problem
 from lagooncrank.settings._problems import SettingsError
 from lagooncrank.settings._process import LimitSettings
@@ -8,7 +14,6 @@
 from lagooncrank.settings._process import ProcessSettings
 from lagooncrank.settings._process import Role
 from lagooncrank.settings._process_checks import check_process_settings
-from lagooncrank.settings._process_checks import is_address
 from lagooncrank.settings._shapes import check_shape
 from lagooncrank.settings._shared_key import load_shared_key
 from lagooncrank.settings._yaml import load
@@ -19,6 +24,8 @@
 from lagooncrank.settings._yaml import parse_process_settings
 
 __all__ = [
+    "MAX_PORT",
+    "NAME_RULE",
     "LimitSettings",
     "PeerSettings",
     "Problem",
@@ -29,6 +36,9 @@
     "check_process_settings",
     "check_shape",
     "is_address",
+    "is_ip",
+    "is_key_digest",
+    "is_name",
     "load",
     "load_declarations",
     "load_process_settings",
--- a/lagooncrank/settings/_checks.py
+++ b/lagooncrank/settings/_checks.py
@@ -3,14 +3,11 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-import re
 
 from lagooncrank import model
+from lagooncrank.settings import _formats
 from lagooncrank.settings import _problems
 
-_KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-
 #: Fields that must be above zero, by the class that holds them.
 _POSITIVE = {
     model.ModelService: (
@@ -129,11 +126,10 @@
     for named in (services, accounts):
         seen: dict[str, str] = {}
         for field, name in named:
-            if not _NAME.fullmatch(name):
+            if not _formats.is_name(name):
                 yield _problems.Problem(
                     f"{field}.name",
-                    f"{name!r} is not allowed: use 1 to 63 letters, digits, "
-                    "'.', '_' or '-', a letter or digit first",
+                    f"{name!r} is not allowed: use {_formats.NAME_RULE}",
                 )
             if name in seen:
                 yield _problems.Problem(
@@ -209,11 +205,9 @@
 ) -> Iterator[_problems.Problem]:
     for at, digest in enumerate(account.key_sha256s):
         place = f"{field}.key_sha256s[{at}]"
-        if not _KEY_DIGEST.fullmatch(digest):
+        if not _formats.is_key_digest(digest):
             yield _problems.Problem(
-                place,
-                "must be 64 lower-case hexadecimal digits: the SHA-256 of "
-                "the key, never the key itself",
+                place, f"must be {_formats.KEY_DIGEST_RULE}"
             )
         elif digest in owners:
             yield _problems.Problem(
--- a/lagooncrank/settings/_process_checks.py
+++ b/lagooncrank/settings/_process_checks.py
@@ -2,37 +2,15 @@
 
 from collections.abc import Iterator
 import dataclasses
-import ipaddress
-import re
 
+from lagooncrank.settings import _formats
 from lagooncrank.settings import _problems
 from lagooncrank.settings import _process
 
-MAX_PORT = 65_535
 #: Voters allowed: an even number survives no more losses than one fewer.
 VOTER_COUNTS = (1, 3, 5, 7)
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
 
-_KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
-
-
-def is_address(text: str) -> bool:
-    """Returns whether `text` is an IP address and a port.
-
-    >>> is_address("10.0.0.1:7000"), is_address("[::1]:7000")
-    (True, True)
-    >>> is_address("localhost:7000"), is_address("10.0.0.1")
-    (False, False)
-    """
-    host, _, port = text.rpartition(":")
-    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
-        return False
-    try:
-        address = ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return address.version == 4 or host.startswith("[")
-
 
 def check_process_settings(
     process_settings: _process.ProcessSettings,
@@ -48,11 +26,10 @@
     yield from _check_voters(process_settings)
     yield from _check_own(process_settings)
     for index, digest in enumerate(process_settings.operator_key_sha256s):
-        if not _KEY_DIGEST.fullmatch(digest):
+        if not _formats.is_key_digest(digest):
             yield _problems.Problem(
                 f"operator_key_sha256s[{index}]",
-                "must be 64 lower-case hexadecimal digits: the SHA-256 of "
-                "the key, never the key itself",
+                f"must be {_formats.KEY_DIGEST_RULE}",
             )
     yield from _check_limits(process_settings)
 
@@ -68,7 +45,7 @@
             "entry_address": node.entry_address,
         }
         for name, address in addresses.items():
-            if not is_address(address):
+            if not _formats.is_address(address):
                 yield _problems.Problem(
                     f"{field}.{name}",
                     f"is {address!r}, must be an IP address and a port such "
