--- a/lagooncrank/cli/_questionnaire_command.py
+++ b/lagooncrank/cli/_questionnaire_command.py
@@ -1,5 +1,6 @@
 """Command that turns answers into a configuration."""
 
+from collections.abc import Sequence
 import pathlib
 from typing import Annotated
 
@@ -37,7 +38,7 @@
         return
     if answers is None:
         source = _STANDARD_INPUT
-        filled = questionnaire.Interview(input, print).answers()
+        filled = _interview()
     else:
         source = str(answers)
         filled = settings.load(
@@ -46,18 +47,32 @@
             results.ResultCode.INVALID_DECLARATIONS,
         )
     made = questionnaire.generate(filled)
+    typed = [questionnaire.answers_file(filled)] if answers is None else []
     if isinstance(made, result.Success):
-        _write(made.unwrap(), out)
+        _write([*typed, *made.unwrap().files], out)
     else:
+        _write(typed, out)
         raise questionnaire.ClashError(source, made.failure())
 
 
+def _interview() -> questionnaire.Answers:
+    try:
+        return questionnaire.Interview(input, print).answers()
+    except EOFError as error:
+        refusal = results.Refusal(
+            results.ResultCode.INVALID_DECLARATIONS,
+            "the input ended before every question was answered; nothing was "
+            "written",
+        )
+        raise results.LagooncrankError(refusal) from error
+
+
 def _write(
-    configuration: questionnaire.Configuration, folder: pathlib.Path
+    files: Sequence[questionnaire.GeneratedFile], folder: pathlib.Path
 ) -> None:
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        for file in configuration.files:
+        for file in files:
             path = folder / file.name
             path.write_text(file.text, encoding="utf-8")
             _output.progress(f"wrote {path}")
--- a/lagooncrank/cli/tests/test_commands.py
+++ b/lagooncrank/cli/tests/test_commands.py
@@ -1,6 +1,7 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import io
 import json
 import pathlib
 import threading
@@ -10,8 +11,12 @@
 import yaml
 
 from lagooncrank import cli
+from lagooncrank import questionnaire
+from lagooncrank import results
+from lagooncrank import settings
 from lagooncrank.cli import _exits
 from lagooncrank.core import state
+from lagooncrank.questionnaire.tests import test_interview
 from lagooncrank.server.http.tests import operator_node
 
 Exit = _exits.ExitCode
@@ -238,3 +243,32 @@
         COMP_CWORD="1",
     )
     assert operator.run()[1].split() == ["quarantine", "questionnaire"]
+
+
+def test_typed_answers_are_written_down(
+    operator: Operator, tmp_path: pathlib.Path
+) -> None:
+    path = EXAMPLES / "siam.yaml"
+    code = results.ResultCode.INVALID_DECLARATIONS
+    answers = settings.load(path, questionnaire.Answers, code)
+    lines = "\n".join(test_interview.typed(answers)) + "\n"
+    operator.monkeypatch.setattr("sys.stdin", io.StringIO(lines))
+    typed, again = tmp_path / "typed", tmp_path / "again"
+    assert operator.run("questionnaire", "--out", str(typed))[0] == Exit.OK
+    options = ("--answers", str(typed / "answers.yaml"), "--out", str(again))
+    assert operator.run("questionnaire", *options)[0] == Exit.OK
+    files = list(again.iterdir())
+    assert len(files) == len(answers.entry_instances) + 1
+    for made in files:
+        assert made.read_bytes() == (typed / made.name).read_bytes()
+
+
+def test_ended_input_writes_nothing(
+    operator: Operator, tmp_path: pathlib.Path
+) -> None:
+    operator.monkeypatch.setattr("sys.stdin", io.StringIO("nilegrid\n"))
+    out = tmp_path / "made"
+    code, _, err = operator.run("questionnaire", "--out", str(out))
+    assert code == Exit.INVALID_FILE
+    assert "the input ended before every question was answered" in err
+    assert not out.exists()
--- a/lagooncrank/questionnaire/__init__.py
+++ b/lagooncrank/questionnaire/__init__.py
@@ -14,6 +14,7 @@
 from lagooncrank.questionnaire._clashes import Clash
 from lagooncrank.questionnaire._clashes import ClashError
 from lagooncrank.questionnaire._form import blank_form
+from lagooncrank.questionnaire._generate import answers_file
 from lagooncrank.questionnaire._generate import Configuration
 from lagooncrank.questionnaire._generate import generate
 from lagooncrank.questionnaire._generate import GeneratedFile
@@ -36,6 +37,7 @@
     "ToleranceAnswers",
     "TrafficAnswers",
     "WeightStoreAnswers",
+    "answers_file",
     "blank_form",
     "generate",
 ]
--- a/lagooncrank/questionnaire/_form.py
+++ b/lagooncrank/questionnaire/_form.py
@@ -5,6 +5,9 @@
 import textwrap
 from typing import Any
 
+import msgspec
+import yaml
+
 from lagooncrank.questionnaire import _answers
 from lagooncrank.questionnaire import _question
 
@@ -23,6 +26,13 @@
     return "\n".join(lines) + "\n"
 
 
+def filled_form(answers: _answers.Answers) -> str:
+    """Returns answers.yaml with these answers, without the questions."""
+    return yaml.safe_dump(
+        msgspec.to_builtins(answers), sort_keys=False, allow_unicode=True
+    )
+
+
 def _fields(kind: Any, indent: str) -> Iterator[str]:
     for asked in _question.questions(kind):
         yield from _comment(asked, indent)
--- a/lagooncrank/questionnaire/_generate.py
+++ b/lagooncrank/questionnaire/_generate.py
@@ -8,6 +8,7 @@
 from lagooncrank.questionnaire import _clashes
 from lagooncrank.questionnaire import _explained
 from lagooncrank.questionnaire import _feasibility
+from lagooncrank.questionnaire import _form
 from lagooncrank.questionnaire import _processes
 from lagooncrank.questionnaire import _room
 from lagooncrank.questionnaire import _rules
@@ -15,6 +16,7 @@
 from lagooncrank.questionnaire import _shares
 from lagooncrank.questionnaire import _voters
 
+ANSWERS_FILE = "answers.yaml"
 DECLARATIONS_FILE = "declarations.yaml"
 
 
@@ -40,6 +42,11 @@
         return (self.declarations, *self.settings)
 
 
+def answers_file(answers: _answers.Answers) -> GeneratedFile:
+    """Returns the file that gives the same configuration again."""
+    return GeneratedFile(ANSWERS_FILE, _form.filled_form(answers))
+
+
 def generate(
     answers: _answers.Answers,
 ) -> result.Result[Configuration, tuple[_clashes.Clash, ...]]:
