--- a/lagooncrank/settings/__init__.py
+++ b/lagooncrank/settings/__init__.py
@@ -11,6 +11,7 @@
 from lagooncrank.settings._problems import SettingsError
 from lagooncrank.settings._process import LimitSettings
 from lagooncrank.settings._process import PeerSettings
+from lagooncrank.settings._process import PolicySettings
 from lagooncrank.settings._process import ProcessSettings
 from lagooncrank.settings._process import Role
 from lagooncrank.settings._process_checks import check_process_settings
@@ -28,6 +29,7 @@
     "NAME_RULE",
     "LimitSettings",
     "PeerSettings",
+    "PolicySettings",
     "Problem",
     "ProcessSettings",
     "Role",
