Measure capacity anew; check policy names of process settings

Cause: usage reports became columns and come every 400 ms; a policy name that is not registered would have ended the daemon in a traceback.

Process settings with an unknown policy are refused, naming those registered.

--- a/bench/_capacity_entry.py
+++ b/bench/_capacity_entry.py
@@ -32,8 +32,8 @@
     yield _capacity_rows.bytes_row(
         "entry",
         "exchange of announcements, server/_announcements.py",
-        "2 ways x peers x 4/s x (frame + wire_renewal line at the "
-        "renewals of 250 ms)",
+        f"2 ways x peers x {rates.exchanges:g}/s x (frame + wire_renewal "
+        "line at the renewals between two)",
         2
         * lines.peers
         * rates.exchanges
@@ -42,7 +42,8 @@
     yield _capacity_rows.bytes_row(
         "entry",
         "entry states, server/_entries.py",
-        "2 ways x peers x 2/s x (frame + wire_entry_state)",
+        f"2 ways x peers x {rates.entry_states:g}/s x (frame + "
+        "wire_entry_state)",
         2
         * lines.peers
         * rates.entry_states
@@ -52,8 +53,8 @@
     yield _capacity_rows.bytes_row(
         "entry",
         "usage reports, server/_usage.py",
-        "2 ways x peers x 5/s x (frame + wire_usage line at accounts / "
-        "nodes in use)",
+        f"2 ways x peers x {rates.usage_reports:g}/s x (frame + wire_usage "
+        "line at accounts / nodes in use)",
         2
         * lines.peers
         * rates.usage_reports
@@ -62,7 +63,7 @@
     yield _capacity_rows.bytes_row(
         "entry",
         "polls of an upstream, core/consensus/_polling.py",
-        "4/s x (2 frames + wire_poll)",
+        f"{rates.polls:g}/s x (2 frames + wire_poll)",
         rates.polls
         * (lines.slope("wire_poll") + 2 * _capacity_plan.FRAME_BYTES),
     )
@@ -102,14 +103,16 @@
     yield _capacity_rows.cpu_row(
         "entry",
         "exchange of announcements, server/_announcements.py",
-        "peers x 4/s x cpu_message + 2 x backend servers x cpu_renewal",
+        f"peers x {rates.exchanges:g}/s x cpu_message + 2 x backend servers "
+        "x cpu_renewal",
         lines.peers * rates.exchanges * message
         + 2 * plan.backend_servers * lines.slope("cpu_renewal"),
     )
     yield _capacity_rows.cpu_row(
         "entry",
         "entry states and usage reports, server/_entries.py, _usage.py",
-        "peers x (2/s + 5/s) x cpu_message",
+        f"peers x ({rates.entry_states:g}/s + {rates.usage_reports:g}/s) x "
+        "cpu_message",
         lines.peers * (rates.entry_states + rates.usage_reports) * message,
     )
     yield _capacity_rows.cpu_row(
@@ -123,8 +126,9 @@
     yield _capacity_rows.cpu_row(
         "entry",
         "admission, core/admission",
-        "requests/s / nodes x cpu_admission at no account + models x 5/s "
-        "x cpu_admission_tick line at accounts / nodes in use",
+        "requests/s / nodes x cpu_admission at no account + models "
+        f"x {rates.limit_updates:g}/s x cpu_admission_tick line at accounts "
+        "/ nodes in use",
         plan.requests_per_s / plan.nodes * lines.base("cpu_admission")
         + plan.models
         * rates.limit_updates
--- a/bench/_capacity_plan.py
+++ b/bench/_capacity_plan.py
@@ -46,11 +46,11 @@
 
     exchanges: float = 4.0
     entry_states: float = 2.0
-    usage_reports: float = 5.0
+    usage_reports: float = 2.5
     polls: float = 4.0
     heartbeats: float = 10.0
     placement_steps: float = 4.0
-    limit_updates: float = 5.0
+    limit_updates: float = 2.5
     #: Followers that one node serves at most.
     fan_out: int = 8
     #: Reports of a node on one change, to each voter.
--- a/lagooncrank/settings/_process_checks.py
+++ b/lagooncrank/settings/_process_checks.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Iterator
 import dataclasses
+from typing import Any
 
+from lagooncrank import registry
+from lagooncrank.core import admission
+from lagooncrank.core import placement
+from lagooncrank.core import retry
+from lagooncrank.core import routing
 from lagooncrank.settings import _formats
 from lagooncrank.settings import _problems
 from lagooncrank.settings import _process
@@ -32,6 +38,26 @@
                 f"must be {_formats.KEY_DIGEST_RULE}",
             )
     yield from _check_limits(process_settings)
+    yield from _check_policies(process_settings.policies)
+
+
+def _check_policies(
+    policies: _process.PolicySettings,
+) -> Iterator[_problems.Problem]:
+    registries: dict[str, registry.Registry[Any]] = {
+        "admission": admission.ADMISSIONS,
+        "router": routing.ROUTERS,
+        "retry": retry.RETRY_POLICIES,
+        "suspicion": retry.SUSPICIONS,
+        "placement": placement.POLICIES,
+    }
+    for name, registered in registries.items():
+        value = getattr(policies, name)
+        if value not in registered.names():
+            yield _problems.Problem(
+                f"policies.{name}",
+                f"is {value!r}; allowed: {', '.join(registered.names())}",
+            )
 
 
 def _check_nodes(
--- a/lagooncrank/settings/tests/test_yaml.py
+++ b/lagooncrank/settings/tests/test_yaml.py
@@ -197,6 +197,10 @@
         f"nodes: [{NODE}]\nlimits:\n  request_bytes: 0",
         "line 3: limits.request_bytes: is 0, must be above 0",
     ),
+    "unknown_policy": (
+        f"nodes: [{NODE}]\npolicies:\n  router: nearest",
+        "line 3: policies.router: is 'nearest'; allowed: balanced, round_robin",
+    ),
     "log_level": (
         f"nodes: [{NODE}]\nlog_level: LOUD",
         "line 2: log_level: is 'LOUD'; allowed: DEBUG, INFO",
