--- a/lagooncrank/core/consensus/_context.py
+++ b/lagooncrank/core/consensus/_context.py
@@ -21,7 +21,7 @@
 class Timing:
     """Durations of the consensus protocol."""
 
-    heartbeat_ms: int = 100
+    heartbeat_ms: int = 150
     #: Silence after which a follower may stand for election.
     election_min_ms: int = 600
     election_max_ms: int = 1_200
--- a/lagooncrank/core/consensus/_leading.py
+++ b/lagooncrank/core/consensus/_leading.py
@@ -12,6 +12,8 @@
 
     next_index: int
     match_index: int = 0
+    #: Commit index that the follower was last told.
+    told_commit_index: int = 0
     #: Newest heartbeat round that the follower answered.
     acked_round: int = 0
     #: When that round was sent, on the leader's clock.
@@ -62,12 +64,18 @@
             self._heartbeat(now_ms)
 
     def replicate(self, now_ms: int) -> None:
-        """Sends every follower the entries that it was not yet sent."""
+        """Sends every follower what it was not yet told.
+
+        A commit is told at once: proposers at other nodes wait for it, and
+        the next heartbeat may be far.
+        """
+        self._advance()
+        context = self._context
         for voter in self._others():
             progress = self._progress_of(voter)
-            if progress.next_index <= self._context.log.last_index:
+            lacks_entries = progress.next_index <= context.log.last_index
+            if lacks_entries or self._lacks_commit(progress):
                 self._send(voter, progress, now_ms)
-        self._advance()
 
     def on_reply(self, reply: _messages.AppendReply, now_ms: int) -> None:
         """Takes a follower's answer."""
@@ -167,8 +175,14 @@
             now_ms,
         )
         progress.next_index += len(entries)
+        progress.told_commit_index = context.commit_index
         context.send(voter, request)
 
+    def _lacks_commit(self, progress: Progress) -> bool:
+        """Whether a follower holds a committed entry without knowing it."""
+        told = progress.told_commit_index
+        return told < min(self._context.commit_index, progress.match_index)
+
     def _send_snapshot(
         self, voter: _messages.Voter, progress: Progress, now_ms: int
     ) -> None:
--- a/lagooncrank/core/consensus/_polling.py
+++ b/lagooncrank/core/consensus/_polling.py
@@ -5,7 +5,7 @@
 from lagooncrank import model
 from lagooncrank.core.consensus import _relay
 
-POLL_MS: Final = 250
+POLL_MS: Final = 500
 #: Interval while a read waits.
 URGENT_POLL_MS: Final = 50
 #: An upstream without news of the quorum for this long is left.
--- a/lagooncrank/core/consensus/tests/test_node.py
+++ b/lagooncrank/core/consensus/tests/test_node.py
@@ -34,6 +34,14 @@
         assert data_of(process) == [b"a", b"b"]
 
 
+def test_commit_is_told_to_followers_before_the_next_heartbeat() -> None:
+    cluster, leader = led_cluster()
+    cluster.propose(leader, b"a")
+    cluster.settle()
+    for process in cluster.processes.values():
+        assert data_of(process) == [b"a"]
+
+
 def test_minority_commits_nothing_and_leader_steps_down() -> None:
     cluster, leader = led_cluster()
     cluster.isolate(leader)
