--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -18,6 +18,7 @@
 from lagooncrank.core import timeouts
 from lagooncrank.server import _admission_desk
 from lagooncrank.server import _announcements
+from lagooncrank.server import _cache_hints
 from lagooncrank.server import _call_recorder
 from lagooncrank.server import _crashes
 from lagooncrank.server import _drafts
@@ -33,12 +34,14 @@
 from lagooncrank.server import _plain_client
 from lagooncrank.server import _pools
 from lagooncrank.server import _ports
+from lagooncrank.server import _readiness
 from lagooncrank.server import _revision_reports
 from lagooncrank.server import _stop
 from lagooncrank.server import _targets
 from lagooncrank.server import _usage
 from lagooncrank.server import _watchdog
 from lagooncrank.server.http import _app
+from lagooncrank.server.http import _cache_events
 from lagooncrank.server.http import _completions
 from lagooncrank.server.http import _entries as _entry_handlers
 from lagooncrank.server.http import _gate
@@ -48,17 +51,6 @@
 from lagooncrank.server.http import _services
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Policies:
-    """Names under which the policies of an entry are registered."""
-
-    admission: str = "fair_share"
-    router: str = "balanced"
-    retry: str = "budget"
-    suspicion: str = "crash_marks"
-    placement: str = "weighted"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineBounds:
     """Bounds of the adaptive timeouts towards model engines."""
@@ -79,7 +71,6 @@
         incarnation: Number of this start; higher than that of any earlier.
         first_services: Services behind `shared` and `links`; they start
             before and stop after all others.
-        policies: Names of the policies to use.
         engine_bounds: Bounds of the adaptive timeouts.
     """
 
@@ -92,7 +83,6 @@
         clock: clocks.Clock,
         incarnation: int,
         first_services: Sequence[mode.Service] = (),
-        policies: Policies = Policies(),
         engine_bounds: EngineBounds = EngineBounds(),
     ) -> None:
         super().__init__()
@@ -108,10 +98,14 @@
         self.metrics = _metrics.Metrics()
         self.lifecycle = _lifecycle.Lifecycle(self.metrics)
         self._order_sender = _orders.HttpOrderSender()
-        self._build_core(policies)
+        self._build_core()
         self._build_clients(engine_bounds)
         self.placement = _placement.PlacementDriver(
-            shared, self.table, self._order_sender, clock, policies.placement
+            shared,
+            self.table,
+            self._order_sender,
+            clock,
+            process.policies.placement,
         )
         self.revision_reports = _revision_reports.RevisionReports(
             process.node_id,
@@ -154,7 +148,8 @@
         yield self.placement
         yield self._http_server()
 
-    def _build_core(self, policies: Policies) -> None:
+    def _build_core(self) -> None:
+        policies = self._process.policies
         own = self._process.own
         self.table = membership.MembershipTable(
             own.node_id, self._incarnation, model.LeaseRules()
@@ -208,14 +203,20 @@
         )
         self.usage = _usage.UsageExchange(self.desk, self.router, self._links)
         self.directory = _entries.EntryDirectory(
-            self._process, self.lifecycle, self._links, clock
+            self._process,
+            self.lifecycle,
+            _readiness.Readiness(self._shared, clock),
+            self._links,
+            clock,
         )
 
     def _http_server(self) -> _http_server.HttpServer:
         limits = self._process.limits
         ids = _request_ids.RequestIds(self._process.node_id, self._incarnation)
         app = _app.build(self._handlers(ids), limits, ids, self.metrics)
-        return _http_server.HttpServer(app, self._listener, limits)
+        return _http_server.HttpServer(
+            app, self._listener, limits, self.metrics, self._clock
+        )
 
     def _handlers(
         self, ids: _request_ids.RequestIds
@@ -235,6 +236,9 @@
             self.revision_reports,
             clock,
         )
+        yield _cache_events.CacheEventHandlers(
+            _cache_hints.CacheHints(self.router), shared, limits
+        )
         yield _health.HealthHandlers(self.lifecycle, shared, self.metrics)
         yield _completions.CompletionHandlers(
             gate, self._draft_parts(), limits, ids, self.watchdog
