Send long peer messages in parts of 1 MiB

An unknown sender could also make a node read 64 MiB before it proved the key. Change: a message is sent as frames of at most 1 MiB and put together up to 256 MiB; one longer than the queue's bound is taken when nothing else waits. A frame, so also what comes before the proof, is at most 1 MiB.

--- a/lagooncrank/server/links/_channel.py
+++ b/lagooncrank/server/links/_channel.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 from typing import Final
 from typing import TypeVar
 
@@ -19,8 +20,18 @@
 HANDSHAKE_TIMEOUT_S: Final = 2.0
 #: Frame that keeps an idle link alive.
 HEARTBEAT: Final = b""
-#: Bytes queued for a peer that reads slowly before messages are dropped.
+#: Bytes queued for a peer that reads slowly before messages are dropped; one
+#: larger message is taken when nothing else waits.
 MAX_QUEUED_BYTES: Final = 16_777_216
+#: Longest message put together from its parts.
+MAX_MESSAGE_BYTES: Final = 268_435_456
+#: Longest part of a message, sent as one frame.
+PART_BYTES: Final = 1_048_576
+#: Longest frame: a part with its tag and mark.
+MAX_FRAME_BYTES: Final = PART_BYTES + 1_024
+#: First byte of a frame: more parts follow, or the message is whole.
+_MORE: Final = b"\x00"
+_LAST: Final = b"\x01"
 
 T = TypeVar("T")
 
@@ -100,10 +111,12 @@
         Returns:
             False when the peer reads too slowly and the payload was dropped.
         """
-        if self._queued_bytes + len(payload) > MAX_QUEUED_BYTES:
+        is_full = self._queued_bytes + len(payload) > MAX_QUEUED_BYTES
+        if len(payload) > MAX_MESSAGE_BYTES or (self._queue and is_full):
             return False
-        self._queue.append(payload)
-        self._queued_bytes += len(payload)
+        for part in _parts(payload):
+            self._queue.append(part)
+            self._queued_bytes += len(part)
         self.sent_ms = self._clock.now_ms()
         self._wake.set()
         return True
@@ -127,13 +140,22 @@
         self._connection.transport.abort()
 
     async def _read(self, receive: Callable[[bytes], Awaitable[None]]) -> None:
+        message = bytearray()
         try:
             while True:
                 frame = await self._connection.recv(decode=False)
-                payload = self._session.open(frame)
+                part = self._session.open(frame)
                 self.heard_ms = self._clock.now_ms()
-                if payload != HEARTBEAT:
-                    await receive(payload)
+                message += part[1:]
+                if len(message) > MAX_MESSAGE_BYTES:
+                    raise _handshake.HandshakeError(
+                        self.peer, "a message is too long"
+                    )
+                if part[:1] == _LAST:
+                    payload = bytes(message)
+                    message.clear()
+                    if payload != HEARTBEAT:
+                        await receive(payload)
         except websockets.ConnectionClosed:
             return
 
@@ -150,6 +172,15 @@
             return
 
 
+def _parts(payload: bytes) -> Iterator[bytes]:
+    """Yields a message as marked parts; an empty one is one part."""
+    last = max(0, len(payload) - 1) // PART_BYTES
+    for number in range(last + 1):
+        mark = _LAST if number == last else _MORE
+        start = number * PART_BYTES
+        yield mark + payload[start : start + PART_BYTES]
+
+
 async def _receive(
     connection: ws_connection.Connection, peer: str, kind: type[T]
 ) -> T:
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -24,7 +24,6 @@
 from lagooncrank.server.links import _metrics
 
 CHECK_INTERVAL_S: Final = 0.1
-MAX_MESSAGE_BYTES: Final = 67_108_864
 
 _log = logbook.Logger("lagooncrank.links")
 
@@ -108,7 +107,7 @@
             self._accept,
             compression=None,
             ping_interval=None,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=_channel.MAX_FRAME_BYTES,
             **where,
         )
         for peer in sorted(self._known):
@@ -192,7 +191,7 @@
                 ping_interval=None,
                 open_timeout=_channel.HANDSHAKE_TIMEOUT_S,
                 close_timeout=0,
-                max_size=MAX_MESSAGE_BYTES,
+                max_size=_channel.MAX_FRAME_BYTES,
                 proxy=None,
             ) as connection:
                 channel = await _channel.Channel.dial(
--- a/lagooncrank/server/links/tests/test_links.py
+++ b/lagooncrank/server/links/tests/test_links.py
@@ -11,6 +11,7 @@
 from lagooncrank import clock
 from lagooncrank import model
 from lagooncrank.server import links
+from lagooncrank.server.links import _channel
 from lagooncrank.server.links import _handshake
 
 A = model.NodeId("a")
@@ -23,6 +24,11 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Text:
+    text: str
+
+
 def listener() -> socket.socket:
     sock = socket.socket()
     sock.bind(("127.0.0.1", 0))
@@ -107,6 +113,20 @@
         assert b.received == [(A, 3)]
 
 
+@pytest.mark.parametrize("parts", [0.5, 1.0, 20.5])
+async def test_message_of_several_parts_arrives_whole(parts: float) -> None:
+    text = "x" * int(parts * _channel.PART_BYTES)
+    taken: list[str] = []
+    async with pair() as (a, b, _):
+        b.service.on_message("text", Text, lambda _, t: taken.append(t.text))
+        await until(lambda: a.service.connected() and b.service.connected())
+        a.service.send(B, "text", Text(text))
+        await until(lambda: taken)
+        a.service.send(B, "ping", Ping(1))
+        await until(lambda: b.received)
+        assert taken == [text]
+
+
 async def test_unknown_and_invalid_messages_leave_the_link_up() -> None:
     async with pair() as (a, b, _):
         await until(lambda: a.service.connected() and b.service.connected())
