--- a/lagooncrank/core/retry/_answers.py
+++ b/lagooncrank/core/retry/_answers.py
@@ -19,6 +19,9 @@
     ),
 }
 
+#: When a caller may ask again after the last attempt failed.
+ATTEMPTS_RETRY_AFTER_MS = 1_000
+
 
 def may_have_run(call: _types.Call, failure: _types.Failure) -> bool:
     """Returns whether a further attempt could run the call a second time."""
@@ -65,6 +68,7 @@
         f"request {call.request_id} failed {failure.attempts} times, last at "
         f"{failure.target_id} ({failure.kind}); ask again later",
         ran=ran(failure),
+        retry_after_ms=ATTEMPTS_RETRY_AFTER_MS,
     )
 
 
--- a/lagooncrank/core/retry/_budget.py
+++ b/lagooncrank/core/retry/_budget.py
@@ -11,8 +11,11 @@
 
 #: Retries that an account may save up, beyond the floor of one minute.
 MAX_SAVED_RETRIES = 100.0
-#: First wait before a target may have changed its mind; doubles.
-REFUSED_DELAY_MS = 50
+#: First and longest wait before another try after a target was full.
+REFUSED_DELAY_MS = 25
+MAX_REFUSED_DELAY_MS = 200
+#: Refused attempts after which a request is given up.
+MAX_REFUSALS = 10
 MS_PER_MINUTE = 60_000
 #: Caller's wait after its retry budget is spent.
 RETRY_AFTER_MS = 1_000
@@ -51,7 +54,8 @@
 
     Each first attempt earns its account `budget_ratio` of a retry, so that a
     storm of failures adds at most that part to the load; a quiet account may
-    always make a few retries a minute.
+    always make a few retries a minute. Attempts that a full target refused
+    cost it nothing: they are limited in number and pace instead.
     """
 
     def __init__(
@@ -95,7 +99,11 @@
             return _answers.unknown_outcome(call, failure)
         if now_ms + _delay_ms(failure) >= call.deadline_ms:
             return _answers.deadline_passed(call, failure)
-        if failure.attempts >= self._rules.max_attempts:
+        if failure.refusals and failure.kind is _types.FailureKind.REFUSED:
+            if failure.refusals >= MAX_REFUSALS:
+                return _answers.attempts_spent(call, failure)
+            return None
+        if failure.attempts - failure.refusals >= self._rules.max_attempts:
             return _answers.attempts_spent(call, failure)
         if not self._bucket(call.account, now_ms).take():
             return _answers.budget_spent(call, failure, RETRY_AFTER_MS)
@@ -115,4 +123,5 @@
     """Returns the wait before a retry: none unless a target was full."""
     if failure.kind is not _types.FailureKind.REFUSED:
         return 0
-    return REFUSED_DELAY_MS << (failure.attempts - 1)
+    delay_ms = REFUSED_DELAY_MS << min(failure.attempts - 1, 8)
+    return min(delay_ms, MAX_REFUSED_DELAY_MS)
--- a/lagooncrank/core/retry/_types.py
+++ b/lagooncrank/core/retry/_types.py
@@ -45,6 +45,8 @@
     bytes_written: bool
     #: Attempts made so far, this one included.
     attempts: int
+    #: Attempts among them that a target refused without running them.
+    refusals: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagooncrank/core/retry/tests/test_budget.py
+++ b/lagooncrank/core/retry/tests/test_budget.py
@@ -131,6 +131,31 @@
     assert retried["budget"] <= 0.1 * 600 + 10
 
 
+@pytest.mark.parametrize(
+    ("refusals", "retried"),
+    [
+        pytest.param(1, True, id="first-refusal"),
+        pytest.param(9, True, id="ninth-refusal"),
+        pytest.param(10, False, id="tenth-refusal"),
+    ],
+)
+def test_full_targets_are_asked_again_without_the_budget(
+    refusals: int, retried: bool
+) -> None:
+    rules = model.RetryRules(budget_ratio=0.0, min_retries_per_minute=0)
+    policy = _policy(rules=rules)
+    refused = retry.FailureKind.REFUSED
+    failure = retry.Failure(refused, "t1", True, refusals, refusals)
+    decision = policy.failed(_call(), failure, 0)
+    if retried:
+        assert isinstance(decision, retry.Retry)
+        assert 0 < decision.delay_ms <= 200
+    else:
+        assert isinstance(decision, retry.GiveUp)
+        assert decision.refusal.code is results.ResultCode.BACKEND_OVERLOADED
+        assert decision.refusal.ran is results.Ran.NOT_RUN
+
+
 def test_one_account_cannot_spend_the_budget_of_another() -> None:
     policy = _policy()
     failure = retry.Failure(LOST, "t", True, 1)
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -71,7 +71,7 @@
         usable = [
             (target, state)
             for target, state in candidates
-            if not state.speed.avoided(now_ms)
+            if state.speed.usable(now_ms)
         ]
         if not usable:
             return _candidates.first_to_return(candidates)
--- a/lagooncrank/core/routing/_candidates.py
+++ b/lagooncrank/core/routing/_candidates.py
@@ -112,5 +112,5 @@
     """Returns the avoided target whose pause ends first."""
     if not candidates:
         return None
-    by_pause = min(candidates, key=lambda p: p[1].speed.paused_until_ms)
+    by_pause = min(candidates, key=lambda p: p[1].speed.usable_from_ms)
     return by_pause[0]
--- a/lagooncrank/core/routing/_speed.py
+++ b/lagooncrank/core/routing/_speed.py
@@ -31,13 +31,24 @@
         self.slow = False
         #: The target gets nothing before this time.
         self.paused_until_ms = 0
+        #: The target refused work and gets none before this time.
+        self.full_until_ms = 0
         self._pause_ms = MIN_PAUSE_MS
         self._tokens = 0
 
     def avoided(self, now_ms: int) -> bool:
-        """Returns whether the target gets no ordinary work."""
+        """Returns whether the target is slow or failed lately."""
         return self.slow or self.paused_until_ms > now_ms
 
+    def usable(self, now_ms: int) -> bool:
+        """Returns whether ordinary work may go to the target now."""
+        return not self.avoided(now_ms) and self.full_until_ms <= now_ms
+
+    @property
+    def usable_from_ms(self) -> int:
+        """When the pauses of the target end."""
+        return max(self.paused_until_ms, self.full_until_ms)
+
     def add_tokens(self, count: int, duration_ms: int) -> None:
         """Notes that `count` tokens took `duration_ms`."""
         sample_ms = duration_ms / count
@@ -71,9 +82,8 @@
         self._pause_ms = min(2 * self._pause_ms, MAX_PAUSE_MS)
 
     def pause_briefly(self, now_ms: int) -> None:
-        """Avoids a target that is full."""
-        until_ms = now_ms + REFUSED_PAUSE_MS
-        self.paused_until_ms = max(self.paused_until_ms, until_ms)
+        """Sends nothing to a target that is full, though it works well."""
+        self.full_until_ms = now_ms + REFUSED_PAUSE_MS
 
     def completed(self) -> None:
         """Notes an answer that arrived whole."""
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -50,6 +50,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._notes = _token_notes.TokenNotes(parts, draft)
         self._attempts = 0
+        self._refusals = 0
         self._ran = results.Ran.NOT_RUN
         self._ran_before_attempt = results.Ran.NOT_RUN
 
@@ -225,6 +226,7 @@
         parts = self._parts
         parts.metrics.attempt_failed(failure.kind)
         refused = failure.kind is retry.FailureKind.REFUSED
+        self._refusals += refused
         if refused or not failure.bytes_written:
             self._ran = self._ran_before_attempt
         decision = parts.retry_policy.failed(
@@ -234,6 +236,7 @@
                 target.target_id,
                 failure.bytes_written,
                 self._attempts,
+                self._refusals,
             ),
             parts.clock.now_ms(),
         )
