--- a/lagooncrank/core/admission/__init__.py
+++ b/lagooncrank/core/admission/__init__.py
@@ -3,6 +3,7 @@
 from lagooncrank.core.admission._fair_share import FairShare
 from lagooncrank.core.admission._fair_share import LIMITS_INTERVAL_MS
 from lagooncrank.core.admission._first_come import FirstCome
+from lagooncrank.core.admission._merging import merge_reports
 from lagooncrank.core.admission._policies import AdmissionConfig
 from lagooncrank.core.admission._policies import AdmissionFactory
 from lagooncrank.core.admission._policies import ADMISSIONS
@@ -34,4 +35,5 @@
     "Start",
     "Suspend",
     "UsageReport",
+    "merge_reports",
 ]
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -205,16 +205,19 @@
         parts.router.sent(query, target, parts.clock.now_ms())
         parts.crashes.running(digest, target)
         end = routing.AttemptEnd.CANCELLED
+        crashed = False
         try:
             yield
             end = routing.AttemptEnd.COMPLETED
         except _attempts.AttemptFailedError as error:
             end = ATTEMPT_ENDS[error.failure.kind]
+            lost = retry.FailureKind.CONNECTION_LOST
+            crashed = error.failure.kind is lost
             raise
         finally:
             now_ms = parts.clock.now_ms()
             parts.router.ended(query.request_id, end, now_ms)
-            if end is routing.AttemptEnd.LOST:
+            if crashed:
                 parts.crashes.target_crashed(target)
             else:
                 completed = end is routing.AttemptEnd.COMPLETED
--- /dev/null
+++ b/lagooncrank/server/tests/test_crashes.py
@@ -0,0 +1,56 @@
+"""One request whose content crashes every engine that runs it."""
+
+from lagooncrank import results
+from lagooncrank.server.tests import site as sites
+from standins import engine
+
+POISON = "poison"
+REFUSED = "lagooncrank_refusals_total"
+
+
+def _cut_poison(member: engine.Engine) -> None:
+    poisoned = POISON in member.requests[-1]["prompt"]
+    member.cut_after = 0 if poisoned else None
+
+
+def _poison_runs(site: sites.Site) -> int:
+    prompts = [r["prompt"] for e in site.engines for r in e.requests]
+    return sum(POISON in prompt for prompt in prompts)
+
+
+async def test_content_that_crashes_engines_is_refused_after_two(
+    site: sites.Site,
+) -> None:
+    for member in site.engines:
+        member.on_request = _cut_poison
+    answers = []
+    for _ in range(4):
+        async with site.complete(prompt=POISON) as response:
+            answers.append((response.status, await response.json()))
+    assert _poison_runs(site) == 2
+    assert answers[0][1]["ran"] == results.Ran.UNKNOWN
+    for status, problem in answers[1:]:
+        assert status == 422
+        assert problem["code"] == results.ResultCode.REQUEST_QUARANTINED
+        assert problem["ran"] == results.Ran.NOT_RUN
+    [mark] = site.shared.view.marks.values()
+    assert len(mark.victims) == 2
+
+
+async def test_other_content_completes_and_clears_its_mark(
+    site: sites.Site,
+) -> None:
+    # An engine dies once while it runs a harmless content.
+    def cut_once(member: engine.Engine) -> None:
+        for other in site.engines:
+            other.on_request = None
+            other.cut_after = 0 if other is member else None
+
+    for member in site.engines:
+        member.on_request = cut_once
+    async with site.complete(prompt="harmless") as response:
+        assert response.status == 200
+    await site.daemon.crashes.settle()
+    assert not site.shared.view.marks
+    async with site.complete(prompt="harmless") as response:
+        assert response.status == 200
