--- a/bench/_entry.py
+++ b/bench/_entry.py
@@ -117,12 +117,15 @@
         at_ms = int(now_ms)
         avoided = self.router.avoided(_scenario.SERVICE, at_ms)
         used = [t for t in self.targets if t.target_id not in avoided]
+        slow = self.router.stragglers(_scenario.SERVICE)
+        stragglers = [t for t in self.targets if t.target_id in slow]
         capacity = admission.Capacity(
             _scenario.SERVICE,
             len(used),
             sum(target.concurrency for target in used),
             len(used) * self._tokens_per_s,
             sum(t.load.running + t.load.queued for t in used),
+            sum(target.concurrency for target in stragglers),
         )
         self.carry_out(self.admission.set_capacity(capacity, at_ms), now_ms)
 
--- a/lagooncrank/core/admission/_fair_share.py
+++ b/lagooncrank/core/admission/_fair_share.py
@@ -53,7 +53,8 @@
         service = self._service_named(capacity.service)
         before = service.limits.capacity
         service.limits.capacity = capacity
-        if before.concurrency == capacity.concurrency:
+        slots = (capacity.concurrency, capacity.straggler_concurrency)
+        if slots == (before.concurrency, before.straggler_concurrency):
             return ()
         return self._noted(self._set_limits(service, now_ms))
 
--- a/lagooncrank/core/admission/_limits.py
+++ b/lagooncrank/core/admission/_limits.py
@@ -52,6 +52,7 @@
         self.running = 0
         self._unexplained = 0.0
         self._usable_weight = 0.0
+        self._lent_only_weight = 0.0
 
     @property
     def ms_per_token(self) -> float:
@@ -81,7 +82,11 @@
             for account, spread in active
         ]
         grants = _shares.grant(
-            self._usable_weight, claims, self.total_share, LENT_FRACTION
+            self._usable_weight,
+            claims,
+            self.total_share,
+            LENT_FRACTION,
+            self._lent_only_weight,
         )
         for (account, spread), grant in zip(active, grants, strict=True):
             self._limit(account, spread, grant, peers.sharing)
@@ -143,7 +148,10 @@
         self.running = running
         mean_weight = weight / running if running else 1.0
         slots = self._usable_slots(running, peers)
-        self._usable_weight = slots * max(1.0, mean_weight)
+        mean_weight = max(1.0, mean_weight)
+        self._usable_weight = slots * mean_weight
+        stragglers = self.capacity.straggler_concurrency
+        self._lent_only_weight = stragglers * mean_weight
 
     def _usable_slots(self, running: int, peers: Peers) -> float:
         """Returns the slots left by entries whose use is not known."""
--- a/lagooncrank/core/admission/_service.py
+++ b/lagooncrank/core/admission/_service.py
@@ -182,7 +182,9 @@
             yield self._start(account, work, priority, now_ms)
 
     def _has_slot(self) -> bool:
-        slots = self.limits.capacity.concurrency * (1 + OVERCOMMIT)
+        capacity = self.limits.capacity
+        slots = capacity.concurrency * (1 + OVERCOMMIT)
+        slots += capacity.straggler_concurrency
         return self._running + self._other_running < slots
 
     def _is_due(self, work: _account.Work, now_ms: int) -> bool:
--- a/lagooncrank/core/admission/_shares.py
+++ b/lagooncrank/core/admission/_shares.py
@@ -57,6 +57,7 @@
     claims: Sequence[Claim],
     total_share: float,
     lent_fraction: float,
+    lent_only: float = 0.0,
 ) -> list[Grant]:
     """Gives each account its own share and lends what is left.
 
@@ -66,6 +67,7 @@
         total_share: Sum of the shares of all accounts, idle ones included.
         lent_fraction: Part of the capacity that lending may fill; the rest
             stays free for accounts that come back to their share.
+        lent_only: Further weight that nobody owns.
 
     Returns:
         The grant of each account, in the order of `claims`.
@@ -78,7 +80,8 @@
         Claim(claim.share, claim.demand - own)
         for claim, own in zip(claims, owned, strict=True)
     ]
-    lent = water_fill(capacity * lent_fraction - sum(owned), rests)
+    lendable = capacity * lent_fraction + lent_only - sum(owned)
+    lent = water_fill(lendable, rests)
     return [
         Grant(own, own + more) for own, more in zip(owned, lent, strict=True)
     ]
--- a/lagooncrank/core/admission/_types.py
+++ b/lagooncrank/core/admission/_types.py
@@ -133,6 +133,8 @@
     tokens_per_s: int
     #: Requests running according to the engines' load reports, or None.
     reported_running: int | None = None
+    #: Further requests that stragglers run at once; only lent work uses them.
+    straggler_concurrency: int = 0
 
 
 class Admission(Protocol):
--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -18,6 +18,8 @@
 PREFILL_MS_PER_TOKEN = 0.1
 #: Cost of a target in another failure domain.
 DISTANCE_MS = 4.0
+#: Cost of a straggler, for lent work: less than to queue elsewhere.
+STRAGGLER_MS = 1_200.0
 #: Cost of a target that is at home at another entry.
 AWAY_MS = 1_000.0
 
@@ -71,7 +73,7 @@
         usable = [
             (target, state)
             for target, state in candidates
-            if state.speed.usable(now_ms)
+            if state.speed.usable(now_ms, lent=query.priority > 0)
         ]
         if not usable:
             return _candidates.first_to_return(candidates)
@@ -89,7 +91,7 @@
         state = self._state(service.states, target)
         state.load.change(1, now_ms)
         state.load.own_prefill_tokens += query.prompt_tokens
-        if state.speed.slow:
+        if state.speed.slow and state.speed.probe_due_ms <= now_ms:
             state.speed.try_again(now_ms)
         self._attempts[query.request_id] = _Attempt(
             service, state, query.prompt_tokens, now_ms
@@ -148,6 +150,13 @@
         for service in self._services.values():
             service.homes.silent = self._silent
 
+    def stragglers(self, service: model.ServiceName) -> frozenset[str]:
+        """Returns the targets that are slow."""
+        states = self._service_named(service).states
+        return frozenset(
+            target_id for target_id, state in states.items() if state.speed.slow
+        )
+
     def avoided(
         self, service: model.ServiceName, now_ms: int
     ) -> frozenset[str]:
@@ -204,6 +213,8 @@
             * QUEUED_WAITS
             + prefill_tokens * PREFILL_MS_PER_TOKEN
         )
+        if state.speed.slow:
+            cost_ms += STRAGGLER_MS
         away = service.homes.away(target.target_id)
         cost_ms += AWAY_MS * away * (1 - cached)
         if target.failure_domain_id != self._config.failure_domain_id:
--- a/lagooncrank/core/routing/_candidates.py
+++ b/lagooncrank/core/routing/_candidates.py
@@ -100,7 +100,7 @@
     """Returns a slow target that is due to be measured anew."""
     patience_ms = 0 if query.priority > 0 else OWNED_PROBE_AFTER_MS
     for target, state in candidates:
-        due_ms = state.speed.paused_until_ms + patience_ms
+        due_ms = state.speed.probe_due_ms + patience_ms
         if state.speed.slow and due_ms <= now_ms:
             return target
     return None
--- a/lagooncrank/core/routing/_round_robin.py
+++ b/lagooncrank/core/routing/_round_robin.py
@@ -63,6 +63,10 @@
     def set_silent(self, entries: Collection[model.NodeId]) -> None:
         """Ignores other entries."""
 
+    def stragglers(self, service: model.ServiceName) -> frozenset[str]:
+        """Returns no targets."""
+        return frozenset()
+
     def avoided(
         self, service: model.ServiceName, now_ms: int
     ) -> frozenset[str]:
--- a/lagooncrank/core/routing/_speed.py
+++ b/lagooncrank/core/routing/_speed.py
@@ -29,6 +29,8 @@
         #: Mean time between tokens, or 0.0 before any were seen.
         self.token_ms = 0.0
         self.slow = False
+        #: When a slow target gets a request even if others have room.
+        self.probe_due_ms = 0
         #: The target gets nothing before this time.
         self.paused_until_ms = 0
         #: The target refused work and gets none before this time.
@@ -40,9 +42,11 @@
         """Returns whether the target is slow or failed lately."""
         return self.slow or self.paused_until_ms > now_ms
 
-    def usable(self, now_ms: int) -> bool:
-        """Returns whether ordinary work may go to the target now."""
-        return not self.avoided(now_ms) and self.full_until_ms <= now_ms
+    def usable(self, now_ms: int, lent: bool) -> bool:
+        """Returns whether work may go to the target now."""
+        if self.slow and not lent:
+            return False
+        return self.usable_from_ms <= now_ms
 
     @property
     def usable_from_ms(self) -> int:
@@ -65,21 +69,19 @@
         ratio = self.token_ms / median_ms
         if ratio > LEAVE_RATIO and not self.slow:
             self.slow = True
-            self.pause(now_ms)
+            self.try_again(now_ms)
         elif self.slow and ratio < RETURN_RATIO:
             self.slow = False
-            self.paused_until_ms = now_ms
             self._pause_ms = MIN_PAUSE_MS
 
     def try_again(self, now_ms: int) -> None:
-        """Notes that a slow target gets one request, to measure it anew."""
+        """Measures a slow target anew and sets the time of the next try."""
         self._tokens = 0
-        self.pause(now_ms)
+        self.probe_due_ms = now_ms + self._next_pause_ms()
 
     def pause(self, now_ms: int) -> None:
         """Avoids the target for a while, longer each time."""
-        self.paused_until_ms = now_ms + self._pause_ms
-        self._pause_ms = min(2 * self._pause_ms, MAX_PAUSE_MS)
+        self.paused_until_ms = now_ms + self._next_pause_ms()
 
     def pause_briefly(self, now_ms: int) -> None:
         """Sends nothing to a target that is full, though it works well."""
@@ -90,6 +92,11 @@
         if not self.slow:
             self._pause_ms = MIN_PAUSE_MS
 
+    def _next_pause_ms(self) -> int:
+        pause_ms = self._pause_ms
+        self._pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
+        return pause_ms
+
 
 class Comparison:
     """Compares the targets of one service with their median."""
--- a/lagooncrank/core/routing/_types.py
+++ b/lagooncrank/core/routing/_types.py
@@ -94,6 +94,9 @@
     def set_silent(self, entries: Collection[model.NodeId]) -> None:
         """Takes the entries that were not heard from lately."""
 
+    def stragglers(self, service: model.ServiceName) -> frozenset[str]:
+        """Returns the targets that are slow; lent work may use them."""
+
     def avoided(
         self, service: model.ServiceName, now_ms: int
     ) -> frozenset[str]:
--- a/lagooncrank/server/_targets.py
+++ b/lagooncrank/server/_targets.py
@@ -88,14 +88,18 @@
             for target in self.of_model(service)
             if target.target_id not in avoided
         ]
+        slow = self._router.stragglers(service.name)
+        stragglers = sum(t.target_id in slow for t in self.of_model(service))
+        per_replica = service.concurrency_per_replica
         return admission.Capacity(
             service=service.name,
             replicas=len(used),
-            concurrency=len(used) * service.concurrency_per_replica,
+            concurrency=len(used) * per_replica,
             tokens_per_s=len(used) * service.tokens_per_s_per_replica,
             reported_running=sum(
                 target.load.running + target.load.queued for target in used
             ),
+            straggler_concurrency=stragglers * per_replica,
         )
 
     @mode.Service.task
