--- a/bench/_capacity_rows.py
+++ b/bench/_capacity_rows.py
@@ -104,7 +104,7 @@
         yield _bytes(
             "entry",
             "polls of an upstream, core/consensus/_polling.py",
-            "4/s x (2 frames + wire_poll)",
+            "2/s x (2 frames + wire_poll)",
             rates.polls
             * (self._slope("wire_poll") + 2 * _capacity_plan.FRAME_BYTES),
         )
@@ -248,7 +248,7 @@
         yield _bytes(
             "voter",
             "appends from the leader, core/consensus",
-            "bookings/s x wire_booking_append + changes + 10/s x (2 frames + "
+            "bookings/s x wire_booking_append + changes + 6.7/s x (2 frames + "
             "wire_heartbeat)",
             plan.bookings_per_s * self._slope("wire_booking_append")
             + self._change_bytes_per_s()
