Give homes of gone entries to others; judge stragglers over more tokens

Entries silent for 3 s get no homes, unless most are silent. A suspect content waits for a home target without another suspect instead of going elsewhere, and a failed trial mark says why.

--- a/lagooncrank/core/routing/_balanced.py
+++ b/lagooncrank/core/routing/_balanced.py
@@ -66,7 +66,7 @@
             if target.target_id not in query.excluded
         ]
         if query.isolated:
-            candidates = service.at_home(candidates)
+            candidates = service.at_home(candidates, targets)
         probe = _candidates.due_probe(query, candidates, now_ms)
         if probe is not None:
             return probe
--- a/lagooncrank/core/routing/_candidates.py
+++ b/lagooncrank/core/routing/_candidates.py
@@ -57,15 +57,21 @@
                 del self.states[target_id]
 
     def at_home(
-        self, candidates: list[tuple[_types.Target, TargetState]]
+        self,
+        candidates: list[tuple[_types.Target, TargetState]],
+        targets: Sequence[_types.Target],
     ) -> list[tuple[_types.Target, TargetState]]:
-        """Returns the candidates at home here, or all if there are none."""
-        homes = [
+        """Returns the candidates at home here, perhaps none.
+
+        An entry without any home target gets all candidates.
+        """
+        if not self.homes.own(targets):
+            return candidates
+        return [
             (target, state)
             for target, state in candidates
             if self.homes.away(target.target_id) == 0
         ]
-        return homes or candidates
 
     def learn_residence(self, duration_ms: int) -> None:
         """Moves the mean time in a batch towards one answer's."""
--- a/lagooncrank/core/routing/_homes.py
+++ b/lagooncrank/core/routing/_homes.py
@@ -14,6 +14,8 @@
 
 #: The assignment is made anew this often, if targets came or went.
 REFRESH_MS = 500
+#: Entries that are silent for this long are given no homes.
+GONE_MS = 3_000
 #: How far away a silent entry's target counts.
 ORPHAN = 0.3
 
@@ -57,6 +59,8 @@
         self._homes: dict[str, model.NodeId] = {}
         #: Entries that were not heard from lately.
         self.silent: frozenset[model.NodeId] = frozenset()
+        self._assigned_to: tuple[model.NodeId, ...] = ()
+        self._silent_since_ms: dict[model.NodeId, int] = {}
         self._due_ms = 0
         self._of_targets: Sequence[_types.Target] = ()
         self._own_targets: list[_types.Target] = []
@@ -67,12 +71,33 @@
             return
         self._due_ms = now_ms + REFRESH_MS
         ids = frozenset(target.target_id for target in targets)
-        if ids == self._known:
+        present = self._present(now_ms)
+        if (ids, present) == (self._known, self._assigned_to):
             return
         self._known = ids
-        self._homes = assign(ids, self._entries)
+        self._assigned_to = present
+        self._homes = assign(ids, present)
         self._of_targets = ()
 
+    def _present(self, now_ms: int) -> tuple[model.NodeId, ...]:
+        """Returns the entries to assign to: without the long silent ones.
+
+        If that would leave half of them or less, it is this entry that is cut
+        off, and all stay.
+        """
+        self._silent_since_ms = {
+            entry: self._silent_since_ms.get(entry, now_ms)
+            for entry in self.silent
+        }
+        present = tuple(
+            entry
+            for entry in self._entries
+            if now_ms - self._silent_since_ms.get(entry, now_ms) < GONE_MS
+        )
+        if 2 * len(present) <= len(self._entries):
+            return tuple(self._entries)
+        return present
+
     def own(self, targets: Sequence[_types.Target]) -> list[_types.Target]:
         """Returns the targets at home here."""
         if targets is not self._of_targets:
--- a/lagooncrank/core/routing/_speed.py
+++ b/lagooncrank/core/routing/_speed.py
@@ -4,13 +4,13 @@
 import statistics
 
 #: A target this many times slower than the median is left.
-LEAVE_RATIO = 1.6
+LEAVE_RATIO = 2.0
 #: A target that was left is used again below this ratio.
 RETURN_RATIO = 1.3
 #: Tokens that a verdict on a target needs.
-MIN_TOKENS = 24
+MIN_TOKENS = 64
 #: Weight of a token in the mean time between tokens.
-GAIN_PER_TOKEN = 0.02
+GAIN_PER_TOKEN = 0.005
 #: First and longest pause before a target is tried again.
 MIN_PAUSE_MS = 1_000
 MAX_PAUSE_MS = 30_000
--- a/lagooncrank/server/_crashes.py
+++ b/lagooncrank/server/_crashes.py
@@ -84,9 +84,11 @@
         victim = victim_of(target)
         command = self._mark(retry.CrashMark(digest, victim))
         outcome = await self._shared.propose(command, PROPOSE_TIMEOUT_MS)
+        if not outcome.ok:
+            raise _not_marked(outcome, ran)
         mark = self._shared.view.marks.get(digest)
         victims = mark.victims if mark else ()
-        if not outcome.ok or victim not in victims[: retry.MAX_VICTIMS]:
+        if victim not in victims[: retry.MAX_VICTIMS]:
             raise _quarantined(digest, ran, TRIAL_RETRY_AFTER_MS)
         self._trials.add((digest, victim))
 
@@ -198,3 +200,17 @@
             retry_after_ms=retry_after_ms,
         )
     )
+
+
+def _not_marked(
+    outcome: state.Outcome, ran: results.Ran
+) -> results.LagooncrankError:
+    return results.LagooncrankError(
+        results.Refusal(
+            outcome.code,
+            "this content was present at a crash and may run only once that "
+            f"is recorded, which failed: {outcome.reason}; ask again later",
+            ran=ran,
+            retry_after_ms=TRIAL_RETRY_AFTER_MS,
+        )
+    )
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -109,8 +109,7 @@
         crashes = self._parts.crashes
         verdict = crashes.check(self._draft.digest, self._ran)
         suspect = verdict is retry.Verdict.ISOLATE
-        query = self._query(priority, suspect)
-        target = await self._choose(query)
+        query, target = await self._choose(priority, suspect)
         if suspect:
             digest = self._draft.digest
             await crashes.begin_trial(digest, target, self._ran)
@@ -175,14 +174,17 @@
         self._notes.add(batch.tokens)
         return batch
 
-    async def _choose(self, query: routing.RouteQuery) -> routing.Target:
+    async def _choose(
+        self, priority: int, suspect: bool
+    ) -> tuple[routing.RouteQuery, routing.Target]:
         parts = self._parts
         while True:
+            query = self._query(priority, suspect)
             targets = self._check_targets()
             now_ms = parts.clock.now_ms()
             target = parts.router.choose(query, targets, now_ms)
             if target is not None:
-                return target
+                return query, target
             if now_ms >= self._draft.deadline_ms:
                 raise _draft_refusals.deadline_passed(self._ran)
             await asyncio.sleep(ROUTE_INTERVAL_S)
