--- a/bench/entry_overhead.py
+++ b/bench/entry_overhead.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 import json
 import pathlib
@@ -36,6 +38,8 @@
 #: Streams that run at once while the cost of a token is measured.
 TOKEN_STREAMS = 600
 TOKEN_STREAM_TOKENS = 200
+#: Tokens in one event of engines that predict several at once.
+TOKENS_PER_EVENT = 4
 MEMORY_STREAMS = 1_000
 MIB = 1_048_576
 
@@ -216,35 +220,70 @@
     }
 
 
-async def _main(folder: pathlib.Path) -> None:
-    site = load_site.LoadSite(folder, load_site.EngineShape())
-    try:
-        await site.start()
-        bench = Bench(site)
+async def _single_tokens() -> dict[str, Any]:
+    """Runs everything with engines that send one token in an event."""
+    async with _running(load_site.EngineShape()) as bench:
         latency = await bench.latency()
         request_cost = await bench.request_cost()
         token_cost, token_run = await bench.token_cost()
         memory_mib = await bench.memory()
-        bench.close()
-    finally:
-        await site.stop()
-    results = {
-        "seed": SEED,
+    return {
         "latency": latency,
         "added_first_token_ms": _added_ms(latency, "first_token_ms"),
         "added_between_tokens_ms": _added_ms(latency, "between_tokens_ms"),
         "request_run": request_cost.as_row(),
         "token_run": token_cost.as_row() | {"percentiles": token_run},
         "per_core": _per_core(request_cost, token_cost),
+        "memory_mib_per_1000_streams": round(memory_mib, 1),
+    }
+
+
+async def _several_tokens() -> dict[str, Any]:
+    """Measures engines that send several tokens in an event."""
+    shape = load_site.EngineShape(tokens_per_event=TOKENS_PER_EVENT)
+    async with _running(shape) as bench:
+        cost, run = await bench.token_cost()
+    return cost.as_row() | {
+        "tokens_per_event": TOKENS_PER_EVENT,
+        "tokens_per_s_per_core": round(cost.tokens / cost.cpu_s),
+        "percentiles": run,
+    }
+
+
+@contextlib.asynccontextmanager
+async def _running(
+    shape: load_site.EngineShape,
+) -> AsyncIterator[Bench]:
+    with tempfile.TemporaryDirectory(prefix="lagooncrank-bench-") as name:
+        site = load_site.LoadSite(pathlib.Path(name), shape)
+        try:
+            await site.start()
+            bench = Bench(site)
+            yield bench
+            bench.close()
+        finally:
+            await site.stop()
+
+
+async def _main() -> None:
+    results: dict[str, Any] = {
+        "seed": SEED,
         "target": {
             "requests_per_s": TARGET_REQUESTS_PER_S,
             "tokens_per_s": TARGET_TOKENS_PER_S,
         },
-        "memory_mib_per_1000_streams": round(memory_mib, 1),
     }
+    results |= await _single_tokens()
+    results["several_tokens"] = await _several_tokens()
     RESULTS.parent.mkdir(exist_ok=True)
     RESULTS.write_text(json.dumps(results, indent=1) + "\n")
-    print(load_tool.table(latency | {"600 streams": token_run}))
+    runs = {
+        "600 streams": results["token_run"]["percentiles"],
+        "600 streams, 4 tokens an event": (
+            results["several_tokens"]["percentiles"]
+        ),
+    }
+    print(load_tool.table(results["latency"] | runs))
     for name in (
         "added_first_token_ms",
         "added_between_tokens_ms",
@@ -252,8 +291,9 @@
         "memory_mib_per_1000_streams",
     ):
         print(f"{name}: {results[name]}")
+    per_core = results["several_tokens"]["tokens_per_s_per_core"]
+    print(f"tokens_per_s_per_core, 4 tokens an event: {per_core}")
 
 
 if __name__ == "__main__":
-    with tempfile.TemporaryDirectory(prefix="lagooncrank-bench-") as name:
-        asyncio.run(_main(pathlib.Path(name)))
+    asyncio.run(_main())
--- a/bench/load_site.py
+++ b/bench/load_site.py
@@ -20,6 +20,8 @@
 ENTRY = "entry"
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+#: Time in which admission learns the capacity of new replicas.
+SETTLE_S = 1.0
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KIB = 1_024
 
@@ -31,6 +33,7 @@
     engines: int = 2
     first_token_ms: int = 20
     between_tokens_ms: int = 50
+    tokens_per_event: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +66,7 @@
                 await self._start_engine(index)
             async with asyncio.timeout(READY_TIMEOUT_S):
                 await self._wait_for_replicas(session)
+        await asyncio.sleep(SETTLE_S)
 
     async def stop(self) -> None:
         """Stops everything."""
@@ -148,6 +152,7 @@
             f"--entries={self.entry}",
             f"--first-token-ms={self._shape.first_token_ms}",
             f"--between-tokens-ms={self._shape.between_tokens_ms}",
+            f"--tokens-per-event={self._shape.tokens_per_event}",
             "--concurrency=4000",
             "--load-ms=1",
         )
