Keep connections to engines after a complete answer

Cause: the profile of short requests showed one new connection per request (1,232 for 1,231): a stream ended at its last event and closed a connection whose final chunk had not come yet. Change: the end of a complete answer is read in the background, for at most a second, and the caller does not wait for it. Cut answers still close theirs, which cancels at the engine.

--- a/lagooncrank/server/_engine_client.py
+++ b/lagooncrank/server/_engine_client.py
@@ -1,5 +1,6 @@
 """Client of model engines."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
@@ -59,6 +60,7 @@
         self._watchdog = watchdog
         self._clock = clock
         self._timeouts = timeouts.AdaptiveTimeouts(first_byte, between_bytes)
+        self._draining: set[asyncio.Task[None]] = set()
 
     def new_stream(self, kind: str) -> _engine_stream.EngineStream:
         """Returns a stream that was not opened yet.
@@ -79,7 +81,7 @@
         address: str,
         request: GenerateRequest,
     ) -> AsyncIterator[None]:
-        """Opens a stream and closes it at the end.
+        """Opens a stream; closes it unless its answer was complete.
 
         Raises:
             AttemptFailedError: The attempt failed, here or in the body of
@@ -93,10 +95,20 @@
                 try:
                     await stream.open(session, url, body)
                     yield
+                except BaseException:
+                    stream.close()
+                    raise
+                else:
+                    self._drain(stream)
                 finally:
                     self._watchdog.remove(stream.watch)
-                    stream.close()
         except _attempts.AttemptFailedError as error:
             if error.failure.kind in SILENT_KINDS:
                 await self._pools.drop(address)
             raise
+
+    def _drain(self, stream: _engine_stream.EngineStream) -> None:
+        """Waits for the end of an answer without keeping its caller waiting."""
+        task = asyncio.create_task(stream.drain())
+        self._draining.add(task)
+        task.add_done_callback(self._draining.discard)
--- a/lagooncrank/server/_engine_stream.py
+++ b/lagooncrank/server/_engine_stream.py
@@ -1,6 +1,7 @@
 """The answer of one attempt at a model engine."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import msgspec
@@ -15,6 +16,8 @@
 #: Statuses with which an engine refuses a request that it did not run.
 REFUSAL_STATUSES = frozenset({409, 429, 503})
 MAX_EVENT_BYTES = 1_048_576
+#: How long the end of an answer may follow its last event.
+DRAIN_TIMEOUT_S = 1.0
 HEADERS = {"Content-Type": "application/json"}
 
 _decoder = msgspec.json.Decoder(streams.EngineEvent)
@@ -103,6 +106,21 @@
         elif self._opening is not None and not self._opening.expired():
             self._opening.reschedule(0)
 
+    async def drain(self) -> None:
+        """Reads the end of a complete answer, so that its connection is kept.
+
+        Without it every request would open a new connection.
+        """
+        assert self._response is not None
+        content = self._response.content
+        with contextlib.suppress(
+            TimeoutError, aiohttp.ClientError, ConnectionError
+        ):
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                while not content.at_eof():
+                    await content.readany()
+        self.close()
+
     def close(self) -> None:
         """Closes the connection unless the answer ended; this cancels."""
         if self._response is not None:
--- a/lagooncrank/server/tests/test_completions.py
+++ b/lagooncrank/server/tests/test_completions.py
@@ -25,6 +25,16 @@
     assert events[-1] == "data: [DONE]"
 
 
+async def test_connections_to_engines_are_kept(site: sites.Site) -> None:
+    for _ in range(6):
+        async with site.complete(max_tokens=2) as response:
+            await response.read()
+        await sites.until(lambda: not any(e.running for e in site.engines))
+    ran = [e for e in site.engines if e.requests]
+    assert sum(len(e.requests) for e in ran) == 6
+    assert [len(e.peers) for e in ran] == [1] * len(ran)
+
+
 async def test_answer_without_stream(site: sites.Site) -> None:
     async with site.complete(max_tokens=30) as response:
         answer = await response.json()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -66,6 +66,8 @@
         self.on_request: Callable[[Engine], None] | None = None
         #: Bodies of all generate requests, oldest first.
         self.requests: list[dict[str, Any]] = []
+        #: Addresses of the connections that brought generate requests.
+        self.peers: set[tuple[str, int]] = set()
         #: Request ids whose streams ended before their last token.
         self.cancelled: list[str] = []
         self._running: dict[str, asyncio.Event] = {}
@@ -73,6 +75,11 @@
         self._highest_fencing_number = 0
         self._loading: set[asyncio.Task[None]] = set()
 
+    @property
+    def running(self) -> int:
+        """Requests whose answers have not ended."""
+        return len(self._running)
+
     def app(self) -> web.Application:
         """Returns the HTTP application."""
         app = web.Application()
@@ -164,6 +171,8 @@
         if refusal is not None:
             return refusal
         self.requests.append(body)
+        if request.transport is not None:
+            self.peers.add(request.transport.get_extra_info("peername"))
         if self.on_request is not None:
             self.on_request(self)
         if (
