Name other entries when this one refuses new work

An entry that stops or lost its lease told callers to ask another entry without saying which. Callers that share an X-Request-Id are shown to get their own answers.

--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -224,7 +224,7 @@
         limits = self._process.limits
         shared = self._shared
         clock = self._clock
-        gate = _gate.Gate(shared, self.lifecycle)
+        gate = _gate.Gate(shared, self.lifecycle, self.directory)
         yield _entry_handlers.EntryHandlers(
             self.directory, self.table, shared, limits, clock
         )
--- a/lagooncrank/server/_entries.py
+++ b/lagooncrank/server/_entries.py
@@ -71,6 +71,12 @@
             for node in rotated
         ]
 
+    def others(self) -> list[str]:
+        """Returns the addresses of other entries, best first."""
+        own = self._own.entry_address
+        listed = self.addresses(None)
+        return [entry.address for entry in listed if entry.address != own]
+
     def tell(self) -> None:
         """Tells the other entries whether this one serves."""
         serving = self._serves()
--- a/lagooncrank/server/_lifecycle.py
+++ b/lagooncrank/server/_lifecycle.py
@@ -5,7 +5,6 @@
 import contextlib
 import enum
 
-from lagooncrank import results
 from lagooncrank.server import _metrics
 
 
@@ -45,26 +44,8 @@
         self._phase = phase
 
     @contextlib.contextmanager
-    def request(self) -> Iterator[None]:
-        """Counts a request as in flight.
-
-        Raises:
-            LagooncrankError: The entry takes no new work.
-        """
-        if self._phase is Phase.DRAINING:
-            raise results.LagooncrankError(
-                results.Refusal(
-                    results.ResultCode.STOPPING,
-                    "this entry is stopping; ask another one",
-                    retry_after_ms=0,
-                )
-            )
-        with self.continued():
-            yield
-
-    @contextlib.contextmanager
-    def continued(self) -> Iterator[None]:
-        """Counts work as in flight that outlasts the request it came from."""
+    def in_progress(self) -> Iterator[None]:
+        """Counts work as in flight until it ends."""
         self._in_flight += 1
         self.idle.clear()
         self._metrics.in_flight.inc()
--- a/lagooncrank/server/http/_gate.py
+++ b/lagooncrank/server/http/_gate.py
@@ -8,6 +8,7 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import state
+from lagooncrank.server import _entries
 from lagooncrank.server import _lifecycle
 from lagooncrank.server import _ports
 from lagooncrank.server.http import _auth
@@ -21,9 +22,11 @@
         self,
         shared: _ports.SharedState,
         lifecycle: _lifecycle.Lifecycle,
+        directory: _entries.EntryDirectory,
     ) -> None:
         self._shared = shared
         self._lifecycle = lifecycle
+        self._directory = directory
         self._authenticator = _auth.Authenticator(shared)
 
     @contextlib.contextmanager
@@ -36,12 +39,23 @@
         """
         self.record()
         account = self._authenticator.account_of(request)
-        with self._lifecycle.request():
+        self._check_phase()
+        with self._lifecycle.in_progress():
             yield account
 
+    def _check_phase(self) -> None:
+        if self._lifecycle.phase is _lifecycle.Phase.DRAINING:
+            raise _problem.error(
+                results.ResultCode.STOPPING,
+                f"this entry is stopping; ask another entry: {self._others()}",
+            )
+
+    def _others(self) -> str:
+        return ", ".join(self._directory.others()) or "none is known"
+
     def continued(self) -> contextlib.AbstractContextManager[None]:
         """Counts work as in flight whose caller may have gone away."""
-        return self._lifecycle.continued()
+        return self._lifecycle.in_progress()
 
     def record(self) -> state.ConfigurationRecord:
         """Returns the configuration that new work runs under.
@@ -53,7 +67,8 @@
         if not self._shared.lease_holds():
             raise _problem.error(
                 results.ResultCode.CONFIGURATION_STALE,
-                "this entry lost contact with the quorum; ask another entry",
+                "this entry lost contact with the quorum; ask another "
+                f"entry: {self._others()}",
             )
         if record is None:
             raise _problem.error(
--- a/lagooncrank/server/tests/test_completions.py
+++ b/lagooncrank/server/tests/test_completions.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 from typing import Any
 
@@ -25,6 +26,23 @@
     assert events[-1] == "data: [DONE]"
 
 
+async def test_callers_that_share_a_request_id_get_their_own_answers(
+    site: sites.Site,
+) -> None:
+    async def ask(prompt: str) -> str:
+        body = {"model": sites.MODEL, "prompt": prompt, "max_tokens": 20}
+        headers = sites.HEADERS | {"X-Request-Id": "same"}
+        async with site.session.post(
+            site.url("/v1/completions"), json=body, headers=headers
+        ) as response:
+            answer = await response.json()
+        return str(answer["choices"][0]["text"])
+
+    prompts = [f"prompt {index}" for index in range(20)]
+    texts = await asyncio.gather(*(ask(prompt) for prompt in prompts))
+    assert texts == [_tokens.answer(prompt, 20) for prompt in prompts]
+
+
 async def test_connections_to_engines_are_kept(site: sites.Site) -> None:
     for _ in range(6):
         async with site.complete(max_tokens=2) as response:
--- a/lagooncrank/server/tests/test_entries.py
+++ b/lagooncrank/server/tests/test_entries.py
@@ -152,6 +152,12 @@
     assert set(entry.listed()) == {"n2", "n3", "n4"}
 
 
+@pytest.mark.parametrize("quorum", [True, False])
+def test_refused_callers_are_sent_to_others(entry: Entry, quorum: bool) -> None:
+    entry.shared.has_quorum = quorum
+    assert set(entry.directory.others()) == {"n2", "n3", "n4"}
+
+
 def test_entry_is_listed_again_only_once_settled(entry: Entry) -> None:
     entry.shared.has_quorum = False
     entry.let_pass(TELL_MS)
