--- a/lagooncrank/core/consensus/_voter_changes.py
+++ b/lagooncrank/core/consensus/_voter_changes.py
@@ -39,6 +39,9 @@
         if voter.node_id in wanted and voter not in present.members:
             others = _without_node(present.learners, voter.node_id)
             return _messages.VoterSet(present.voters, (*others, voter))
+    kept = tuple(v for v in present.learners if v.node_id in wanted)
+    if kept != present.learners:
+        return _messages.VoterSet(present.voters, kept)
     ready = [v for v in present.learners if is_caught_up(v) and is_heard(v)]
     for learner in ready:
         rest = _without_node(present.voters, learner.node_id)
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -26,8 +26,10 @@
 from lagooncrank.server import storage
 
 TICK_S: Final = 0.05
-#: A log file of this size is replaced by a snapshot.
-MAX_LOG_BYTES: Final = 4_194_304
+#: A log file is replaced by a snapshot from this size on, and not before it
+#: is some snapshots long, so that a large state is not written all the time.
+MIN_LOG_BYTES: Final = 4_194_304
+MIN_LOG_SNAPSHOTS: Final = 4
 TIMING: Final = consensus.Timing()
 
 _log = logbook.Logger("lagooncrank.shared_state")
@@ -258,7 +260,10 @@
             _state_metrics.SYNCS.inc()
 
     def _compact_if_large(self) -> None:
-        if self._store is None or self._store.log_bytes < MAX_LOG_BYTES:
+        if self._store is None:
+            return
+        wanted = MIN_LOG_SNAPSHOTS * self._store.snapshot_bytes
+        if self._store.log_bytes < max(MIN_LOG_BYTES, wanted):
             return
         snapshot = self._participant.compact()
         if snapshot is not None:
--- a/lagooncrank/server/storage/_storage.py
+++ b/lagooncrank/server/storage/_storage.py
@@ -15,6 +15,7 @@
 from lagooncrank.server.storage import _errors
 from lagooncrank.server.storage import _folder
 from lagooncrank.server.storage import _frames
+from lagooncrank.server.storage import _records
 
 _LOG_PREFIX = "log-"
 _SNAPSHOT_PREFIX = "snapshot-"
@@ -23,27 +24,6 @@
 T = TypeVar("T")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Checkpoint:
-    """First frame of a log file: all that the files before it held."""
-
-    voter: consensus.Voter
-    #: Last index of the snapshot file that goes with the log; 0 for none.
-    snapshot_index: int
-    hard_state: consensus.HardState
-    genesis: consensus.VoterSet | None
-    entries: tuple[consensus.Entry, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Batch:
-    """A later frame: what one sync made durable."""
-
-    hard_state: consensus.HardState | None
-    #: Replace the stored ones from the first one's index on.
-    entries: tuple[consensus.Entry, ...]
-
-
 class Storage:
     """The data folder of one voter.
 
@@ -52,7 +32,10 @@
     """
 
     def __init__(
-        self, folder: _folder.Folder, checkpoint: _Checkpoint, number: int
+        self,
+        folder: _folder.Folder,
+        checkpoint: _records.Checkpoint,
+        number: int,
     ) -> None:
         self._folder = folder
         self._checkpoint = checkpoint
@@ -87,6 +70,11 @@
         """This node and its disk."""
         return self._checkpoint.voter
 
+    @property
+    def snapshot_bytes(self) -> int:
+        """Bytes of the stored state; 0 without a snapshot."""
+        return len(self._snapshot.data) if self._snapshot else 0
+
     def state(self) -> consensus.DurableState:
         """Returns what the folder holds."""
         held = self._checkpoint
@@ -103,7 +91,7 @@
         if output.snapshot is not None:
             self._install(output)
         elif output.must_sync:
-            self._append(_Batch(output.hard_state, output.entries))
+            self._append(_records.Batch(output.hard_state, output.entries))
 
     def compact(self, snapshot: consensus.Snapshot) -> None:
         """Stores a snapshot in place of the entries it stands for.
@@ -143,7 +131,9 @@
         if not names:
             disk_id = secrets.token_hex(_DISK_ID_BYTES)
             voter = consensus.Voter(node_id, disk_id)
-            blank = _Checkpoint(voter, 0, consensus.HardState(), None, ())
+            blank = _records.Checkpoint(
+                voter, 0, consensus.HardState(), None, ()
+            )
             storage = cls(folder, blank, 0)
             storage._start_file(blank)
             return storage
@@ -152,13 +142,13 @@
         frames = list(_frames.decode(path, data))
         if not frames:
             raise _errors.CorruptFileError(path, 0)
-        checkpoint = _decode(path, frames[0].payload, _Checkpoint)
+        checkpoint = _decode(path, frames[0].payload, _records.Checkpoint)
         if checkpoint.voter.node_id != node_id:
             owner = checkpoint.voter.node_id
             raise _errors.StorageError(path, f"the folder is of node {owner!r}")
         storage = cls(folder, checkpoint, int(names[-1][len(_LOG_PREFIX) :]))
         for frame in frames[1:]:
-            storage._hold(_decode(path, frame.payload, _Batch))
+            storage._hold(_decode(path, frame.payload, _records.Batch))
         storage._snapshot = storage._load_snapshot()
         storage._reopen(path, data[: _frames.SALT_BYTES], frames)
         return storage
@@ -206,7 +196,7 @@
         )
         self._guard(lambda: self._folder.remove_others(_SNAPSHOT_PREFIX, name))
 
-    def _start_file(self, checkpoint: _Checkpoint) -> None:
+    def _start_file(self, checkpoint: _records.Checkpoint) -> None:
         """Writes a log file that holds `checkpoint` and continues in it."""
         self._number += 1
         name = f"{_LOG_PREFIX}{self._number:012d}"
@@ -231,7 +221,7 @@
         except OSError as error:
             raise _errors.WriteError(path, error) from error
 
-    def _append(self, batch: _Batch) -> None:
+    def _append(self, batch: _records.Batch) -> None:
         if self._failed is not None:
             raise self._failed
         payload = model.to_cbor(batch)
@@ -246,7 +236,7 @@
         self.log_bytes += len(frame)
         self._hold(batch)
 
-    def _hold(self, batch: _Batch) -> None:
+    def _hold(self, batch: _records.Batch) -> None:
         """Brings what is kept in memory up to a written batch."""
         if batch.hard_state is not None:
             self._checkpoint = dataclasses.replace(
--- a/lagooncrank/server/tests/test_shared_state.py
+++ b/lagooncrank/server/tests/test_shared_state.py
@@ -274,6 +274,26 @@
         assert change("c", 0) in told
 
 
+async def test_long_log_is_replaced_by_a_snapshot(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    with closing(System(tmp_path)) as system:
+        await system.run(4_000)
+        monkeypatch.setattr(_shared_state, "MIN_LOG_BYTES", 4_000)
+        for revision in range(30):
+            proposal = system.nodes["v1"].propose(
+                change(f"c{revision}", revision), TIMEOUT_MS
+            )
+            assert (await system.during(proposal)).ok
+        assert list((tmp_path / "v1").glob("snapshot-*"))
+        await system.stop("v1")
+        system.network.cut_off.clear()
+        system.start("v1")
+        assert system.revision("v1") > 0
+        await system.run(2_000)
+        assert system.revision("v1") == 30
+
+
 async def test_failed_disk_stops_the_voter_without_an_answer(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
