--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -97,6 +97,8 @@
         for entry in self._files.entries:
             await self._caller.wait_until_healthy(entry, 200)
             await self._caller.wait_until_serving(entry, _files.REPLICAS)
+            count = len(self._files.entries)
+            await self._caller.wait_until_listed(entry, count)
         _say(f"{_files.REPLICAS} replicas serve")
 
     async def _ask_for_entries(self) -> str:
--- a/demo/_caller.py
+++ b/demo/_caller.py
@@ -38,6 +38,18 @@
             answer = await response.json()
         return [entry["address"] for entry in answer["entries"]]
 
+    async def wait_until_listed(self, known: str, count: int) -> None:
+        """Waits until an entry lists `count` entries.
+
+        An entry that has just started is listed once it knows the backend
+        servers.
+        """
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                if len(await self.entries(known, "")) == count:
+                    return
+                await asyncio.sleep(POLL_INTERVAL_S)
+
     async def wait_until_healthy(self, entry: str, status: int) -> None:
         """Waits until `/healthz` of an entry answers with a status."""
         async with asyncio.timeout(READY_TIMEOUT_S):
