--- a/lagooncrank/questionnaire/_services.py
+++ b/lagooncrank/questionnaire/_services.py
@@ -6,7 +6,6 @@
 from lagooncrank.questionnaire import _demand
 from lagooncrank.questionnaire import _explained
 from lagooncrank.questionnaire import _room
-from lagooncrank.questionnaire import _rules
 from lagooncrank.questionnaire import _shares
 from lagooncrank.questionnaire import _units
 
@@ -46,7 +45,11 @@
                 f"as answered; the small accounts alone need "
                 f"{_demand.replicas_for(model, demand.small)}",
             ),
-            "max_replicas": _E(*_most_replicas(answers, model, room)),
+            "max_replicas": _E(
+                model.replicas + room.further,
+                f"instances left over carry {room.further} more, which serve "
+                "instead of standing idle and make up for a loss",
+            ),
             "instances_per_replica": _E(
                 model.instances_per_replica, "machines of one copy"
             ),
@@ -134,21 +137,6 @@
     )
 
 
-def _most_replicas(
-    answers: _answers.Answers, model: _answers.ModelAnswers, room: _room.Room
-) -> tuple[int, str]:
-    if _rules.downtime_goes_first(answers, model):
-        return (
-            model.replicas,
-            "downtime goes first: instances left over stay free for repairs",
-        )
-    return (
-        model.replicas + room.further,
-        f"idle accelerators go first: instances left over carry "
-        f"{room.further} more",
-    )
-
-
 def _strictest_wait_ms(
     answers: _answers.Answers, model: _answers.ModelAnswers
 ) -> int:
