Tell with a drain which replica still holds the instance

Cause: tried as a new user: "drained yes" was printed while the replica floor kept the instance in use.

Change: `drain INSTANCE` shows the order's time and the holder, and says to look again until there is none.

--- a/lagooncrank/cli/_order_commands.py
+++ b/lagooncrank/cli/_order_commands.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from typing import Annotated
+from typing import Any
 import urllib.parse
 
 import typer
 
+from lagooncrank.cli import _client
 from lagooncrank.cli import _options
 from lagooncrank.cli import _output
 
@@ -54,8 +56,24 @@
         asyncio.run(client.delete(f"/v1/drain/{quoted}"))
         _output.show({"instance_id": instance, "drained": False}, output)
     else:
-        asyncio.run(client.post("/v1/drain", {"instance_id": instance}))
-        _output.show({"instance_id": instance, "drained": True}, output)
+        drained = asyncio.run(_drain(client, instance))
+        _output.show(drained, output)
+        if drained["held_by"]:
+            _output.progress(
+                f"{drained['held_by']} still holds {instance}; run "
+                "'lagooncrank drain' until it does not"
+            )
+
+
+async def _drain(
+    client: _client.OperatorClient, instance: str
+) -> dict[str, Any]:
+    """Orders a drain and returns how far it is."""
+    await client.post("/v1/drain", {"instance_id": instance})
+    for drained in await client.get("/v1/drain"):
+        if drained["instance_id"] == instance:
+            return dict(drained)
+    return {"instance_id": instance, "held_by": None}
 
 
 def quarantine(
--- a/lagooncrank/cli/_output.py
+++ b/lagooncrank/cli/_output.py
@@ -49,13 +49,13 @@
     node_id  n1
     roles    entry, control
     """
-    width = max((len(key) for key in value), default=0)
+    width = max((len(_HEADS.get(key, key)) for key in value), default=0)
     lines = []
     for key, item in value.items():
-        heads = itertools.chain([key], itertools.repeat(""))
+        heads = itertools.chain([_HEADS.get(key, key)], itertools.repeat(""))
         lines += [
             f"{head:<{width}}  {line}".rstrip()
-            for head, line in zip(heads, _lines(item), strict=False)
+            for head, line in zip(heads, _lines(key, item), strict=False)
         ]
     return "\n".join(lines)
 
@@ -98,11 +98,11 @@
     return _cell(value)
 
 
-def _lines(value: Any) -> list[str]:
+def _lines(name: str, value: Any) -> list[str]:
     """Returns the lines of one fact; a list of mappings has one for each."""
     if isinstance(value, list) and value and isinstance(value[0], Mapping):
         return [_cell(item) for item in value]
-    return [_cell(value)]
+    return [_named_cell(name, value)]
 
 
 def _cell(value: Any) -> str:
--- a/lagooncrank/cli/tests/test_commands.py
+++ b/lagooncrank/cli/tests/test_commands.py
@@ -150,7 +150,10 @@
 def test_drain_and_quarantine_orders(
     operator: Operator, node: operator_node.OperatorNode
 ) -> None:
-    assert operator.run("drain", "i1")[0] == Exit.OK
+    node.shared.view.apply(1, state.PutReplica(operator_node.replica(), -1))
+    code, out, err = operator.run("drain", "i1")
+    assert (code, "r1" in out) == (Exit.OK, True)
+    assert "r1 still holds i1; run 'lagooncrank drain' until" in err
     assert "i1" in operator.run("drain")[1]
     assert operator.run("drain", "i1", "--end")[0] == Exit.OK
     assert operator.run("drain", "i1", "--end")[0] == Exit.REFUSED
--- a/lagooncrank/server/http/tests/operator_node.py
+++ b/lagooncrank/server/http/tests/operator_node.py
@@ -148,3 +148,16 @@
     """Returns plain declarations of one client account."""
     account = {"name": "acme", "key_sha256s": ["0" * 64], "share": share}
     return {"client_accounts": [account]}
+
+
+def replica() -> model.Replica:
+    """Returns replica r1, which holds instance i1."""
+    return model.Replica(
+        replica_id=model.ReplicaId("r1"),
+        service=model.ServiceName("s"),
+        version="v",
+        fabric_domain_id=model.FabricDomainId("fab1"),
+        instances=(model.InstanceId("i1"),),
+        backend_servers=(model.BackendServerId("b1"),),
+        fencing_number=1,
+    )
--- a/lagooncrank/server/http/tests/test_operators.py
+++ b/lagooncrank/server/http/tests/test_operators.py
@@ -164,16 +164,8 @@
 async def test_drain_and_its_end(
     client: test_utils.TestClient[Any, Any], node: operator_node.OperatorNode
 ) -> None:
-    replica = model.Replica(
-        replica_id=model.ReplicaId("r1"),
-        service=model.ServiceName("s"),
-        version="v",
-        fabric_domain_id=model.FabricDomainId("fab1"),
-        instances=(model.InstanceId("i1"),),
-        backend_servers=(model.BackendServerId("b1"),),
-        fencing_number=1,
-    )
-    await node.shared.propose(state.PutReplica(replica, -1), 1)
+    command = state.PutReplica(operator_node.replica(), -1)
+    await node.shared.propose(command, 1)
     body = {"instance_id": "i1"}
     assert (await client.post("/v1/drain", json=body)).status == 200
     drained = await (await client.get("/v1/drain")).json()
