Tell operators why planned work waits at the floor

Cause: a version change that would go below the floor waited in silence. Change: the planner returns a BELOW_FLOOR refusal that names the replica, the service and what to do; the driver logs and counts it once. A test holds that orders decided before another leader are not sent.

--- a/lagooncrank/core/placement/_moves.py
+++ b/lagooncrank/core/placement/_moves.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core.placement import _changes
 from lagooncrank.core.placement import _fleet
 from lagooncrank.core.placement import _instances
@@ -25,12 +26,17 @@
     def __init__(self) -> None:
         self._draining_since_ms: dict[model.ReplicaId, int] = {}
 
-    def plan(self, fleet: _fleet.Fleet, changes: _changes.Changes) -> None:
+    def plan(
+        self, fleet: _fleet.Fleet, changes: _changes.Changes
+    ) -> tuple[results.Refusal, ...]:
         """Adds the next change of each move.
 
         Args:
             fleet: Replicas and instances at this step.
             changes: Changes of repair and formation, which go first.
+
+        Returns:
+            Why moves wait that would go below a declared floor.
         """
         self._note_draining(fleet)
         step = _Step(fleet, changes, self._draining_since_ms)
@@ -39,6 +45,7 @@
                 step.advance(replica)
         for service in fleet.services.values():
             step.start_one(service)
+        return tuple(step.refusals)
 
     def _note_draining(self, fleet: _fleet.Fleet) -> None:
         self._draining_since_ms = {
@@ -62,6 +69,7 @@
         self._draining_since_ms = draining_since_ms
         self._needs = _needs.Needs(fleet)
         self._pool = _pool.Pool(fleet, changes.claimed_instances())
+        self.refusals: list[results.Refusal] = []
 
     def advance(self, replica: model.Replica) -> None:
         """Goes on with a replica that serves no requests."""
@@ -86,8 +94,19 @@
     def _drain(
         self, service: model.ModelService, replica: model.Replica
     ) -> None:
-        if self._needs.whole(service) > service.replicas_floor:
+        whole = self._needs.whole(service)
+        if whole > service.replicas_floor:
             self._changes.set_state(replica, _State.DRAINING)
+            return
+        reason = (
+            f"replica {replica.replica_id!r} must change, but {whole} replicas "
+            f"of service {service.name!r} serve and its floor is "
+            f"{service.replicas_floor}; add instances for one replica more to "
+            "a fabric domain, or lower replicas_floor"
+        )
+        self.refusals.append(
+            results.Refusal(results.ResultCode.BELOW_FLOOR, reason)
+        )
 
     def _form_beforehand(self, service: model.ModelService) -> bool:
         for domain in self._pool.domains():
--- a/lagooncrank/core/placement/_planner.py
+++ b/lagooncrank/core/placement/_planner.py
@@ -67,10 +67,10 @@
         )
         changes = _changes.Changes(situation.last_fencing_number)
         self._policy.plan(fleet, changes)
-        self._moves.plan(fleet, changes)
+        refusals = self._moves.plan(fleet, changes)
         _life_cycle.advance(fleet, self._fence, changes)
         return _types.Decision(
-            changes.commands, self._orders(fleet, changes, now_ms)
+            changes.commands, self._orders(fleet, changes, now_ms), refusals
         )
 
     def answered(self, answer: _types.OrderAnswer, now_ms: int) -> None:
--- a/lagooncrank/core/placement/_types.py
+++ b/lagooncrank/core/placement/_types.py
@@ -6,6 +6,7 @@
 import enum
 
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core import membership
 from lagooncrank.core import state
 
@@ -98,3 +99,5 @@
     commands: tuple[state.PutReplica, ...]
     #: Orders that earlier committed changes call for.
     orders: tuple[SendOrder, ...]
+    #: Why planned work waits.
+    refusals: tuple[results.Refusal, ...] = ()
--- a/lagooncrank/core/placement/tests/_world.py
+++ b/lagooncrank/core/placement/tests/_world.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core import placement
 from lagooncrank.core import routing
 from lagooncrank.core import state
@@ -73,6 +74,7 @@
         self.in_flight: list[InFlight] = []
         self.delay_ms = 0
         self.answers_lost = False
+        self.refusals: tuple[results.Refusal, ...] = ()
         self.drained: frozenset[model.InstanceId] = frozenset()
         self.declarations = model.Declarations(
             model_services=(DRAFTS, LETTERS), placement=RULES
@@ -87,7 +89,9 @@
         self.deposed = [d for d in self.deposed if d.acts_until_ms > now_ms]
         for deposed in self.deposed:
             self._lead(deposed)
-        for command in self._lead(self.leader).commands:
+        decision = self._lead(self.leader)
+        self.refusals = decision.refusals
+        for command in decision.commands:
             outcome = self.machine.apply(
                 self.machine.applied_index + 1, command
             )
--- a/lagooncrank/core/placement/tests/test_moves.py
+++ b/lagooncrank/core/placement/tests/test_moves.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core.placement.tests import _invariants
 from lagooncrank.core.placement.tests import _world
 
@@ -76,6 +77,8 @@
     declare(world, version="v2", replicas_floor=2)
     assert least_serving(world) == 2
     assert {r.version for r in world.served()} == {"v1"}
+    (refusal,) = world.refusals
+    assert refusal.code is results.ResultCode.BELOW_FLOOR
 
 
 def test_drained_instance_leaves_its_replica_for_a_spare() -> None:
--- a/lagooncrank/server/_placement.py
+++ b/lagooncrank/server/_placement.py
@@ -9,6 +9,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core import membership
 from lagooncrank.core import placement
 from lagooncrank.core import state
@@ -32,6 +33,8 @@
     planner: placement.Planner
     #: Leaders seen in the log when the planner was made.
     leaders_seen: int
+    #: Why planned work waits, as logged last.
+    refusals: tuple[results.Refusal, ...] = ()
 
 
 class PlacementDriver(mode.Service):
@@ -101,6 +104,7 @@
             drained=frozenset(self._shared.view.drains),
         )
         decision = leadership.planner.step(situation, now_ms)
+        self._report(leadership, decision.refusals)
         for send in decision.orders:
             self._start_sending(leadership, send)
         for command in decision.commands:
@@ -146,6 +150,16 @@
         if isinstance(command, state.NoOp):
             self._leaders_seen += 1
 
+    def _report(
+        self, leadership: _Leadership, refusals: tuple[results.Refusal, ...]
+    ) -> None:
+        """Logs and counts why planned work waits, whenever that changes."""
+        for refusal in refusals:
+            if refusal not in leadership.refusals:
+                _placement_metrics.MOVES_REFUSED.labels(refusal.code.name).inc()
+                _log.warn("{}: {}", refusal.code.name, refusal.reason)
+        leadership.refusals = refusals
+
     async def _commit(self, command: state.PutReplica) -> bool:
         outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
         replica = command.replica
--- a/lagooncrank/server/_placement_metrics.py
+++ b/lagooncrank/server/_placement_metrics.py
@@ -12,3 +12,8 @@
     "Orders sent to model engines, by kind and by how the sending ended.",
     ["kind", "answer"],
 )
+MOVES_REFUSED = prometheus_client.Counter(
+    "lagooncrank_moves_refused",
+    "Planned changes of replicas that wait, by reason, once for each change.",
+    ["reason"],
+)
--- a/lagooncrank/server/tests/test_placement.py
+++ b/lagooncrank/server/tests/test_placement.py
@@ -159,6 +159,17 @@
     assert accepted_loads() - before == len(bench.sender.sent) == 4
 
 
+async def test_orders_decided_before_another_leader_are_not_sent() -> None:
+    bench = Bench()
+    await bench.declare()
+    await bench.run(1)
+    await bench.driver.step()
+    await bench.driver.step()
+    bench.shared.is_leader = False
+    await bench.driver.sent()
+    assert bench.sender.sent == []
+
+
 async def test_new_leadership_resumes_loads_without_new_orders() -> None:
     bench = Bench()
     await bench.declare()
