--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import inspect
-import pathlib
 import socket
 from typing import Any
 from typing import Final
@@ -24,7 +23,6 @@
 from lagooncrank.server.links import _metrics
 
 CHECK_INTERVAL_S: Final = 0.1
-MAX_MESSAGE_BYTES: Final = 67_108_864
 
 _log = logbook.Logger("lagooncrank.links")
 
@@ -87,16 +85,19 @@
 
     @classmethod
     def from_settings(
-        cls, process: settings.ProcessSettings, clock_: clock.Clock
+        cls,
+        process: settings.ProcessSettings,
+        clock_: clock.Clock,
+        listener: socket.socket | None = None,
     ) -> "Links":
         """Builds the links that the process settings describe.
 
         Raises:
-            OSError: The shared key file cannot be read.
+            SettingsError: The shared key cannot be used.
         """
-        key = pathlib.Path(process.shared_key_file).read_bytes().strip()
+        key = settings.load_shared_key(process)
         addresses = {n.node_id: n.peer_address for n in process.nodes}
-        return cls(process.node_id, addresses, key, clock_)
+        return cls(process.node_id, addresses, key, clock_, listener=listener)
 
     async def on_start(self) -> None:
         """Listens, and starts to dial the nodes that this one dials."""
@@ -108,7 +109,7 @@
             self._accept,
             compression=None,
             ping_interval=None,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=_channel.MAX_FRAME_BYTES,
             **where,
         )
         for peer in sorted(self._known):
@@ -192,7 +193,7 @@
                 ping_interval=None,
                 open_timeout=_channel.HANDSHAKE_TIMEOUT_S,
                 close_timeout=0,
-                max_size=MAX_MESSAGE_BYTES,
+                max_size=_channel.MAX_FRAME_BYTES,
                 proxy=None,
             ) as connection:
                 channel = await _channel.Channel.dial(
