--- a/bench/_capacity_control.py
+++ b/bench/_capacity_control.py
@@ -32,7 +32,7 @@
     yield _capacity_rows.bytes_row(
         "voter",
         "appends from the leader, core/consensus",
-        "bookings/s x wire_booking_append + changes + 10/s x (2 frames + "
+        "bookings/s x wire_booking_append + changes + 6.7/s x (2 frames + "
         "wire_heartbeat)",
         plan.bookings_per_s * lines.slope("wire_booking_append")
         + lines.change_bytes_per_s()
--- a/bench/_capacity_plan.py
+++ b/bench/_capacity_plan.py
@@ -47,8 +47,8 @@
     exchanges: float = 4.0
     entry_states: float = 2.0
     usage_reports: float = 2.5
-    polls: float = 4.0
-    heartbeats: float = 10.0
+    polls: float = 2.0
+    heartbeats: float = 6.7
     placement_steps: float = 4.0
     limit_updates: float = 2.5
     #: Followers that one node serves at most.
--- a/lagooncrank/core/routing/_candidates.py
+++ b/lagooncrank/core/routing/_candidates.py
@@ -57,15 +57,21 @@
                 del self.states[target_id]
 
     def at_home(
-        self, candidates: list[tuple[_types.Target, TargetState]]
+        self,
+        candidates: list[tuple[_types.Target, TargetState]],
+        targets: Sequence[_types.Target],
     ) -> list[tuple[_types.Target, TargetState]]:
-        """Returns the candidates at home here, or all if there are none."""
-        homes = [
+        """Returns the candidates at home here, perhaps none.
+
+        An entry without any home target gets all candidates.
+        """
+        if not self.homes.own(targets):
+            return candidates
+        return [
             (target, state)
             for target, state in candidates
             if self.homes.away(target.target_id) == 0
         ]
-        return homes or candidates
 
     def learn_residence(self, duration_ms: int) -> None:
         """Moves the mean time in a batch towards one answer's."""
@@ -100,7 +106,7 @@
     """Returns a slow target that is due to be measured anew."""
     patience_ms = 0 if query.priority > 0 else OWNED_PROBE_AFTER_MS
     for target, state in candidates:
-        due_ms = state.speed.paused_until_ms + patience_ms
+        due_ms = state.speed.probe_due_ms + patience_ms
         if state.speed.slow and due_ms <= now_ms:
             return target
     return None
@@ -112,5 +118,5 @@
     """Returns the avoided target whose pause ends first."""
     if not candidates:
         return None
-    by_pause = min(candidates, key=lambda p: p[1].speed.paused_until_ms)
+    by_pause = min(candidates, key=lambda p: p[1].speed.usable_from_ms)
     return by_pause[0]
--- a/lagooncrank/server/_draft_run.py
+++ b/lagooncrank/server/_draft_run.py
@@ -50,6 +50,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._notes = _token_notes.TokenNotes(parts, draft)
         self._attempts = 0
+        self._refusals = 0
         self._ran = results.Ran.NOT_RUN
         self._ran_before_attempt = results.Ran.NOT_RUN
 
@@ -108,8 +109,7 @@
         crashes = self._parts.crashes
         verdict = crashes.check(self._draft.digest, self._ran)
         suspect = verdict is retry.Verdict.ISOLATE
-        query = self._query(priority, suspect)
-        target = await self._choose(query)
+        query, target = await self._choose(priority, suspect)
         if suspect:
             digest = self._draft.digest
             await crashes.begin_trial(digest, target, self._ran)
@@ -174,14 +174,17 @@
         self._notes.add(batch.tokens)
         return batch
 
-    async def _choose(self, query: routing.RouteQuery) -> routing.Target:
+    async def _choose(
+        self, priority: int, suspect: bool
+    ) -> tuple[routing.RouteQuery, routing.Target]:
         parts = self._parts
         while True:
+            query = self._query(priority, suspect)
             targets = self._check_targets()
             now_ms = parts.clock.now_ms()
             target = parts.router.choose(query, targets, now_ms)
             if target is not None:
-                return target
+                return query, target
             if now_ms >= self._draft.deadline_ms:
                 raise _draft_refusals.deadline_passed(self._ran)
             await asyncio.sleep(ROUTE_INTERVAL_S)
@@ -204,16 +207,19 @@
         parts.router.sent(query, target, parts.clock.now_ms())
         parts.crashes.running(digest, target)
         end = routing.AttemptEnd.CANCELLED
+        crashed = False
         try:
             yield
             end = routing.AttemptEnd.COMPLETED
         except _attempts.AttemptFailedError as error:
             end = ATTEMPT_ENDS[error.failure.kind]
+            lost = retry.FailureKind.CONNECTION_LOST
+            crashed = error.failure.kind is lost
             raise
         finally:
             now_ms = parts.clock.now_ms()
             parts.router.ended(query.request_id, end, now_ms)
-            if end is routing.AttemptEnd.LOST:
+            if crashed:
                 parts.crashes.target_crashed(target)
             else:
                 completed = end is routing.AttemptEnd.COMPLETED
@@ -225,6 +231,7 @@
         parts = self._parts
         parts.metrics.attempt_failed(failure.kind)
         refused = failure.kind is retry.FailureKind.REFUSED
+        self._refusals += refused
         if refused or not failure.bytes_written:
             self._ran = self._ran_before_attempt
         decision = parts.retry_policy.failed(
@@ -234,6 +241,7 @@
                 target.target_id,
                 failure.bytes_written,
                 self._attempts,
+                self._refusals,
             ),
             parts.clock.now_ms(),
         )
