--- a/lagooncrank/core/routing/_speed.py
+++ b/lagooncrank/core/routing/_speed.py
@@ -4,13 +4,13 @@
 import statistics
 
 #: A target this many times slower than the median is left.
-LEAVE_RATIO = 1.6
+LEAVE_RATIO = 2.0
 #: A target that was left is used again below this ratio.
 RETURN_RATIO = 1.3
 #: Tokens that a verdict on a target needs.
-MIN_TOKENS = 24
+MIN_TOKENS = 64
 #: Weight of a token in the mean time between tokens.
-GAIN_PER_TOKEN = 0.02
+GAIN_PER_TOKEN = 0.005
 #: First and longest pause before a target is tried again.
 MIN_PAUSE_MS = 1_000
 MAX_PAUSE_MS = 30_000
@@ -29,15 +29,30 @@
         #: Mean time between tokens, or 0.0 before any were seen.
         self.token_ms = 0.0
         self.slow = False
+        #: When a slow target gets a request even if others have room.
+        self.probe_due_ms = 0
         #: The target gets nothing before this time.
         self.paused_until_ms = 0
+        #: The target refused work and gets none before this time.
+        self.full_until_ms = 0
         self._pause_ms = MIN_PAUSE_MS
         self._tokens = 0
 
     def avoided(self, now_ms: int) -> bool:
-        """Returns whether the target gets no ordinary work."""
+        """Returns whether the target is slow or failed lately."""
         return self.slow or self.paused_until_ms > now_ms
 
+    def usable(self, now_ms: int, lent: bool) -> bool:
+        """Returns whether work may go to the target now."""
+        if self.slow and not lent:
+            return False
+        return self.usable_from_ms <= now_ms
+
+    @property
+    def usable_from_ms(self) -> int:
+        """When the pauses of the target end."""
+        return max(self.paused_until_ms, self.full_until_ms)
+
     def add_tokens(self, count: int, duration_ms: int) -> None:
         """Notes that `count` tokens took `duration_ms`."""
         sample_ms = duration_ms / count
@@ -54,32 +69,34 @@
         ratio = self.token_ms / median_ms
         if ratio > LEAVE_RATIO and not self.slow:
             self.slow = True
-            self.pause(now_ms)
+            self.try_again(now_ms)
         elif self.slow and ratio < RETURN_RATIO:
             self.slow = False
-            self.paused_until_ms = now_ms
             self._pause_ms = MIN_PAUSE_MS
 
     def try_again(self, now_ms: int) -> None:
-        """Notes that a slow target gets one request, to measure it anew."""
+        """Measures a slow target anew and sets the time of the next try."""
         self._tokens = 0
-        self.pause(now_ms)
+        self.probe_due_ms = now_ms + self._next_pause_ms()
 
     def pause(self, now_ms: int) -> None:
         """Avoids the target for a while, longer each time."""
-        self.paused_until_ms = now_ms + self._pause_ms
-        self._pause_ms = min(2 * self._pause_ms, MAX_PAUSE_MS)
+        self.paused_until_ms = now_ms + self._next_pause_ms()
 
     def pause_briefly(self, now_ms: int) -> None:
-        """Avoids a target that is full."""
-        until_ms = now_ms + REFUSED_PAUSE_MS
-        self.paused_until_ms = max(self.paused_until_ms, until_ms)
+        """Sends nothing to a target that is full, though it works well."""
+        self.full_until_ms = now_ms + REFUSED_PAUSE_MS
 
     def completed(self) -> None:
         """Notes an answer that arrived whole."""
         if not self.slow:
             self._pause_ms = MIN_PAUSE_MS
 
+    def _next_pause_ms(self) -> int:
+        pause_ms = self._pause_ms
+        self._pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
+        return pause_ms
+
 
 class Comparison:
     """Compares the targets of one service with their median."""
--- a/lagooncrank/questionnaire/_services.py
+++ b/lagooncrank/questionnaire/_services.py
@@ -6,11 +6,10 @@
 from lagooncrank.questionnaire import _demand
 from lagooncrank.questionnaire import _explained
 from lagooncrank.questionnaire import _room
+from lagooncrank.questionnaire import _rules
 from lagooncrank.questionnaire import _shares
+from lagooncrank.questionnaire import _units
 
-MS_PER_S = 1_000
-BYTES_PER_GIB = 2**30
-MS_PER_H = 3_600_000
 #: Fewest requests that an account may have waiting.
 MIN_QUEUED_REQUESTS = 10
 
@@ -32,7 +31,7 @@
         for domain, count in room.by_fabric_domain.items()
     )
     first_token_ms = _strictest_wait_ms(answers, model)
-    weight_bytes = round(model.weight_gib_per_instance * BYTES_PER_GIB)
+    weight_bytes = _units.gib_to_bytes(model.weight_gib_per_instance)
     return _explained.Section(
         {
             "name": _E(model.name, "what callers ask for"),
@@ -47,6 +46,7 @@
                 f"as answered; the small accounts alone need "
                 f"{_demand.replicas_for(model, demand.small)}",
             ),
+            "max_replicas": _E(*_most_replicas(answers, model, room)),
             "instances_per_replica": _E(
                 model.instances_per_replica, "machines of one copy"
             ),
@@ -88,7 +88,7 @@
         lookup_why = "tells whether a call ran whose answer was lost"
     else:
         lookup_why = "no lookup: a call whose answer was lost stays unknown"
-    retention_ms = max(round(service.remembered_h * MS_PER_H), 1)
+    retention_ms = max(round(service.remembered_h * _units.MS_PER_H), 1)
     return _explained.Section(
         {
             "name": _E(service.name, "part of the path that callers use"),
@@ -134,6 +134,21 @@
     )
 
 
+def _most_replicas(
+    answers: _answers.Answers, model: _answers.ModelAnswers, room: _room.Room
+) -> tuple[int, str]:
+    if _rules.downtime_goes_first(answers, model):
+        return (
+            model.replicas,
+            "downtime goes first: instances left over stay free for repairs",
+        )
+    return (
+        model.replicas + room.further,
+        f"idle accelerators go first: instances left over carry "
+        f"{room.further} more",
+    )
+
+
 def _strictest_wait_ms(
     answers: _answers.Answers, model: _answers.ModelAnswers
 ) -> int:
@@ -147,4 +162,4 @@
 
 
 def _ms(duration_s: float) -> int:
-    return max(round(duration_s * MS_PER_S), 1)
+    return max(_units.s_to_ms(duration_s), 1)
--- a/lagooncrank/settings/_process_checks.py
+++ b/lagooncrank/settings/_process_checks.py
@@ -2,37 +2,21 @@
 
 from collections.abc import Iterator
 import dataclasses
-import ipaddress
-import re
-
+from typing import Any
+
+from lagooncrank import registry
+from lagooncrank.core import admission
+from lagooncrank.core import placement
+from lagooncrank.core import retry
+from lagooncrank.core import routing
+from lagooncrank.settings import _formats
 from lagooncrank.settings import _problems
 from lagooncrank.settings import _process
 
-MAX_PORT = 65_535
 #: Voters allowed: an even number survives no more losses than one fewer.
 VOTER_COUNTS = (1, 3, 5, 7)
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
 
-_KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
-
-
-def is_address(text: str) -> bool:
-    """Returns whether `text` is an IP address and a port.
-
-    >>> is_address("10.0.0.1:7000"), is_address("[::1]:7000")
-    (True, True)
-    >>> is_address("localhost:7000"), is_address("10.0.0.1")
-    (False, False)
-    """
-    host, _, port = text.rpartition(":")
-    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
-        return False
-    try:
-        address = ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return address.version == 4 or host.startswith("[")
-
 
 def check_process_settings(
     process_settings: _process.ProcessSettings,
@@ -48,13 +32,32 @@
     yield from _check_voters(process_settings)
     yield from _check_own(process_settings)
     for index, digest in enumerate(process_settings.operator_key_sha256s):
-        if not _KEY_DIGEST.fullmatch(digest):
+        if not _formats.is_key_digest(digest):
             yield _problems.Problem(
                 f"operator_key_sha256s[{index}]",
-                "must be 64 lower-case hexadecimal digits: the SHA-256 of "
-                "the key, never the key itself",
+                f"must be {_formats.KEY_DIGEST_RULE}",
             )
     yield from _check_limits(process_settings)
+    yield from _check_policies(process_settings.policies)
+
+
+def _check_policies(
+    policies: _process.PolicySettings,
+) -> Iterator[_problems.Problem]:
+    registries: dict[str, registry.Registry[Any]] = {
+        "admission": admission.ADMISSIONS,
+        "router": routing.ROUTERS,
+        "retry": retry.RETRY_POLICIES,
+        "suspicion": retry.SUSPICIONS,
+        "placement": placement.POLICIES,
+    }
+    for name, registered in registries.items():
+        value = getattr(policies, name)
+        if value not in registered.names():
+            yield _problems.Problem(
+                f"policies.{name}",
+                f"is {value!r}; allowed: {', '.join(registered.names())}",
+            )
 
 
 def _check_nodes(
@@ -68,7 +71,7 @@
             "entry_address": node.entry_address,
         }
         for name, address in addresses.items():
-            if not is_address(address):
+            if not _formats.is_address(address):
                 yield _problems.Problem(
                     f"{field}.{name}",
                     f"is {address!r}, must be an IP address and a port such "
