--- a/bench/_fail_day_run.py
+++ b/bench/_fail_day_run.py
@@ -15,6 +15,8 @@
 #: Longest jump.
 JUMP_MS = 30_000
 LEADER_LEASE_MS = 2_000
+#: Steps that the driver makes at once while each changes something.
+MAX_STEPS_AT_ONCE = 4
 #: Time in which the replicas form first, from a faster store.
 WARM_UP_MS = 10 * _fail_day.MINUTE_MS
 _WARM_UP_STORE = fleets.Store(10**15, 10**14)
@@ -84,7 +86,7 @@
         while self._fleet.now_ms < until_ms:
             now_ms = self._fleet.now_ms
             self._strike(now_ms)
-            self._step()
+            self._steps()
             duration_ms = self._next_step_ms(now_ms) - now_ms
             if now_ms >= WARM_UP_MS:
                 self._fleet.store = self._deployment.store
@@ -110,7 +112,13 @@
             for index in event.engines:
                 _apply(event.failure, self._fleet.engines[index])
 
-    def _step(self) -> None:
+    def _steps(self) -> None:
+        """Steps as the driver does: at once again after a change."""
+        for _ in range(MAX_STEPS_AT_ONCE):
+            if not self._step():
+                return
+
+    def _step(self) -> bool:
         situation = placement.Situation(
             declarations=self._declarations,
             replicas=self._machine.replicas,
@@ -127,6 +135,7 @@
         for command in decision.commands:
             self._machine.apply(self._machine.applied_index + 1, command)
         self.tally.changes += len(decision.commands)
+        return bool(decision.commands)
 
     def _send(self, orders: Sequence[placement.SendOrder]) -> None:
         for send in orders:
