Remember change ids past the kept revisions; index holders; one leader lease

Cause: a change resent after 200 further revisions (36 minutes at the planned rate) got a conflict in place of its first answer; each assignment searched all replicas for the holder of each instance; after a change of leader, engines that ignore fencing numbers waited 10 s for a leader lease that lasts 0.5 s.

--- a/lagooncrank/core/state/__init__.py
+++ b/lagooncrank/core/state/__init__.py
@@ -25,6 +25,7 @@
 from lagooncrank.core.state._machine import StateMachine
 from lagooncrank.core.state._machine import StateSnapshot
 from lagooncrank.core.state._records import CallRecord
+from lagooncrank.core.state._records import ChangeRecord
 from lagooncrank.core.state._records import ConfigurationRecord
 from lagooncrank.core.state._records import ContentMark
 from lagooncrank.core.state._records import Drain
@@ -39,6 +40,7 @@
     "CallOwner",
     "CallRecord",
     "CallState",
+    "ChangeRecord",
     "Command",
     "ConfigurationRecord",
     "ContentMark",
--- a/lagooncrank/core/state/_assignments.py
+++ b/lagooncrank/core/state/_assignments.py
@@ -22,6 +22,12 @@
         last_fencing_number: int = 0,
     ) -> None:
         self.replicas = {r.replica_id: r for r in replicas}
+        self._holders = {
+            instance_id: r.replica_id
+            for r in self.replicas.values()
+            if r.holds_instances
+            for instance_id in r.instances
+        }
         self.last_fencing_number = last_fencing_number
 
     def put(self, command: _commands.PutReplica) -> _records.Outcome:
@@ -35,8 +41,7 @@
         )
         if refusal is not None:
             return refusal
-        self.replicas.pop(replica.replica_id, None)
-        self.replicas[replica.replica_id] = replica
+        self._replace(current, replica)
         self.last_fencing_number = max(
             self.last_fencing_number, replica.fencing_number
         )
@@ -45,10 +50,22 @@
 
     def holder(self, instance_id: model.InstanceId) -> model.Replica | None:
         """Returns the replica that holds an instance."""
-        for replica in self.replicas.values():
-            if replica.holds_instances and instance_id in replica.instances:
-                return replica
-        return None
+        replica_id = self._holders.get(instance_id)
+        return None if replica_id is None else self.replicas[replica_id]
+
+    def _replace(
+        self, current: model.Replica | None, replica: model.Replica
+    ) -> None:
+        if current is not None:
+            # The replica moves to the end, so that ended ones are in order.
+            del self.replicas[current.replica_id]
+            if current.holds_instances:
+                for instance_id in current.instances:
+                    del self._holders[instance_id]
+        self.replicas[replica.replica_id] = replica
+        if replica.holds_instances:
+            for instance_id in replica.instances:
+                self._holders[instance_id] = replica.replica_id
 
     def _refuse_fencing(
         self, replica: model.Replica, current: model.Replica | None
--- a/lagooncrank/core/state/_configuration.py
+++ b/lagooncrank/core/state/_configuration.py
@@ -1,23 +1,32 @@
 """Revisions of the declarations."""
 
 from collections.abc import Iterable
+import hashlib
 
+from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core.state import _commands
 from lagooncrank.core.state import _records
 
 #: Accepted revisions kept, the current one included.
 KEPT_REVISIONS = 200
+#: Accepted change ids remembered beyond the kept revisions.
+KEPT_CHANGES = 8_192
+#: Length of the digest by which their content is remembered.
+DIGEST_BYTES = 16
 
 
 class Configurations:
     """Accepts revisions one after another and remembers change ids."""
 
     def __init__(
-        self, records: Iterable[_records.ConfigurationRecord] = ()
+        self,
+        records: Iterable[_records.ConfigurationRecord] = (),
+        changes: Iterable[_records.ChangeRecord] = (),
     ) -> None:
         self._records = list(records)
         self._by_change_id = {r.change_id: r for r in self._records}
+        self._older = {change.change_id: change for change in changes}
 
     @property
     def current(self) -> _records.ConfigurationRecord | None:
@@ -33,11 +42,20 @@
         """Returns the kept revisions, oldest first."""
         return tuple(self._records)
 
+    def older_changes(self) -> tuple[_records.ChangeRecord, ...]:
+        """Returns the changes before the kept revisions, oldest first."""
+        return tuple(self._older.values())
+
     def apply(self, command: _commands.ApplyDeclarations) -> _records.Outcome:
         """Accepts a change made to the current revision, refuses others."""
         earlier = self._by_change_id.get(command.change_id)
         if earlier is not None:
-            return self._repeat(command, earlier)
+            same = command.declarations == earlier.declarations
+            return self._repeat(command.change_id, earlier.revision, same)
+        older = self._older.get(command.change_id)
+        if older is not None:
+            same = _digest(command.declarations) == older.digest
+            return self._repeat(command.change_id, older.revision, same)
         if command.base_revision != self.revision:
             return _records.Outcome(
                 results.ResultCode.REVISION_CONFLICT,
@@ -49,20 +67,16 @@
         return _records.Outcome(results.ResultCode.OK, revision=self.revision)
 
     def _repeat(
-        self,
-        command: _commands.ApplyDeclarations,
-        earlier: _records.ConfigurationRecord,
+        self, change_id: str, revision: int, same_content: bool
     ) -> _records.Outcome:
-        if command.declarations != earlier.declarations:
+        if not same_content:
             return _records.Outcome(
                 results.ResultCode.CHANGE_ID_REUSED,
-                f"change id {command.change_id!r} was used for revision "
-                f"{earlier.revision} with other content; use a new id",
+                f"change id {change_id!r} was used for revision "
+                f"{revision} with other content; use a new id",
                 revision=self.revision,
             )
-        return _records.Outcome(
-            results.ResultCode.OK, revision=earlier.revision
-        )
+        return _records.Outcome(results.ResultCode.OK, revision=revision)
 
     def _accept(self, command: _commands.ApplyDeclarations) -> None:
         record = _records.ConfigurationRecord(
@@ -74,6 +88,19 @@
         )
         self._records.append(record)
         self._by_change_id[record.change_id] = record
-        for forgotten in self._records[:-KEPT_REVISIONS]:
-            del self._by_change_id[forgotten.change_id]
+        for dropped in self._records[:-KEPT_REVISIONS]:
+            del self._by_change_id[dropped.change_id]
+            self._remember(dropped)
         del self._records[:-KEPT_REVISIONS]
+
+    def _remember(self, record: _records.ConfigurationRecord) -> None:
+        self._older[record.change_id] = _records.ChangeRecord(
+            record.change_id, record.revision, _digest(record.declarations)
+        )
+        if len(self._older) > KEPT_CHANGES:
+            del self._older[next(iter(self._older))]
+
+
+def _digest(declarations: model.Declarations) -> bytes:
+    data = model.to_cbor(declarations)
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
--- a/lagooncrank/core/state/_machine.py
+++ b/lagooncrank/core/state/_machine.py
@@ -41,6 +41,7 @@
     marks: tuple[_records.ContentMark, ...]
     drains: tuple[_records.Drain, ...] = ()
     entry_notes: tuple[_records.EntryNote, ...] = ()
+    older_changes: tuple[_records.ChangeRecord, ...] = ()
 
 
 class StateMachine:
@@ -141,6 +142,7 @@
                 version=SNAPSHOT_VERSION,
                 applied_index=self._applied_index,
                 configurations=self._configurations.history(),
+                older_changes=self._configurations.older_changes(),
                 calls=self._ledger.records(),
                 replicas=tuple(self._assignments.replicas.values()),
                 last_fencing_number=self._assignments.last_fencing_number,
@@ -153,7 +155,7 @@
     def _restore(self, snapshot: StateSnapshot) -> None:
         self._applied_index = snapshot.applied_index
         self._configurations = _configuration.Configurations(
-            snapshot.configurations
+            snapshot.configurations, snapshot.older_changes
         )
         self._ledger = _ledger.CallLedger(snapshot.calls, snapshot.entry_notes)
         self._assignments = _assignments.Assignments(
--- a/lagooncrank/core/state/_records.py
+++ b/lagooncrank/core/state/_records.py
@@ -18,6 +18,16 @@
     declarations: model.Declarations
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRecord:
+    """An accepted change whose revision is no longer kept."""
+
+    change_id: str
+    revision: int
+    #: Digest of the declarations.
+    digest: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallRecord:
     """What the ledger holds of one call."""
--- a/lagooncrank/core/state/tests/test_machine.py
+++ b/lagooncrank/core/state/tests/test_machine.py
@@ -7,6 +7,7 @@
 from lagooncrank import results
 from lagooncrank.core import state
 from lagooncrank.core.state import _answers
+from lagooncrank.core.state import _configuration
 
 Code = results.ResultCode
 CALL = state.CallKey(
@@ -296,3 +297,33 @@
     repeat = state.ReserveCall(calls[0], b"d", OWNER_B, 4, 1_000)
     outcome = machine.apply(next(index), repeat)
     assert outcome.code is Code.CALL_ALREADY_FINISHED
+
+
+def test_change_resent_after_its_revision_was_dropped() -> None:
+    machine = state.StateMachine()
+    last = _configuration.KEPT_REVISIONS + 1
+    for revision in range(last):
+        machine.apply(revision + 1, configure(f"c{revision}", revision))
+    machine = state.StateMachine.from_snapshot(machine.snapshot())
+    assert machine.history()[0].change_id == "c1"
+    again = machine.apply(last + 1, configure("c0", 0))
+    assert (again.code, again.revision) == (Code.OK, 1)
+    other = machine.apply(last + 2, configure("c0", 0, share=2))
+    assert other.code is Code.CHANGE_ID_REUSED
+    assert machine.configuration is not None
+    assert machine.configuration.revision == last
+
+
+def test_instance_of_an_ended_replica_can_be_assigned_again() -> None:
+    machine = state.StateMachine()
+    machine.apply(1, put("r1", "ab", 1))
+    lost = replica("r1", "ab", 1, epoch=1).with_changes(
+        state=model.ReplicaState.LOST
+    )
+    assert machine.apply(2, state.PutReplica(lost, 0)).ok
+    assert machine.apply(3, put("r2", "bc", 2)).ok
+    machine = state.StateMachine.from_snapshot(machine.snapshot())
+    taken = machine.apply(4, put("r3", "c", 3))
+    assert taken.code is Code.INSTANCE_TAKEN
+    assert taken.replica is not None
+    assert taken.replica.replica_id == "r2"
--- a/lagooncrank/server/_placement.py
+++ b/lagooncrank/server/_placement.py
@@ -10,6 +10,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank import results
+from lagooncrank.core import consensus
 from lagooncrank.core import membership
 from lagooncrank.core import placement
 from lagooncrank.core import state
@@ -23,7 +24,7 @@
 PROPOSAL_TIMEOUT_MS: Final = 3_000
 READ_TIMEOUT_MS: Final = 2_000
 #: Longest time that a deposed leader believes itself leader.
-LEADER_LEASE_MS: Final = 10_000
+LEADER_LEASE_MS: Final = consensus.Timing().lease_ms
 
 _log = logbook.Logger("placement")
 
