--- a/bench/_drill_site.py
+++ b/bench/_drill_site.py
@@ -2,19 +2,18 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import json
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 from typing import Any
 
 import aiohttp
 
-LOOPBACK = "127.0.0.1"
+from demo import _files
+
 DOMAINS = ("domain-1", "domain-2", "domain-3")
 ACCOUNT_KEY = "drill-account-key"
 OPERATOR_KEY = "drill-operator-key"
@@ -54,10 +53,10 @@
         self._commands: dict[str, Command] = {}
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._start_ns = time.monotonic_ns()
-        ports = _free_ports(3 * len(DOMAINS) + 1)
-        self.entries = tuple(f"{LOOPBACK}:{p}" for p in ports[:3])
-        self._peers = tuple(f"{LOOPBACK}:{p}" for p in ports[3:6])
-        self.booking_port = ports[6]
+        addresses = _files.free_addresses(2 * len(DOMAINS) + 1)
+        self.entries = tuple(addresses[:3])
+        self._peers = tuple(addresses[3:6])
+        self.booking_address = addresses[6]
 
     def now_ms(self) -> int:
         """Returns milliseconds since the drill began."""
@@ -95,8 +94,9 @@
             while True:
                 for index, entry in enumerate(self.entries):
                     status = await self._status(entry)
-                    if status and status.get("leader") is True:
-                        return f"n{index + 1}"
+                    name = f"n{index + 1}"
+                    if status.get("leader") == name:
+                        return name
                 await asyncio.sleep(POLL_S)
 
     async def wait_until_all_serve(self) -> None:
@@ -107,7 +107,7 @@
 
     async def runs(self) -> dict[str, int]:
         """Returns how often each booking ran, told by the service itself."""
-        url = f"http://{LOOPBACK}:{self.booking_port}/runs"
+        url = f"http://{self.booking_address}/runs"
         async with self._session.get(url) as response:
             counts: dict[str, int] = await response.json()
         return counts
@@ -207,7 +207,7 @@
             "node_id": name,
             "nodes": [self._node(index) for index in range(len(DOMAINS))],
             "shared_key_file": str(shared_key),
-            "operator_key_sha256s": [_sha256(OPERATOR_KEY)],
+            "operator_key_sha256s": [_files.sha256(OPERATOR_KEY)],
             "data_folder": str(data),
         }
         path.write_text(json.dumps(values))
@@ -240,7 +240,7 @@
             "--instance=ib",
             f"--failure-domain={DOMAINS[0]}",
             f"--serves={BOOKING}",
-            f"--port={self.booking_port}",
+            f"--port={self.booking_address.rpartition(':')[2]}",
             f"--entries={','.join(self._announced_to(0))}",
         )
         return Command("booking", "standins.plain_service", arguments)
@@ -253,20 +253,6 @@
         return self._folder / f"{name}.log"
 
 
-def _sha256(key: str) -> str:
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((LOOPBACK, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def _declarations() -> dict[str, Any]:
     return {
         "model_services": [
@@ -284,7 +270,7 @@
         "client_accounts": [
             {
                 "name": "call-centre",
-                "key_sha256s": [_sha256(ACCOUNT_KEY)],
+                "key_sha256s": [_files.sha256(ACCOUNT_KEY)],
                 "share": 1,
                 "first_token_target_ms": 5_000,
             }
