Let requests wait while the capacity of a service is not known yet

Cause: the failure drill saw 5 of 8 drafts refused with CANNOT_START_IN_TIME in the first moment after the replicas formed: an entry learns the capacity up to 0.1 s after its first target, and without a capacity one queued request made the estimated wait minutes long. Ruled out: shares (one account alone), deadlines (5 s were left). Change: without a capacity nothing is refused by estimate; the queue bound and the deadline hold as before.

--- a/lagooncrank/core/admission/_service.py
+++ b/lagooncrank/core/admission/_service.py
@@ -137,6 +137,10 @@
         wait_ms = self.wait_ms(account)
         if account.queued >= account.max_queued_requests:
             return _refusals.queue_full(offer, wait_ms)
+        if not self.limits.capacity.concurrency:
+            # Without a capacity the wait cannot be estimated: the first
+            # replica has just formed, or the last one may come back in time.
+            return None
         late_ms = now_ms + wait_ms - _last_start_ms(account, offer, now_ms)
         if account.queued and late_ms > 0:
             return _refusals.cannot_start_in_time(offer, late_ms)
--- a/lagooncrank/core/admission/tests/test_fair_share.py
+++ b/lagooncrank/core/admission/tests/test_fair_share.py
@@ -201,6 +201,42 @@
     assert 0 < started <= SLOTS // 4
 
 
+def _without_capacity() -> admission.Admission:
+    config = admission.AdmissionConfig(model.NodeId("e1"), 1, entries=1)
+    policy = admission.ADMISSIONS.get("fair_share").from_config(config)
+    policy.configure(driver.declare({"a": 1}), 0)
+    return policy
+
+
+def _offer(name: str) -> admission.Offer:
+    return admission.Offer(
+        model.RequestId(name),
+        model.ClientAccountId("a"),
+        driver.SERVICE,
+        prompt_tokens=1,
+        max_output_tokens=100,
+        first_token_deadline_ms=1_300,
+    )
+
+
+def test_burst_before_the_capacity_is_known_waits_for_it() -> None:
+    policy = _without_capacity()
+    for index in range(8):
+        assert not policy.offer(_offer(f"r{index}"), 0)
+    capacity = admission.Capacity(driver.SERVICE, 1, SLOTS, 100)
+    effects = policy.set_capacity(capacity, 100)
+    assert [type(e) for e in effects] == 8 * [admission.Start]
+
+
+def test_queue_without_capacity_is_refused_at_the_deadline() -> None:
+    policy = _without_capacity()
+    assert not policy.offer(_offer("r"), 0)
+    [effect] = policy.tick(1_300)
+    assert isinstance(effect, admission.Refuse)
+    assert effect.refusal.code is results.ResultCode.QUEUE_TIMEOUT
+    assert effect.refusal.ran is results.Ran.NOT_RUN
+
+
 def test_undeclared_account_is_refused() -> None:
     run = driver.Driver("fair_share", driver.declare({"a": 1}), SLOTS)
     run.run([driver.Arrival(0, "stranger")], until_ms=100)
