Revert "Try: ask for a refused pre-vote again soon"

Cause: the pauses after a lost leader stayed as long with it as without. Ruled out by it: refused pre-votes as their cause.

--- a/lagooncrank/core/consensus/_context.py
+++ b/lagooncrank/core/consensus/_context.py
@@ -86,15 +86,6 @@
         wait_ms = timing.election_min_ms + int(self.draw() * spread)
         self.election_deadline_ms = now_ms + wait_ms
 
-    def set_pre_vote_deadline(self, now_ms: int) -> None:
-        """Lets a refused pre-vote be asked for again soon.
-
-        Voters that heard the leader a little later refuse the first one. It
-        changes no term, so asking again costs only messages.
-        """
-        wait_ms = self.timing.heartbeat_ms * (1 + self.draw())
-        self.election_deadline_ms = now_ms + round(wait_ms)
-
     def become_follower(
         self, term: int, leader: _messages.Voter | None, now_ms: int
     ) -> None:
--- a/lagooncrank/core/consensus/_election.py
+++ b/lagooncrank/core/consensus/_election.py
@@ -89,10 +89,7 @@
 
     def _ask(self, now_ms: int, *, pre_vote: bool) -> bool:
         context = self._context
-        if pre_vote:
-            context.set_pre_vote_deadline(now_ms)
-        else:
-            context.reset_election_deadline(now_ms)
+        context.reset_election_deadline(now_ms)
         self._granted = {context.own}
         term = context.term + 1 if pre_vote else context.term
         request = _messages.VoteRequest(
