Make errors, routing queries and bench keys in one place each

Cause: a read of the whole change found three pieces written twice: the error made from code, reason and `ran` (for HTTP handlers and for calls that may not be repeated), the routing query of a plain call (repeatable or not), and the free addresses and key digests of the demo, copied into a bench. Behaviour is as before; no test changed.

--- a/bench/load_site.py
+++ b/bench/load_site.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import os
 import pathlib
-import socket
 from typing import Any
 
 import aiohttp
 import yaml
 
+from demo import _files
 from standins import processes
 
 LOOPBACK = "127.0.0.1"
@@ -52,7 +51,7 @@
         self._folder = folder
         self._shape = shape
         self._processes = processes.Processes(folder)
-        self.entry, self._peer = _free_addresses(2)
+        self.entry, self._peer = _files.free_addresses(2)
         self.engines: list[EngineAddress] = []
 
     async def start(self) -> None:
@@ -102,7 +101,7 @@
             "node_id": "n1",
             "nodes": [node],
             "shared_key_file": str(key),
-            "operator_key_sha256s": [_sha256(OPERATOR_KEY)],
+            "operator_key_sha256s": [_files.sha256(OPERATOR_KEY)],
             "data_folder": str(data),
             "log_level": "WARNING",
         }
@@ -134,7 +133,7 @@
         }
         account = {
             "name": "bench",
-            "key_sha256s": [_sha256(ACCOUNT_KEY)],
+            "key_sha256s": [_files.sha256(ACCOUNT_KEY)],
             "share": 1,
             "first_token_target_ms": 60_000,
             "max_queued_requests": 10_000,
@@ -201,17 +200,3 @@
 
 def _operator() -> dict[str, str]:
     return {"Authorization": f"Bearer {OPERATOR_KEY}"}
-
-
-def _sha256(key: str) -> str:
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
-def _free_addresses(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((LOOPBACK, 0))
-    addresses = [f"{LOOPBACK}:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return addresses
--- a/lagooncrank/results.py
+++ b/lagooncrank/results.py
@@ -139,6 +139,17 @@
         super().__init__(f"{code.name} ({code.value}): {refusal.reason}")
 
 
+def error(
+    code: ResultCode, reason: str, ran: Ran = Ran.NOT_RUN
+) -> LagooncrankError:
+    """Returns the error that refuses a request with this code.
+
+    >>> error(ResultCode.QUEUE_FULL, "200 requests wait").refusal.ran
+    <Ran.NOT_RUN: 'not_run'>
+    """
+    return LagooncrankError(Refusal(code, reason, ran))
+
+
 def docs_table() -> str:
     """Returns the Markdown table that `docs/RESULT_CODES.md` must hold."""
     rows = [
--- a/lagooncrank/server/_once_answers.py
+++ b/lagooncrank/server/_once_answers.py
@@ -40,13 +40,13 @@
     """
     key = record.call.key
     if record.body_digest != call.digest:
-        raise error(
+        raise results.error(
             _Code.KEY_REUSED,
             f"key {key!r} was used with another body; use a new key",
         )
     kept = record.answer
     if kept is None:
-        raise error(
+        raise results.error(
             _Code.ANSWER_NOT_KEPT,
             f"the call with key {key!r} ran; its answer was not kept",
             results.Ran.RAN,
@@ -95,18 +95,9 @@
 
 def unknown(key: state.CallKey) -> results.LagooncrankError:
     """Returns the error for a call that may have run."""
-    return error(
+    return results.error(
         _Code.OUTCOME_UNKNOWN,
         f"the call with key {key.key!r} may have run and is not sent again; "
         "ask the service for its outcome",
         results.Ran.UNKNOWN,
     )
-
-
-def error(
-    code: results.ResultCode,
-    reason: str,
-    ran: results.Ran = results.Ran.NOT_RUN,
-) -> results.LagooncrankError:
-    """Returns an error with its refusal."""
-    return results.LagooncrankError(results.Refusal(code, reason, ran))
--- a/lagooncrank/server/_once_calls.py
+++ b/lagooncrank/server/_once_calls.py
@@ -78,7 +78,7 @@
         )
         known = self._shared.view.call(key)
         if known is None:
-            self._targets.choose(_query(call))
+            self._targets.choose(call.query())
         elif known.state is state.CallState.FINISHED:
             # A finished call stays finished, so no quorum is needed.
             return _once_answers.repeat(call, known)
@@ -117,7 +117,7 @@
         refusal = None
         for _ in range(MAX_CONNECTS):
             try:
-                query = _query(reservation.call, excluded)
+                query = reservation.call.query(excluded)
                 target = self._targets.choose(query)
                 answer = await self._attempt(reservation, target)
             except results.LagooncrankError as error:
@@ -155,13 +155,13 @@
         """
         now_ms = self._clock.now_ms()
         if now_ms > reservation.send_by_ms:
-            raise _once_answers.error(
+            raise results.error(
                 _Code.SEND_WINDOW_PASSED,
                 "the entry was held up between reserving and sending; send "
                 "the call again with the same key",
             )
         if now_ms > reservation.call.deadline_ms:
-            raise _once_answers.error(
+            raise results.error(
                 _Code.DEADLINE_EXCEEDED, "the caller stopped waiting"
             )
 
@@ -206,10 +206,10 @@
             case _Code.OUTCOME_UNKNOWN:
                 pass
             case _Code.KEY_REUSED:
-                raise _once_answers.error(outcome.code, outcome.reason)
+                raise results.error(outcome.code, outcome.reason)
             case _:
                 ran = _once_answers.ran(record)
-                raise _once_answers.error(outcome.code, outcome.reason, ran)
+                raise results.error(outcome.code, outcome.reason, ran)
         answer = await self._look_up(call, key)
         if answer is not None:
             return answer
@@ -239,7 +239,7 @@
             "GET", path.replace("{key}", quoted), (), b""
         )
         try:
-            target = self._targets.choose(_query(call))
+            target = self._targets.choose(call.query())
             answer = await self._lookup_client.call(
                 target.address, request, call.service.timeout_ms
             )
@@ -249,16 +249,3 @@
             return None
         await self._recorder.resolve(key, _once_answers.stored(answer))
         return answer
-
-
-def _query(
-    call: _plain_calls.PlainCall, excluded: frozenset[str] = frozenset()
-) -> routing.RouteQuery:
-    return routing.RouteQuery(
-        request_id=call.request_id,
-        service=call.service.name,
-        account=call.account.name,
-        prompt_tokens=0,
-        expected_output_tokens=0,
-        excluded=excluded,
-    )
--- a/lagooncrank/server/_plain_calls.py
+++ b/lagooncrank/server/_plain_calls.py
@@ -36,6 +36,19 @@
     request: _plain_client.PlainRequest
     deadline_ms: int
 
+    def query(
+        self, excluded: frozenset[str] = frozenset()
+    ) -> routing.RouteQuery:
+        """Returns what routing is asked for one attempt."""
+        return routing.RouteQuery(
+            request_id=self.request_id,
+            service=self.service.name,
+            account=self.account.name,
+            prompt_tokens=0,
+            expected_output_tokens=0,
+            excluded=excluded,
+        )
+
 
 class PlainCalls:
     """Sends repeatable calls until one attempt has an answer."""
@@ -69,7 +82,7 @@
         attempt = 0
         while True:
             attempt += 1
-            query = _query(call, excluded)
+            query = call.query(excluded)
             target = self.choose(query, ran)
             try:
                 return await self._attempt(call, query, target)
@@ -155,17 +168,6 @@
             self._router.ended(call.request_id, end, now_ms)
 
 
-def _query(call: PlainCall, excluded: frozenset[str]) -> routing.RouteQuery:
-    return routing.RouteQuery(
-        request_id=call.request_id,
-        service=call.service.name,
-        account=call.account.name,
-        prompt_tokens=0,
-        expected_output_tokens=0,
-        excluded=excluded,
-    )
-
-
 def _policy_call(call: PlainCall) -> retry.Call:
     return retry.Call(
         request_id=call.request_id,
--- a/lagooncrank/server/http/_auth.py
+++ b/lagooncrank/server/http/_auth.py
@@ -8,7 +8,6 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.server import _ports
-from lagooncrank.server.http import _problem
 
 SCHEME = "Bearer "
 
@@ -29,14 +28,14 @@
         """
         header = request.headers.get("Authorization", "")
         if not header.startswith(SCHEME):
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.UNAUTHENTICATED,
                 "send the header 'Authorization: Bearer KEY'",
             )
         key = header.removeprefix(SCHEME).strip().encode()
         account = self._find(hashlib.sha256(key).hexdigest())
         if account is None:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.UNAUTHENTICATED,
                 "no client account has this key",
             )
@@ -72,7 +71,7 @@
         LagooncrankError: The declarations do not allow it.
     """
     if account.services and service not in account.services:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.FORBIDDEN,
             f"client account {account.name!r} may not use {service!r}",
         )
--- a/lagooncrank/server/http/_body.py
+++ b/lagooncrank/server/http/_body.py
@@ -8,7 +8,6 @@
 
 from lagooncrank import results
 from lagooncrank import settings
-from lagooncrank.server.http import _problem
 
 T = TypeVar("T")
 
@@ -28,7 +27,7 @@
     except web.HTTPRequestEntityTooLarge as error:
         raise _too_large(limits) from error
     except TimeoutError as error:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.SENDER_TOO_SLOW,
             f"the body did not arrive within {limits.sender_timeout_ms} ms",
         ) from error
@@ -43,13 +42,13 @@
     try:
         return decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.MALFORMED_REQUEST, f"request body: {error}"
         ) from error
 
 
 def _too_large(limits: settings.LimitSettings) -> results.LagooncrankError:
-    return _problem.error(
+    return results.error(
         results.ResultCode.REQUEST_TOO_LARGE,
         f"the body is over the limit of {limits.request_bytes} bytes",
     )
--- a/lagooncrank/server/http/_cache_events.py
+++ b/lagooncrank/server/http/_cache_events.py
@@ -10,7 +10,6 @@
 from lagooncrank.server import _cache_hints
 from lagooncrank.server import _ports
 from lagooncrank.server.http import _body
-from lagooncrank.server.http import _problem
 
 _decoder = msgspec.json.Decoder(_cache_hints.CacheEvents)
 
@@ -37,7 +36,7 @@
         events = _body.decode(body, _decoder)
         replicas = self._shared.view.replicas
         if events.replica_id not in replicas:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.UNKNOWN_RESOURCE,
                 f"no replica is named {events.replica_id!r}",
             )
--- a/lagooncrank/server/http/_completion_requests.py
+++ b/lagooncrank/server/http/_completion_requests.py
@@ -6,7 +6,6 @@
 
 from lagooncrank import results
 from lagooncrank.server.http import _body
-from lagooncrank.server.http import _problem
 
 BYTES_PER_TOKEN = 4
 
@@ -80,7 +79,7 @@
     """
     asked = _body.decode(body, _chat_decoder)
     if not asked.messages:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.MALFORMED_REQUEST, "messages must not be empty"
         )
     max_tokens = asked.max_completion_tokens or asked.max_tokens
@@ -100,7 +99,7 @@
 
 def _check_max_tokens(max_tokens: int | None) -> None:
     if max_tokens is not None and max_tokens < 1:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.MALFORMED_REQUEST,
             f"max_tokens is {max_tokens}, must be at least 1",
         )
--- a/lagooncrank/server/http/_completions.py
+++ b/lagooncrank/server/http/_completions.py
@@ -18,7 +18,6 @@
 from lagooncrank.server.http import _completion_requests as requests
 from lagooncrank.server.http import _event_stream
 from lagooncrank.server.http import _gate
-from lagooncrank.server.http import _problem
 from lagooncrank.server.http import _request_ids
 from lagooncrank.server.http import _shapes
 
@@ -161,7 +160,7 @@
             if service.name == name:
                 return service
         known = ", ".join(s.name for s in services) or "none"
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.UNKNOWN_MODEL,
             f"no model service is named {name!r}; known: {known}",
         )
@@ -177,7 +176,7 @@
     if text is None:
         return DEFAULT_DEADLINE_MS
     if not (text.isascii() and text.isdigit() and int(text) > 0):
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.MALFORMED_REQUEST,
             f"{DEADLINE_HEADER} is {text!r}, must be milliseconds above 0",
         )
--- a/lagooncrank/server/http/_gate.py
+++ b/lagooncrank/server/http/_gate.py
@@ -12,7 +12,6 @@
 from lagooncrank.server import _lifecycle
 from lagooncrank.server import _ports
 from lagooncrank.server.http import _auth
-from lagooncrank.server.http import _problem
 
 
 class Gate:
@@ -45,7 +44,7 @@
 
     def _check_phase(self) -> None:
         if self._lifecycle.phase is _lifecycle.Phase.DRAINING:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.STOPPING,
                 f"this entry is stopping; ask another entry: {self._others()}",
             )
@@ -65,13 +64,13 @@
         """
         record = self._shared.view.configuration
         if not self._shared.lease_holds():
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.CONFIGURATION_STALE,
                 "this entry lost contact with the quorum; ask another "
                 f"entry: {self._others()}",
             )
         if record is None:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.NO_CONFIGURATION,
                 "no declarations were applied yet",
             )
--- a/lagooncrank/server/http/_operator_requests.py
+++ b/lagooncrank/server/http/_operator_requests.py
@@ -13,7 +13,6 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank import settings
-from lagooncrank.server.http import _problem
 
 #: Largest body of a request, in bytes.
 MAX_BODY_BYTES = 4_194_304
@@ -52,7 +51,7 @@
     digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
     matches = [hmac.compare_digest(digest, d) for d in operator_key_sha256s]
     if not any(matches):
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.UNAUTHENTICATED,
             "send an operator key as 'Authorization: Bearer KEY'; its "
             "SHA-256 must stand in operator_key_sha256s of this node",
@@ -69,12 +68,12 @@
     try:
         plain = json.loads(body)
         for fault in settings.check_shape(plain, kind):
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.MALFORMED_REQUEST, str(fault)
             )
         return msgspec.convert(plain, kind)
     except (ValueError, RecursionError) as error:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.MALFORMED_REQUEST,
             f"the body is no {kind.__name__}: {error}",
         ) from error
@@ -85,7 +84,7 @@
     async for chunk in request.content.iter_any():
         body += chunk
         if len(body) > MAX_BODY_BYTES:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.REQUEST_TOO_LARGE,
                 f"the body is over {MAX_BODY_BYTES} bytes",
             )
--- a/lagooncrank/server/http/_operators.py
+++ b/lagooncrank/server/http/_operators.py
@@ -16,7 +16,6 @@
 from lagooncrank.server import _revision_reports
 from lagooncrank.server.http import _operator_requests as requests
 from lagooncrank.server.http import _operator_views as views
-from lagooncrank.server.http import _problem
 
 #: How long a change may wait for the quorum.
 PROPOSE_TIMEOUT_MS = 5_000
@@ -89,7 +88,7 @@
         await self._confirm_read()
         record = self._shared.view.configuration
         if record is None:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.NO_CONFIGURATION,
                 "nothing was applied yet; apply declarations with base "
                 "revision 0",
@@ -109,7 +108,7 @@
             if record.revision == wanted:
                 return web.json_response(views.configuration(record))
         kept = ", ".join(str(r.revision) for r in history) or "none"
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.UNKNOWN_RESOURCE,
             f"revision {wanted} is not kept; kept revisions: {kept}",
         )
@@ -119,7 +118,7 @@
         current = record.revision if record else 0
         asked = request.query.get("revision", str(current))
         if not asked.isascii() or not asked.isdigit():
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 f"revision is {asked!r}, must be a whole number",
             )
@@ -147,13 +146,13 @@
     ) -> requests.ChangeRequest:
         change = await requests.read_json(request, requests.ChangeRequest)
         if not change.change_id or not change.author:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 "change_id and author must not be empty",
             )
         problems = settings.check_declarations(change.declarations)
         if problems:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.INVALID_DECLARATIONS,
                 "; ".join(f"{p.field}: {p.message}" for p in problems),
             )
@@ -178,7 +177,7 @@
     async def _drain(self, request: web.Request) -> web.StreamResponse:
         body = await requests.read_json(request, requests.DrainRequest)
         if not body.instance_id:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 "instance_id must not be empty",
             )
@@ -189,7 +188,7 @@
     async def _end_drain(self, request: web.Request) -> web.StreamResponse:
         instance_id = model.InstanceId(request.match_info["instance_id"])
         if instance_id not in self._shared.view.drains:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.UNKNOWN_RESOURCE,
                 f"instance {instance_id!r} is not drained; GET /v1/drain "
                 "lists those that are",
@@ -205,12 +204,12 @@
         try:
             digest = bytes.fromhex(text)
         except ValueError as error:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.MALFORMED_REQUEST,
                 f"{text!r} is no digest: give whole bytes in hexadecimal",
             ) from error
         if digest not in self._shared.view.marks:
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.UNKNOWN_RESOURCE,
                 f"no content {text} is marked; GET /v1/quarantine lists them",
             )
@@ -228,7 +227,7 @@
 
     async def _confirm_read(self) -> None:
         if not await self._shared.confirm_read(READ_TIMEOUT_MS):
-            raise _problem.error(
+            raise results.error(
                 results.ResultCode.NO_QUORUM,
                 "this node cannot reach a majority of voters, so its answer "
                 "could be old; ask another entry",
--- a/lagooncrank/server/http/_problem.py
+++ b/lagooncrank/server/http/_problem.py
@@ -41,12 +41,3 @@
         status=refusal.code.http_status,
         headers=headers,
     )
-
-
-def error(
-    code: results.ResultCode,
-    reason: str,
-    ran: results.Ran = results.Ran.NOT_RUN,
-) -> results.LagooncrankError:
-    """Returns the error that ends a request with this code."""
-    return results.LagooncrankError(results.Refusal(code, reason, ran))
--- a/lagooncrank/server/http/_services.py
+++ b/lagooncrank/server/http/_services.py
@@ -18,7 +18,6 @@
 from lagooncrank.server.http import _body
 from lagooncrank.server.http import _completions
 from lagooncrank.server.http import _gate
-from lagooncrank.server.http import _problem
 from lagooncrank.server.http import _request_ids
 
 KEY_HEADER = "Idempotency-Key"
@@ -100,7 +99,7 @@
             if service.name == name:
                 return service
         known = ", ".join(s.name for s in services) or "none"
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.UNKNOWN_SERVICE,
             f"no plain service is named {name!r}; known: {known}",
         )
@@ -136,13 +135,13 @@
 def _idempotency_key(request: web.Request, service: model.PlainService) -> str:
     key = request.headers.get(KEY_HEADER, "")
     if not key and not service.repeatable:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.KEY_REQUIRED,
             f"calls of {service.name!r} may not be repeated; send an "
             f"{KEY_HEADER} and the same one when asking again",
         )
     if len(key) > MAX_KEY_LENGTH:
-        raise _problem.error(
+        raise results.error(
             results.ResultCode.MALFORMED_REQUEST,
             f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters",
         )
