Let links, upstreams and voters change while a node runs

Cause: on the users' machines a process knows three seeds and no list of nodes; voters are replaced at other addresses. Until now peers, upstreams and wanted voters were fixed by the settings.

Links may accept any holder of the key and are told peers as they are found; a participant takes new upstreams; a voter target lets the leader replace voters that are gone by nodes that ask to join. A fixed list stays the default.

--- a/lagooncrank/core/consensus/_genesis.py
+++ b/lagooncrank/core/consensus/_genesis.py
@@ -39,9 +39,22 @@
     """Looks for the voter set on behalf of a blank disk."""
 
     def __init__(
-        self, own: _messages.Voter, node_ids: tuple[model.NodeId, ...]
+        self,
+        own: _messages.Voter,
+        node_ids: tuple[model.NodeId, ...],
+        *,
+        may_found: bool = True,
     ) -> None:
+        """Prepares the search.
+
+        Args:
+            own: The blank disk.
+            node_ids: Voters of the first start.
+            may_found: Whether this is the first start of the whole system;
+                otherwise a blank disk only joins what exists.
+        """
         self._own = own
+        self._may_found = may_found
         self._node_ids = tuple(sorted(node_ids))
         self._blank = {own.node_id: own}
         self._asked_ms: int | None = None
@@ -62,8 +75,8 @@
     def answer(
         self, hello: BlankHello, voters: _messages.VoterSet | None
     ) -> BlankReply | None:
-        """Answers a hello, unless the settings of both sides differ."""
-        if hello.node_ids != self._node_ids:
+        """Answers a hello; blank sides with different settings do not."""
+        if voters is None and hello.node_ids != self._node_ids:
             return None
         return BlankReply(self._own, voters)
 
@@ -79,7 +92,7 @@
         if reply is not None and reply.voters is not None:
             return reply.voters if self._own in reply.voters.voters else None
         is_first = self._own.node_id == self._node_ids[0]
-        if self.is_replaced or not is_first:
+        if self.is_replaced or not is_first or not self._may_found:
             return None
         if set(self._blank) != set(self._node_ids):
             return None
--- a/lagooncrank/core/consensus/_participant.py
+++ b/lagooncrank/core/consensus/_participant.py
@@ -50,7 +50,7 @@
         self._acceptor = _submitting.Acceptor()
         self._voting: _voting.Voting | None = None
         if node is not None and own is not None:
-            self._voting = _voting.Voting(own, node, setup.voter_node_ids)
+            self._voting = _voting.Voting(own, node, setup)
         if durable.snapshot is not None:
             snapshot = durable.snapshot
             self._restore(
@@ -72,6 +72,28 @@
         """Voter set as this node's log has it; None without a disk."""
         return self._node.status.voters if self._node else None
 
+    @property
+    def upstream(self) -> model.NodeId | None:
+        """Node that this one follows; None on a node with a disk."""
+        return None if self._node is not None else self._poller.upstream
+
+    def followers(self, now_ms: int) -> frozenset[model.NodeId]:
+        """Returns the nodes that follow this one."""
+        return self._publisher.followers(now_ms)
+
+    def set_peers(
+        self,
+        upstreams: tuple[model.NodeId, ...],
+        linked: frozenset[model.NodeId],
+    ) -> None:
+        """Takes the nodes to follow and those with a link, as they change."""
+        self._setup = dataclasses.replace(
+            self._setup, upstreams=upstreams, linked=linked
+        )
+        self._poller.set_upstreams(upstreams)
+        if self._voting is not None:
+            self._voting.peers = linked
+
     def leads(self, now_ms: int) -> bool:
         """Whether this node leads and its leader lease holds."""
         return self._node is not None and self._node.lease_holds(now_ms)
--- a/lagooncrank/core/consensus/_participation.py
+++ b/lagooncrank/core/consensus/_participation.py
@@ -35,6 +35,11 @@
     upstreams: tuple[model.NodeId, ...]
     #: Nodes that this one has links to.
     linked: frozenset[model.NodeId]
+    #: Whether blank voters may start a new system.
+    may_found: bool = True
+    #: Number of voters to keep, replacing those that are gone by nodes that
+    #: ask to join; None keeps exactly the voters of the settings.
+    voter_target: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagooncrank/core/consensus/_polling.py
+++ b/lagooncrank/core/consensus/_polling.py
@@ -28,6 +28,14 @@
         self.term = 0
         self.leader: model.NodeId | None = None
 
+    def set_upstreams(self, upstreams: tuple[model.NodeId, ...]) -> None:
+        """Takes other candidates; a present upstream among them is kept."""
+        present = self.upstream
+        self._upstreams = upstreams
+        self._position = 0
+        if present in upstreams:
+            self._position = upstreams.index(present)
+
     @property
     def upstream(self) -> model.NodeId | None:
         """The node to poll."""
--- a/lagooncrank/core/consensus/_relay.py
+++ b/lagooncrank/core/consensus/_relay.py
@@ -86,6 +86,13 @@
         self._bytes = 0
         self._next_index = next_index
 
+    def followers(self, now_ms: int) -> frozenset[model.NodeId]:
+        """Returns the nodes that polled lately."""
+        oldest_ms = now_ms - self._follower_timeout_ms
+        return frozenset(
+            n for n, f in self._followers.items() if f.heard_ms >= oldest_ms
+        )
+
     def answer(
         self, node_id: model.NodeId, next_index: int, now_ms: int
     ) -> Sequence[_messages.Entry] | None:
--- a/lagooncrank/core/consensus/_voter_changes.py
+++ b/lagooncrank/core/consensus/_voter_changes.py
@@ -53,6 +53,31 @@
     return _removal(present, wanted, is_heard)
 
 
+def elastic_voters(
+    present: _messages.VoterSet,
+    joining: Collection[_messages.Voter],
+    is_alive: Callable[[_messages.Voter], bool],
+    target: int,
+) -> frozenset[model.NodeId]:
+    """Returns which nodes should vote when their number alone is settled.
+
+    Live voters stay. Nodes that ask to join fill the places that are free or
+    whose voters are gone; voters that are gone keep their place until then.
+
+    Args:
+        present: The set in force.
+        joining: Disks that asked to be added.
+        is_alive: Whether a voter answered within the time after which it may
+            be replaced.
+        target: Number of voters wanted.
+    """
+    wanted = [v.node_id for v in present.voters if is_alive(v)]
+    candidates = (*present.learners, *joining)
+    wanted += [v.node_id for v in candidates if v.node_id not in wanted]
+    wanted += [v.node_id for v in present.voters if v.node_id not in wanted]
+    return frozenset(list(dict.fromkeys(wanted))[:target])
+
+
 def _removal(
     present: _messages.VoterSet,
     wanted: Collection[model.NodeId],
--- a/lagooncrank/core/consensus/_voting.py
+++ b/lagooncrank/core/consensus/_voting.py
@@ -1,5 +1,6 @@
 """What a node with a disk does beside consensus: first start and joining."""
 
+from collections.abc import Collection
 from typing import Any
 from typing import Final
 
@@ -8,6 +9,7 @@
 from lagooncrank.core.consensus import _genesis
 from lagooncrank.core.consensus import _messages
 from lagooncrank.core.consensus import _node
+from lagooncrank.core.consensus import _participation
 from lagooncrank.core.consensus import _voter_changes
 
 JOIN_INTERVAL_MS: Final = 1_000
@@ -16,6 +18,8 @@
 CHANGE_INTERVAL_MS: Final = 500
 #: A voter that did not answer for this long does not count as heard.
 HEARD_MS: Final = 1_000
+#: A voter that did not answer for this long may be replaced.
+REPLACE_AFTER_MS: Final = 3_000
 
 #: Messages that go to `Node.receive`.
 NODE_MESSAGES = (
@@ -34,12 +38,19 @@
         self,
         own: _messages.Voter,
         node: _node.Node,
-        voter_node_ids: tuple[model.NodeId, ...],
+        setup: _participation.Setup,
     ) -> None:
         self._own = own
         self._node = node
-        self._voter_node_ids = voter_node_ids
-        self._genesis = _genesis.Genesis(own, voter_node_ids)
+        self._voter_node_ids = setup.voter_node_ids
+        self._voter_target = setup.voter_target
+        self._genesis = _genesis.Genesis(
+            own, setup.voter_node_ids, may_found=setup.may_found
+        )
+        #: Nodes with a link, which are asked beside the settings' voters.
+        self.peers: frozenset[model.NodeId] = frozenset()
+        #: When this node last began to lead; earlier silence is not known.
+        self._leads_since_ms: int | None = None
         self._found: _messages.VoterSet | None = None
         self._joining: dict[_messages.Voter, int] = {}
         self._asked_ms = 0
@@ -55,8 +66,12 @@
             self._found = self._found or self._genesis.found(None)
         if self._is_outside(voters):
             self._ask_to_join(now_ms)
-        elif self._node.status.role is _context.Role.LEADER:
-            self._change_voters(now_ms)
+        if self._node.status.role is not _context.Role.LEADER:
+            self._leads_since_ms = None
+            return
+        if self._leads_since_ms is None:
+            self._leads_since_ms = now_ms
+        self._change_voters(now_ms)
 
     def receive(self, sender: model.NodeId, body: Any, now_ms: int) -> None:
         """Takes a message; those of unknown type are ignored."""
@@ -97,10 +112,26 @@
             return
         self._asked_ms = now_ms
         request = _voter_changes.JoinRequest(self._own)
-        for node_id in self._voter_node_ids:
+        for node_id in self.peers.union(self._voter_node_ids):
             if node_id != self._own.node_id:
                 self._outbox.append((node_id, request))
 
+    def _wanted(
+        self, present: _messages.VoterSet, now_ms: int
+    ) -> Collection[model.NodeId]:
+        """Returns the nodes that should vote."""
+        if self._voter_target is None:
+            return self._voter_node_ids
+        since_ms = max(now_ms - REPLACE_AFTER_MS, 0)
+        leads_since_ms = self._leads_since_ms or now_ms
+        is_early = now_ms - leads_since_ms < REPLACE_AFTER_MS
+        return _voter_changes.elastic_voters(
+            present,
+            tuple(self._joining),
+            lambda v: is_early or self._node.heard_of(v, since_ms),
+            self._voter_target,
+        )
+
     def _change_voters(self, now_ms: int) -> None:
         if now_ms - self._changed_ms < CHANGE_INTERVAL_MS:
             return
@@ -114,7 +145,7 @@
             return
         change = _voter_changes.next_change(
             present,
-            self._voter_node_ids,
+            self._wanted(present, now_ms),
             tuple(self._joining),
             self._node.is_caught_up,
             lambda v: self._node.heard_of(v, now_ms - HEARD_MS),
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -117,6 +117,29 @@
         setup = _state_setup.setup_of(process, incarnation)
         return cls(setup, links, clock_, store)
 
+    def set_peers(
+        self,
+        upstreams: tuple[model.NodeId, ...],
+        linked: frozenset[model.NodeId],
+    ) -> None:
+        """Takes the nodes to follow and those with a link, as they change."""
+        self._participant.set_peers(upstreams, linked)
+
+    @property
+    def upstream(self) -> model.NodeId | None:
+        """Node that this one follows; None on a node with a disk."""
+        return self._participant.upstream
+
+    @property
+    def followers(self) -> frozenset[model.NodeId]:
+        """Nodes that follow this one."""
+        return self._participant.followers(self._clock.now_ms())
+
+    @property
+    def voters(self) -> consensus.VoterSet | None:
+        """Voter set as this node's log has it; None without a disk."""
+        return self._participant.voters
+
     @property
     def view(self) -> _ports.StateView:
         """State applied at this node; it may lag the leader."""
--- a/lagooncrank/server/links/_channel.py
+++ b/lagooncrank/server/links/_channel.py
@@ -85,18 +85,27 @@
         cls,
         connection: ws_connection.Connection,
         own: model.NodeId,
-        known: frozenset[model.NodeId],
+        known: frozenset[model.NodeId] | None,
         key: bytes,
         clock_: clock.Clock,
     ) -> "Channel":
         """Authenticates a connection that a peer opened.
 
+        Args:
+            connection: The accepted connection.
+            own: This node.
+            known: Nodes that may connect; None lets every node that holds
+                the key.
+            key: Key shared by all nodes.
+            clock_: Clock of the process.
+
         Raises:
             HandshakeError: The other side is unknown or lacks the key.
         """
         theirs = await _receive(connection, "", _handshake.Hello)
         peer = theirs.node_id
-        if peer not in known or theirs.protocol != _handshake.PROTOCOL:
+        is_known = known is None or peer in known
+        if not is_known or theirs.protocol != _handshake.PROTOCOL:
             raise _handshake.HandshakeError(peer, "unknown node or version")
         mine = _handshake.Hello.of(own)
         await connection.send(model.to_cbor(mine))
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -1,5 +1,7 @@
 """Keeps one link to each other node and passes messages over it."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import inspect
 import socket
@@ -60,6 +62,8 @@
         clock_: clock.Clock,
         timing: LinkTiming = LinkTiming(),
         listener: socket.socket | None = None,
+        *,
+        accepts_any: bool = False,
     ) -> None:
         """Prepares links; nothing is opened before the start.
 
@@ -70,11 +74,17 @@
             clock_: Clock of the process.
             timing: Durations of the links.
             listener: Bound socket to use in place of the own address.
+            accepts_any: Whether every node that holds the key may connect,
+                whatever its id; peers to dial are then added as they are
+                found.
         """
         super().__init__()
         self._own = own
         self._addresses = addresses
         self._known = frozenset(n for n in addresses if n != own)
+        self._accepts_any = accepts_any
+        self._dialled: set[model.NodeId] = set()
+        self._on_connected: list[Callable[[model.NodeId], None]] = []
         self._key = key
         self._clock = clock_
         self._timing = timing
@@ -113,8 +123,8 @@
             **where,
         )
         for peer in sorted(self._known):
-            if self._own < peer:
-                self.add_future(self._dial_on(peer))
+            if self._own < peer or self._accepts_any:
+                self.add_peer(peer, self._addresses[peer])
 
     async def on_stop(self) -> None:
         """Closes every link."""
@@ -124,13 +134,40 @@
             self._server.close()
             await self._server.wait_closed()
 
+    def add_peer(self, peer: model.NodeId, address: str) -> None:
+        """Keeps a link to a peer from now on."""
+        self._addresses[peer] = address
+        if peer not in self._dialled and peer != self._own:
+            self._dialled.add(peer)
+            self.add_future(self._dial_on(peer))
+
+    def drop_peer(self, peer: model.NodeId) -> None:
+        """Stops dialling a peer that is gone for good."""
+        self._dialled.discard(peer)
+
+    def on_connected(self, listener: Callable[[model.NodeId], None]) -> None:
+        """Registers a listener for links that were made."""
+        self._on_connected.append(listener)
+
     def send(self, node_id: model.NodeId, kind: str, body: Any) -> None:
         """Queues a message; it is dropped when the link is down or full."""
+        self.send_all((node_id,), kind, body)
+
+    def send_all(
+        self, node_ids: Iterable[model.NodeId], kind: str, body: Any
+    ) -> None:
+        """Queues one message for several peers, encoding it once."""
+        payload = cbor2.dumps([kind, model.to_plain(body)])
+        for node_id in node_ids:
+            self._send_payload(node_id, kind, payload)
+
+    def _send_payload(
+        self, node_id: model.NodeId, kind: str, payload: bytes
+    ) -> None:
         channel = self._channels.get(node_id)
         if channel is None:
             _metrics.MESSAGES_DROPPED.labels("link_down").inc()
             return
-        payload = cbor2.dumps([kind, model.to_plain(body)])
         if not channel.send(payload):
             _metrics.MESSAGES_DROPPED.labels("peer_reads_slowly").inc()
             return
@@ -176,7 +213,13 @@
 
     async def _dial_on(self, peer: model.NodeId) -> None:
         wait_ms = self._timing.redial_min_ms
-        while not self.should_stop:
+        if self._own > peer:
+            # The lower id dials first, so that both rarely dial at once.
+            await self.sleep(self._timing.heartbeat_ms / 1_000)
+        while not self.should_stop and peer in self._dialled:
+            if peer in self._channels:
+                await self.sleep(self._timing.heartbeat_ms / 1_000)
+                continue
             started_ms = self._clock.now_ms()
             await self._dial(peer)
             lasted_ms = self._clock.now_ms() - started_ms
@@ -208,7 +251,11 @@
     async def _accept(self, connection: ws_server.ServerConnection) -> None:
         try:
             channel = await _channel.Channel.accept(
-                connection, self._own, self._known, self._key, self._clock
+                connection,
+                self._own,
+                None if self._accepts_any else self._known,
+                self._key,
+                self._clock,
             )
             await self._carry(channel)
         except results.LagooncrankError as error:
@@ -221,6 +268,8 @@
         if older is not None:
             _metrics.LINKS_CLOSED.labels("replaced").inc()
             older.abort()
+        for listener in self._on_connected:
+            listener(channel.peer)
         try:
             await channel.run(lambda p: self._receive(channel.peer, p))
         finally:
