Add seeded daemons and the adapter to the users' machines, untested

First shape of the whole path: routes and keys from an operator's document, reports of backend servers passed between nodes, groups formed by the leader, requests forwarded with resumed streams.

--- a/lagooncrank/clock.py
+++ b/lagooncrank/clock.py
@@ -26,8 +26,12 @@
     """Clock of the running process."""
 
     def now_ms(self) -> int:
-        """Returns monotonic time in milliseconds."""
-        return time.monotonic_ns() // NS_PER_MS
+        """Returns monotonic time in milliseconds.
+
+        Time for which the machine was suspended counts, as leases that other
+        nodes were given go on meanwhile.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
     def wall_ms(self) -> int:
         """Returns milliseconds since the Unix epoch."""
--- /dev/null
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -0,0 +1,19 @@
+"""Where an entry sends a request, and what it may send again."""
+
+from lagooncrank.core.dispatch._allowance import AllowanceRules
+from lagooncrank.core.dispatch._allowance import RetryAllowance
+from lagooncrank.core.dispatch._choice import choose_service
+from lagooncrank.core.dispatch._choice import choose_target
+from lagooncrank.core.dispatch._loads import LoadBook
+from lagooncrank.core.dispatch._suspects import Suspects
+from lagooncrank.core.dispatch._types import Target
+
+__all__ = [
+    "AllowanceRules",
+    "LoadBook",
+    "RetryAllowance",
+    "Suspects",
+    "Target",
+    "choose_service",
+    "choose_target",
+]
--- /dev/null
+++ b/lagooncrank/core/fleet/__init__.py
@@ -0,0 +1,25 @@
+"""What is known of backend servers and nodes from their reports."""
+
+from lagooncrank.core.fleet._nodes import FleetSummary
+from lagooncrank.core.fleet._nodes import NodeNotice
+from lagooncrank.core.fleet._nodes import NodeNotices
+from lagooncrank.core.fleet._nodes import NodeRole
+from lagooncrank.core.fleet._nodes import NodeTable
+from lagooncrank.core.fleet._servers import AgedReport
+from lagooncrank.core.fleet._servers import KnownServer
+from lagooncrank.core.fleet._servers import Renewal
+from lagooncrank.core.fleet._servers import ReportBatch
+from lagooncrank.core.fleet._servers import ServerTable
+
+__all__ = [
+    "AgedReport",
+    "FleetSummary",
+    "KnownServer",
+    "NodeNotice",
+    "NodeNotices",
+    "NodeRole",
+    "NodeTable",
+    "Renewal",
+    "ReportBatch",
+    "ServerTable",
+]
--- /dev/null
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -0,0 +1,99 @@
+"""Which nodes run, from their own notices with leases."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+from lagooncrank import model
+
+
+class NodeRole(enum.StrEnum):
+    """What a node does."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeNotice:
+    """What a node says of itself, renewed while it runs."""
+
+    node_id: model.NodeId
+    role: NodeRole
+    failure_domain: model.FailureDomainId
+    #: Address for callers; empty on a control node.
+    address: str
+    #: Whether callers may be sent to it.
+    is_open: bool
+    #: Wall time of its start and number of the notice; they order notices.
+    incarnation: int
+    sequence: int
+    #: Whether it has taken any request since its start.
+    has_served: bool = False
+    #: Requests that it has in flight, by backend server.
+    in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
+    #: Age when the notice was sent, since it was first given out.
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeNotices:
+    """Notices as control nodes pass them on to each other."""
+
+    notices: tuple[NodeNotice, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSummary:
+    """What an entry needs to know of the other nodes."""
+
+    control_nodes: tuple[model.NodeId, ...]
+    #: Entries that callers may be sent to.
+    entries: int
+    #: Requests in flight over all entries, by backend server.
+    in_flight: dict[str, int]
+
+
+class NodeTable:
+    """Newest notice of each node, forgotten when it is not renewed."""
+
+    def __init__(self, lease_ms: int) -> None:
+        self._lease_ms = lease_ms
+        self._notices: dict[model.NodeId, tuple[NodeNotice, int]] = {}
+
+    def put(self, notice: NodeNotice, now_ms: int) -> bool:
+        """Takes a notice; whether it is newer than the one held."""
+        held = self._notices.get(notice.node_id)
+        if held is not None:
+            order = (notice.incarnation, notice.sequence)
+            if order <= (held[0].incarnation, held[0].sequence):
+                return False
+        self._notices[notice.node_id] = (notice, now_ms - notice.age_ms)
+        return True
+
+    def live(self, now_ms: int) -> Iterable[NodeNotice]:
+        """Yields the nodes whose lease has not ended, ordered by id."""
+        for _, (notice, heard_ms) in sorted(self._notices.items()):
+            if now_ms - heard_ms < self._lease_ms:
+                yield dataclasses.replace(notice, age_ms=now_ms - heard_ms)
+
+    def open_entries(self, now_ms: int) -> list[NodeNotice]:
+        """Returns the entries that callers may be sent to."""
+        return [
+            n
+            for n in self.live(now_ms)
+            if n.role is NodeRole.ENTRY and n.is_open
+        ]
+
+    def summary(self, now_ms: int) -> FleetSummary:
+        """Returns what entries need to know."""
+        live = list(self.live(now_ms))
+        in_flight: dict[str, int] = {}
+        for notice in live:
+            for server_id, count in notice.in_flight.items():
+                in_flight[server_id] = in_flight.get(server_id, 0) + count
+        return FleetSummary(
+            tuple(n.node_id for n in live if n.role is NodeRole.CONTROL),
+            sum(1 for n in live if n.role is NodeRole.ENTRY and n.is_open),
+            in_flight,
+        )
--- /dev/null
+++ b/lagooncrank/core/groups/__init__.py
@@ -0,0 +1,27 @@
+"""Forms groups of engines, repairs them and dissolves them."""
+
+from lagooncrank.core.groups._actions import Action
+from lagooncrank.core.groups._actions import Form
+from lagooncrank.core.groups._actions import Move
+from lagooncrank.core.groups._actions import Order
+from lagooncrank.core.groups._actions import OrderKind
+from lagooncrank.core.groups._life_cycle import GroupTiming
+from lagooncrank.core.groups._life_cycle import LifeCycle
+from lagooncrank.core.groups._loads import LoadPace
+from lagooncrank.core.groups._planning import plan_groups
+from lagooncrank.core.groups._planning import wanted_groups
+from lagooncrank.core.groups._serving import serving_groups
+
+__all__ = [
+    "Action",
+    "Form",
+    "GroupTiming",
+    "LifeCycle",
+    "LoadPace",
+    "Move",
+    "Order",
+    "OrderKind",
+    "plan_groups",
+    "serving_groups",
+    "wanted_groups",
+]
--- a/lagooncrank/core/state/__init__.py
+++ b/lagooncrank/core/state/__init__.py
@@ -12,10 +12,13 @@
 from lagooncrank.core.state._commands import DrainInstance
 from lagooncrank.core.state._commands import EndDrain
 from lagooncrank.core.state._commands import FinishCall
+from lagooncrank.core.state._commands import FormGroup
 from lagooncrank.core.state._commands import LiftMark
 from lagooncrank.core.state._commands import MarkContent
+from lagooncrank.core.state._commands import MoveGroup
 from lagooncrank.core.state._commands import NoOp
 from lagooncrank.core.state._commands import NoteEntry
+from lagooncrank.core.state._commands import PutDocument
 from lagooncrank.core.state._commands import PutReplica
 from lagooncrank.core.state._commands import ReserveCall
 from lagooncrank.core.state._commands import ResolveCall
@@ -28,6 +31,7 @@
 from lagooncrank.core.state._records import ChangeRecord
 from lagooncrank.core.state._records import ConfigurationRecord
 from lagooncrank.core.state._records import ContentMark
+from lagooncrank.core.state._records import Document
 from lagooncrank.core.state._records import Drain
 from lagooncrank.core.state._records import EntryNote
 from lagooncrank.core.state._records import Outcome
@@ -44,16 +48,20 @@
     "Command",
     "ConfigurationRecord",
     "ContentMark",
+    "Document",
     "Drain",
     "DrainInstance",
     "EndDrain",
     "EntryNote",
     "FinishCall",
+    "FormGroup",
     "LiftMark",
     "MarkContent",
+    "MoveGroup",
     "NoOp",
     "NoteEntry",
     "Outcome",
+    "PutDocument",
     "PutReplica",
     "ReserveCall",
     "ResolveCall",
--- a/lagooncrank/core/state/_commands.py
+++ b/lagooncrank/core/state/_commands.py
@@ -180,6 +180,39 @@
     instance_id: model.InstanceId
 
 
+@COMMANDS.register("put_document")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutDocument:
+    """Puts an operator's document in force if its version is the highest."""
+
+    version: int
+    #: As the operator sent it.
+    document: bytes
+
+
+@COMMANDS.register("form_group")
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormGroup:
+    """Creates a group under the next epoch if all its members are free."""
+
+    service: model.ServiceName
+    model_name: str
+    members: tuple[model.GroupMember, ...]
+    #: Term of the leader that decided it; older terms are refused.
+    term: int
+
+
+@COMMANDS.register("move_group")
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveGroup:
+    """Changes the phase of a group; None forgets it and frees its members."""
+
+    name: str
+    phase: model.GroupPhase | None
+    term: int
+    waits_for_work: bool = False
+
+
 #: Union of all commands.
 Command = (
     NoOp
@@ -193,4 +226,7 @@
     | LiftMark
     | DrainInstance
     | EndDrain
+    | PutDocument
+    | FormGroup
+    | MoveGroup
 )
--- /dev/null
+++ b/lagooncrank/core/state/_groups.py
@@ -0,0 +1,80 @@
+"""Groups of engines: an engine's start is in one at most."""
+
+from collections.abc import Iterable
+
+from lagooncrank import model
+from lagooncrank import results
+from lagooncrank.core.state import _commands
+from lagooncrank.core.state import _records
+
+
+class Groups:
+    """Gives out epochs and keeps groups apart."""
+
+    def __init__(
+        self,
+        groups: Iterable[model.Group] = (),
+        last_epoch: int = 0,
+        term: int = 0,
+    ) -> None:
+        self.groups = {group.name: group for group in groups}
+        self.last_epoch = last_epoch
+        #: Newest term of a leader that changed a group.
+        self.term = term
+
+    def form(self, command: _commands.FormGroup) -> _records.Outcome:
+        """Creates a group unless one of its members is taken."""
+        if command.term < self.term:
+            return _deposed(command.term, self.term)
+        self.term = command.term
+        taken = {m.server_id for g in self.groups.values() for m in g.members}
+        for member in command.members:
+            if member.server_id in taken:
+                return _records.Outcome(
+                    results.ResultCode.INSTANCE_TAKEN,
+                    f"backend server {member.server_id!r} is in a group",
+                )
+        self.last_epoch += 1
+        group = model.Group(
+            f"g{self.last_epoch}",
+            self.last_epoch,
+            command.service,
+            command.model_name,
+            command.members,
+            model.GroupPhase.FORMING,
+        )
+        self.groups[group.name] = group
+        return _records.Outcome(results.ResultCode.OK, group=group)
+
+    def move(self, command: _commands.MoveGroup) -> _records.Outcome:
+        """Changes a group's phase, or forgets it."""
+        if command.term < self.term:
+            return _deposed(command.term, self.term)
+        self.term = command.term
+        group = self.groups.get(command.name)
+        if group is None:
+            return _records.Outcome(
+                results.ResultCode.WRONG_EPOCH,
+                f"group {command.name!r} does not exist",
+            )
+        if command.phase is None:
+            del self.groups[command.name]
+            return _records.Outcome(results.ResultCode.OK)
+        moved = model.Group(
+            group.name,
+            group.epoch,
+            group.service,
+            group.model_name,
+            group.members,
+            command.phase,
+            command.waits_for_work,
+        )
+        self.groups[group.name] = moved
+        return _records.Outcome(results.ResultCode.OK, group=moved)
+
+
+def _deposed(term: int, newest: int) -> _records.Outcome:
+    return _records.Outcome(
+        results.ResultCode.NOT_LEADER,
+        f"term {term} is over; a leader of term {newest} has decided since",
+    )
--- a/lagooncrank/core/state/_machine.py
+++ b/lagooncrank/core/state/_machine.py
@@ -9,6 +9,7 @@
 from lagooncrank.core.state import _commands
 from lagooncrank.core.state import _configuration
 from lagooncrank.core.state import _drains
+from lagooncrank.core.state import _groups
 from lagooncrank.core.state import _ledger
 from lagooncrank.core.state import _quarantine
 from lagooncrank.core.state import _records
@@ -42,6 +43,10 @@
     drains: tuple[_records.Drain, ...] = ()
     entry_notes: tuple[_records.EntryNote, ...] = ()
     older_changes: tuple[_records.ChangeRecord, ...] = ()
+    document: _records.Document | None = None
+    groups: tuple[model.Group, ...] = ()
+    last_epoch: int = 0
+    group_term: int = 0
 
 
 class StateMachine:
@@ -61,6 +66,8 @@
         self._assignments = _assignments.Assignments()
         self._quarantine = _quarantine.Quarantine()
         self._drains = _drains.Drains()
+        self._document: _records.Document | None = None
+        self._groups = _groups.Groups()
 
     @classmethod
     def from_snapshot(cls, data: bytes) -> "StateMachine":
@@ -114,6 +121,16 @@
         """Instances that operators want free of work."""
         return self._drains.drains
 
+    @property
+    def document(self) -> _records.Document | None:
+        """The operator's document of the highest version, if any."""
+        return self._document
+
+    @property
+    def groups(self) -> dict[str, model.Group]:
+        """Every group whose members are not free, by name."""
+        return self._groups.groups
+
     def call(self, key: _commands.CallKey) -> _records.CallRecord | None:
         """Returns what the ledger holds of a call."""
         return self._ledger.find(key)
@@ -149,6 +166,10 @@
                 marks=tuple(self._quarantine.marks.values()),
                 drains=tuple(self._drains.drains.values()),
                 entry_notes=self._ledger.entry_notes(),
+                document=self._document,
+                groups=tuple(self._groups.groups.values()),
+                last_epoch=self._groups.last_epoch,
+                group_term=self._groups.term,
             )
         )
 
@@ -163,6 +184,10 @@
         )
         self._quarantine = _quarantine.Quarantine(snapshot.marks)
         self._drains = _drains.Drains(snapshot.drains)
+        self._document = snapshot.document
+        self._groups = _groups.Groups(
+            snapshot.groups, snapshot.last_epoch, snapshot.group_term
+        )
 
     @functools.singledispatchmethod
     def _apply(self, command: _commands.Command) -> _records.Outcome:
@@ -211,3 +236,19 @@
     @_apply.register
     def _(self, command: _commands.EndDrain) -> _records.Outcome:
         return self._drains.end(command)
+
+    @_apply.register
+    def _(self, command: _commands.PutDocument) -> _records.Outcome:
+        held = self._document
+        if held is None or command.version > held.version:
+            held = _records.Document(command.version, command.document)
+            self._document = held
+        return _records.Outcome(results.ResultCode.OK, revision=held.version)
+
+    @_apply.register
+    def _(self, command: _commands.FormGroup) -> _records.Outcome:
+        return self._groups.form(command)
+
+    @_apply.register
+    def _(self, command: _commands.MoveGroup) -> _records.Outcome:
+        return self._groups.move(command)
--- a/lagooncrank/core/state/_records.py
+++ b/lagooncrank/core/state/_records.py
@@ -73,6 +73,14 @@
     wall_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """An operator's document in force, with the version it carries."""
+
+    version: int
+    content: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """What applying a command did, the same on every node."""
@@ -86,6 +94,8 @@
     call: CallRecord | None = None
     #: Replica after a PutReplica, or the one in its way.
     replica: model.Replica | None = None
+    #: Group after a FormGroup.
+    group: model.Group | None = None
 
     @property
     def ok(self) -> bool:
--- a/lagooncrank/model/__init__.py
+++ b/lagooncrank/model/__init__.py
@@ -26,35 +26,67 @@
 from lagooncrank.model._identity import ReplicaId
 from lagooncrank.model._identity import RequestId
 from lagooncrank.model._identity import ServiceName
+from lagooncrank.model._plan import AccountPlan
+from lagooncrank.model._plan import CallerLimits
+from lagooncrank.model._plan import EngineProfile
+from lagooncrank.model._plan import ModelProfile
+from lagooncrank.model._plan import Plan
+from lagooncrank.model._plan import RequestKind
+from lagooncrank.model._plan import Route
+from lagooncrank.model._plan import ServicePlan
+from lagooncrank.model._plan import Split
 from lagooncrank.model._replica import HOLDING_STATES
 from lagooncrank.model._replica import Replica
 from lagooncrank.model._replica import ReplicaState
+from lagooncrank.model._server_report import Group
+from lagooncrank.model._server_report import GroupMember
+from lagooncrank.model._server_report import GroupPhase
+from lagooncrank.model._server_report import Membership
+from lagooncrank.model._server_report import MemberState
+from lagooncrank.model._server_report import ServerReport
+from lagooncrank.model._server_report import ServerState
 
 __all__ = [
     "HOLDING_STATES",
+    "AccountPlan",
     "Announcement",
     "BackendServerId",
     "BackendServerKind",
     "BackendServerState",
+    "CallerLimits",
     "ClientAccount",
     "ClientAccountId",
     "Declarations",
+    "EngineProfile",
     "FabricDomainId",
     "FailureDomainId",
+    "Group",
+    "GroupMember",
+    "GroupPhase",
     "InstanceId",
     "LeaseRules",
     "LoadReport",
     "LoadedModel",
+    "MemberState",
+    "Membership",
+    "ModelProfile",
     "ModelService",
     "NodeId",
     "PlacementRules",
     "PlainService",
+    "Plan",
     "Replica",
     "ReplicaId",
     "ReplicaState",
     "RequestId",
+    "RequestKind",
     "RetryRules",
+    "Route",
+    "ServerReport",
+    "ServerState",
     "ServiceName",
+    "ServicePlan",
+    "Split",
     "WeightStoreRules",
     "from_cbor",
     "from_plain",
--- a/lagooncrank/server/_ports.py
+++ b/lagooncrank/server/_ports.py
@@ -40,6 +40,14 @@
     def drains(self) -> dict[model.InstanceId, state.Drain]:
         """Instances that operators want free of work."""
 
+    @property
+    def document(self) -> state.Document | None:
+        """The operator's document of the highest version, if any."""
+
+    @property
+    def groups(self) -> dict[str, model.Group]:
+        """Every group whose members are not free, by name."""
+
     def call(self, key: state.CallKey) -> state.CallRecord | None:
         """Returns what the ledger holds of a call."""
 
--- /dev/null
+++ b/lagooncrank/server/seeded/_control.py
@@ -0,0 +1,50 @@
+"""A seeded control node: votes, knows the fleet, forms groups."""
+
+from typing import Final
+
+from lagooncrank import clock as clocks
+from lagooncrank import settings
+from lagooncrank.core import fleet
+from lagooncrank.server.seeded import _group_driver
+from lagooncrank.server.seeded import _node
+from lagooncrank.server.seeded import _wire
+
+#: Age of the last contact with a quorum beyond which this node is cut off.
+QUORUM_CONTACT_MS: Final = 1_500
+
+
+class Control(_node.Node):
+    """One control node, without the server for its callers."""
+
+    def __init__(
+        self,
+        own: settings.SeededSettings,
+        documents: _wire.DocumentCodec,
+        engines: _wire.EngineClient,
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__(own, documents, clock)
+        self._driver = _group_driver.GroupDriver(
+            own,
+            self.shared,
+            self.view,
+            self.documents,
+            engines,
+            clock,
+            self.decisions,
+        )
+
+    async def on_start(self) -> None:
+        """Starts the parts and the driver of groups."""
+        await super().on_start()
+        await self.add_runtime_dependency(self._driver)
+
+    @property
+    def has_quorum(self) -> bool:
+        """Whether a quorum answered lately, so that what is told spreads."""
+        age_ms = self.shared.contact_age_ms()
+        return age_ms is not None and age_ms < QUORUM_CONTACT_MS
+
+    def open_entries(self) -> list[fleet.NodeNotice]:
+        """Returns the entries that callers may be sent to."""
+        return self.view.nodes.open_entries(self.clock.now_ms())
--- /dev/null
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -0,0 +1,50 @@
+"""Counters and latency histograms of a seeded node."""
+
+import prometheus_client
+
+from lagooncrank import model
+from lagooncrank import results
+
+FIRST_BYTE_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+
+
+class EntryMetrics:
+    """Metrics of one node, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._refusals = prometheus_client.Counter(
+            "lagooncrank_refusals",
+            "Requests refused or ended by an error, by result code.",
+            ("code",),
+            registry=self.registry,
+        )
+        self._retries = prometheus_client.Counter(
+            "lagooncrank_retries",
+            "Further sends, by why the one before failed.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self._first_byte_s = prometheus_client.Histogram(
+            "lagooncrank_first_byte_seconds",
+            "Time from arrival to the first event or the whole answer.",
+            ("service",),
+            buckets=FIRST_BYTE_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def refused(self, code: results.ResultCode) -> None:
+        """Counts a request that ends by a code of this system."""
+        self._refusals.labels(code.name).inc()
+
+    def retried(self, reason: str) -> None:
+        """Counts a further send."""
+        self._retries.labels(reason).inc()
+
+    def answered(self, service: model.ServiceName, first_ms: int) -> None:
+        """Observes an answer."""
+        self._first_byte_s.labels(service).observe(first_ms / 1_000)
+
+    def exposition(self) -> bytes:
+        """Returns the metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -0,0 +1,277 @@
+"""Keeps what this node knows of backend servers and nodes, and passes it on.
+
+Backend servers report to any control node. Control nodes pass what is new to
+each other and to the nodes that follow them; entries follow one control node.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Final
+
+import mode
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank import settings
+from lagooncrank.core import dispatch
+from lagooncrank.core import fleet
+from lagooncrank.server import _shared_state
+from lagooncrank.server import links as peer_links
+from lagooncrank.server.seeded import _decisions
+
+PASS_ON_S: Final = 0.05
+NOTICE_INTERVAL_MS: Final = 250
+#: A node whose notices stay away for this long is taken off.
+NOTICE_LEASE_MS: Final = 1_500
+#: Report intervals after which a silent backend server counts as lost.
+LOST_AFTER_INTERVALS: Final = 2.75
+
+_REPORTS: Final = "server-reports"
+_NOTICES: Final = "node-notices"
+_SUMMARY: Final = "fleet-summary"
+
+
+class FleetView(mode.Service):  # type: ignore[misc, unused-ignore]
+    """Knows servers and nodes; tells the own node to others."""
+
+    def __init__(
+        self,
+        own: settings.SeededSettings,
+        incarnation: int,
+        links: peer_links.Links,
+        shared: _shared_state.ReplicatedState,
+        clock: clocks.Clock,
+        log: _decisions.DecisionLog,
+    ) -> None:
+        super().__init__()
+        self._settings = own
+        self._incarnation = incarnation
+        self._links = links
+        self._shared = shared
+        self._clock = clock
+        self._log = log
+        lost_after_ms = int(
+            own.timing.report_interval_ms * LOST_AFTER_INTERVALS
+        )
+        self.table = fleet.ServerTable(lost_after_ms)
+        self.nodes = fleet.NodeTable(NOTICE_LEASE_MS)
+        self.loads = dispatch.LoadBook()
+        #: Whether callers may be sent to this node.
+        self.is_open = False
+        #: Whether this entry has taken a request.
+        self.has_served = False
+        #: Entries that share what is counted over all of them.
+        self.entry_count = 1
+        #: Called after the table or the groups may have changed.
+        self.listeners: list[Callable[[], None]] = []
+        self._control_nodes: tuple[model.NodeId, ...] = ()
+        self._fresh_notices: dict[model.NodeId, fleet.NodeNotice] = {}
+        self._told: frozenset[model.NodeId] = frozenset()
+        self._sequence = 0
+        self._noticed_ms = 0
+        self._is_connected = True
+        links.on_message(_REPORTS, fleet.ReportBatch, self._on_reports)
+        links.on_message(_NOTICES, fleet.NodeNotices, self._on_notices)
+        links.on_message(_SUMMARY, fleet.FleetSummary, self._on_summary)
+        links.on_connected(self._on_connected)
+
+    @property
+    def is_control(self) -> bool:
+        """Whether this is a control node."""
+        return self._settings.role is settings.Role.CONTROL
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether this node hears of backend servers now."""
+        return self._is_connected
+
+    def report(self, report: model.ServerReport) -> None:
+        """Takes a report of a backend server."""
+        if self.table.put(report, self._clock.now_ms()):
+            self._note_server(report)
+            self._changed()
+
+    def leave(
+        self, server_id: model.BackendServerId, born_ms: int | None
+    ) -> None:
+        """Takes a backend server off by its own word."""
+        if self.table.leave(server_id, born_ms, self._clock.now_ms()):
+            self._log.write(
+                _decisions.Event.SERVER, server=server_id, state="gone"
+            )
+            self._changed()
+
+    async def on_start(self) -> None:
+        """Learns of the control nodes that the settings name."""
+        self._follow(self._settings.seed_ids)
+
+    def add_seeds(self, seeds: tuple[model.NodeId, ...]) -> None:
+        """Asks further control nodes."""
+        self._follow((*self._control_nodes, *seeds))
+
+    @mode.Service.timer(PASS_ON_S)  # type: ignore[misc, unused-ignore]
+    async def _pass_on_now_and_then(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._listen(now_ms)
+        self.table.forget_old(now_ms)
+        self._pass_on()
+        if now_ms - self._noticed_ms >= NOTICE_INTERVAL_MS:
+            self._noticed_ms = now_ms
+            self.notify_others()
+
+    def notify_others(self) -> None:
+        """Tells others of this node now."""
+        now_ms = self._clock.now_ms()
+        self._sequence += 1
+        notice = fleet.NodeNotice(
+            self._settings.node_id,
+            fleet.NodeRole(self._settings.role.value),
+            self._settings.failure_domain_id,
+            self._settings.listen.callers,
+            self.is_open,
+            self._incarnation,
+            self._sequence,
+            self.has_served,
+            self.loads.tell(),
+        )
+        if self.is_control:
+            self.nodes.put(notice, now_ms)
+            self._fresh_notices[notice.node_id] = notice
+            self._pass_on_notices(now_ms)
+            return
+        batch = fleet.NodeNotices((notice,))
+        connected = self._links.connected()
+        # Two control nodes are told, so that the loss of one is not seen.
+        told = [n for n in self._ordered_control_nodes() if n in connected]
+        self._links.send_all(told[:2], _NOTICES, batch)
+
+    def _pass_on_notices(self, now_ms: int) -> None:
+        batch = fleet.NodeNotices(tuple(self._fresh_notices.values()))
+        self._fresh_notices.clear()
+        self._links.send_all(self._other_control_nodes(), _NOTICES, batch)
+        summary = self.nodes.summary(now_ms)
+        self.entry_count = summary.entries
+        self._follow(summary.control_nodes)
+        self._links.send_all(self._shared.followers, _SUMMARY, summary)
+
+    def _listen(self, now_ms: int) -> None:
+        connected = self._links.connected()
+        is_connected = self.is_control or self._shared.upstream in connected
+        if is_connected is not self._is_connected:
+            event = _decisions.Event.LOST
+            if is_connected:
+                event = _decisions.Event.REGAINED
+            self._log.write(event, dependency="control nodes")
+        self._is_connected = is_connected
+        self.table.listen(now_ms, is_connected=is_connected)
+
+    def _changed(self) -> None:
+        self._pass_on()
+        for listener in self.listeners:
+            listener()
+
+    def _pass_on(self) -> None:
+        now_ms = self._clock.now_ms()
+        news = self.table.take_news(now_ms)
+        if not self.is_control:
+            return
+        followers = self._shared.followers
+        new_followers = followers - self._told
+        self._told = followers
+        if new_followers:
+            whole = self.table.whole(now_ms)
+            self._links.send_all(new_followers, _REPORTS, whole)
+        if news is not None:
+            others = followers - new_followers
+            others = others.union(self._other_control_nodes())
+            self._links.send_all(others, _REPORTS, news)
+
+    def _on_connected(self, peer: model.NodeId) -> None:
+        # The follower may have missed what was sent on the link before.
+        self._told -= {peer}
+        if self.is_control and peer in self._control_nodes:
+            whole = self.table.whole(self._clock.now_ms())
+            self._links.send(peer, _REPORTS, whole)
+
+    def _on_reports(
+        self, sender: model.NodeId, batch: fleet.ReportBatch
+    ) -> None:
+        self.table.merge(batch, self._clock.now_ms())
+        if batch.reports:
+            self._changed()
+
+    def _on_notices(
+        self, sender: model.NodeId, batch: fleet.NodeNotices
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        for notice in batch.notices:
+            if self.nodes.put(notice, now_ms):
+                self._fresh_notices[notice.node_id] = dataclasses.replace(
+                    notice, age_ms=notice.age_ms
+                )
+
+    def _on_summary(
+        self, sender: model.NodeId, summary: fleet.FleetSummary
+    ) -> None:
+        self.entry_count = summary.entries
+        self.loads.set_total(summary.in_flight)
+        if summary.control_nodes:
+            self._follow(summary.control_nodes)
+
+    def _follow(self, control_nodes: tuple[model.NodeId, ...]) -> None:
+        """Keeps links with the control nodes, in force order of preference."""
+        voters = self._shared.voters
+        found = dict.fromkeys(control_nodes)
+        if voters is not None:
+            found.update(dict.fromkeys(v.node_id for v in voters.members))
+        if not found or tuple(found) == self._control_nodes:
+            return
+        for gone in set(self._control_nodes) - set(found):
+            if gone not in self._settings.seed_ids:
+                self._links.drop_peer(gone)
+        self._control_nodes = tuple(found)
+        for node_id in self._control_nodes:
+            if node_id != self._settings.node_id:
+                address = self._settings.peer_address(node_id)
+                self._links.add_peer(node_id, address)
+        self._log.write(_decisions.Event.NODE, control=self._control_nodes)
+        self._shared.set_peers(
+            tuple(self._ordered_control_nodes()),
+            frozenset(self._control_nodes),
+        )
+
+    def _other_control_nodes(self) -> list[model.NodeId]:
+        own = self._settings.node_id
+        return [n for n in self._control_nodes if n != own]
+
+    def _ordered_control_nodes(self) -> list[model.NodeId]:
+        """Returns the control nodes, from a start that differs by node.
+
+        Nodes of one network prefix share a failure domain, so the control
+        node with the longest common prefix comes first.
+        """
+        own = self._settings.ip
+        return sorted(
+            self._other_control_nodes(),
+            key=lambda n: (-_common_prefix(own, n), n),
+        )
+
+    def _note_server(self, report: model.ServerReport) -> None:
+        self._log.write(
+            _decisions.Event.SERVER,
+            server=report.server_id,
+            service=report.service,
+            state=report.state.value,
+            membership=report.membership,
+            sequence=report.sequence,
+        )
+
+
+def _common_prefix(one: str, other: str) -> int:
+    """Returns how many leading parts two IP addresses share.
+
+    >>> _common_prefix("10.1.0.40", "10.1.0.43")
+    3
+    """
+    pairs = zip(one.split("."), other.split("."), strict=False)
+    return next((i for i, (a, b) in enumerate(pairs) if a != b), 4)
--- /dev/null
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -0,0 +1,177 @@
+"""Forms and repairs groups while this node leads."""
+
+import asyncio
+from typing import Final
+
+import mode
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank import settings
+from lagooncrank.core import groups
+from lagooncrank.core import state
+from lagooncrank.server import _shared_state
+from lagooncrank.server.seeded import _decisions
+from lagooncrank.server.seeded import _documents
+from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _wire
+
+STEP_S: Final = 0.1
+PROPOSAL_TIMEOUT_MS: Final = 2_000
+#: Loads that may begin at once before any caller was served; they are short
+#: then and do not count.
+FIRST_LOADS: Final = 10_000
+
+
+class GroupDriver(mode.Service):  # type: ignore[misc, unused-ignore]
+    """Commits what the planner decides, then sends the orders."""
+
+    def __init__(
+        self,
+        own: settings.SeededSettings,
+        shared: _shared_state.ReplicatedState,
+        view: _fleet_view.FleetView,
+        documents: _documents.Documents,
+        engines: _wire.EngineClient,
+        clock: clocks.Clock,
+        log: _decisions.DecisionLog,
+    ) -> None:
+        super().__init__()
+        self._shared = shared
+        self._view = view
+        self._documents = documents
+        self._engines = engines
+        self._clock = clock
+        self._log = log
+        self._life_cycle = groups.LifeCycle(
+            groups.GroupTiming(stall_ms=own.timing.group_stall_ms)
+        )
+        self._pace = groups.LoadPace(own.loads.window_ms)
+        self._term: int | None = None
+        self._proposing: set[str] = set()
+        self._has_served = False
+        self._wake = asyncio.Event()
+        view.listeners.append(self._wake.set)
+        shared.on_applied(lambda _command, _outcome: self._wake.set())
+
+    @mode.Service.task  # type: ignore[misc, unused-ignore]
+    async def _step_when_woken(self) -> None:
+        while not self.should_stop:
+            try:
+                async with asyncio.timeout(STEP_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            self.step()
+
+    def step(self) -> None:
+        """Does what is due if this node leads."""
+        if not self._leads():
+            return
+        now_ms = self._clock.now_ms()
+        held = self._shared.view.groups
+        for group in list(held.values()):
+            if group.name in self._proposing:
+                continue
+            actions = self._life_cycle.next_actions(
+                group, self._view.table, now_ms
+            )
+            for action in actions:
+                self._carry_out(action)
+        self._form(now_ms)
+
+    def _leads(self) -> bool:
+        is_leader = self._shared.is_leader and self._shared.lease_holds()
+        term = self._shared.term if is_leader else None
+        if term != self._term:
+            self._term = term
+            self._life_cycle.clear()
+            self._log.write(_decisions.Event.LEADER, term=term, leads=is_leader)
+        return is_leader
+
+    def _form(self, now_ms: int) -> None:
+        catalog = self._documents.catalog
+        if catalog is None or self._proposing:
+            return
+        for service in catalog.services.values():
+            if service.engine is None:
+                continue
+            room = FIRST_LOADS
+            if self._was_used(now_ms):
+                room = self._pace.room(service.engine.loads_per_s, now_ms)
+            forms = groups.plan_groups(
+                service, self._view.table, self._shared.view.groups, room
+            )
+            for form in forms:
+                if self._was_used(now_ms):
+                    self._pace.note(form.cold_members, now_ms)
+                self._carry_out(form)
+
+    def _was_used(self, now_ms: int) -> bool:
+        """Whether any entry has taken a request since the system began."""
+        if not self._has_served:
+            live = self._view.nodes.live(now_ms)
+            self._has_served = any(n.has_served for n in live)
+        return self._has_served
+
+    def _carry_out(self, action: groups.Action) -> None:
+        match action:
+            case groups.Order():
+                self.add_future(self._send(action))
+            case groups.Move():
+                self._proposing.add(action.group.name)
+                self.add_future(self._move(action))
+            case groups.Form():
+                names = [m.server_id for m in action.members]
+                self._proposing.update(names)
+                self.add_future(self._propose_form(action))
+
+    async def _move(self, move: groups.Move) -> None:
+        group = move.group
+        command = state.MoveGroup(
+            group.name, move.phase, self._term or 0, move.waits_for_work
+        )
+        try:
+            outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
+        finally:
+            self._proposing.discard(group.name)
+        self._log.write(
+            _decisions.Event.GROUP,
+            group=group.name,
+            epoch=group.epoch,
+            phase=move.phase,
+            reason=move.reason,
+            outcome=outcome.code.name,
+        )
+        self._wake.set()
+
+    async def _propose_form(self, form: groups.Form) -> None:
+        command = state.FormGroup(
+            form.service, form.model_name, form.members, self._term or 0
+        )
+        try:
+            outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
+        finally:
+            self._proposing.difference_update(m.server_id for m in form.members)
+        self._log.write(
+            _decisions.Event.GROUP,
+            group=outcome.group.name if outcome.group else "",
+            phase=model.GroupPhase.FORMING,
+            model=form.model_name,
+            members=[m.server_id for m in form.members],
+            cold_members=form.cold_members,
+            outcome=outcome.code.name,
+        )
+        self._wake.set()
+
+    async def _send(self, order: groups.Order) -> None:
+        outcome = await self._engines.send(order, self._shared.term)
+        self._log.write(
+            _decisions.Event.ORDER,
+            order=order.kind,
+            group=order.group.name,
+            epoch=order.group.epoch,
+            server=order.member.server_id,
+            status=outcome.status,
+        )
--- a/lagooncrank/settings/__init__.py
+++ b/lagooncrank/settings/__init__.py
@@ -15,6 +15,11 @@
 from lagooncrank.settings._process import ProcessSettings
 from lagooncrank.settings._process import Role
 from lagooncrank.settings._process_checks import check_process_settings
+from lagooncrank.settings._seeded import FleetTiming
+from lagooncrank.settings._seeded import ListenSettings
+from lagooncrank.settings._seeded import LoadSettings
+from lagooncrank.settings._seeded import RetrySettings
+from lagooncrank.settings._seeded import SeededSettings
 from lagooncrank.settings._shapes import check_shape
 from lagooncrank.settings._shared_key import load_shared_key
 from lagooncrank.settings._yaml import load
@@ -27,12 +32,17 @@
 __all__ = [
     "MAX_PORT",
     "NAME_RULE",
+    "FleetTiming",
     "LimitSettings",
+    "ListenSettings",
+    "LoadSettings",
     "PeerSettings",
     "PolicySettings",
     "Problem",
     "ProcessSettings",
+    "RetrySettings",
     "Role",
+    "SeededSettings",
     "SettingsError",
     "check_declarations",
     "check_process_settings",
