Find dead groups by streams that stand still; free members one by one

Members of a group whose head cannot be reached are freed once they have left. A group whose answers go on is kept though its reports stay away.

--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from lagooncrank.core.dispatch._choice import choose_service
 from lagooncrank.core.dispatch._choice import choose_target
 from lagooncrank.core.dispatch._loads import LoadBook
+from lagooncrank.core.dispatch._progress import StreamProgress
 from lagooncrank.core.dispatch._suspects import Suspects
 from lagooncrank.core.dispatch._types import Target
 
@@ -12,6 +13,7 @@
     "AllowanceRules",
     "LoadBook",
     "RetryAllowance",
+    "StreamProgress",
     "Suspects",
     "Target",
     "choose_service",
--- a/lagooncrank/core/dispatch/_choice.py
+++ b/lagooncrank/core/dispatch/_choice.py
@@ -5,7 +5,6 @@
 
 from lagooncrank import model
 from lagooncrank.core.dispatch import _loads
-from lagooncrank.core.dispatch import _suspects
 from lagooncrank.core.dispatch import _types
 
 
@@ -28,27 +27,26 @@
 def choose_target(
     targets: Iterable[_types.Target],
     loads: _loads.LoadBook,
-    suspects: _suspects.Suspects,
+    avoided: Collection[str],
     tried: Collection[str],
     near: model.FailureDomainId,
     draw: float,
-    now_ms: int,
 ) -> _types.Target | None:
     """Returns the least loaded target that did not fail lately.
 
     Args:
         targets: Targets that may be given new work.
         loads: Requests in flight.
-        suspects: Servers that failed lately; used when there is no other.
+        avoided: Servers that failed lately or stand still; used when there
+            is no other.
         tried: Servers that this request was sent to before; not used again.
         near: Failure domain of this entry, preferred among equals.
         draw: Random number, 0.0 to 1.0, that decides between equals.
-        now_ms: Monotonic time.
     """
     usable = [t for t in targets if t.server_id not in tried]
     if not usable:
         return None
-    sound = [t for t in usable if not suspects.is_avoided(t.server_id, now_ms)]
+    sound = [t for t in usable if t.server_id not in avoided]
     usable = sound or usable
     fewest = min(loads.of(t.server_id) for t in usable)
     best = [t for t in usable if loads.of(t.server_id) == fewest]
--- a/lagooncrank/core/dispatch/_suspects.py
+++ b/lagooncrank/core/dispatch/_suspects.py
@@ -34,7 +34,8 @@
         self._failures.pop(server_id, None)
         self._failed_ms.pop(server_id, None)
 
-    def is_avoided(self, server_id: str, now_ms: int) -> bool:
-        """Whether a server is to be avoided if there is another."""
-        until_ms = self._until_ms.get(server_id)
-        return until_ms is not None and now_ms < until_ms
+    def avoided(self, now_ms: int) -> set[str]:
+        """Returns the servers to be avoided if there are others."""
+        return {
+            s for s, until_ms in self._until_ms.items() if now_ms < until_ms
+        }
--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -32,6 +32,10 @@
     has_served: bool = False
     #: Requests that it has in flight, by backend server.
     in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
+    #: Servers whose answers stand still, as far as it sees.
+    stalled: tuple[str, ...] = ()
+    #: Servers whose answers go on.
+    working: tuple[str, ...] = ()
     #: Age when the notice was sent, since it was first given out.
     age_ms: int = 0
 
@@ -52,6 +56,8 @@
     entries: int
     #: Requests in flight over all entries, by backend server.
     in_flight: dict[str, int]
+    #: Servers whose answers stand still at some entry.
+    stalled: tuple[str, ...] = ()
 
 
 class NodeTable:
@@ -96,4 +102,13 @@
             tuple(n.node_id for n in live if n.role is NodeRole.CONTROL),
             sum(1 for n in live if n.role is NodeRole.ENTRY and n.is_open),
             in_flight,
+            tuple(sorted(self.stalled(now_ms))),
         )
+
+    def stalled(self, now_ms: int) -> set[str]:
+        """Returns the servers whose answers stand still at some entry."""
+        return {s for n in self.live(now_ms) for s in n.stalled}
+
+    def working(self, now_ms: int) -> set[str]:
+        """Returns the servers whose answers go on at some entry."""
+        return {s for n in self.live(now_ms) for s in n.working}
--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -145,6 +145,12 @@
         """Returns what is known of a server."""
         return self._servers.get(server_id)
 
+    def doubt(self, server_id: model.BackendServerId) -> None:
+        """Counts a server as lost until its next report."""
+        known = self._servers.get(server_id)
+        if known is not None:
+            known.heard_at_listened_ms = self._listened_ms - self._lost_after_ms
+
     def listen(self, now_ms: int, *, is_connected: bool) -> None:
         """Counts the time since the last call as listened to if connected."""
         if self._ticked_ms is not None and is_connected:
--- a/lagooncrank/core/groups/__init__.py
+++ b/lagooncrank/core/groups/__init__.py
@@ -5,6 +5,7 @@
 from lagooncrank.core.groups._actions import Move
 from lagooncrank.core.groups._actions import Order
 from lagooncrank.core.groups._actions import OrderKind
+from lagooncrank.core.groups._actions import Release
 from lagooncrank.core.groups._life_cycle import GroupTiming
 from lagooncrank.core.groups._life_cycle import LifeCycle
 from lagooncrank.core.groups._loads import LoadPace
@@ -21,6 +22,7 @@
     "Move",
     "Order",
     "OrderKind",
+    "Release",
     "plan_groups",
     "serving_groups",
     "wanted_groups",
--- a/lagooncrank/core/groups/_actions.py
+++ b/lagooncrank/core/groups/_actions.py
@@ -38,6 +38,14 @@
     waits_for_work: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Members that have left a dissolving group, to be committed."""
+
+    group: model.Group
+    server_ids: tuple[model.BackendServerId, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Form:
     """A new group, to be committed; its epoch comes with the commit."""
@@ -49,4 +57,4 @@
     cold_members: int
 
 
-Action = Order | Move | Form
+Action = Order | Move | Release | Form
--- a/lagooncrank/core/groups/_life_cycle.py
+++ b/lagooncrank/core/groups/_life_cycle.py
@@ -2,9 +2,11 @@
 
 A head opens only after every member itself reported ready under the group's
 name and epoch. A member is used again only after the head was seen closed,
-broken, restarted or gone, or after it must have broken for lack of members.
+broken or restarted, or after it has itself left the group, without which the
+head can run nothing.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
 
@@ -21,10 +23,6 @@
     resend_ms: int = 1_000
     #: Longest wait for the work of a head that closes.
     close_wait_ms: int = 3_000
-    #: Time after which a head that lacks a member breaks by itself.
-    stall_ms: int = 6_000
-    #: Added to it for orders on their way.
-    stall_margin_ms: int = 1_500
 
 
 class LifeCycle:
@@ -35,24 +33,33 @@
         self._sent_ms: dict[tuple[int, str, str], int] = {}
         #: Since when a dissolving group is seen by this leader.
         self._since_ms: dict[int, int] = {}
-        #: Since when the head of a dissolving group is silent.
-        self._head_lost_ms: dict[int, int] = {}
 
     def clear(self) -> None:
         """Forgets all, as another leader has acted meanwhile."""
         self._sent_ms.clear()
         self._since_ms.clear()
-        self._head_lost_ms.clear()
 
     def next_actions(
-        self, group: model.Group, table: fleet.ServerTable, now_ms: int
+        self,
+        group: model.Group,
+        table: fleet.ServerTable,
+        working: Collection[str],
+        now_ms: int,
     ) -> Iterator[_actions.Action]:
-        """Yields what to do now about one group."""
+        """Yields what to do now about one group.
+
+        Args:
+            group: The group.
+            table: Reports of the engines.
+            working: Heads whose answers entries see going on; what is silent
+                behind them is cut off from this node, not lost.
+            now_ms: Monotonic time.
+        """
         match group.phase:
             case model.GroupPhase.FORMING:
                 yield from self._form(group, table, now_ms)
             case model.GroupPhase.SERVING:
-                yield from self._serve(group, table, now_ms)
+                yield from self._serve(group, table, working, now_ms)
             case model.GroupPhase.DISSOLVING:
                 yield from self._dissolve(group, table, now_ms)
 
@@ -75,10 +82,15 @@
                 yield from self._order(kind, group, member, now_ms)
 
     def _serve(
-        self, group: model.Group, table: fleet.ServerTable, now_ms: int
+        self,
+        group: model.Group,
+        table: fleet.ServerTable,
+        working: Collection[str],
+        now_ms: int,
     ) -> Iterator[_actions.Action]:
         phase = model.GroupPhase.DISSOLVING
-        problem = _member_problem(group, table)
+        is_working = group.head.server_id in working
+        problem = _member_problem(group, table, may_be_silent=is_working)
         if not problem:
             problem = _membership_problem(group, table)
         if problem:
@@ -99,10 +111,13 @@
         if end:
             yield _actions.Move(group, None, end)
             return
+        if known is None and table.is_settled:
+            # Silent for so long that it is forgotten.
+            yield _actions.Move(group, None, "the head is forgotten")
+            return
         if known is None or table.is_lost(known):
-            yield from self._dissolve_unseen(group, now_ms)
+            yield from self._dissolve_unseen(group, table, now_ms)
             return
-        self._head_lost_ms.pop(group.epoch, None)
         state = _membership(group, group.head, table)
         if state in (model.MemberState.OPEN, model.MemberState.CLOSING):
             waited_ms = now_ms - since_ms
@@ -117,22 +132,25 @@
         yield from self._order(kind, group, group.head, now_ms)
 
     def _dissolve_unseen(
-        self, group: model.Group, now_ms: int
+        self, group: model.Group, table: fleet.ServerTable, now_ms: int
     ) -> Iterator[_actions.Action]:
-        """Breaks the head of a group, which cannot be reached, by its members.
+        """Frees the members of a group whose head cannot be reached.
 
-        A head whose members left can serve nothing and breaks by itself.
+        The head keeps its place until it is heard again; without members it
+        can run nothing.
         """
-        lost_ms = self._head_lost_ms.setdefault(group.epoch, now_ms)
-        timing = self._timing
-        if now_ms - lost_ms >= timing.stall_ms + timing.stall_margin_ms:
-            yield _actions.Move(group, None, "the head had time to break")
-            return
-        kind = _actions.OrderKind.CLOSE_NOW
-        yield from self._order(kind, group, group.head, now_ms)
+        left = []
         for member in group.members[1:]:
+            known = table.get(member.server_id)
+            if known is None or table.is_lost(known):
+                continue
+            if _membership(group, member, table) is None:
+                left.append(member.server_id)
+                continue
             kind = _actions.OrderKind.LEAVE
             yield from self._order(kind, group, member, now_ms)
+        if left:
+            yield _actions.Release(group, tuple(left))
 
     def _order(
         self,
@@ -150,7 +168,12 @@
         yield _actions.Order(kind, group, member)
 
 
-def _member_problem(group: model.Group, table: fleet.ServerTable) -> str:
+def _member_problem(
+    group: model.Group,
+    table: fleet.ServerTable,
+    *,
+    may_be_silent: bool = False,
+) -> str:
     """Returns why a member can take no part, or an empty text."""
     for member in group.members:
         known = table.get(member.server_id)
@@ -162,7 +185,7 @@
             return f"member {member.server_id} has started again"
         if known.report.state is not model.ServerState.READY:
             return f"member {member.server_id} is leaving"
-        if table.is_lost(known):
+        if table.is_lost(known) and not may_be_silent:
             return f"member {member.server_id} is silent"
     return ""
 
--- a/lagooncrank/core/groups/_serving.py
+++ b/lagooncrank/core/groups/_serving.py
@@ -26,7 +26,9 @@
         known = table.get(member.server_id)
         if known is None or known.report.born_ms != member.born_ms:
             return False
-        if not table.is_ready(known):
+        # Silence is the leader's to judge: an entry may still reach a server
+        # that cannot report.
+        if known.report.state is not model.ServerState.READY:
             return False
         place = known.report.membership
         if place is None or place.epoch != group.epoch:
--- a/lagooncrank/core/state/__init__.py
+++ b/lagooncrank/core/state/__init__.py
@@ -20,6 +20,7 @@
 from lagooncrank.core.state._commands import NoteEntry
 from lagooncrank.core.state._commands import PutDocument
 from lagooncrank.core.state._commands import PutReplica
+from lagooncrank.core.state._commands import ReleaseMembers
 from lagooncrank.core.state._commands import ReserveCall
 from lagooncrank.core.state._commands import ResolveCall
 from lagooncrank.core.state._commands import StoredAnswer
@@ -63,6 +64,7 @@
     "Outcome",
     "PutDocument",
     "PutReplica",
+    "ReleaseMembers",
     "ReserveCall",
     "ResolveCall",
     "SnapshotVersionError",
--- a/lagooncrank/core/state/_commands.py
+++ b/lagooncrank/core/state/_commands.py
@@ -213,6 +213,16 @@
     waits_for_work: bool = False
 
 
+@COMMANDS.register("release_members")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseMembers:
+    """Frees members of a dissolving group that were seen to have left it."""
+
+    name: str
+    server_ids: tuple[model.BackendServerId, ...]
+    term: int
+
+
 #: Union of all commands.
 Command = (
     NoOp
@@ -229,4 +239,5 @@
     | PutDocument
     | FormGroup
     | MoveGroup
+    | ReleaseMembers
 )
--- a/lagooncrank/core/state/_groups.py
+++ b/lagooncrank/core/state/_groups.py
@@ -1,6 +1,7 @@
 """Groups of engines: an engine's start is in one at most."""
 
 from collections.abc import Iterable
+import dataclasses
 
 from lagooncrank import model
 from lagooncrank import results
@@ -60,18 +61,37 @@
         if command.phase is None:
             del self.groups[command.name]
             return _records.Outcome(results.ResultCode.OK)
-        moved = model.Group(
-            group.name,
-            group.epoch,
-            group.service,
-            group.model_name,
-            group.members,
-            command.phase,
-            command.waits_for_work,
+        moved = dataclasses.replace(
+            group,
+            phase=command.phase,
+            waits_for_work=command.waits_for_work,
         )
         self.groups[group.name] = moved
         return _records.Outcome(results.ResultCode.OK, group=moved)
 
+    def release(self, command: _commands.ReleaseMembers) -> _records.Outcome:
+        """Frees members other than the head of a dissolving group."""
+        if command.term < self.term:
+            return _deposed(command.term, self.term)
+        self.term = command.term
+        group = self.groups.get(command.name)
+        if group is None or group.phase is not model.GroupPhase.DISSOLVING:
+            return _records.Outcome(
+                results.ResultCode.WRONG_EPOCH,
+                f"group {command.name!r} is not dissolving",
+            )
+        kept = (
+            group.head,
+            *(
+                m
+                for m in group.members[1:]
+                if m.server_id not in command.server_ids
+            ),
+        )
+        left = dataclasses.replace(group, members=kept)
+        self.groups[group.name] = left
+        return _records.Outcome(results.ResultCode.OK, group=left)
+
 
 def _deposed(term: int, newest: int) -> _records.Outcome:
     return _records.Outcome(
--- a/lagooncrank/core/state/_machine.py
+++ b/lagooncrank/core/state/_machine.py
@@ -252,3 +252,7 @@
     @_apply.register
     def _(self, command: _commands.MoveGroup) -> _records.Outcome:
         return self._groups.move(command)
+
+    @_apply.register
+    def _(self, command: _commands.ReleaseMembers) -> _records.Outcome:
+        return self._groups.release(command)
--- a/lagooncrank/server/seeded/_answering.py
+++ b/lagooncrank/server/seeded/_answering.py
@@ -74,7 +74,7 @@
                 self._forwarder.note_broken(exchange, target, error)
             finally:
                 answer.close()
-                self._forwarder.close(target)
+                self._forwarder.close(exchange, target)
             target, answer = await self._forwarder.open(exchange)
         response = web.Response(status=answer.head.status, body=body)
         _set_headers(response, answer)
@@ -115,7 +115,7 @@
             await response.prepare(request)
         except BaseException:
             answer.close()
-            self._forwarder.close(target)
+            self._forwarder.close(exchange, target)
             raise
         pieces = self._pieces(exchange, target, answer)
         try:
@@ -150,6 +150,7 @@
         while True:
             try:
                 async for piece in self._events(exchange, answer):
+                    self._forwarder.note_event(exchange, target)
                     yield piece
                 answer.release()
                 return
@@ -164,7 +165,7 @@
                 )
             finally:
                 answer.close()
-                self._forwarder.close(target)
+                self._forwarder.close(exchange, target)
             target, answer = await self._resumed(exchange)
 
     async def _resumed(
@@ -175,7 +176,7 @@
         if answer.head.status < FIRST_ERROR_STATUS:
             return target, answer
         answer.close()
-        self._forwarder.close(target)
+        self._forwarder.close(exchange, target)
         error = _attempt.AttemptFailedError(
             _attempt.Failure.SERVER_ERROR, str(answer.head.status)
         )
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -30,6 +30,11 @@
     last_event_id: int | None = None
     first_event_ms: int | None = None
 
+    @property
+    def number(self) -> int:
+        """Names the exchange within this process."""
+        return id(self)
+
     @property
     def priority(self) -> int:
         """Rank of the request; 0 is the most urgent."""
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-import dataclasses
 from typing import Final
 
 import mode
@@ -26,6 +25,9 @@
 #: Report intervals after which a silent backend server counts as lost.
 LOST_AFTER_INTERVALS: Final = 2.75
 
+#: Time for which another entry's word of a stalled server counts.
+TRUST_STALL_MS: Final = 1_500
+
 _REPORTS: Final = "server-reports"
 _NOTICES: Final = "node-notices"
 _SUMMARY: Final = "fleet-summary"
@@ -56,6 +58,7 @@
         self.table = fleet.ServerTable(lost_after_ms)
         self.nodes = fleet.NodeTable(NOTICE_LEASE_MS)
         self.loads = dispatch.LoadBook()
+        self.progress = dispatch.StreamProgress()
         #: Whether callers may be sent to this node.
         self.is_open = False
         #: Whether this entry has taken a request.
@@ -70,6 +73,9 @@
         self._sequence = 0
         self._noticed_ms = 0
         self._is_connected = True
+        self._stalled_here: frozenset[str] = frozenset()
+        #: Servers that stand still elsewhere, with the time of first notice.
+        self._stalled_there: dict[str, int] = {}
         links.on_message(_REPORTS, fleet.ReportBatch, self._on_reports)
         links.on_message(_NOTICES, fleet.NodeNotices, self._on_notices)
         links.on_message(_SUMMARY, fleet.FleetSummary, self._on_summary)
@@ -114,11 +120,32 @@
         now_ms = self._clock.now_ms()
         self._listen(now_ms)
         self.table.forget_old(now_ms)
+        self._watch_stalls(now_ms)
         self._pass_on()
         if now_ms - self._noticed_ms >= NOTICE_INTERVAL_MS:
             self._noticed_ms = now_ms
             self.notify_others()
 
+    def stalled(self, now_ms: int) -> set[str]:
+        """Returns the servers whose answers stand still, here or elsewhere.
+
+        Word of other entries counts for a while only: by then the leader has
+        found out what is wrong.
+        """
+        there = {
+            s
+            for s, at in self._stalled_there.items()
+            if now_ms - at < TRUST_STALL_MS
+        }
+        return there | self._stalled_here
+
+    def _watch_stalls(self, now_ms: int) -> None:
+        stalled = self.progress.stalled(now_ms)
+        has_more = not stalled <= self._stalled_here
+        self._stalled_here = stalled
+        if has_more:
+            self.notify_others()
+
     def notify_others(self) -> None:
         """Tells others of this node now."""
         now_ms = self._clock.now_ms()
@@ -133,6 +160,8 @@
             self._sequence,
             self.has_served,
             self.loads.tell(),
+            tuple(self._stalled_here),
+            tuple(self.progress.working(now_ms)),
         )
         if self.is_control:
             self.nodes.put(notice, now_ms)
@@ -204,17 +233,24 @@
         self, sender: model.NodeId, batch: fleet.NodeNotices
     ) -> None:
         now_ms = self._clock.now_ms()
+        before = self.nodes.stalled(now_ms)
         for notice in batch.notices:
             if self.nodes.put(notice, now_ms):
-                self._fresh_notices[notice.node_id] = dataclasses.replace(
-                    notice, age_ms=notice.age_ms
-                )
+                self._fresh_notices[notice.node_id] = notice
+        if not self.nodes.stalled(now_ms) <= before:
+            self._pass_on_notices(now_ms)
+            for listener in self.listeners:
+                listener()
 
     def _on_summary(
         self, sender: model.NodeId, summary: fleet.FleetSummary
     ) -> None:
         self.entry_count = summary.entries
         self.loads.set_total(summary.in_flight)
+        now_ms = self._clock.now_ms()
+        self._stalled_there = {
+            s: self._stalled_there.get(s, now_ms) for s in summary.stalled
+        }
         if summary.control_nodes:
             self._follow(summary.control_nodes)
 
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -84,9 +84,20 @@
                 not_run += 1
             self._check_again(exchange, last, not_run)
 
-    def close(self, target: dispatch.Target) -> None:
+    def close(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> None:
         """Ends the count of a request at its target."""
         self._view.loads.end(target.server_id)
+        self._view.progress.end(target.server_id, exchange.number)
+
+    def note_event(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> None:
+        """Notes that an answer goes on."""
+        self._view.progress.note_event(
+            target.server_id, exchange.number, self._clock.now_ms()
+        )
 
     def note_broken(
         self,
@@ -133,13 +144,17 @@
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> _attempt.Answer:
         self._view.loads.begin(target.server_id)
+        if target.group:
+            self._view.progress.begin(
+                target.server_id, exchange.number, self._clock.now_ms()
+            )
         is_open = False
         try:
             answer = await self._send(exchange, target)
             is_open = True
         finally:
             if not is_open:
-                self._view.loads.end(target.server_id)
+                self.close(exchange, target)
         self._targets.suspects.note_success(target.server_id)
         return answer
 
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -18,6 +18,8 @@
 
 STEP_S: Final = 0.1
 PROPOSAL_TIMEOUT_MS: Final = 2_000
+#: Wait before the members of a group that stands still are probed again.
+PROBE_AGAIN_MS: Final = 1_000
 #: Loads that may begin at once before any caller was served; they are short
 #: then and do not count.
 FIRST_LOADS: Final = 10_000
@@ -43,9 +45,9 @@
         self._engines = engines
         self._clock = clock
         self._log = log
-        self._life_cycle = groups.LifeCycle(
-            groups.GroupTiming(stall_ms=own.timing.group_stall_ms)
-        )
+        self._life_cycle = groups.LifeCycle()
+        #: When the members of a group were last probed, by epoch.
+        self._probed_ms: dict[int, int] = {}
         self._pace = groups.LoadPace(own.loads.window_ms)
         self._term: int | None = None
         self._proposing: set[str] = set()
@@ -71,11 +73,13 @@
             return
         now_ms = self._clock.now_ms()
         held = self._shared.view.groups
+        self._probe_stalled(now_ms)
+        working = self._view.nodes.working(now_ms)
         for group in list(held.values()):
             if group.name in self._proposing:
                 continue
             actions = self._life_cycle.next_actions(
-                group, self._view.table, now_ms
+                group, self._view.table, working, now_ms
             )
             for action in actions:
                 self._carry_out(action)
@@ -90,6 +94,36 @@
             self._log.write(_decisions.Event.LEADER, term=term, leads=is_leader)
         return is_leader
 
+    def _probe_stalled(self, now_ms: int) -> None:
+        """Asks the members of groups that stand still whether they live."""
+        stalled = self._view.nodes.stalled(now_ms)
+        if not stalled:
+            return
+        for group in self._shared.view.groups.values():
+            if group.phase is not model.GroupPhase.SERVING:
+                continue
+            probed_ms = self._probed_ms.get(group.epoch)
+            is_due = probed_ms is None or now_ms - probed_ms >= PROBE_AGAIN_MS
+            if group.head.server_id in stalled and is_due:
+                self._probed_ms[group.epoch] = now_ms
+                for member in group.members:
+                    self.add_future(self._probe(group, member))
+
+    async def _probe(
+        self, group: model.Group, member: model.GroupMember
+    ) -> None:
+        is_alive = await self._engines.is_alive(member)
+        if is_alive:
+            return
+        self._view.table.doubt(member.server_id)
+        self._log.write(
+            _decisions.Event.SERVER,
+            server=member.server_id,
+            state="no answer to a probe",
+            group=group.name,
+        )
+        self._wake.set()
+
     def _form(self, now_ms: int) -> None:
         catalog = self._documents.catalog
         if catalog is None or self._proposing:
@@ -122,6 +156,9 @@
             case groups.Move():
                 self._proposing.add(action.group.name)
                 self.add_future(self._move(action))
+            case groups.Release():
+                self._proposing.add(action.group.name)
+                self.add_future(self._release(action))
             case groups.Form():
                 names = [m.server_id for m in action.members]
                 self._proposing.update(names)
@@ -146,6 +183,24 @@
         )
         self._wake.set()
 
+    async def _release(self, release: groups.Release) -> None:
+        group = release.group
+        command = state.ReleaseMembers(
+            group.name, release.server_ids, self._term or 0
+        )
+        try:
+            outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
+        finally:
+            self._proposing.discard(group.name)
+        self._log.write(
+            _decisions.Event.GROUP,
+            group=group.name,
+            epoch=group.epoch,
+            released=release.server_ids,
+            outcome=outcome.code.name,
+        )
+        self._wake.set()
+
     async def _propose_form(self, form: groups.Form) -> None:
         command = state.FormGroup(
             form.service, form.model_name, form.members, self._term or 0
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -39,6 +39,7 @@
         tried: Collection[str],
     ) -> dispatch.Target | None:
         """Returns the best target, or None when there is none."""
+        now_ms = self._clock.now_ms()
         if model_name:
             targets = self._heads(service, model_name)
         else:
@@ -46,11 +47,10 @@
         return dispatch.choose_target(
             targets,
             self._view.loads,
-            self.suspects,
+            self.suspects.avoided(now_ms) | self._view.stalled(now_ms),
             tried,
             self._near,
             random.random(),
-            self._clock.now_ms(),
         )
 
     def failed(self, target: dispatch.Target) -> None:
