Keep a second model on each host; change engines over between models

Before callers are served every host loads a second model, which costs nothing then. Later groups are formed of engines that hold the weights already; others are staged first. A group is broken up when its engines let a model that lacks more have one.

--- a/lagooncrank/core/groups/__init__.py
+++ b/lagooncrank/core/groups/__init__.py
@@ -6,12 +6,14 @@
 from lagooncrank.core.groups._actions import Order
 from lagooncrank.core.groups._actions import OrderKind
 from lagooncrank.core.groups._actions import Release
+from lagooncrank.core.groups._actions import Stage
 from lagooncrank.core.groups._life_cycle import GroupTiming
 from lagooncrank.core.groups._life_cycle import LifeCycle
 from lagooncrank.core.groups._loads import LoadPace
-from lagooncrank.core.groups._planning import plan_groups
+from lagooncrank.core.groups._planning import Planner
 from lagooncrank.core.groups._planning import wanted_groups
 from lagooncrank.core.groups._serving import serving_groups
+from lagooncrank.core.groups._staging import Staging
 
 __all__ = [
     "Action",
@@ -22,8 +24,10 @@
     "Move",
     "Order",
     "OrderKind",
+    "Planner",
     "Release",
-    "plan_groups",
+    "Stage",
+    "Staging",
     "serving_groups",
     "wanted_groups",
 ]
--- a/lagooncrank/core/groups/_actions.py
+++ b/lagooncrank/core/groups/_actions.py
@@ -46,6 +46,14 @@
     server_ids: tuple[model.BackendServerId, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stage:
+    """Has an engine's host load a model from the weight store."""
+
+    member: model.GroupMember
+    model_name: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Form:
     """A new group, to be committed; its epoch comes with the commit."""
@@ -57,4 +65,4 @@
     cold_members: int
 
 
-Action = Order | Move | Release | Form
+Action = Order | Move | Release | Stage | Form
--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -1,15 +1,34 @@
-"""Which new groups to form from engines that are in none."""
+"""Which groups to form, and which to break up for a model that lacks more.
+
+Weights decide how soon a group serves: an engine that holds them joins at
+once, one whose host keeps them after a second or two, any other only after a
+load from the weight store. Once callers are served, groups are formed of the
+first two kinds alone; the third is brought up by staging, while the others
+stay free for other uses.
+"""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import enum
 
 from lagooncrank import model
 from lagooncrank.core import fleet
 from lagooncrank.core.groups import _actions
 
 
+class Warmth(enum.IntEnum):
+    """How soon an engine can serve a model."""
+
+    #: The engine holds the weights.
+    LOADED = 0
+    #: Its host keeps them.
+    STAGED = 1
+    #: They must come from the weight store.
+    COLD = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Choice:
     """Engines of one fabric domain that could form a replica."""
@@ -17,9 +36,37 @@
     fabric_domain: str
     members: tuple[model.ServerReport, ...]
     cold_members: int
-    #: Groups of other models in the domain; a domain of one model can join
-    #: what is left of its groups after losses.
-    strangers: int
+    staged_members: int
+    #: Groups of the same model in the domain, which are lost together.
+    siblings: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Supply:
+    """What one service has, and what its groups take of it."""
+
+    engine: model.EngineProfile
+    free: dict[str, list[model.ServerReport]]
+    have: dict[str, int]
+    wanted: dict[str, int]
+    #: Models of the groups in each fabric domain.
+    domains: dict[str, list[str]]
+
+    def ratio(self, name: str, change: int = 0) -> float:
+        """Returns how much of what a model should have it has."""
+        return (self.have[name] + change) / self.wanted[name]
+
+    def take(self, choice: _Choice, name: str) -> None:
+        """Counts a group that is to be formed."""
+        chosen = {m.server_id for m in choice.members}
+        left = [
+            r
+            for r in self.free[choice.fabric_domain]
+            if r.server_id not in chosen
+        ]
+        self.free[choice.fabric_domain] = left
+        self.have[name] += 1
+        self.domains.setdefault(choice.fabric_domain, []).append(name)
 
 
 def wanted_groups(engine: model.EngineProfile, engines: int) -> dict[str, int]:
@@ -38,110 +85,226 @@
     }
 
 
-def plan_groups(
-    service: model.ServicePlan,
-    table: fleet.ServerTable,
-    groups: Mapping[str, model.Group],
-    load_room: int,
-) -> Iterator[_actions.Form]:
-    """Yields groups to form, the model that lacks most first.
+class Planner:
+    """Plans the groups of one engine service."""
 
-    Args:
-        service: An engine service.
-        table: Reports of the engines.
-        groups: Groups that exist, in any phase.
-        load_room: Loads from the weight store that may begin now.
-    """
-    engine = service.engine
-    if engine is None:
-        return
-    taken = {m.server_id for g in groups.values() for m in g.members}
-    ready = [k.report for k in table.ready(service.name)]
-    free = [r for r in ready if r.server_id not in taken]
-    wanted = wanted_groups(engine, len(ready))
-    have = {m.name: 0 for m in engine.models}
-    kept = [g for g in groups.values() if g.service == service.name]
-    for group in kept:
-        if group.phase is not model.GroupPhase.DISSOLVING:
-            have[group.model_name] = have.get(group.model_name, 0) + 1
-    domains = _domains_of(kept, table)
-    while True:
-        form = _next_form(service, free, have, wanted, domains, load_room)
-        if form is None:
+    def plan(
+        self,
+        service: model.ServicePlan,
+        table: fleet.ServerTable,
+        groups: Mapping[str, model.Group],
+        *,
+        may_load: bool,
+    ) -> Iterator[_actions.Action]:
+        """Yields groups to form and one to break up.
+
+        Args:
+            service: An engine service.
+            table: Reports of the engines.
+            groups: Groups that exist, in any phase.
+            may_load: Whether groups may wait for the weight store; so before
+                callers are served, when loads are short.
+        """
+        if service.engine is None:
             return
-        load_room -= form.cold_members
-        have[form.model_name] += 1
-        chosen = {m.server_id for m in form.members}
-        domain = next(r.fabric_domain for r in free if r.server_id in chosen)
-        domains.setdefault(domain, []).append(form.model_name)
-        free = [r for r in free if r.server_id not in chosen]
-        yield form
+        supply = _supply_of(service, service.engine, table, groups)
+        yield from self._forms(service, supply, may_load=may_load)
+        if not may_load:
+            yield from self._break_up(service, supply, table, groups)
 
+    def _forms(
+        self,
+        service: model.ServicePlan,
+        supply: _Supply,
+        *,
+        may_load: bool,
+    ) -> Iterator[_actions.Form]:
+        while True:
+            form = self._next_form(service, supply, may_load=may_load)
+            if form is None:
+                return
+            yield form
 
-def _next_form(
-    service: model.ServicePlan,
-    free: list[model.ServerReport],
-    have: dict[str, int],
-    wanted: dict[str, int],
-    domains: Mapping[str, list[str]],
-    load_room: int,
-) -> _actions.Form | None:
-    engine = service.engine
-    assert engine is not None
-    by_need = sorted(
-        engine.models, key=lambda m: (have[m.name] / wanted[m.name], m.name)
-    )
-    for profile in by_need:
-        is_extra = have[profile.name] >= wanted[profile.name]
-        choices = [
-            c
-            for c in _choices(profile, free, domains)
-            if c.cold_members <= (0 if is_extra else load_room)
-        ]
-        if choices:
-            best = min(
-                choices,
-                key=lambda c: (c.cold_members, c.strangers, c.fabric_domain),
-            )
+    def _next_form(
+        self,
+        service: model.ServicePlan,
+        supply: _Supply,
+        *,
+        may_load: bool,
+    ) -> _actions.Form | None:
+        for profile in _by_need(supply, largest_first=may_load):
+            choices = [
+                c
+                for c in _choices(profile, supply)
+                if may_load or c.cold_members == 0
+            ]
+            if not choices:
+                continue
+            best = min(choices, key=_preference)
+            supply.take(best, profile.name)
             return _actions.Form(
                 service.name,
                 profile.name,
-                tuple(_member(r) for r in best.members),
+                tuple(member_of(r) for r in best.members),
                 best.cold_members,
             )
-    return None
-
-
-def _choices(
-    profile: model.ModelProfile,
-    free: Iterable[model.ServerReport],
-    domains: Mapping[str, list[str]],
-) -> Iterator[_Choice]:
-    by_domain: dict[str, list[model.ServerReport]] = {}
-    for report in free:
-        by_domain.setdefault(report.fabric_domain, []).append(report)
-    for domain, reports in by_domain.items():
-        if len(reports) < profile.size:
-            continue
-        reports.sort(key=lambda r: (profile.name not in r.staged, r.server_id))
-        members = tuple(reports[: profile.size])
-        cold = sum(1 for r in members if profile.name not in r.staged)
-        others = [m for m in domains.get(domain, ()) if m != profile.name]
-        yield _Choice(domain, members, cold, len(others))
+        return None
+
+    def _break_up(
+        self,
+        service: model.ServicePlan,
+        supply: _Supply,
+        table: fleet.ServerTable,
+        groups: Mapping[str, model.Group],
+    ) -> Iterator[_actions.Move]:
+        """Yields a group whose engines another model needs more."""
+        own = [g for g in groups.values() if g.service == service.name]
+        is_settled = all(
+            g.phase is model.GroupPhase.SERVING or not g.waits_for_work
+            for g in own
+        )
+        if not is_settled or not own:
+            return
+        neediest = _by_need(supply, largest_first=False)[0]
+        for group in own:
+            if group.phase is not model.GroupPhase.SERVING:
+                continue
+            if self._helps(group, neediest, supply, table):
+                phase = model.GroupPhase.DISSOLVING
+                reason = f"model {neediest.name} needs its engines more"
+                yield _actions.Move(group, phase, reason, waits_for_work=True)
+                return
+
+    def _helps(
+        self,
+        group: model.Group,
+        neediest: model.ModelProfile,
+        supply: _Supply,
+        table: fleet.ServerTable,
+    ) -> bool:
+        """Whether breaking up a group lets the neediest model have one."""
+        donor = group.model_name
+        if donor == neediest.name:
+            return False
+        if supply.ratio(donor, -1) < supply.ratio(neediest.name, +1):
+            return False
+        reports = [_report_of(m, table) for m in group.members]
+        members = [r for r in reports if r is not None]
+        if len(members) < len(group.members):
+            return False
+        free = supply.free.get(members[0].fabric_domain, [])
+        warm = [
+            r
+            for r in (*free, *members)
+            if warmth(r, neediest.name) is not Warmth.COLD
+        ]
+        return len(warm) >= neediest.size
+
 
+def warmth(report: model.ServerReport, model_name: str) -> Warmth:
+    """Returns how soon an engine can serve a model."""
+    if model_name in report.loaded:
+        return Warmth.LOADED
+    if model_name in report.staged:
+        return Warmth.STAGED
+    return Warmth.COLD
 
-def _domains_of(
-    groups: Iterable[model.Group], table: fleet.ServerTable
-) -> dict[str, list[str]]:
-    """Returns the models of the groups in each fabric domain."""
+
+def member_of(report: model.ServerReport) -> model.GroupMember:
+    """Returns the engine start that a report is from."""
+    return model.GroupMember(report.server_id, report.born_ms, report.address)
+
+
+def _supply_of(
+    service: model.ServicePlan,
+    engine: model.EngineProfile,
+    table: fleet.ServerTable,
+    groups: Mapping[str, model.Group],
+) -> _Supply:
+    own = [g for g in groups.values() if g.service == service.name]
+    taken = {m.server_id for g in own for m in g.members}
+    ready = [known.report for known in table.ready(service.name)]
+    free: dict[str, list[model.ServerReport]] = {}
+    for report in ready:
+        if report.server_id not in taken:
+            free.setdefault(report.fabric_domain, []).append(report)
+    have = {m.name: 0 for m in engine.models}
     domains: dict[str, list[str]] = {}
-    for group in groups:
+    for group in own:
+        if group.phase is model.GroupPhase.DISSOLVING:
+            continue
+        have[group.model_name] = have.get(group.model_name, 0) + 1
         known = table.get(group.head.server_id)
         if known is not None:
             of_domain = domains.setdefault(known.report.fabric_domain, [])
             of_domain.append(group.model_name)
-    return domains
+    wanted = wanted_groups(engine, len(ready))
+    return _Supply(engine, free, have, wanted, domains)
 
 
-def _member(report: model.ServerReport) -> model.GroupMember:
-    return model.GroupMember(report.server_id, report.born_ms, report.address)
+def _by_need(
+    supply: _Supply, *, largest_first: bool
+) -> list[model.ModelProfile]:
+    """Returns the models that lack most first.
+
+    Before callers are served, large groups are placed first, as small ones
+    fit into what is left.
+    """
+
+    def key(profile: model.ModelProfile) -> tuple[float, float, str]:
+        ratio = supply.ratio(profile.name)
+        if largest_first and ratio < 1:
+            return (0.0, float(-profile.size), profile.name)
+        return (1.0, ratio, profile.name)
+
+    return sorted(supply.engine.models, key=key)
+
+
+def _choices(profile: model.ModelProfile, supply: _Supply) -> Iterator[_Choice]:
+    for domain, reports in supply.free.items():
+        if len(reports) < profile.size:
+            continue
+        ordered = sorted(
+            reports, key=lambda r: (warmth(r, profile.name), r.server_id)
+        )
+        members = tuple(ordered[: profile.size])
+        states = [warmth(r, profile.name) for r in members]
+        yield _Choice(
+            domain,
+            members,
+            states.count(Warmth.COLD),
+            states.count(Warmth.STAGED),
+            supply.domains.get(domain, []).count(profile.name),
+        )
+
+
+def _preference(choice: _Choice) -> tuple[int, int, int, str]:
+    return (
+        choice.cold_members,
+        choice.siblings,
+        choice.staged_members,
+        choice.fabric_domain,
+    )
+
+
+def _report_of(
+    member: model.GroupMember, table: fleet.ServerTable
+) -> model.ServerReport | None:
+    known = table.get(member.server_id)
+    if known is None or known.report.born_ms != member.born_ms:
+        return None
+    return known.report
+
+
+def free_of(
+    service: model.ServicePlan,
+    table: fleet.ServerTable,
+    groups: Iterable[model.Group],
+) -> list[model.ServerReport]:
+    """Returns the engines of a service that are in no group."""
+    taken = {m.server_id for g in groups for m in g.members}
+    return [
+        k.report
+        for k in table.ready(service.name)
+        if k.report.server_id not in taken
+    ]
--- a/lagooncrank/model/_server_report.py
+++ b/lagooncrank/model/_server_report.py
@@ -56,6 +56,8 @@
     fabric_domain: str = ""
     #: Models whose weights its host keeps.
     staged: tuple[str, ...] = ()
+    #: Models whose weights the engine itself holds.
+    loaded: tuple[str, ...] = ()
     membership: Membership | None = None
 
     @property
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -299,6 +299,8 @@
             service=report.service,
             state=report.state.value,
             membership=report.membership,
+            staged=report.staged,
+            loaded=report.loaded,
             sequence=report.sequence,
         )
 
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -20,9 +20,6 @@
 PROPOSAL_TIMEOUT_MS: Final = 2_000
 #: Wait before the members of a group that stands still are probed again.
 PROBE_AGAIN_MS: Final = 1_000
-#: Loads that may begin at once before any caller was served; they are short
-#: then and do not count.
-FIRST_LOADS: Final = 10_000
 
 
 class GroupDriver(mode.Service):  # type: ignore[misc, unused-ignore]
@@ -48,7 +45,8 @@
         self._life_cycle = groups.LifeCycle()
         #: When the members of a group were last probed, by epoch.
         self._probed_ms: dict[int, int] = {}
-        self._pace = groups.LoadPace(own.loads.window_ms)
+        self._planner = groups.Planner()
+        self._staging = groups.Staging(own.loads.window_ms)
         self._term: int | None = None
         self._proposing: set[str] = set()
         self._has_served = False
@@ -128,19 +126,16 @@
         catalog = self._documents.catalog
         if catalog is None or self._proposing:
             return
+        is_early = not self._was_used(now_ms)
+        table = self._view.table
+        held = self._shared.view.groups
+        stages = self._staging.early if is_early else self._staging.late
         for service in catalog.services.values():
-            if service.engine is None:
-                continue
-            room = FIRST_LOADS
-            if self._was_used(now_ms):
-                room = self._pace.room(service.engine.loads_per_s, now_ms)
-            forms = groups.plan_groups(
-                service, self._view.table, self._shared.view.groups, room
-            )
-            for form in forms:
-                if self._was_used(now_ms):
-                    self._pace.note(form.cold_members, now_ms)
-                self._carry_out(form)
+            plan = self._planner.plan(service, table, held, may_load=is_early)
+            for action in plan:
+                self._carry_out(action)
+            for stage in stages(service, table, held, now_ms):
+                self._carry_out(stage)
 
     def _was_used(self, now_ms: int) -> bool:
         """Whether any entry has taken a request since the system began."""
@@ -156,6 +151,8 @@
             case groups.Move():
                 self._proposing.add(action.group.name)
                 self.add_future(self._move(action))
+            case groups.Stage():
+                self.add_future(self._stage(action))
             case groups.Release():
                 self._proposing.add(action.group.name)
                 self.add_future(self._release(action))
@@ -183,6 +180,16 @@
         )
         self._wake.set()
 
+    async def _stage(self, stage: groups.Stage) -> None:
+        outcome = await self._engines.stage(stage, self._shared.term)
+        self._log.write(
+            _decisions.Event.ORDER,
+            order="stage",
+            model=stage.model_name,
+            server=stage.member.server_id,
+            status=outcome.status,
+        )
+
     async def _release(self, release: groups.Release) -> None:
         group = release.group
         command = state.ReleaseMembers(
--- a/lagooncrank/server/seeded/_wire.py
+++ b/lagooncrank/server/seeded/_wire.py
@@ -117,6 +117,9 @@
     async def send(self, order: groups.Order, term: int) -> "OrderOutcome":
         """Sends one order, fenced by the leader's term."""
 
+    async def stage(self, stage: groups.Stage, term: int) -> "OrderOutcome":
+        """Has an engine's host load a model."""
+
     async def is_alive(self, member: model.GroupMember) -> bool:
         """Asks an engine whether it still answers."""
 
