Place large groups first while engines still arrive

Small groups now wait while engines arrive; several groups of one domain may make room for a model that lacks more.

--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -80,6 +80,8 @@
         self._servers: dict[model.BackendServerId, KnownServer] = {}
         self._by_address: dict[str, model.BackendServerId] = {}
         self._listened_ms = 0
+        #: When a server's start was last heard of for the first time.
+        self.newest_start_ms = 0
         self._ticked_ms: int | None = None
         self._changed: set[model.BackendServerId] = set()
         self._renewed: set[model.BackendServerId] = set()
@@ -96,6 +98,8 @@
         held = known.report if known is not None else None
         if held is not None and held.start == report.start:
             report = _never_back(held, report)
+        if held is None or held.start != report.start:
+            self.newest_start_ms = max(self.newest_start_ms, heard_ms)
         age_ms = self._age_ms(heard_ms)
         self._servers[report.server_id] = KnownServer(
             report, heard_ms, self._listened_ms - age_ms
--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -95,8 +95,9 @@
         groups: Mapping[str, model.Group],
         *,
         may_load: bool,
+        is_growing: bool,
     ) -> Iterator[_actions.Action]:
-        """Yields groups to form and one to break up.
+        """Yields groups to form and those to break up.
 
         Args:
             service: An engine service.
@@ -104,26 +105,23 @@
             groups: Groups that exist, in any phase.
             may_load: Whether groups may wait for the weight store; so before
                 callers are served, when loads are short.
+            is_growing: Whether engines have come within the last report
+                interval, so that more will; small groups then leave room for
+                large ones.
         """
         if service.engine is None:
             return
         supply = _supply_of(service, service.engine, table, groups)
-        yield from self._forms(service, supply, may_load=may_load)
-        if not may_load:
-            yield from self._break_up(service, supply, table, groups)
-
-    def _forms(
-        self,
-        service: model.ServicePlan,
-        supply: _Supply,
-        *,
-        may_load: bool,
-    ) -> Iterator[_actions.Form]:
+        waits = may_load and is_growing
         while True:
-            form = self._next_form(service, supply, may_load=may_load)
+            form = self._next_form(
+                service, supply, may_load=may_load, waits=waits
+            )
             if form is None:
-                return
+                break
             yield form
+        if not may_load:
+            yield from self._break_up(service, supply, table, groups)
 
     def _next_form(
         self,
@@ -131,6 +129,7 @@
         supply: _Supply,
         *,
         may_load: bool,
+        waits: bool,
     ) -> _actions.Form | None:
         for profile in _by_need(supply, largest_first=may_load):
             choices = [
@@ -138,6 +137,8 @@
                 for c in _choices(profile, supply)
                 if may_load or c.cold_members == 0
             ]
+            if not choices and waits:
+                return None
             if not choices:
                 continue
             best = min(choices, key=_preference)
@@ -166,39 +167,50 @@
         if not is_settled or not own:
             return
         neediest = _by_need(supply, largest_first=False)[0]
-        for group in own:
-            if group.phase is not model.GroupPhase.SERVING:
-                continue
-            if self._helps(group, neediest, supply, table):
-                phase = model.GroupPhase.DISSOLVING
-                reason = f"model {neediest.name} needs its engines more"
-                yield _actions.Move(group, phase, reason, waits_for_work=True)
-                return
+        donors = min(
+            _donations(neediest, supply, table, own), key=len, default=()
+        )
+        for group in donors:
+            phase = model.GroupPhase.DISSOLVING
+            reason = f"model {neediest.name} needs its engines more"
+            yield _actions.Move(group, phase, reason, waits_for_work=True)
 
-    def _helps(
-        self,
-        group: model.Group,
-        neediest: model.ModelProfile,
-        supply: _Supply,
-        table: fleet.ServerTable,
-    ) -> bool:
-        """Whether breaking up a group lets the neediest model have one."""
-        donor = group.model_name
-        if donor == neediest.name:
-            return False
-        if supply.ratio(donor, -1) < supply.ratio(neediest.name, +1):
-            return False
-        reports = [_report_of(m, table) for m in group.members]
-        members = [r for r in reports if r is not None]
-        if len(members) < len(group.members):
-            return False
-        free = supply.free.get(members[0].fabric_domain, [])
-        warm = [
-            r
-            for r in (*free, *members)
-            if warmth(r, neediest.name) is not Warmth.COLD
-        ]
-        return len(warm) >= neediest.size
+
+def _donations(
+    neediest: model.ModelProfile,
+    supply: _Supply,
+    table: fleet.ServerTable,
+    groups: Iterable[model.Group],
+) -> Iterator[tuple[model.Group, ...]]:
+    """Yields groups of one domain that make room for one of the neediest."""
+    by_place: dict[tuple[str, str], list[model.Group]] = {}
+    for group in groups:
+        known = table.get(group.head.server_id)
+        is_donor = group.model_name != neediest.name
+        if is_donor and group.phase is model.GroupPhase.SERVING and known:
+            place = (known.report.fabric_domain, group.model_name)
+            by_place.setdefault(place, []).append(group)
+    for (domain, donor), of_place in by_place.items():
+        warm = _count_warm(supply.free.get(domain, ()), neediest)
+        chosen: list[model.Group] = []
+        for group in of_place:
+            chosen.append(group)
+            reports = [_report_of(m, table) for m in group.members]
+            warm += _count_warm([r for r in reports if r], neediest)
+            if warm >= neediest.size:
+                break
+        is_fair = supply.ratio(donor, -len(chosen)) >= supply.ratio(
+            neediest.name, +1
+        )
+        if warm >= neediest.size and is_fair:
+            yield tuple(chosen)
+
+
+def _count_warm(
+    reports: Iterable[model.ServerReport], profile: model.ModelProfile
+) -> int:
+    """Returns how many engines can serve a model without a load."""
+    return sum(1 for r in reports if warmth(r, profile.name) < Warmth.COLD)
 
 
 def warmth(report: model.ServerReport, model_name: str) -> Warmth:
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -45,6 +45,7 @@
         self._life_cycle = groups.LifeCycle()
         #: When the members of a group were last probed, by epoch.
         self._probed_ms: dict[int, int] = {}
+        self._interval_ms = own.timing.report_interval_ms
         self._planner = groups.Planner()
         self._staging = groups.Staging(own.loads.window_ms)
         self._term: int | None = None
@@ -131,7 +132,13 @@
         held = self._shared.view.groups
         stages = self._staging.early if is_early else self._staging.late
         for service in catalog.services.values():
-            plan = self._planner.plan(service, table, held, may_load=is_early)
+            plan = self._planner.plan(
+                service,
+                table,
+                held,
+                may_load=is_early,
+                is_growing=now_ms - table.newest_start_ms < self._interval_ms,
+            )
             for action in plan:
                 self._carry_out(action)
             for stage in stages(service, table, held, now_ms):
