--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -12,11 +12,16 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+from typing import Final
 
 from lagooncrank import model
 from lagooncrank.core import fleet
 from lagooncrank.core.groups import _actions
 
+#: Time for which engines that were set free are kept for the model that lacks
+#: them; a head finishes its work meanwhile.
+KEEP_MS: Final = 5_000
+
 
 class Warmth(enum.IntEnum):
     """How soon an engine can serve a model."""
@@ -86,7 +91,12 @@
 
 
 class Planner:
-    """Plans the groups of one engine service."""
+    """Plans groups; remembers for which model others were broken up."""
+
+    def __init__(self) -> None:
+        #: Model that the free engines of a domain are kept for, and until
+        #: when.
+        self._kept: dict[str, tuple[str, int]] = {}
 
     def plan(
         self,
@@ -94,6 +104,7 @@
         table: fleet.ServerTable,
         groups: Mapping[str, model.Group],
         *,
+        now_ms: int,
         may_load: bool,
         is_growing: bool,
     ) -> Iterator[_actions.Action]:
@@ -103,6 +114,7 @@
             service: An engine service.
             table: Reports of the engines.
             groups: Groups that exist, in any phase.
+            now_ms: Monotonic time.
             may_load: Whether groups may wait for the weight store; so before
                 callers are served, when loads are short.
             is_growing: Whether engines have come within the last report
@@ -112,6 +124,11 @@
         if service.engine is None:
             return
         supply = _supply_of(service, service.engine, table, groups)
+        self._kept = {
+            domain: kept
+            for domain, kept in self._kept.items()
+            if now_ms < kept[1]
+        }
         waits = may_load and is_growing
         while True:
             form = self._next_form(
@@ -121,7 +138,7 @@
                 break
             yield form
         if not may_load:
-            yield from self._break_up(service, supply, table, groups)
+            yield from self._break_up(service, supply, table, groups, now_ms)
 
     def _next_form(
         self,
@@ -136,6 +153,7 @@
                 c
                 for c in _choices(profile, supply)
                 if may_load or c.cold_members == 0
+                if self._is_free_for(c.fabric_domain, profile.name)
             ]
             if not choices and waits:
                 return None
@@ -143,6 +161,7 @@
                 continue
             best = min(choices, key=_preference)
             supply.take(best, profile.name)
+            self._kept.pop(best.fabric_domain, None)
             return _actions.Form(
                 service.name,
                 profile.name,
@@ -151,14 +170,19 @@
             )
         return None
 
+    def _is_free_for(self, domain: str, model_name: str) -> bool:
+        kept = self._kept.get(domain)
+        return kept is None or kept[0] == model_name
+
     def _break_up(
         self,
         service: model.ServicePlan,
         supply: _Supply,
         table: fleet.ServerTable,
         groups: Mapping[str, model.Group],
+        now_ms: int,
     ) -> Iterator[_actions.Move]:
-        """Yields a group whose engines another model needs more."""
+        """Yields groups whose engines another model needs more."""
         own = [g for g in groups.values() if g.service == service.name]
         is_settled = all(
             g.phase is model.GroupPhase.SERVING or not g.waits_for_work
@@ -171,6 +195,10 @@
             _donations(neediest, supply, table, own), key=len, default=()
         )
         for group in donors:
+            known = table.get(group.head.server_id)
+            if known is not None:
+                domain = known.report.fabric_domain
+                self._kept[domain] = (neediest.name, now_ms + KEEP_MS)
             phase = model.GroupPhase.DISSOLVING
             reason = f"model {neediest.name} needs its engines more"
             yield _actions.Move(group, phase, reason, waits_for_work=True)
@@ -199,7 +227,7 @@
             warm += _count_warm([r for r in reports if r], neediest)
             if warm >= neediest.size:
                 break
-        is_fair = supply.ratio(donor, -len(chosen)) >= supply.ratio(
+        is_fair = supply.ratio(donor, -len(chosen)) > supply.ratio(
             neediest.name, +1
         )
         if warm >= neediest.size and is_fair:
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -136,6 +136,7 @@
                 service,
                 table,
                 held,
+                now_ms=now_ms,
                 may_load=is_early,
                 is_growing=now_ms - table.newest_start_ms < self._interval_ms,
             )
