--- /dev/null
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -0,0 +1,129 @@
+"""Choice, allowance and stalls under the loads that they are for."""
+
+from lagooncrank import model
+from lagooncrank.core import dispatch
+
+SERVICE = model.ServiceName("writers")
+
+
+def target(name: str, domain: str = "a") -> dispatch.Target:
+    return dispatch.Target(
+        model.BackendServerId(name),
+        f"{name}:80",
+        SERVICE,
+        model.FailureDomainId(domain),
+        4,
+    )
+
+
+def choose(
+    targets: list[dispatch.Target],
+    loads: dispatch.LoadBook,
+    avoided: tuple[str, ...] = (),
+    tried: tuple[str, ...] = (),
+) -> str | None:
+    chosen = dispatch.choose_target(
+        targets, loads, avoided, tried, model.FailureDomainId("a"), 0.0
+    )
+    return None if chosen is None else chosen.server_id
+
+
+def test_least_loaded_then_nearest_is_chosen() -> None:
+    loads = dispatch.LoadBook()
+    targets = [target("far", "b"), target("near")]
+    assert choose(targets, loads) == "near"
+    loads.begin("near")
+    assert choose(targets, loads) == "far"
+
+
+def test_requests_of_other_entries_count_and_own_ones_count_once() -> None:
+    loads = dispatch.LoadBook()
+    loads.begin("one")
+    assert loads.tell() == {"one": 1}
+    loads.set_total({"one": 1, "two": 3})
+    assert loads.of("one") == 1
+    assert loads.of("two") == 3
+
+
+def test_avoided_server_is_used_when_there_is_no_other() -> None:
+    loads = dispatch.LoadBook()
+    targets = [target("one"), target("two")]
+    assert choose(targets, loads, avoided=("one",)) == "two"
+    assert choose(targets, loads, avoided=("one", "two")) == "one"
+    assert choose(targets, loads, tried=("one", "two")) is None
+
+
+def test_service_without_weight_is_never_drawn() -> None:
+    splits = (
+        model.Split(model.ServiceName("zero"), 0),
+        model.Split(model.ServiceName("one"), 1),
+        model.Split(model.ServiceName("three"), 3),
+    )
+    route = model.Route(
+        "r", "h", "/", model.RequestKind.ONCE, 1_000, 100, splits
+    )
+    drawn = [dispatch.choose_service(route, n / 100) for n in range(101)]
+    assert drawn.count(model.ServiceName("zero")) == 0
+    assert 24 <= drawn.count(model.ServiceName("one")) <= 26
+
+
+def test_repeats_of_all_entries_stay_within_the_common_limit() -> None:
+    """A storm of failures: every request asks for a repeat, everywhere."""
+    rules = dispatch.AllowanceRules(window_ms=10_000, ratio=0.2, extra=130)
+    entries = [dispatch.RetryAllowance(rules) for _ in range(9)]
+    requests = repeats = 0
+    for now_ms in range(0, 10_000, 10):
+        entry = entries[now_ms // 10 % 9]
+        entry.note_request(SERVICE, now_ms)
+        requests += 1
+        repeats += entry.take(SERVICE, 9, now_ms)
+    assert 0 < repeats <= 0.2 * requests + 130
+
+
+def test_allowance_comes_back_with_the_window() -> None:
+    rules = dispatch.AllowanceRules(window_ms=1_000, ratio=0.0, extra=10)
+    allowance = dispatch.RetryAllowance(rules)
+    assert sum(allowance.take(SERVICE, 1, 0) for _ in range(20)) == 6
+    assert not allowance.take(SERVICE, 1, 999)
+    assert allowance.take(SERVICE, 1, 1_001)
+
+
+def test_head_stands_still_when_all_its_streams_do() -> None:
+    progress = dispatch.StreamProgress()
+    progress.begin("head", 1, 0)
+    progress.begin("head", 2, 0)
+    progress.note_event("head", 1, 100)
+    progress.note_event("head", 2, 300)
+    assert not progress.stalled(500)
+    assert progress.stalled(650) == {"head"}
+    progress.note_event("head", 1, 660)
+    assert not progress.stalled(700)
+
+
+def test_request_that_waits_in_a_queue_is_no_stall() -> None:
+    progress = dispatch.StreamProgress()
+    progress.begin("head", 1, 0)
+    assert not progress.stalled(900)
+    assert progress.stalled(1_000) == {"head"}
+    progress.end("head", 1)
+    assert not progress.stalled(2_000)
+
+
+def test_head_counts_as_working_for_a_second_after_an_event() -> None:
+    progress = dispatch.StreamProgress()
+    progress.begin("head", 1, 0)
+    progress.note_event("head", 1, 100)
+    progress.end("head", 1)
+    assert progress.working(1_000) == {"head"}
+    assert not progress.working(1_100)
+
+
+def test_server_that_fails_again_is_avoided_for_longer() -> None:
+    suspects = dispatch.Suspects()
+    suspects.note_failure("one", 0)
+    assert suspects.avoided(499) == {"one"}
+    assert not suspects.avoided(500)
+    suspects.note_failure("one", 500)
+    assert suspects.avoided(1_400) == {"one"}
+    suspects.note_success("one")
+    assert not suspects.avoided(1_400)
