Count the time of the imports as waited for the last leader's lease

Cause: after a loss of power control nodes needed 2.3 s to start and then 0.7 s to elect a leader, as a start counted as a promise given. Promises are older than the process, so its beginning counts; voters that started slowly draw their first election within 0.4 s.

An entry that starts uses no document before it has applied what was committed: it served by version 22 and then 41 while 56 was in force.

--- a/lagooncrank/core/consensus/_context.py
+++ b/lagooncrank/core/consensus/_context.py
@@ -25,6 +25,8 @@
     #: Silence after which a follower may stand for election.
     election_min_ms: int = 600
     election_max_ms: int = 1_200
+    #: Spread of the first elections of voters that start together.
+    first_election_spread_ms: int = 400
     #: Length of the leader lease; below `election_min_ms` by the clock drift
     #: that is allowed for.
     lease_ms: int = 500
@@ -86,6 +88,18 @@
         wait_ms = timing.election_min_ms + int(self.draw() * spread)
         self.election_deadline_ms = now_ms + wait_ms
 
+    def set_first_election_deadline(self, now_ms: int) -> None:
+        """Draws when this node first stands for election.
+
+        A process that took long to start has already waited for a leader's
+        promise to lapse; the draw alone then keeps voters apart that start
+        together.
+        """
+        self.reset_election_deadline(now_ms)
+        if not self.is_promised(now_ms):
+            wait_ms = int(self.draw() * self.timing.first_election_spread_ms)
+            self.election_deadline_ms = now_ms + wait_ms
+
     def become_follower(
         self, term: int, leader: _messages.Voter | None, now_ms: int
     ) -> None:
--- a/lagooncrank/core/consensus/_node.py
+++ b/lagooncrank/core/consensus/_node.py
@@ -41,6 +41,7 @@
         draw: Callable[[], float],
         durable: _messages.DurableState,
         now_ms: int,
+        started_ms: int | None = None,
     ) -> None:
         """Starts from what storage held.
 
@@ -50,13 +51,17 @@
             draw: Returns the next random number, 0.0 to 1.0.
             durable: Content of the data folder.
             now_ms: Monotonic time.
+            started_ms: When the process began; promises to a leader were made
+                before. Defaults to `now_ms`.
         """
+        if started_ms is None:
+            started_ms = now_ms
         log = _log.Log(durable)
         self._context = _context.Context(
-            own, timing, draw, log, durable.hard_state, now_ms
+            own, timing, draw, log, durable.hard_state, started_ms
         )
         self._context.commit_index = log.snapshot_index
-        self._context.reset_election_deadline(now_ms)
+        self._context.set_first_election_deadline(now_ms)
         self._delivered_index = log.snapshot_index
         self._election = _election.Election(self._context)
         self._following = _following.Following(self._context)
--- a/lagooncrank/core/consensus/_participant.py
+++ b/lagooncrank/core/consensus/_participant.py
@@ -72,6 +72,13 @@
         """Voter set as this node's log has it; None without a disk."""
         return self._node.status.voters if self._node else None
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether what was committed at the last quorum contact is applied."""
+        contact = self._contact
+        is_known = contact.contact_ms is not None
+        return is_known and self.applied_index >= contact.commit_index
+
     @property
     def upstream(self) -> model.NodeId | None:
         """Node that this one follows; None on a node with a disk."""
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -50,6 +50,7 @@
         store: storage.Storage | None,
         draw: Callable[[], float] = random.random,
         timing: consensus.Timing = TIMING,
+        started_ms: int | None = None,
     ) -> None:
         """Prepares the service.
 
@@ -60,6 +61,7 @@
             store: Data folder; None on a node without a disk.
             draw: Returns the next random number, 0.0 to 1.0.
             timing: Durations of the consensus protocol.
+            started_ms: When the process began; defaults to now.
 
         Raises:
             UnknownCommandError: The log holds a command of a newer version.
@@ -77,7 +79,9 @@
         if store is not None:
             durable = store.state()
             _applying.check_known(durable.entries)
-            node = consensus.Node(store.voter, timing, draw, durable, now_ms)
+            node = consensus.Node(
+                store.voter, timing, draw, durable, now_ms, started_ms
+            )
         self._participant = consensus.Participant(
             setup, node, store.voter if store else None, self._machine, durable
         )
@@ -135,6 +139,11 @@
         """Nodes that follow this one."""
         return self._participant.followers(self._clock.now_ms())
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether all that a quorum had committed once is applied here."""
+        return self._participant.has_caught_up
+
     @property
     def voters(self) -> consensus.VoterSet | None:
         """Voter set as this node's log has it; None without a disk."""
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -22,8 +22,9 @@
         documents: _wire.DocumentCodec,
         engines: _wire.EngineClient,
         clock: clocks.Clock,
+        started_ms: int | None = None,
     ) -> None:
-        super().__init__(own, documents, clock)
+        super().__init__(own, documents, clock, started_ms)
         self._driver = _group_driver.GroupDriver(
             own,
             self.shared,
--- a/lagooncrank/server/seeded/_documents.py
+++ b/lagooncrank/server/seeded/_documents.py
@@ -30,6 +30,7 @@
         self._catalog: catalogs.Catalog | None = None
         self._version = -1
         self._broken_version = -1
+        self._has_caught_up = False
 
     async def put(self, content: bytes) -> results.ResultCode:
         """Validates a document and commits it.
@@ -68,7 +69,15 @@
 
     @property
     def catalog(self) -> catalogs.Catalog | None:
-        """The document in force at this node, indexed; None before any."""
+        """The document in force at this node, indexed; None before any.
+
+        After a start the log brings older documents first; none is used
+        before the newest one is there.
+        """
+        if not self._has_caught_up:
+            self._has_caught_up = self._shared.has_caught_up
+            if not self._has_caught_up:
+                return None
         document = self._shared.view.document
         if document is None or document.version == self._version:
             return self._catalog
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -34,9 +34,16 @@
         own: settings.SeededSettings,
         documents: _wire.DocumentCodec,
         clock: clocks.Clock,
+        started_ms: int | None = None,
     ) -> None:
         """Builds the parts; nothing runs before the start.
 
+        Args:
+            own: Settings of the process.
+            documents: Reads the operators' documents.
+            clock: Clock of the process.
+            started_ms: When the process began; defaults to now.
+
         Raises:
             StorageError: The data folder cannot be used.
             OSError: The peer address cannot be listened on.
@@ -62,7 +69,11 @@
             folder = pathlib.Path(own.data_folder)
             store = storage.Storage.open(folder, own.node_id)
         self.shared = _shared_state.ReplicatedState(
-            _setup_of(own, self.incarnation), self.links, clock, store
+            _setup_of(own, self.incarnation),
+            self.links,
+            clock,
+            store,
+            started_ms=started_ms,
         )
         self.documents = _documents.Documents(
             self.shared, documents, self.decisions
