--- a/lagooncrank/cli/_app.py
+++ b/lagooncrank/cli/_app.py
@@ -7,6 +7,7 @@
 from lagooncrank import results
 from lagooncrank.cli import _configuration_commands
 from lagooncrank.cli import _exits
+from lagooncrank.cli import _explain_command
 from lagooncrank.cli import _inspection_commands
 from lagooncrank.cli import _order_commands
 from lagooncrank.cli import _output
@@ -25,6 +26,7 @@
 _configuration_commands.register(app)
 _inspection_commands.register(app)
 _order_commands.register(app)
+_explain_command.register(app)
 _questionnaire_command.register(app)
 
 
--- a/lagooncrank/server/seeded/_answering.py
+++ b/lagooncrank/server/seeded/_answering.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt
@@ -126,7 +127,7 @@
             return response
         except ConnectionError:
             self._log.write(
-                _decisions.Event.CALLER_LEFT,
+                decisions.Event.CALLER_LEFT,
                 **exchange.log_fields(self._clock),
             )
             return response
@@ -157,7 +158,7 @@
             except _attempt.AttemptFailedError as error:
                 self._forwarder.note_broken(exchange, target, error)
                 self._log.write(
-                    _decisions.Event.RESUMED,
+                    decisions.Event.RESUMED,
                     failure=error.failure,
                     detail=error.detail,
                     last_event_id=exchange.last_event_id,
@@ -237,7 +238,7 @@
         """Ends the connection so that the answer does not look complete."""
         self._metrics.refused(error.refusal.code)
         self._log.write(
-            _decisions.Event.CUT,
+            decisions.Event.CUT,
             code=error.refusal.code.name,
             reason=error.refusal.reason,
             last_event_id=exchange.last_event_id,
@@ -250,7 +251,7 @@
         first_ms = exchange.first_event_ms or self._clock.now_ms()
         self._metrics.answered(exchange.service, first_ms - exchange.arrived_ms)
         self._log.write(
-            _decisions.Event.ANSWERED,
+            decisions.Event.ANSWERED,
             status=status,
             first_ms=first_ms - exchange.arrived_ms,
             **exchange.log_fields(self._clock),
--- a/lagooncrank/server/seeded/_decisions.py
+++ b/lagooncrank/server/seeded/_decisions.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import enum
 import json
 import os
 from typing import Any
@@ -15,39 +14,13 @@
 import mode
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 
 #: Bytes that wait for a slow reader before lines are dropped.
 MAX_QUEUED_BYTES: Final = 1_048_576
 FLUSH_S: Final = 0.1
 
 
-class Event(enum.StrEnum):
-    """What a line tells; `docs/OPERATIONS.md` lists the fields of each."""
-
-    STARTED = "started"
-    STOPPING = "stopping"
-    STOPPED = "stopped"
-    RELOADED = "reloaded"
-    LOST = "dependency_lost"
-    REGAINED = "dependency_regained"
-    REFUSED = "request_refused"
-    SENT_AGAIN = "request_sent_again"
-    RESUMED = "stream_resumed"
-    ANSWERED = "request_answered"
-    CUT = "answer_cut"
-    FAILED = "request_failed"
-    CALLER_LEFT = "caller_left"
-    DOCUMENT = "document_in_force"
-    DOCUMENT_REFUSED = "document_refused"
-    SERVER = "server_changed"
-    GROUP = "group_moved"
-    ORDER = "order_sent"
-    LEADER = "leader_changed"
-    VOTERS = "voters_changed"
-    NODE = "node_changed"
-    DROPPED = "lines_dropped"
-
-
 class DecisionLog(mode.Service):  # type: ignore[misc, unused-ignore]
     """Queues lines and writes them when the reader has room."""
 
@@ -66,9 +39,11 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
         self._dropped = 0
+        #: Refusals since the last flush: ids by what is the same of them.
+        self._refused: dict[tuple[str, str], list[str]] = {}
         os.set_blocking(file, False)
 
-    def write(self, event: Event, **fields: Any) -> None:
+    def write(self, event: decisions.Event, **fields: Any) -> None:
         """Queues a line; it is dropped when too much waits."""
         line = self._line(event, fields)
         if self._queued_bytes + len(line) > MAX_QUEUED_BYTES:
@@ -77,11 +52,23 @@
         self._lines.append(line)
         self._queued_bytes += len(line)
 
+    def refuse(self, code: str, reason: str, request: str) -> None:
+        """Notes a refusal; those of one cause share a line."""
+        self._refused.setdefault((code, reason), []).append(request)
+
     def flush(self) -> None:
         """Writes what the reader takes now."""
+        refused, self._refused = self._refused, {}
+        for (code, reason), requests in refused.items():
+            self.write(
+                decisions.Event.REFUSED,
+                code=code,
+                reason=reason,
+                requests=requests,
+            )
         if self._dropped and not self._lines:
             dropped, self._dropped = self._dropped, 0
-            self.write(Event.DROPPED, lines=dropped)
+            self.write(decisions.Event.DROPPED, lines=dropped)
         while self._lines:
             try:
                 written = os.write(self._file, self._lines[0])
@@ -107,7 +94,7 @@
     async def _flush_now_and_then(self) -> None:
         self.flush()
 
-    def _line(self, event: Event, fields: dict[str, Any]) -> bytes:
+    def _line(self, event: decisions.Event, fields: dict[str, Any]) -> bytes:
         head = {
             "wall_ms": self._clock.wall_ms(),
             "node": self._node_id,
--- a/lagooncrank/server/seeded/_documents.py
+++ b/lagooncrank/server/seeded/_documents.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import catalog as catalogs
@@ -48,7 +49,7 @@
                 raise _wire.InvalidDocumentError(problems)
         except _wire.InvalidDocumentError as error:
             self._log.write(
-                _decisions.Event.DOCUMENT_REFUSED, problems=error.problems
+                decisions.Event.DOCUMENT_REFUSED, problems=error.problems
             )
             raise
         command = state.PutDocument(plan.version, content)
@@ -92,7 +93,7 @@
             # Another version of the system accepted it; the last one stays.
             self._broken_version = document.version
             self._log.write(
-                _decisions.Event.DOCUMENT_REFUSED,
+                decisions.Event.DOCUMENT_REFUSED,
                 version=document.version,
                 problems=error.problems,
             )
@@ -100,7 +101,7 @@
         self._catalog = catalogs.Catalog(plan)
         self._version = document.version
         self._log.write(
-            _decisions.Event.DOCUMENT,
+            decisions.Event.DOCUMENT,
             version=document.version,
             routes=len(plan.routes),
         )
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -4,11 +4,11 @@
 from typing import Final
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import settings
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _answering
 from lagooncrank.server.seeded import _attempt
-from lagooncrank.server.seeded import _decisions
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _front
@@ -48,7 +48,13 @@
             )
         )
         forwarder = _forwarding.Forwarder(
-            targets, self.view, self._client, allowance, clock, self.decisions
+            targets,
+            self.view,
+            self._client,
+            allowance,
+            self.metrics,
+            clock,
+            self.decisions,
         )
         answering = _answering.Answering(
             forwarder, self.metrics, clock, self.decisions
@@ -92,7 +98,7 @@
         self.view.is_open = False
         self.view.notify_others()
         self._front.is_closing = True
-        self.decisions.write(_decisions.Event.STOPPING, grace_ms=grace_ms)
+        self.decisions.write(decisions.Event.STOPPING, grace_ms=grace_ms)
         kept_ms = KEPT_FACTOR * ADDRESS_TTL_MS
         last_ms = int(grace_ms * STOP_BY)
         await asyncio.sleep(min(kept_ms, last_ms) / MS_PER_S)
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -10,6 +10,7 @@
 import mode
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank import settings
 from lagooncrank.core import dispatch
@@ -103,7 +104,7 @@
         """Takes a backend server off by its own word."""
         if self.table.leave(server_id, born_ms, self._clock.now_ms()):
             self._log.write(
-                _decisions.Event.SERVER, server=server_id, state="gone"
+                decisions.Event.SERVER, server=server_id, state="gone"
             )
             self._changed()
 
@@ -187,9 +188,9 @@
         connected = self._links.connected()
         is_connected = self.is_control or self._shared.upstream in connected
         if is_connected is not self._is_connected:
-            event = _decisions.Event.LOST
+            event = decisions.Event.LOST
             if is_connected:
-                event = _decisions.Event.REGAINED
+                event = decisions.Event.REGAINED
             self._log.write(event, dependency="control nodes")
         self._is_connected = is_connected
         self.table.listen(now_ms, is_connected=is_connected)
@@ -270,7 +271,7 @@
             if node_id != self._settings.node_id:
                 address = self._settings.peer_address(node_id)
                 self._links.add_peer(node_id, address)
-        self._log.write(_decisions.Event.NODE, control=self._control_nodes)
+        self._log.write(decisions.Event.NODE, control=self._control_nodes)
         self._shared.set_peers(
             tuple(self._ordered_control_nodes()),
             frozenset(self._control_nodes),
@@ -294,7 +295,7 @@
 
     def _note_server(self, report: model.ServerReport) -> None:
         self._log.write(
-            _decisions.Event.SERVER,
+            decisions.Event.SERVER,
             server=report.server_id,
             service=report.service,
             state=report.state.value,
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -8,11 +8,13 @@
 from typing import Final
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _decisions
+from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _targets
@@ -50,6 +52,7 @@
         view: _fleet_view.FleetView,
         client: _attempt.BackendClient,
         allowance: dispatch.RetryAllowance,
+        metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decisions.DecisionLog,
     ) -> None:
@@ -57,6 +60,7 @@
         self._view = view
         self._client = client
         self._allowance = allowance
+        self._metrics = metrics
         self._clock = clock
         self._log = log
 
@@ -132,8 +136,9 @@
             if not self._allowance.take(exchange.service, entries, now_ms):
                 code = results.ResultCode.RETRY_BUDGET_SPENT
                 raise ForwardingError(_ended(exchange, code, last))
+            self._metrics.retried(last.failure if last else "resumed")
             self._log.write(
-                _decisions.Event.SENT_AGAIN,
+                decisions.Event.SENT_AGAIN,
                 to=target.server_id,
                 failure=last.failure if last else None,
                 **exchange.log_fields(self._clock),
--- a/lagooncrank/server/seeded/_front.py
+++ b/lagooncrank/server/seeded/_front.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank import settings
@@ -128,7 +129,7 @@
             return self._refuse(call, error.refusal, exchange)
         except asyncio.CancelledError:
             self._log.write(
-                _decisions.Event.CALLER_LEFT,
+                decisions.Event.CALLER_LEFT,
                 **exchange.log_fields(self._clock),
             )
             raise
@@ -212,14 +213,7 @@
         exchange: _exchange.Exchange | None = None,
     ) -> web.Response:
         self._metrics.refused(refusal.code)
-        fields = exchange.log_fields(self._clock) if exchange else {}
-        fields.setdefault("request", call.attempt_id if call else None)
-        event = _decisions.Event.REFUSED
-        if refusal.ran is not results.Ran.NOT_RUN:
-            event = _decisions.Event.FAILED
-        self._log.write(
-            event, code=refusal.code.name, reason=refusal.reason, **fields
-        )
+        self._log_refusal(call, refusal, exchange)
         headers = self._codec.refusal_headers(call, refusal)
         response = web.Response(
             status=refusal.code.http_status,
@@ -231,6 +225,23 @@
             response.force_close()
         return response
 
+    def _log_refusal(
+        self,
+        call: _wire.CallHead | None,
+        refusal: results.Refusal,
+        exchange: _exchange.Exchange | None,
+    ) -> None:
+        if exchange is None or refusal.ran is results.Ran.NOT_RUN:
+            request = call.attempt_id if call else ""
+            self._log.refuse(refusal.code.name, refusal.reason, request)
+            return
+        self._log.write(
+            decisions.Event.FAILED,
+            code=refusal.code.name,
+            reason=refusal.reason,
+            **exchange.log_fields(self._clock),
+        )
+
 
 def _refused(
     code: results.ResultCode, reason: str, retry_after_ms: int | None = None
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -6,6 +6,7 @@
 import mode
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank import settings
 from lagooncrank.core import groups
@@ -90,7 +91,7 @@
         if term != self._term:
             self._term = term
             self._life_cycle.clear()
-            self._log.write(_decisions.Event.LEADER, term=term, leads=is_leader)
+            self._log.write(decisions.Event.LEADER, term=term, leads=is_leader)
         return is_leader
 
     def _probe_stalled(self, now_ms: int) -> None:
@@ -116,7 +117,7 @@
             return
         self._view.table.doubt(member.server_id)
         self._log.write(
-            _decisions.Event.SERVER,
+            decisions.Event.SERVER,
             server=member.server_id,
             state="no answer to a probe",
             group=group.name,
@@ -179,7 +180,7 @@
         finally:
             self._proposing.discard(group.name)
         self._log.write(
-            _decisions.Event.GROUP,
+            decisions.Event.GROUP,
             group=group.name,
             epoch=group.epoch,
             phase=move.phase,
@@ -191,7 +192,7 @@
     async def _stage(self, stage: groups.Stage) -> None:
         outcome = await self._engines.stage(stage, self._shared.term)
         self._log.write(
-            _decisions.Event.ORDER,
+            decisions.Event.ORDER,
             order="stage",
             model=stage.model_name,
             server=stage.member.server_id,
@@ -208,7 +209,7 @@
         finally:
             self._proposing.discard(group.name)
         self._log.write(
-            _decisions.Event.GROUP,
+            decisions.Event.GROUP,
             group=group.name,
             epoch=group.epoch,
             released=release.server_ids,
@@ -225,7 +226,7 @@
         finally:
             self._proposing.difference_update(m.server_id for m in form.members)
         self._log.write(
-            _decisions.Event.GROUP,
+            decisions.Event.GROUP,
             group=outcome.group.name if outcome.group else "",
             phase=model.GroupPhase.FORMING,
             model=form.model_name,
@@ -238,7 +239,7 @@
     async def _send(self, order: groups.Order) -> None:
         outcome = await self._engines.send(order, self._shared.term)
         self._log.write(
-            _decisions.Event.ORDER,
+            decisions.Event.ORDER,
             order=order.kind,
             group=order.group.name,
             epoch=order.group.epoch,
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -9,6 +9,7 @@
 import mode
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import settings
 from lagooncrank.core import consensus
 from lagooncrank.server import _shared_state
@@ -92,7 +93,7 @@
         for part in (self.decisions, self.links, self.shared, self.view):
             await self.add_runtime_dependency(part)
         self.decisions.write(
-            _decisions.Event.STARTED,
+            decisions.Event.STARTED,
             role=self.settings.role,
             incarnation=self.incarnation,
             first_start=self.settings.is_first_start,
@@ -100,12 +101,12 @@
 
     def reload(self, own: settings.SeededSettings) -> None:
         """Takes changed settings; the addresses in use stay."""
-        self.decisions.write(_decisions.Event.RELOADED, seeds=own.seeds)
+        self.decisions.write(decisions.Event.RELOADED, seeds=own.seeds)
         self.view.add_seeds(own.seed_ids)
 
     async def leave(self) -> None:
         """Ends the node's part so that nobody notices its end."""
-        self.decisions.write(_decisions.Event.STOPPING)
+        self.decisions.write(decisions.Event.STOPPING)
         await asyncio.sleep(0)
 
 
--- a/lagooncrank/server/seeded/_running.py
+++ b/lagooncrank/server/seeded/_running.py
@@ -10,9 +10,9 @@
 
 from aiohttp import web
 
+from lagooncrank import decisions
 from lagooncrank import settings
 from lagooncrank.server import _sockets
-from lagooncrank.server.seeded import _decisions
 from lagooncrank.server.seeded import _node
 
 #: The settings file may change without a signal.
@@ -53,7 +53,7 @@
     await node.leave()
     for runner in runners:
         await runner.cleanup()
-    node.decisions.write(_decisions.Event.STOPPED)
+    node.decisions.write(decisions.Event.STOPPED)
     await node.stop()
 
 
@@ -84,7 +84,7 @@
             node.reload(load(settings_file))
         except settings.SettingsError as error:
             # The settings in use stay until the file can be read.
-            node.decisions.write(_decisions.Event.RELOADED, problem=str(error))
+            node.decisions.write(decisions.Event.RELOADED, problem=str(error))
 
 
 def _stamp(path: pathlib.Path) -> tuple[int, int]:
