Try elsewhere at once when a server is found to stand still

Cause: streams and requests that waited at a dead group went on only after 1.2 s without an event, or four times the latency aimed at, though other streams had shown within 0.35 s that the group stands still. Waits at such a server now end at once for requests that may be repeated and are silent themselves.

--- a/lagooncrank/core/dispatch/_progress.py
+++ b/lagooncrank/core/dispatch/_progress.py
@@ -9,6 +9,8 @@
 
 #: Silence of a stream that had begun; several times an engine's longest pass.
 EVENT_STALL_MS: Final = 350
+#: Silence of a stream that is abandoned once its server is known to be dead.
+PASS_MS: Final = 250
 #: Silence of a request that waits for its first event.
 FIRST_STALL_MS: Final = 1_000
 #: Age of the last event up to which a server counts as working.
@@ -54,6 +56,11 @@
         if not of_server:
             del self._streams[server_id]
 
+    def is_silent(self, server_id: str, stream: int, now_ms: int) -> bool:
+        """Whether a stream has had no event for longer than a pass takes."""
+        held = self._streams.get(server_id, {}).get(stream)
+        return held is not None and now_ms - held.since_ms >= PASS_MS
+
     def stalled(self, now_ms: int) -> frozenset[str]:
         """Returns the servers all of whose streams are silent."""
         return frozenset(
--- a/lagooncrank/core/dispatch/tests/test_dispatch.py
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -127,3 +127,12 @@
     assert suspects.avoided(1_400) == {"one"}
     suspects.note_success("one")
     assert not suspects.avoided(1_400)
+
+
+def test_stream_is_silent_after_a_pass_without_an_event() -> None:
+    progress = dispatch.StreamProgress()
+    progress.begin("head", 1, 0)
+    progress.note_event("head", 1, 100)
+    assert not progress.is_silent("head", 1, 349)
+    assert progress.is_silent("head", 1, 350)
+    assert not progress.is_silent("head", 2, 10_000)
--- a/lagooncrank/server/seeded/_answering.py
+++ b/lagooncrank/server/seeded/_answering.py
@@ -150,7 +150,7 @@
         """
         while True:
             try:
-                async for piece in self._events(exchange, answer):
+                async for piece in self._events(exchange, target, answer):
                     self._forwarder.note_event(exchange, target)
                     yield piece
                 answer.release()
@@ -184,10 +184,13 @@
         raise _forwarding.ForwardingError(_forwarding.lost(exchange, error))
 
     async def _events(
-        self, exchange: _exchange.Exchange, answer: _attempt.Answer
+        self,
+        exchange: _exchange.Exchange,
+        target: dispatch.Target,
+        answer: _attempt.Answer,
     ) -> AsyncIterator[bytes]:
         splitter = _events.EventSplitter()
-        async for chunk in self._chunks(exchange, answer):
+        async for chunk in self._chunks(exchange, target, answer):
             ready = []
             for event in splitter.feed(chunk):
                 if exchange.first_event_ms is None:
@@ -203,7 +206,10 @@
             )
 
     async def _chunks(
-        self, exchange: _exchange.Exchange, answer: _attempt.Answer
+        self,
+        exchange: _exchange.Exchange,
+        target: dispatch.Target,
+        answer: _attempt.Answer,
     ) -> AsyncIterator[bytes]:
         """Yields the body; a silent server counts as failed in time."""
         pause_ms: int | None = None
@@ -219,8 +225,9 @@
             if pause_ms is not None:
                 until_s = min(end_s, loop.time() + pause_ms / MS_PER_S)
             try:
-                async with asyncio.timeout_at(until_s):
-                    chunk = await anext(chunks, None)
+                async with asyncio.timeout_at(until_s) as timeout:
+                    with self._forwarder.waiting(exchange, target, timeout):
+                        chunk = await anext(chunks, None)
             except TimeoutError as error:
                 raise _attempt.AttemptFailedError(
                     _attempt.Failure.SILENT, "no event came in time"
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -66,6 +66,8 @@
         self.has_served = False
         #: Entries that share what is counted over all of them.
         self.entry_count = 1
+        #: Called with servers that have begun to stand still.
+        self.stall_listeners: list[Callable[[frozenset[str]], None]] = []
         #: Called after the table or the groups may have changed.
         self.listeners: list[Callable[[], None]] = []
         self._control_nodes: tuple[model.NodeId, ...] = ()
@@ -142,10 +144,15 @@
 
     def _watch_stalls(self, now_ms: int) -> None:
         stalled = self.progress.stalled(now_ms)
-        has_more = not stalled <= self._stalled_here
+        begun = stalled - self._stalled_here
         self._stalled_here = stalled
-        if has_more:
+        if begun:
             self.notify_others()
+            self._tell_stalled(begun)
+
+    def _tell_stalled(self, servers: frozenset[str]) -> None:
+        for listener in self.stall_listeners:
+            listener(servers)
 
     def notify_others(self) -> None:
         """Tells others of this node now."""
@@ -249,9 +256,12 @@
         self.entry_count = summary.entries
         self.loads.set_total(summary.in_flight)
         now_ms = self._clock.now_ms()
+        begun = frozenset(summary.stalled).difference(self._stalled_there)
         self._stalled_there = {
             s: self._stalled_there.get(s, now_ms) for s in summary.stalled
         }
+        if begun:
+            self._tell_stalled(begun)
         if summary.control_nodes:
             self._follow(summary.control_nodes)
 
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 from typing import Final
 
 from lagooncrank import clock as clocks
@@ -63,6 +65,11 @@
         self._metrics = metrics
         self._clock = clock
         self._log = log
+        #: Waits for answers, by server and exchange.
+        self._waits: dict[
+            str, dict[int, tuple[_exchange.Exchange, asyncio.Timeout]]
+        ] = {}
+        view.stall_listeners.append(self._end_waits)
 
     async def open(
         self, exchange: _exchange.Exchange
@@ -96,6 +103,37 @@
         self._view.loads.end(target.server_id)
         self._view.progress.end(target.server_id, exchange.number)
 
+    @contextlib.contextmanager
+    def waiting(
+        self,
+        exchange: _exchange.Exchange,
+        target: dispatch.Target,
+        timeout: asyncio.Timeout,
+    ) -> Iterator[None]:
+        """Lets a wait end early when its server is found to stand still."""
+        of_server = self._waits.setdefault(target.server_id, {})
+        of_server[exchange.number] = (exchange, timeout)
+        try:
+            yield
+        finally:
+            of_server.pop(exchange.number, None)
+            if not of_server:
+                self._waits.pop(target.server_id, None)
+
+    def _end_waits(self, servers: frozenset[str]) -> None:
+        """Ends the waits at servers that stand still, to try elsewhere."""
+        now_ms = self._clock.now_ms()
+        now_s = asyncio.get_running_loop().time()
+        for server_id in servers:
+            for exchange, timeout in list(
+                self._waits.get(server_id, {}).values()
+            ):
+                is_silent = self._view.progress.is_silent(
+                    server_id, exchange.number, now_ms
+                )
+                if is_silent and self._may_try_on(exchange):
+                    timeout.reschedule(now_s)
+
     def note_event(
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> None:
@@ -170,13 +208,14 @@
         marks = exchange.marks(target, self._clock)
         wait_ms = self._patience_ms(exchange)
         try:
-            async with asyncio.timeout(wait_ms / MS_PER_S):
-                answer = await self._client.open(
-                    target, exchange.call, marks, exchange.body
-                )
+            async with asyncio.timeout(wait_ms / MS_PER_S) as timeout:
+                with self.waiting(exchange, target, timeout):
+                    answer = await self._client.open(
+                        target, exchange.call, marks, exchange.body
+                    )
         except TimeoutError as error:
             raise _attempt.AttemptFailedError(
-                _attempt.Failure.SILENT, f"no answer within {wait_ms} ms"
+                _attempt.Failure.SILENT, f"no answer; limit {wait_ms} ms"
             ) from error
         if answer.head.status >= SERVER_ERROR and self._may_try_on(exchange):
             answer.close()
