Let a cut-off control node name all voters to its followers

The leader was cut off from the other control nodes; after 1.5 s it told the entries that follow it that it is the only control node, and they dropped their links to the others: edge-bkk-b-1 and b-2 served by version 4 until the cut healed at 8.7 s. A summary now names the voters as well, silent or not. The new test failed before.

--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -91,15 +91,24 @@
             if n.role is NodeRole.ENTRY and n.is_open
         ]
 
-    def summary(self, now_ms: int) -> FleetSummary:
-        """Returns what entries need to know."""
+    def summary(
+        self, now_ms: int, voters: Iterable[model.NodeId]
+    ) -> FleetSummary:
+        """Returns what entries need to know.
+
+        Args:
+            now_ms: Monotonic time.
+            voters: Control nodes that vote; they are named though they are
+                silent, as it may be this node that is cut off.
+        """
         live = list(self.live(now_ms))
+        control_nodes = [n.node_id for n in live if n.role is NodeRole.CONTROL]
         in_flight: dict[str, int] = {}
         for notice in live:
             for server_id, count in notice.in_flight.items():
                 in_flight[server_id] = in_flight.get(server_id, 0) + count
         return FleetSummary(
-            tuple(n.node_id for n in live if n.role is NodeRole.CONTROL),
+            tuple(dict.fromkeys((*control_nodes, *voters))),
             sum(1 for n in live if n.role is NodeRole.ENTRY and n.is_open),
             in_flight,
             tuple(sorted(self.stalled(now_ms))),
--- a/lagooncrank/core/fleet/tests/test_servers.py
+++ b/lagooncrank/core/fleet/tests/test_servers.py
@@ -207,8 +207,25 @@
     assert nodes.put(notice, 0)
     older = dataclasses.replace(notice, incarnation=1, sequence=9)
     assert not nodes.put(older, 1)
-    summary = nodes.summary(500)
+    summary = nodes.summary(500, ())
     assert summary.entries == 1
     assert summary.in_flight == {"s1": 3}
     assert summary.stalled == ("s1",)
     assert not nodes.open_entries(1_000)
+
+
+def test_control_node_that_is_cut_off_still_names_the_other_voters() -> None:
+    """Entries that follow it must find the others, which have a quorum."""
+    nodes = fleet.NodeTable(lease_ms=1_000)
+    own = fleet.NodeNotice(
+        model.NodeId("own"),
+        fleet.NodeRole.CONTROL,
+        model.FailureDomainId("a"),
+        "",
+        False,
+        incarnation=1,
+        sequence=1,
+    )
+    nodes.put(own, 0)
+    voters = (model.NodeId("own"), model.NodeId("b"), model.NodeId("c"))
+    assert nodes.summary(500, voters).control_nodes == voters
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -186,7 +186,7 @@
         batch = fleet.NodeNotices(tuple(self._fresh_notices.values()))
         self._fresh_notices.clear()
         self._links.send_all(self._other_control_nodes(), _NOTICES, batch)
-        summary = self.nodes.summary(now_ms)
+        summary = self.nodes.summary(now_ms, self._voters())
         self.entry_count = summary.entries
         self._follow(summary.control_nodes)
         self._links.send_all(self._shared.followers, _SUMMARY, summary)
@@ -267,10 +267,7 @@
 
     def _follow(self, control_nodes: tuple[model.NodeId, ...]) -> None:
         """Keeps links with the control nodes, in force order of preference."""
-        voters = self._shared.voters
-        found = dict.fromkeys(control_nodes)
-        if voters is not None:
-            found.update(dict.fromkeys(v.node_id for v in voters.members))
+        found = dict.fromkeys((*control_nodes, *self._voters()))
         if not found or tuple(found) == self._control_nodes:
             return
         for gone in set(self._control_nodes) - set(found):
@@ -287,6 +284,13 @@
             frozenset(self._control_nodes),
         )
 
+    def _voters(self) -> tuple[model.NodeId, ...]:
+        """Returns the voters as this node's log has them."""
+        voters = self._shared.voters
+        if voters is None:
+            return ()
+        return tuple(v.node_id for v in voters.members)
+
     def _other_control_nodes(self) -> list[model.NodeId]:
         own = self._settings.node_id
         return [n for n in self._control_nodes if n != own]
