Draw two targets by lot and take the less loaded one

Cause: all entries know the load as of 0.3 s ago, and each sent to the one target that looked least loaded. Ruled out: too few groups (41 served). Notices come less often where there are many entries: a control node used 0.33 to 0.50 of a core there.

--- a/lagooncrank/core/dispatch/_choice.py
+++ b/lagooncrank/core/dispatch/_choice.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from lagooncrank import model
 from lagooncrank.core.dispatch import _loads
@@ -30,9 +31,12 @@
     avoided: Collection[str],
     tried: Collection[str],
     near: model.FailureDomainId,
-    draw: float,
+    draws: tuple[float, float],
 ) -> _types.Target | None:
-    """Returns the least loaded target that did not fail lately.
+    """Returns the less loaded one of two targets drawn by lot.
+
+    What is known of the load is a moment old and the same at every entry, so
+    that all would send to the one least loaded target at once.
 
     Args:
         targets: Targets that may be given new work.
@@ -41,14 +45,28 @@
             is no other.
         tried: Servers that this request was sent to before; not used again.
         near: Failure domain of this entry, preferred among equals.
-        draw: Random number, 0.0 to 1.0, that decides between equals.
+        draws: Random numbers, 0.0 to 1.0, that draw the two.
     """
     usable = [t for t in targets if t.server_id not in tried]
     if not usable:
         return None
     sound = [t for t in usable if t.server_id not in avoided]
-    usable = sound or usable
-    fewest = min(loads.of(t.server_id) for t in usable)
-    best = [t for t in usable if loads.of(t.server_id) == fewest]
-    best = [t for t in best if t.failure_domain == near] or best
-    return best[min(int(draw * len(best)), len(best) - 1)]
+    pair = _draw_pair(sound or usable, draws)
+    return min(
+        pair,
+        key=lambda t: (loads.of(t.server_id), t.failure_domain != near),
+    )
+
+
+def _draw_pair(
+    targets: Sequence[_types.Target], draws: tuple[float, float]
+) -> Sequence[_types.Target]:
+    """Returns two different targets, or all if there are no more."""
+    count = len(targets)
+    if count <= 2:
+        return targets
+    first = min(int(draws[0] * count), count - 1)
+    second = min(int(draws[1] * (count - 1)), count - 2)
+    if second >= first:
+        second += 1
+    return targets[first], targets[second]
--- a/lagooncrank/core/dispatch/tests/test_dispatch.py
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -23,7 +23,7 @@
     tried: tuple[str, ...] = (),
 ) -> str | None:
     chosen = dispatch.choose_target(
-        targets, loads, avoided, tried, model.FailureDomainId("a"), 0.0
+        targets, loads, avoided, tried, model.FailureDomainId("a"), (0.0, 0.0)
     )
     return None if chosen is None else chosen.server_id
 
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -21,8 +21,11 @@
 
 PASS_ON_S: Final = 0.05
 NOTICE_INTERVAL_MS: Final = 250
+#: Added to the interval for each entry, as control nodes hear all of them.
+NOTICE_INTERVAL_PER_ENTRY_MS: Final = 5
+MAX_NOTICE_INTERVAL_MS: Final = 700
 #: A node whose notices stay away for this long is taken off.
-NOTICE_LEASE_MS: Final = 1_500
+NOTICE_LEASE_MS: Final = 2_000
 #: Report intervals after which a silent backend server counts as lost.
 LOST_AFTER_INTERVALS: Final = 2.75
 
@@ -125,7 +128,10 @@
         self.table.forget_old(now_ms)
         self._watch_stalls(now_ms)
         self._pass_on()
-        if now_ms - self._noticed_ms >= NOTICE_INTERVAL_MS:
+        interval_ms = NOTICE_INTERVAL_MS
+        interval_ms += NOTICE_INTERVAL_PER_ENTRY_MS * self.entry_count
+        interval_ms = min(interval_ms, MAX_NOTICE_INTERVAL_MS)
+        if now_ms - self._noticed_ms >= interval_ms:
             self._noticed_ms = now_ms
             self.notify_others()
 
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -50,7 +50,7 @@
             self.suspects.avoided(now_ms) | self._view.stalled(now_ms),
             tried,
             self._near,
-            random.random(),
+            (random.random(), random.random()),
         )
 
     def failed(self, target: dispatch.Target) -> None:
