--- a/lagooncrank/core/groups/_staging.py
+++ b/lagooncrank/core/groups/_staging.py
@@ -28,9 +28,13 @@
         #: When the load of an engine's start counts as failed.
         self._until_ms: dict[tuple[str, int], int] = {}
 
-    def under_way(self, now_ms: int) -> set[str]:
+    def under_way(self, table: fleet.ServerTable, now_ms: int) -> set[str]:
         """Returns the engines whose hosts load."""
-        return {s for (s, _), until in self._until_ms.items() if now_ms < until}
+        return {
+            server_id
+            for (server_id, born_ms), until_ms in self._until_ms.items()
+            if now_ms < until_ms and _is_without(server_id, born_ms, table)
+        }
 
     def early(
         self,
@@ -66,7 +70,7 @@
         if engine is None:
             return
         free = _planning.free_of(service, table, groups.values())
-        under_way = self.under_way(now_ms)
+        under_way = self.under_way(table, now_ms)
         have = {m.name: 0 for m in engine.models}
         for group in groups.values():
             if group.service == service.name:
@@ -101,3 +105,11 @@
         self._until_ms[report.start] = now_ms + profile.load_ms + LOAD_MARGIN_MS
         member = _planning.member_of(report)
         yield _actions.Stage(member, profile.name)
+
+
+def _is_without(server_id: str, born_ms: int, table: fleet.ServerTable) -> bool:
+    """Whether an engine's start lives and its host keeps no weights yet."""
+    known = table.get(model.BackendServerId(server_id))
+    if known is None or known.report.born_ms != born_ms:
+        return False
+    return not known.report.staged and not table.is_lost(known)
--- a/lagooncrank/core/groups/tests/test_planning.py
+++ b/lagooncrank/core/groups/tests/test_planning.py
@@ -133,6 +133,25 @@
     assert not list(staging.early(world.PLAN, table, held, NOW_MS + 100))
 
 
+def test_load_that_has_ended_makes_room_for_the_next() -> None:
+    """A release replaces engines faster than a load takes."""
+    staging = groups.Staging(window_ms=5_000)
+    table = world.table_of(*engines(8, per_domain=4))
+    first = list(staging.late(world.PLAN, table, {}, NOW_MS))
+    assert len(first) == 6
+    later_ms = NOW_MS + 16_000
+    assert not list(staging.late(world.PLAN, table, {}, later_ms))
+    done = [
+        world.later(r, staged=("large",))
+        for r in engines(8, per_domain=4)
+        if r.server_id in {s.member.server_id for s in first}
+    ]
+    for report in done:
+        table.put(report, later_ms)
+    again = list(staging.late(world.PLAN, table, {}, later_ms))
+    assert len(again) == 2
+
+
 def test_late_loads_keep_below_half_of_the_limit_over_a_window() -> None:
     table = world.table_of(*engines(40, per_domain=4))
     staging = groups.Staging(window_ms=5_000)
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -1,6 +1,7 @@
 """Forms and repairs groups while this node leads."""
 
 import asyncio
+from typing import Any
 from typing import Final
 
 import mode
@@ -154,38 +155,68 @@
         return self._has_served
 
     def _carry_out(self, action: groups.Action) -> None:
+        term = self._term or 0
         match action:
             case groups.Order():
                 self.add_future(self._send(action))
-            case groups.Move():
-                self._proposing.add(action.group.name)
-                self.add_future(self._move(action))
             case groups.Stage():
                 self.add_future(self._stage(action))
-            case groups.Release():
-                self._proposing.add(action.group.name)
-                self.add_future(self._release(action))
+            case groups.Move(group=group):
+                move = state.MoveGroup(
+                    group.name, action.phase, term, action.waits_for_work
+                )
+                self._commit(
+                    move,
+                    {group.name},
+                    group=group.name,
+                    epoch=group.epoch,
+                    phase=action.phase,
+                    reason=action.reason,
+                )
+            case groups.Release(group=group):
+                released = action.server_ids
+                self._commit(
+                    state.ReleaseMembers(group.name, released, term),
+                    {group.name},
+                    group=group.name,
+                    epoch=group.epoch,
+                    released=released,
+                )
             case groups.Form():
-                names = [m.server_id for m in action.members]
-                self._proposing.update(names)
-                self.add_future(self._propose_form(action))
-
-    async def _move(self, move: groups.Move) -> None:
-        group = move.group
-        command = state.MoveGroup(
-            group.name, move.phase, self._term or 0, move.waits_for_work
-        )
+                form = state.FormGroup(
+                    action.service, action.model_name, action.members, term
+                )
+                members = [m.server_id for m in action.members]
+                self._commit(
+                    form,
+                    set(members),
+                    phase=model.GroupPhase.FORMING,
+                    model=action.model_name,
+                    members=members,
+                    cold_members=action.cold_members,
+                )
+
+    def _commit(
+        self, command: state.Command, subjects: set[str], **fields: Any
+    ) -> None:
+        """Proposes a change; nothing else is done to its subjects meanwhile."""
+        self._proposing.update(subjects)
+        self.add_future(self._propose(command, subjects, fields))
+
+    async def _propose(
+        self,
+        command: state.Command,
+        subjects: set[str],
+        fields: dict[str, Any],
+    ) -> None:
         try:
             outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
         finally:
-            self._proposing.discard(group.name)
+            self._proposing.difference_update(subjects)
+        if outcome.group is not None:
+            fields["group"] = outcome.group.name
         self._log.write(
-            decisions.Event.GROUP,
-            group=group.name,
-            epoch=group.epoch,
-            phase=move.phase,
-            reason=move.reason,
-            outcome=outcome.code.name,
+            decisions.Event.GROUP, outcome=outcome.code.name, **fields
         )
         self._wake.set()
 
@@ -199,43 +230,6 @@
             status=outcome.status,
         )
 
-    async def _release(self, release: groups.Release) -> None:
-        group = release.group
-        command = state.ReleaseMembers(
-            group.name, release.server_ids, self._term or 0
-        )
-        try:
-            outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
-        finally:
-            self._proposing.discard(group.name)
-        self._log.write(
-            decisions.Event.GROUP,
-            group=group.name,
-            epoch=group.epoch,
-            released=release.server_ids,
-            outcome=outcome.code.name,
-        )
-        self._wake.set()
-
-    async def _propose_form(self, form: groups.Form) -> None:
-        command = state.FormGroup(
-            form.service, form.model_name, form.members, self._term or 0
-        )
-        try:
-            outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
-        finally:
-            self._proposing.difference_update(m.server_id for m in form.members)
-        self._log.write(
-            decisions.Event.GROUP,
-            group=outcome.group.name if outcome.group else "",
-            phase=model.GroupPhase.FORMING,
-            model=form.model_name,
-            members=[m.server_id for m in form.members],
-            cold_members=form.cold_members,
-            outcome=outcome.code.name,
-        )
-        self._wake.set()
-
     async def _send(self, order: groups.Order) -> None:
         outcome = await self._engines.send(order, self._shared.term)
         self._log.write(
