--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -3,7 +3,6 @@
 from lagooncrank.core.fleet._nodes import FleetSummary
 from lagooncrank.core.fleet._nodes import NodeNotice
 from lagooncrank.core.fleet._nodes import NodeNotices
-from lagooncrank.core.fleet._nodes import NodeRole
 from lagooncrank.core.fleet._nodes import NodeTable
 from lagooncrank.core.fleet._servers import AgedReport
 from lagooncrank.core.fleet._servers import KnownServer
@@ -17,7 +16,6 @@
     "KnownServer",
     "NodeNotice",
     "NodeNotices",
-    "NodeRole",
     "NodeTable",
     "Renewal",
     "ReportBatch",
--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -2,24 +2,16 @@
 
 from collections.abc import Iterable
 import dataclasses
-import enum
 
 from lagooncrank import model
 
 
-class NodeRole(enum.StrEnum):
-    """What a node does."""
-
-    ENTRY = "entry"
-    CONTROL = "control"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeNotice:
     """What a node says of itself, renewed while it runs."""
 
     node_id: model.NodeId
-    role: NodeRole
+    role: model.NodeRole
     failure_domain: model.FailureDomainId
     #: Address for callers; empty on a control node.
     address: str
@@ -88,7 +80,7 @@
         return [
             n
             for n in self.live(now_ms)
-            if n.role is NodeRole.ENTRY and n.is_open
+            if n.role is model.NodeRole.ENTRY and n.is_open
         ]
 
     def summary(
@@ -102,14 +94,18 @@
                 silent, as it may be this node that is cut off.
         """
         live = list(self.live(now_ms))
-        control_nodes = [n.node_id for n in live if n.role is NodeRole.CONTROL]
+        control_nodes = [
+            n.node_id for n in live if n.role is model.NodeRole.CONTROL
+        ]
         in_flight: dict[str, int] = {}
         for notice in live:
             for server_id, count in notice.in_flight.items():
                 in_flight[server_id] = in_flight.get(server_id, 0) + count
         return FleetSummary(
             tuple(dict.fromkeys((*control_nodes, *voters))),
-            sum(1 for n in live if n.role is NodeRole.ENTRY and n.is_open),
+            sum(
+                1 for n in live if n.role is model.NodeRole.ENTRY and n.is_open
+            ),
             in_flight,
             tuple(sorted(self.stalled(now_ms))),
         )
--- a/lagooncrank/core/fleet/tests/test_servers.py
+++ b/lagooncrank/core/fleet/tests/test_servers.py
@@ -195,7 +195,7 @@
     nodes = fleet.NodeTable(lease_ms=1_000)
     notice = fleet.NodeNotice(
         model.NodeId("n1"),
-        fleet.NodeRole.ENTRY,
+        model.NodeRole.ENTRY,
         model.FailureDomainId("a"),
         "10.0.0.1:80",
         True,
@@ -219,7 +219,7 @@
     nodes = fleet.NodeTable(lease_ms=1_000)
     own = fleet.NodeNotice(
         model.NodeId("own"),
-        fleet.NodeRole.CONTROL,
+        model.NodeRole.CONTROL,
         model.FailureDomainId("a"),
         "",
         False,
--- a/lagooncrank/model/__init__.py
+++ b/lagooncrank/model/__init__.py
@@ -26,6 +26,7 @@
 from lagooncrank.model._identity import ReplicaId
 from lagooncrank.model._identity import RequestId
 from lagooncrank.model._identity import ServiceName
+from lagooncrank.model._node_role import NodeRole
 from lagooncrank.model._plan import AccountPlan
 from lagooncrank.model._plan import CallerLimits
 from lagooncrank.model._plan import EngineProfile
@@ -72,6 +73,7 @@
     "ModelProfile",
     "ModelService",
     "NodeId",
+    "NodeRole",
     "PlacementRules",
     "PlainService",
     "Plan",
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -166,7 +166,7 @@
         self._sequence += 1
         notice = fleet.NodeNotice(
             self._settings.node_id,
-            fleet.NodeRole(self._settings.role.value),
+            self._settings.role,
             self._settings.failure_domain_id,
             self._settings.listen.callers,
             self.is_open,
--- a/lagooncrank/settings/_process.py
+++ b/lagooncrank/settings/_process.py
@@ -1,18 +1,11 @@
 """Settings of one daemon process."""
 
 import dataclasses
-import enum
 
 from lagooncrank import model
 
-
-class Role(enum.StrEnum):
-    """What a node does."""
-
-    #: Takes requests of callers, backend servers and operators.
-    ENTRY = "entry"
-    #: Votes on the shared state; needs a data folder.
-    CONTROL = "control"
+#: Kept under this name for those who build settings.
+Role = model.NodeRole
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
