--- a/lagooncrank/core/consensus/tests/world.py
+++ b/lagooncrank/core/consensus/tests/world.py
@@ -95,6 +95,8 @@
             self.world.voter_ids,
             tuple(v for v in self.world.voter_ids if v != self.node_id),
             frozenset(self.world.all_ids),
+            may_found=self.node_id in self.world.voter_ids,
+            voter_target=self.world.voter_target,
         )
         self.participant = consensus.Participant(
             setup, self.node, voter, self.applier, durable
@@ -188,6 +190,8 @@
         self.weather = CALM
         #: Whether hosts book calls, change the configuration and read.
         self.is_used = True
+        #: Number of voters to keep; None keeps exactly `voter_ids`.
+        self.voter_target: int | None = None
         self.blocked: set[tuple[model.NodeId, model.NodeId]] = set()
         self.packets: list[Packet] = []
         self.voter_ids = tuple(model.NodeId(f"v{i}") for i in range(3))
