Keep the members of a group whose head was not heard after a restart

Ruled out: late orders, two leaders (one term in the logs).

Only a head without members is forgotten now; members leave one by one as for any head that cannot be reached. An open head that belongs to no group is closed, and the engines of its group are not used meanwhile. The new tests failed before.

--- a/lagooncrank/core/groups/_life_cycle.py
+++ b/lagooncrank/core/groups/_life_cycle.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 
 from lagooncrank import model
@@ -63,6 +64,40 @@
             case model.GroupPhase.DISSOLVING:
                 yield from self._dissolve(group, table, now_ms)
 
+    def stray_actions(
+        self,
+        service: model.ServiceName,
+        table: fleet.ServerTable,
+        groups: Mapping[str, model.Group],
+        now_ms: int,
+    ) -> Iterator[_actions.Order]:
+        """Yields orders to heads that serve a group which is over.
+
+        Args:
+            service: An engine service.
+            table: Reports of the engines.
+            groups: Groups that exist, in any phase.
+            now_ms: Monotonic time.
+        """
+        for known in table.ready(service):
+            place = known.report.membership
+            if place is None or not is_stray(known.report, groups):
+                continue
+            report = known.report
+            head = model.GroupMember(
+                report.server_id, report.born_ms, report.address
+            )
+            group = model.Group(
+                place.group,
+                place.epoch,
+                service,
+                "",
+                (head,),
+                model.GroupPhase.DISSOLVING,
+            )
+            kind = _actions.OrderKind.CLOSE_NOW
+            yield from self._order(kind, group, head, now_ms)
+
     def _form(
         self, group: model.Group, table: fleet.ServerTable, now_ms: int
     ) -> Iterator[_actions.Action]:
@@ -111,8 +146,9 @@
         if end:
             yield _actions.Move(group, None, end)
             return
-        if known is None and table.is_settled:
-            # Silent for so long that it is forgotten.
+        is_forgotten = known is None and table.is_settled
+        if is_forgotten and len(group.members) == 1:
+            # It has no members left with which it could run anything.
             yield _actions.Move(group, None, "the head is forgotten")
             return
         if known is None or table.is_lost(known):
@@ -168,6 +204,16 @@
         yield _actions.Order(kind, group, member)
 
 
+def is_stray(
+    report: model.ServerReport, groups: Mapping[str, model.Group]
+) -> bool:
+    """Whether an engine is the open head of a group that is over."""
+    place = report.membership
+    if place is None or place.group in groups:
+        return False
+    return place.state in (model.MemberState.OPEN, model.MemberState.CLOSING)
+
+
 def _member_problem(
     group: model.Group,
     table: fleet.ServerTable,
--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -17,6 +17,7 @@
 from lagooncrank import model
 from lagooncrank.core import fleet
 from lagooncrank.core.groups import _actions
+from lagooncrank.core.groups import _life_cycle
 
 #: Time for which engines that were set free are kept for the model that lacks
 #: them; a head finishes its work meanwhile.
@@ -262,12 +263,10 @@
     groups: Mapping[str, model.Group],
 ) -> _Supply:
     own = [g for g in groups.values() if g.service == service.name]
-    taken = {m.server_id for g in own for m in g.members}
     ready = [known.report for known in table.ready(service.name)]
     free: dict[str, list[model.ServerReport]] = {}
-    for report in ready:
-        if report.server_id not in taken:
-            free.setdefault(report.fabric_domain, []).append(report)
+    for report in free_of(service, table, groups):
+        free.setdefault(report.fabric_domain, []).append(report)
     have = {m.name: 0 for m in engine.models}
     domains: dict[str, list[str]] = {}
     for group in own:
@@ -339,12 +338,22 @@
 def free_of(
     service: model.ServicePlan,
     table: fleet.ServerTable,
-    groups: Iterable[model.Group],
+    groups: Mapping[str, model.Group],
 ) -> list[model.ServerReport]:
-    """Returns the engines of a service that are in no group."""
-    taken = {m.server_id for g in groups for m in g.members}
+    """Returns the engines of a service that may join a group.
+
+    Those of a group that is over stay out while its head is open.
+    """
+    taken = {m.server_id for g in groups.values() for m in g.members}
+    ready = [k.report for k in table.ready(service.name)]
+    stray_epochs = {
+        r.membership.epoch
+        for r in ready
+        if r.membership is not None and _life_cycle.is_stray(r, groups)
+    }
     return [
-        k.report
-        for k in table.ready(service.name)
-        if k.report.server_id not in taken
+        r
+        for r in ready
+        if r.server_id not in taken
+        and (r.membership is None or r.membership.epoch not in stray_epochs)
     ]
--- a/lagooncrank/core/groups/_staging.py
+++ b/lagooncrank/core/groups/_staging.py
@@ -69,7 +69,7 @@
         engine = service.engine
         if engine is None:
             return
-        free = _planning.free_of(service, table, groups.values())
+        free = _planning.free_of(service, table, groups)
         under_way = self.under_way(table, now_ms)
         have = {m.name: 0 for m in engine.models}
         for group in groups.values():
--- a/lagooncrank/core/groups/tests/test_life_cycle.py
+++ b/lagooncrank/core/groups/tests/test_life_cycle.py
@@ -153,3 +153,41 @@
         successor.slots,
     )
     assert moves(actions(group, [head, member, taken])) == [None]
+
+
+def test_head_that_was_never_heard_keeps_its_members_until_they_left() -> None:
+    """After a restart of all control nodes a head may report late."""
+    group = world.group(1, 2, 3, 4, phase=DISSOLVING)
+    members = world.members_of(group, [OPEN, READY, None, READY])[1:]
+    found = actions(group, members)
+    assert not moves(found)
+    assert orders(found) == [("leave", "s2"), ("leave", "s4")]
+    released = [a.server_ids for a in found if isinstance(a, groups.Release)]
+    assert released == [("s3",)]
+
+
+def test_head_without_members_is_forgotten_once_it_would_have_been_heard() -> (
+    None
+):
+    group = world.group(1, phase=DISSOLVING)
+    assert moves(actions(group, [])) == [None]
+
+
+@pytest.mark.parametrize(
+    ("state", "wanted"),
+    [
+        (OPEN, [("close_now", "s1")]),
+        (model.MemberState.CLOSING, [("close_now", "s1")]),
+        (READY, []),
+    ],
+)
+def test_open_head_of_a_group_that_is_over_is_closed(
+    state: model.MemberState, wanted: list[tuple[str, str]]
+) -> None:
+    table = world.table_of(
+        world.engine(1, membership=world.place(state, 0, epoch=5)),
+        world.engine(2, membership=world.place(READY, 1, epoch=5)),
+    )
+    life_cycle = groups.LifeCycle()
+    found = list(life_cycle.stray_actions(world.SERVICE, table, {}, NOW_MS))
+    assert orders(found) == wanted
--- a/lagooncrank/core/groups/tests/test_planning.py
+++ b/lagooncrank/core/groups/tests/test_planning.py
@@ -178,3 +178,18 @@
     table = world.table_of(*reports)
     found = groups.serving_groups(world.SERVICE, "large", held, table)
     assert [g.name for g in found] == ["g7"]
+
+
+def test_engines_of_an_open_head_without_a_group_are_not_used() -> None:
+    """Its group was forgotten while it could not be heard."""
+    opened = model.MemberState.OPEN
+    ready = model.MemberState.READY
+    reports = [
+        world.engine(1, staged=BOTH, membership=world.place(opened, 0, 5)),
+        world.engine(2, staged=BOTH, membership=world.place(ready, 1, 5)),
+        world.engine(3, staged=BOTH),
+    ]
+    assert not plan(world.table_of(*reports), [])
+    closed = world.engine(1, staged=BOTH, membership=world.place(ready, 0, 5))
+    table = world.table_of(closed, *reports[1:])
+    assert formed(plan(table, [])) == ["small"]
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -144,6 +144,11 @@
             )
             for action in plan:
                 self._carry_out(action)
+            strays = self._life_cycle.stray_actions(
+                service.name, table, held, now_ms
+            )
+            for order in strays:
+                self._carry_out(order)
             for stage in stages(service, table, held, now_ms):
                 self._carry_out(stage)
 
