--- a/lagooncrank/core/groups/tests/test_life_cycle.py
+++ b/lagooncrank/core/groups/tests/test_life_cycle.py
@@ -189,5 +189,7 @@
         world.engine(2, membership=world.place(READY, 1, epoch=5)),
     )
     life_cycle = groups.LifeCycle()
-    found = list(life_cycle.stray_actions(world.SERVICE, table, {}, NOW_MS))
+    found: list[groups.Action] = list(
+        life_cycle.stray_actions(world.SERVICE, table, {}, NOW_MS)
+    )
     assert orders(found) == wanted
