--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -272,7 +272,7 @@
             self._follow(summary.control_nodes)
 
     def _follow(self, control_nodes: tuple[model.NodeId, ...]) -> None:
-        """Keeps links with the control nodes, in force order of preference."""
+        """Keeps links with the control nodes and may follow any of them."""
         found = dict.fromkeys((*control_nodes, *self._voters()))
         if not found or tuple(found) == self._control_nodes:
             return
@@ -302,10 +302,10 @@
         return [n for n in self._control_nodes if n != own]
 
     def _ordered_control_nodes(self) -> list[model.NodeId]:
-        """Returns the control nodes, from a start that differs by node.
+        """Returns the other control nodes, the nearest first.
 
-        Nodes of one network prefix share a failure domain, so the control
-        node with the longest common prefix comes first.
+        Addresses of one failure domain share a prefix, so the control node
+        with the longest common prefix is the nearest.
         """
         own = self._settings.ip
         return sorted(
