Remove a settings field and a property that nothing reads

Linter, types and the tests of settings, seeded daemons, adapter and pages pass; the whole script was not run again.

--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -92,11 +92,6 @@
         """Whether this is a control node."""
         return self._settings.role is settings.Role.CONTROL
 
-    @property
-    def is_connected(self) -> bool:
-        """Whether this node hears of backend servers now."""
-        return self._is_connected
-
     def report(self, report: model.ServerReport) -> None:
         """Takes a report of a backend server."""
         if self.table.put(report, self._clock.now_ms()):
--- a/lagooncrank/settings/_seeded.py
+++ b/lagooncrank/settings/_seeded.py
@@ -26,8 +26,6 @@
     report_interval_ms: int = 1_200
     #: Time between the signal to stop and the end by force.
     stop_grace_ms: int = 8_000
-    #: Longest time for which callers may keep a list of addresses.
-    max_address_ttl_ms: int = 5_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
