Name any 64 entries to a caller, not the first; stop copying notices for each question

Cause: an answer names 64 addresses at most, and the first 64 by address were taken: at 66 or 86 entries the last ones, most of one failure domain, got no callers. Each read of the node table also copied and sorted every notice; a control node asks twice for each notice that it hears. Ruled out: naming only the caller's domain, as callers of a domain without entries would be lost.

--- a/lagooncrank/core/consensus/tests/test_polling.py
+++ b/lagooncrank/core/consensus/tests/test_polling.py
@@ -1,5 +1,7 @@
 """When a node without a disk leaves the node that it follows."""
 
+import itertools
+
 from lagooncrank import model
 from lagooncrank.core.consensus import _polling
 from lagooncrank.core.consensus import _relay
@@ -42,7 +44,7 @@
     """After a loss of power it starts first, and its first polls are lost."""
     poller = _polling.Poller((CUT_OFF, OTHER))
     polls = [t for t in range(0, 2_000, 50) if poller.is_due(t, urgent=False)]
-    gaps_ms = [b - a for a, b in zip(polls, polls[1:], strict=False)]
+    gaps_ms = [b - a for a, b in itertools.pairwise(polls)]
     assert max(gaps_ms) <= _polling.WAITING_POLL_MS
 
 
--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -1,5 +1,6 @@
 """What is known of backend servers and nodes from their reports."""
 
+from lagooncrank.core.fleet._nodes import choose_entries
 from lagooncrank.core.fleet._nodes import FleetSummary
 from lagooncrank.core.fleet._nodes import NodeNotice
 from lagooncrank.core.fleet._nodes import NodeNotices
@@ -20,4 +21,5 @@
     "Renewal",
     "ReportBatch",
     "ServerTable",
+    "choose_entries",
 ]
--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -1,6 +1,7 @@
 """Which nodes run, from their own notices with leases."""
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 
 from lagooncrank import model
@@ -70,18 +71,19 @@
         return True
 
     def live(self, now_ms: int) -> Iterable[NodeNotice]:
-        """Yields the nodes whose lease has not ended, ordered by id."""
-        for _, (notice, heard_ms) in sorted(self._notices.items()):
+        """Yields the nodes whose lease has not ended, in any order."""
+        for notice, heard_ms in self._notices.values():
             if now_ms - heard_ms < self._lease_ms:
-                yield dataclasses.replace(notice, age_ms=now_ms - heard_ms)
+                yield notice
 
     def open_entries(self, now_ms: int) -> list[NodeNotice]:
-        """Returns the entries that callers may be sent to."""
-        return [
+        """Returns the entries that callers may be sent to, ordered by id."""
+        found = [
             n
             for n in self.live(now_ms)
             if n.role is model.NodeRole.ENTRY and n.is_open
         ]
+        return sorted(found, key=lambda n: n.node_id)
 
     def summary(
         self, now_ms: int, voters: Iterable[model.NodeId]
@@ -94,9 +96,9 @@
                 silent, as it may be this node that is cut off.
         """
         live = list(self.live(now_ms))
-        control_nodes = [
+        control_nodes = sorted(
             n.node_id for n in live if n.role is model.NodeRole.CONTROL
-        ]
+        )
         in_flight: dict[str, int] = {}
         for notice in live:
             for server_id, count in notice.in_flight.items():
@@ -117,3 +119,21 @@
     def working(self, now_ms: int) -> set[str]:
         """Returns the servers whose answers go on at some entry."""
         return {s for n in self.live(now_ms) for s in n.working}
+
+
+def choose_entries(
+    entries: Sequence[NodeNotice], most: int, draw: float
+) -> Sequence[NodeNotice]:
+    """Returns the entries that one caller is told of.
+
+    Over many callers each entry is named equally often.
+
+    Args:
+        entries: Entries that callers may be sent to.
+        most: Number of entries to name at most.
+        draw: Random number, 0.0 to 1.0, that draws the first one.
+    """
+    if len(entries) <= most:
+        return entries
+    first = int(draw * len(entries))
+    return [*entries[first:], *entries[:first]][:most]
--- /dev/null
+++ b/lagooncrank/core/fleet/tests/test_many_entries_named.py
@@ -0,0 +1,47 @@
+"""More entries run than an answer to a caller may name."""
+
+import collections
+
+import pytest
+
+from lagooncrank import model
+from lagooncrank.core import fleet
+
+#: Entries that one answer may name.
+MOST = 64
+
+
+def entries(count: int) -> list[fleet.NodeNotice]:
+    return [
+        fleet.NodeNotice(
+            model.NodeId(f"10.{zone}.0.{number}"),
+            model.NodeRole.ENTRY,
+            model.FailureDomainId(str(zone)),
+            f"10.{zone}.0.{number}:80",
+            True,
+            incarnation=1,
+            sequence=1,
+        )
+        for zone, number in (divmod(i, 22) for i in range(count))
+    ]
+
+
+@pytest.mark.parametrize("count", [0, 1, 63, 64])
+def test_few_entries_are_all_named(count: int) -> None:
+    found = fleet.choose_entries(entries(count), MOST, draw=0.7)
+    assert sorted(n.node_id for n in found) == sorted(
+        n.node_id for n in entries(count)
+    )
+
+
+def test_every_entry_is_named_equally_often() -> None:
+    """Naming the first 64 left a whole failure domain without callers."""
+    running = entries(86)
+    named: collections.Counter[str] = collections.Counter()
+    for step in range(len(running)):
+        draw = (step + 0.5) / len(running)
+        found = fleet.choose_entries(running, MOST, draw)
+        assert len({n.node_id for n in found}) == MOST
+        named.update(n.node_id for n in found)
+    assert set(named) == {n.node_id for n in running}
+    assert set(named.values()) == {MOST}
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -1,5 +1,7 @@
 """A seeded control node: votes, knows the fleet, forms groups."""
 
+from collections.abc import Sequence
+import random
 from typing import Final
 
 from lagooncrank import clock as clocks
@@ -46,6 +48,11 @@
         age_ms = self.shared.contact_age_ms()
         return age_ms is not None and age_ms < QUORUM_CONTACT_MS
 
-    def open_entries(self) -> list[fleet.NodeNotice]:
-        """Returns the entries that callers may be sent to."""
-        return self.view.nodes.open_entries(self.clock.now_ms())
+    def open_entries(self, most: int) -> Sequence[fleet.NodeNotice]:
+        """Returns entries that a caller may be sent to.
+
+        Args:
+            most: Number of entries that the answer may name.
+        """
+        running = self.view.nodes.open_entries(self.clock.now_ms())
+        return fleet.choose_entries(running, most, random.random())
