Dial control nodes often while no link stands at all

Ruled out: accepting links (10 ms each). A node without any link can do nothing else, so it waits 200 ms at most; with other links the waits grow to 1 s as before.

--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -23,6 +23,7 @@
 from lagooncrank.server import _ports
 from lagooncrank.server.links import _channel
 from lagooncrank.server.links import _metrics
+from lagooncrank.server.links import _redial
 
 CHECK_INTERVAL_S: Final = 0.1
 
@@ -37,8 +38,9 @@
     heartbeat_ms: int = 300
     #: A link that is silent for this long is dropped and dialled anew.
     silence_ms: int = 1_200
-    redial_min_ms: int = 100
-    redial_max_ms: int = 1_000
+    redial: _redial.RedialTiming = dataclasses.field(
+        default_factory=_redial.RedialTiming
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -212,7 +214,7 @@
                 channel.send(_channel.HEARTBEAT)
 
     async def _dial_on(self, peer: model.NodeId) -> None:
-        wait_ms = self._timing.redial_min_ms
+        redial = _redial.Redial(self._timing.redial)
         if self._own > peer:
             # The lower id dials first, so that both rarely dial at once.
             await self.sleep(self._timing.heartbeat_ms / 1_000)
@@ -223,9 +225,8 @@
             started_ms = self._clock.now_ms()
             await self._dial(peer)
             lasted_ms = self._clock.now_ms() - started_ms
-            wait_ms = min(wait_ms * 2, self._timing.redial_max_ms)
-            if lasted_ms > self._timing.silence_ms:
-                wait_ms = self._timing.redial_min_ms
+            has_links = bool(self._channels)
+            wait_ms = redial.wait_ms(lasted_ms, has_links=has_links)
             await self.sleep(wait_ms / 1_000)
 
     async def _dial(self, peer: model.NodeId) -> None:
