Load what completes a group of idle engines, and a second model for members while callers are served

Each loss breaks a group, and a host keeps one model: engines that have changed over hold the same one twice. New engines loaded the model that lacked most even where no group of it could form. Now the leader loads on idle engines what makes a group in their fabric domain, fewest loads first, and with half of the concurrent loads a second model for members of groups. What a service has moved to _supply, which the planner and the loads share; the two counts of groups by model are one.

--- a/lagooncrank/core/groups/__init__.py
+++ b/lagooncrank/core/groups/__init__.py
@@ -11,9 +11,9 @@
 from lagooncrank.core.groups._life_cycle import LifeCycle
 from lagooncrank.core.groups._loads import LoadPace
 from lagooncrank.core.groups._planning import Planner
-from lagooncrank.core.groups._planning import wanted_groups
 from lagooncrank.core.groups._serving import serving_groups
 from lagooncrank.core.groups._staging import Staging
+from lagooncrank.core.groups._supply import wanted_groups
 
 __all__ = [
     "Action",
--- a/lagooncrank/core/groups/_staging.py
+++ b/lagooncrank/core/groups/_staging.py
@@ -2,22 +2,35 @@
 
 Before callers are served, loads are short and free: every host then keeps a
 model other than the one that its engine serves, so that engines of one fabric
-domain can change over within seconds. Later only engines without any weights
-get a load, that of the model that lacks most.
+domain can change over within seconds. Later loads are few and long.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import dataclasses
 from typing import Final
 
 from lagooncrank import model
 from lagooncrank.core import fleet
 from lagooncrank.core.groups import _actions
+from lagooncrank.core.groups import _late_loads
 from lagooncrank.core.groups import _loads
-from lagooncrank.core.groups import _planning
+from lagooncrank.core.groups import _supply
 
 #: Added to the time of a load before it counts as failed.
 LOAD_MARGIN_MS: Final = 8_000
+#: Part of the concurrent loads for what no idle engine waits for.
+SECOND_MODEL_PART: Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Begun:
+    """A load that this leader has ordered."""
+
+    model_name: str
+    #: When it counts as failed.
+    until_ms: int
 
 
 class Staging:
@@ -25,15 +38,21 @@
 
     def __init__(self, window_ms: int) -> None:
         self._pace = _loads.LoadPace(window_ms)
-        #: When the load of an engine's start counts as failed.
-        self._until_ms: dict[tuple[str, int], int] = {}
+        #: Newest load of each engine's start.
+        self._begun: dict[tuple[str, int], _Begun] = {}
 
-    def under_way(self, table: fleet.ServerTable, now_ms: int) -> set[str]:
-        """Returns the engines whose hosts load."""
+    def under_way(
+        self, table: fleet.ServerTable, now_ms: int
+    ) -> dict[str, str]:
+        """Returns the model that each host loads now, by engine."""
+        self._begun = {
+            start: begun
+            for start, begun in self._begun.items()
+            if now_ms < begun.until_ms and _lacks(start, begun, table)
+        }
         return {
-            server_id
-            for (server_id, born_ms), until_ms in self._until_ms.items()
-            if now_ms < until_ms and _is_without(server_id, born_ms, table)
+            server_id: begun.model_name
+            for (server_id, _), begun in self._begun.items()
         }
 
     def early(
@@ -47,16 +66,13 @@
         engine = service.engine
         if engine is None or len(engine.models) < 2:
             return
-        for group in groups.values():
-            serves = group.phase is model.GroupPhase.SERVING
-            if not serves or group.service != service.name:
-                continue
+        under_way = self.under_way(table, now_ms)
+        for group in _serving(service, groups):
             others = [m for m in engine.models if m.name != group.model_name]
-            for member in group.members:
-                known = table.get(member.server_id)
-                if known is None or others[0].name in known.report.staged:
-                    continue
-                yield from self._begin(known.report, others[0], now_ms)
+            for report in _members((group,), table):
+                is_kept = others[0].name in report.staged
+                if not is_kept and report.server_id not in under_way:
+                    yield self._begin(report, others[0], now_ms)
 
     def late(
         self,
@@ -65,51 +81,64 @@
         groups: Mapping[str, model.Group],
         now_ms: int,
     ) -> Iterator[_actions.Stage]:
-        """Yields loads for engines that can join no group without one."""
+        """Yields loads while callers are served, as many as may begin."""
         engine = service.engine
         if engine is None:
             return
-        free = _planning.free_of(service, table, groups)
         under_way = self.under_way(table, now_ms)
-        have = {m.name: 0 for m in engine.models}
-        for group in groups.values():
-            if group.service == service.name:
-                have[group.model_name] = have.get(group.model_name, 0) + 1
-        wanted = _planning.wanted_groups(
-            engine, sum(1 for _ in table.ready(service.name))
-        )
-        neediest = min(
-            engine.models, key=lambda m: have[m.name] / wanted[m.name]
-        )
-        for report in free:
-            if report.staged or report.loaded:
-                continue
-            if len(under_way) >= engine.max_concurrent_loads:
-                return
-            if not self._pace.room(engine.loads_per_s, now_ms):
+        supply = _supply.supply_of(service, engine, table, groups)
+        members = _members(_serving(service, groups), table)
+        # A copy, as what is begun here is not under way for this round.
+        loads = _late_loads.wanted_loads(supply, dict(under_way), members)
+        for load in loads:
+            most = engine.max_concurrent_loads
+            if not load.is_urgent:
+                most = int(most * SECOND_MODEL_PART)
+            has_room = self._pace.room(engine.loads_per_s, now_ms)
+            if len(under_way) >= most or not has_room:
                 return
-            for stage in self._begin(report, neediest, now_ms):
-                self._pace.note(1, now_ms)
-                under_way.add(report.server_id)
-                yield stage
+            self._pace.note(1, now_ms)
+            under_way[load.report.server_id] = load.profile.name
+            yield self._begin(load.report, load.profile, now_ms)
 
     def _begin(
         self,
         report: model.ServerReport,
         profile: model.ModelProfile,
         now_ms: int,
-    ) -> Iterator[_actions.Stage]:
-        until_ms = self._until_ms.get(report.start)
-        if until_ms is not None and now_ms < until_ms:
-            return
-        self._until_ms[report.start] = now_ms + profile.load_ms + LOAD_MARGIN_MS
-        member = _planning.member_of(report)
-        yield _actions.Stage(member, profile.name)
+    ) -> _actions.Stage:
+        until_ms = now_ms + profile.load_ms + LOAD_MARGIN_MS
+        self._begun[report.start] = _Begun(profile.name, until_ms)
+        return _actions.Stage(_supply.member_of(report), profile.name)
+
+
+def _serving(
+    service: model.ServicePlan, groups: Mapping[str, model.Group]
+) -> Iterator[model.Group]:
+    for group in groups.values():
+        is_own = group.service == service.name
+        if is_own and group.phase is model.GroupPhase.SERVING:
+            yield group
+
+
+def _members(
+    groups: Iterable[model.Group], table: fleet.ServerTable
+) -> Iterator[model.ServerReport]:
+    """Yields the reports of members that may be given work."""
+    for group in groups:
+        for member in group.members:
+            known = table.get(member.server_id)
+            if known is not None and table.is_ready(known):
+                yield known.report
 
 
-def _is_without(server_id: str, born_ms: int, table: fleet.ServerTable) -> bool:
-    """Whether an engine's start lives and its host keeps no weights yet."""
+def _lacks(
+    start: tuple[str, int], begun: _Begun, table: fleet.ServerTable
+) -> bool:
+    """Whether an engine's start lives and its host lacks the model."""
+    server_id, born_ms = start
     known = table.get(model.BackendServerId(server_id))
     if known is None or known.report.born_ms != born_ms:
         return False
-    return not known.report.staged and not table.is_lost(known)
+    is_kept = begun.model_name in known.report.staged
+    return not is_kept and not table.is_lost(known)
