End groups of lost heads without members; do not wait for the work of a lost head

Ruled out: the loads of weights (12 idle engines held the large model on their hosts, too few in one domain).

--- a/lagooncrank/core/groups/_life_cycle.py
+++ b/lagooncrank/core/groups/_life_cycle.py
@@ -146,10 +146,12 @@
         if end:
             yield _actions.Move(group, None, end)
             return
-        is_forgotten = known is None and table.is_settled
-        if is_forgotten and len(group.members) == 1:
-            # It has no members left with which it could run anything.
-            yield _actions.Move(group, None, "the head is forgotten")
+        is_unheard = known is None and table.is_settled
+        is_unheard |= known is not None and table.is_lost(known)
+        if is_unheard and len(group.members) == 1:
+            # It has no members left with which it could run anything. If it
+            # is heard again, it counts as a stray.
+            yield _actions.Move(group, None, "the head is not heard of")
             return
         if known is None or table.is_lost(known):
             yield from self._dissolve_unseen(group, table, now_ms)
--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -130,11 +130,7 @@
     ) -> Iterator[_actions.Move]:
         """Yields groups whose engines another model needs more."""
         own = [g for g in groups.values() if g.service == service.name]
-        is_settled = all(
-            g.phase is model.GroupPhase.SERVING or not g.waits_for_work
-            for g in own
-        )
-        if not is_settled or not own:
+        if not own or any(_ends_soon(g, table) for g in own):
             return
         neediest = supply.by_need()[0]
         donors = min(
@@ -237,6 +233,14 @@
     )
 
 
+def _ends_soon(group: model.Group, table: fleet.ServerTable) -> bool:
+    """Whether a group finishes its work, after which its engines are free."""
+    if group.phase is model.GroupPhase.SERVING or not group.waits_for_work:
+        return False
+    known = table.get(group.head.server_id)
+    return known is not None and not table.is_lost(known)
+
+
 def _report_of(
     member: model.GroupMember, table: fleet.ServerTable
 ) -> model.ServerReport | None:
--- a/lagooncrank/core/groups/tests/test_life_cycle.py
+++ b/lagooncrank/core/groups/tests/test_life_cycle.py
@@ -193,3 +193,11 @@
         life_cycle.stray_actions(world.SERVICE, table, {}, NOW_MS)
     )
     assert orders(found) == wanted
+
+
+def test_lost_head_without_members_ends_its_group() -> None:
+    """A head that left behind a cut is remembered for a minute as silent."""
+    group = world.group(1, phase=DISSOLVING)
+    head = world.members_of(group, [OPEN])
+    assert not moves(actions(group, head)), "it may still close by itself"
+    assert moves(actions(group, head, doubted=("s1",))) == [None]
--- a/lagooncrank/core/groups/tests/test_planning.py
+++ b/lagooncrank/core/groups/tests/test_planning.py
@@ -1,5 +1,7 @@
 """Which groups are formed, by pattern of arrival and loss."""
 
+import dataclasses
+
 from lagooncrank import model
 from lagooncrank.core import fleet
 from lagooncrank.core import groups
@@ -193,3 +195,24 @@
     closed = world.engine(1, staged=BOTH, membership=world.place(ready, 0, 5))
     table = world.table_of(closed, *reports[1:])
     assert formed(plan(table, [])) == ["small"]
+
+
+def test_group_whose_head_is_lost_does_not_keep_others_from_changing() -> None:
+    """Its work is not waited for, as nobody can say when it ends."""
+    pairs = [
+        world.group(n, n + 1, model_name="small", epoch=n)
+        for n in range(0, 12, 2)
+    ]
+    reports = [
+        world.engine(n, domain=f"d{n // 4}", staged=("large",))
+        for n in range(12)
+    ]
+    leaving = dataclasses.replace(
+        world.group(20, 21, phase=model.GroupPhase.DISSOLVING, epoch=99),
+        waits_for_work=True,
+    )
+    table = world.table_of(*reports, world.engine(20), world.engine(21))
+    assert not plan(table, [*pairs, leaving])
+    table.doubt(model.BackendServerId("s20"))
+    found = plan(table, [*pairs, leaving])
+    assert len([a for a in found if isinstance(a, groups.Move)]) == 2
