--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -33,6 +33,7 @@
         "first_start",
     )
     STOPPING = "stopping", "A planned stop began.", "grace_ms"
+    CRASHED = "crashed", "A part of the node failed; it stops.", "problem"
     STOPPED = "stopped", "The planned stop ended."
     RELOADED = "reloaded", "The settings changed.", "seeds", "problem"
     LOST = "dependency_lost", "A dependency cannot be reached.", "dependency"
--- a/lagooncrank/server/seeded/_running.py
+++ b/lagooncrank/server/seeded/_running.py
@@ -6,6 +6,7 @@
 import contextlib
 import pathlib
 import signal
+import traceback
 from typing import Final
 
 from aiohttp import web
@@ -50,6 +51,7 @@
     )
     await node.wait(stopping.wait())
     watcher.cancel()
+    _note_crash(node)
     await node.leave()
     for runner in runners:
         await runner.cleanup()
@@ -57,6 +59,16 @@
     await node.stop()
 
 
+def _note_crash(node: _node.Node) -> None:
+    """Writes why the node stops though nobody told it to."""
+    if not node.crashed:
+        return
+    reason = node.crash_reason
+    problem = "".join(traceback.format_exception(reason)) if reason else ""
+    node.decisions.write(decisions.Event.CRASHED, problem=problem)
+    node.decisions.flush()
+
+
 async def _serve(app: web.Application, address: str) -> web.AppRunner:
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_S)
     await runner.setup()
