Leave waits alone that have expired, when a stalled server is told of

An entry woke up after 3 s of freeze; word of a stalled server came in the same turn of the loop in which its waits expired, and asyncio refuses to change a timeout that expires. The error ended the entry (exit 0). Ruled out: memory (38 MB) and the reload of settings.

--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Iterator
 import contextlib
 from typing import Final
 
@@ -20,6 +19,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _targets
+from lagooncrank.server.seeded import _waits
 
 #: Sends of one request that servers refused to run, at most.
 MAX_NOT_RUN: Final = 3
@@ -65,10 +65,7 @@
         self._metrics = metrics
         self._clock = clock
         self._log = log
-        #: Waits for answers, by server and exchange.
-        self._waits: dict[
-            str, dict[int, tuple[_exchange.Exchange, asyncio.Timeout]]
-        ] = {}
+        self._waits = _waits.Waits()
         view.stall_listeners.append(self._end_waits)
 
     async def open(
@@ -103,36 +100,27 @@
         self._view.loads.end(target.server_id)
         self._view.progress.end(target.server_id, exchange.number)
 
-    @contextlib.contextmanager
     def waiting(
         self,
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         timeout: asyncio.Timeout,
-    ) -> Iterator[None]:
+    ) -> contextlib.AbstractContextManager[None]:
         """Lets a wait end early when its server is found to stand still."""
-        of_server = self._waits.setdefault(target.server_id, {})
-        of_server[exchange.number] = (exchange, timeout)
-        try:
-            yield
-        finally:
-            of_server.pop(exchange.number, None)
-            if not of_server:
-                self._waits.pop(target.server_id, None)
+        return self._waits.running(target.server_id, exchange, timeout)
 
     def _end_waits(self, servers: frozenset[str]) -> None:
         """Ends the waits at servers that stand still, to try elsewhere."""
         now_ms = self._clock.now_ms()
-        now_s = asyncio.get_running_loop().time()
-        for server_id in servers:
-            for exchange, timeout in list(
-                self._waits.get(server_id, {}).values()
-            ):
-                is_silent = self._view.progress.is_silent(
+        self._waits.end(
+            servers,
+            lambda server_id, exchange: (
+                self._view.progress.is_silent(
                     server_id, exchange.number, now_ms
                 )
-                if is_silent and self._may_try_on(exchange):
-                    timeout.reschedule(now_s)
+                and self._may_try_on(exchange)
+            ),
+        )
 
     def note_event(
         self, exchange: _exchange.Exchange, target: dispatch.Target
