Let requests wait at the entry while the groups of their model are full

Groups of the small model had all places taken for 8 s and served in the order of arrival, so the median first event took 500 to 640 ms (aim 300): 636 of 1,955 requests were late, though a fifth more came than could be served. Ruled out: the division of engines between the models (in flight 33 to 24 at calm, and 10 to 7 groups). A request now goes only to a group with a free place; while there is none, those that can still be in time go first, then client accounts with the least work running. Nobody waits longer than half of the time left. Order of arrival stays in the registry for comparison.

--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -4,18 +4,26 @@
 from lagooncrank.core.dispatch._allowance import RetryAllowance
 from lagooncrank.core.dispatch._choice import choose_service
 from lagooncrank.core.dispatch._choice import choose_target
+from lagooncrank.core.dispatch._line import MAX_ENTRIES
+from lagooncrank.core.dispatch._line import ORDERS
+from lagooncrank.core.dispatch._line import Waiting
+from lagooncrank.core.dispatch._line import WaitingLine
 from lagooncrank.core.dispatch._loads import LoadBook
 from lagooncrank.core.dispatch._progress import StreamProgress
 from lagooncrank.core.dispatch._suspects import Suspects
 from lagooncrank.core.dispatch._types import Target
 
 __all__ = [
+    "MAX_ENTRIES",
+    "ORDERS",
     "AllowanceRules",
     "LoadBook",
     "RetryAllowance",
     "StreamProgress",
     "Suspects",
     "Target",
+    "Waiting",
+    "WaitingLine",
     "choose_service",
     "choose_target",
 ]
--- a/lagooncrank/core/dispatch/_choice.py
+++ b/lagooncrank/core/dispatch/_choice.py
@@ -32,6 +32,8 @@
     tried: Collection[str],
     near: model.FailureDomainId,
     draws: tuple[float, float],
+    *,
+    knows_loads: bool = False,
 ) -> _types.Target | None:
     """Returns the less loaded one of two targets drawn by lot.
 
@@ -46,16 +48,23 @@
         tried: Servers that this request was sent to before; not used again.
         near: Failure domain of this entry, preferred among equals.
         draws: Random numbers, 0.0 to 1.0, that draw the two.
+        knows_loads: Whether entries are few, so that the loads are nearly
+            true; if both targets are full, the least loaded one is taken.
     """
     usable = [t for t in targets if t.server_id not in tried]
     if not usable:
         return None
     sound = [t for t in usable if t.server_id not in avoided]
-    pair = _draw_pair(sound or usable, draws)
-    return min(
-        pair,
-        key=lambda t: (loads.of(t.server_id), t.failure_domain != near),
-    )
+    candidates = sound or usable
+
+    def rank(target: _types.Target) -> tuple[int, bool]:
+        is_far = target.failure_domain != near
+        return (loads.of(target.server_id), is_far)
+
+    best = min(_draw_pair(candidates, draws), key=rank)
+    if knows_loads and loads.of(best.server_id) >= best.slots:
+        return min(candidates, key=rank)
+    return best
 
 
 def _draw_pair(
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -55,6 +55,7 @@
         "request",
         "to",
         "failure",
+        "queued_ms",
         "tried",
         "age_ms",
     )
@@ -65,6 +66,7 @@
         "failure",
         "detail",
         "last_event_id",
+        "queued_ms",
         "tried",
         "age_ms",
     )
@@ -74,6 +76,7 @@
         "request",
         "status",
         "first_ms",
+        "queued_ms",
         "tried",
         "document",
         "age_ms",
@@ -85,6 +88,7 @@
         "code",
         "reason",
         "last_event_id",
+        "queued_ms",
         "tried",
         "age_ms",
     )
@@ -94,6 +98,7 @@
         "request",
         "code",
         "reason",
+        "queued_ms",
         "tried",
         "age_ms",
     )
@@ -101,6 +106,7 @@
         "caller_left",
         "The caller closed its connection.",
         "request",
+        "queued_ms",
         "tried",
         "age_ms",
     )
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -6,6 +6,7 @@
 from lagooncrank import results
 
 FIRST_BYTE_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+QUEUE_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0)
 
 
 class EntryMetrics:
@@ -33,6 +34,18 @@
             registry=self.registry,
         )
 
+        self._queue_s = prometheus_client.Histogram(
+            "lagooncrank_queue_seconds",
+            "Time that a request waited for a place at a group.",
+            ("service",),
+            buckets=QUEUE_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def queued(self, service: model.ServiceName, queued_ms: int) -> None:
+        """Observes a wait for a place at a group."""
+        self._queue_s.labels(service).observe(queued_ms / 1_000)
+
     def refused(self, code: results.ResultCode) -> None:
         """Counts a request that ends by a code of this system."""
         self._refusals.labels(code.name).inc()
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -29,6 +29,8 @@
     #: Id of the last event that the caller was given.
     last_event_id: int | None = None
     first_event_ms: int | None = None
+    #: How long it waited for a place at a group.
+    queued_ms: int = 0
 
     @property
     def number(self) -> int:
@@ -70,5 +72,6 @@
             "service": self.service,
             "document": self.version,
             "age_ms": clock.now_ms() - self.arrived_ms,
+            "queued_ms": self.queued_ms,
             "tried": self.tried,
         }
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -19,6 +19,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _targets
+from lagooncrank.server.seeded import _turns
 from lagooncrank.server.seeded import _waits
 
 #: Sends of one request that servers refused to run, at most.
@@ -66,6 +67,7 @@
         self._clock = clock
         self._log = log
         self._waits = _waits.Waits()
+        self._turns = _turns.Turns(targets, view, metrics, clock)
         view.stall_listeners.append(self._end_waits)
 
     async def open(
@@ -78,6 +80,8 @@
         Raises:
             ForwardingError: There is none.
         """
+        if not exchange.tried:
+            await self._take_turn(exchange)
         not_run = 0
         last: _attempt.AttemptFailedError | None = None
         while True:
@@ -98,6 +102,7 @@
     ) -> None:
         """Ends the count of a request at its target."""
         self._view.loads.end(target.server_id)
+        self._turns.end(exchange)
         self._view.progress.end(target.server_id, exchange.number)
 
     def waiting(
@@ -145,6 +150,13 @@
         self._note_failure(exchange, target, error)
         self._check_again(exchange, error, 0)
 
+    async def _take_turn(self, exchange: _exchange.Exchange) -> None:
+        try:
+            await self._turns.wait(exchange)
+        except _turns.NoTurnError as error:
+            code = results.ResultCode.QUEUE_TIMEOUT
+            raise ForwardingError(_ended(exchange, code, None)) from error
+
     def _next_target(
         self,
         exchange: _exchange.Exchange,
@@ -176,6 +188,7 @@
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> _attempt.Answer:
         self._view.loads.begin(target.server_id)
+        self._turns.begin(exchange)
         if target.group:
             self._view.progress.begin(
                 target.server_id, exchange.number, self._clock.now_ms()
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -51,6 +51,24 @@
             tried,
             self._near,
             (random.random(), random.random()),
+            knows_loads=self._view.entry_count <= dispatch.MAX_ENTRIES,
+        )
+
+    def room(self, service: model.ServiceName, model_name: str) -> int | None:
+        """Returns how many more requests the groups of a model work on.
+
+        Returns:
+            None if no group serves the model.
+        """
+        heads = list(self._heads(service, model_name))
+        if not heads:
+            return None
+        now_ms = self._clock.now_ms()
+        avoided = self.suspects.avoided(now_ms) | self._view.stalled(now_ms)
+        sound = [t for t in heads if t.server_id not in avoided]
+        loads = self._view.loads
+        return sum(
+            max(t.slots - loads.of(t.server_id), 0) for t in sound or heads
         )
 
     def failed(self, target: dispatch.Target) -> None:
--- /dev/null
+++ b/lagooncrank/server/seeded/_turns.py
@@ -0,0 +1,143 @@
+"""Turns of requests at the places of groups."""
+
+import asyncio
+import collections
+from typing import Final
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank.core import dispatch
+from lagooncrank.server.seeded import _entry_metrics
+from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _targets
+
+ORDER: Final = "fresh-first"
+#: Places also come free at other entries, of which this one hears later.
+RECHECK_S: Final = 0.05
+#: Part of the time left that a request may wait; its caller keeps the rest to
+#: come back in.
+MAX_WAIT_PART: Final = 0.5
+MS_PER_S: Final = 1_000
+
+
+class NoTurnError(Exception):
+    """A request waited for its turn as long as it may."""
+
+
+class Turns:
+    """Lets requests wait while the groups of their model are full."""
+
+    def __init__(
+        self,
+        targets: _targets.Targets,
+        view: _fleet_view.FleetView,
+        metrics: _entry_metrics.EntryMetrics,
+        clock: clocks.Clock,
+    ) -> None:
+        self._targets = targets
+        self._view = view
+        self._metrics = metrics
+        self._clock = clock
+        self._line = dispatch.WaitingLine(dispatch.ORDERS.get(ORDER))
+        #: Service and model of each pool that requests wait for.
+        self._pools: dict[str, tuple[model.ServiceName, str]] = {}
+        self._woken: dict[int, asyncio.Future[None]] = {}
+        #: Turns given to requests that were not sent yet.
+        self._given: collections.Counter[str] = collections.Counter()
+        #: Requests that run, by client account.
+        self._running: collections.Counter[str] = collections.Counter()
+        self._recheck: asyncio.TimerHandle | None = None
+
+    async def wait(self, exchange: _exchange.Exchange) -> None:
+        """Waits until a request may be sent.
+
+        Raises:
+            NoTurnError: Its turn did not come in time.
+        """
+        model_name = exchange.call.model_name
+        knows_loads = self._view.entry_count <= dispatch.MAX_ENTRIES
+        if not model_name or not knows_loads:
+            return
+        pool = f"{exchange.service} {model_name}"
+        self._pools[pool] = (exchange.service, model_name)
+        if not self._line.length(pool) and self._room(pool) > 0:
+            return
+        await self._wait_in_line(exchange, pool)
+
+    def begin(self, exchange: _exchange.Exchange) -> None:
+        """Counts a request that is sent."""
+        self._running[_account_of(exchange)] += 1
+
+    def end(self, exchange: _exchange.Exchange) -> None:
+        """Counts a request that has ended, and gives its place away."""
+        account = _account_of(exchange)
+        self._running[account] -= 1
+        if self._running[account] <= 0:
+            del self._running[account]
+        self._give()
+
+    async def _wait_in_line(
+        self, exchange: _exchange.Exchange, pool: str
+    ) -> None:
+        waiting = dispatch.Waiting(
+            exchange.number,
+            pool,
+            _account_of(exchange),
+            exchange.priority,
+            exchange.arrived_ms,
+            exchange.route.target_latency_ms,
+        )
+        began_ms = self._clock.now_ms()
+        limit_ms = max(exchange.left_ms(self._clock), 0) * MAX_WAIT_PART
+        woken = asyncio.get_running_loop().create_future()
+        self._woken[exchange.number] = woken
+        self._line.add(waiting)
+        self._recheck_soon()
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                await woken
+        except TimeoutError as error:
+            raise NoTurnError from error
+        finally:
+            self._line.remove(waiting)
+            del self._woken[exchange.number]
+            if woken.done() and not woken.cancelled():
+                self._given[pool] -= 1
+            exchange.queued_ms = self._clock.now_ms() - began_ms
+            self._metrics.queued(exchange.service, exchange.queued_ms)
+
+    def _give(self) -> None:
+        """Gives free places to those whose turn it is."""
+        now_ms = self._clock.now_ms()
+        for pool in self._line.pools():
+            for _ in range(self._room(pool)):
+                waiting = self._line.take(pool, self._running, now_ms)
+                if waiting is None:
+                    break
+                self._given[pool] += 1
+                self._woken[waiting.number].set_result(None)
+
+    def _room(self, pool: str) -> int:
+        """Returns how many more requests of a pool may be sent."""
+        service, model_name = self._pools[pool]
+        room = self._targets.room(service, model_name)
+        if room is None:
+            # Nothing serves the model: who waits for it is told at once.
+            return self._line.length(pool) + 1
+        return room - self._given[pool]
+
+    def _recheck_soon(self) -> None:
+        if self._recheck is None:
+            loop = asyncio.get_running_loop()
+            self._recheck = loop.call_later(RECHECK_S, self._on_recheck)
+
+    def _on_recheck(self) -> None:
+        self._recheck = None
+        self._give()
+        if self._line.pools():
+            self._recheck_soon()
+
+
+def _account_of(exchange: _exchange.Exchange) -> str:
+    return "" if exchange.account is None else exchange.account.account
--- /dev/null
+++ b/lagooncrank/server/seeded/tests/test_turns.py
@@ -0,0 +1,122 @@
+"""Requests that wait while all groups of their model are full."""
+
+import asyncio
+import types
+from typing import Any
+from typing import cast
+
+import pytest
+
+from lagooncrank import clock as clocks
+from lagooncrank.server.seeded import _entry_metrics
+from lagooncrank.server.seeded import _turns
+
+LONG_MS = 3_600_000
+SHORT_MS = 20
+
+
+class Site:
+    """Groups with a number of places, and the turns of one entry."""
+
+    def __init__(self, places: int | None, entries: int = 6) -> None:
+        self.places = places
+        self.view = types.SimpleNamespace(entry_count=entries)
+        self.turns = _turns.Turns(
+            cast(Any, types.SimpleNamespace(room=lambda *_: self.places)),
+            cast(Any, self.view),
+            _entry_metrics.EntryMetrics(),
+            clocks.ManualClock(),
+        )
+
+    async def send(self, request: Any) -> None:
+        """Waits for a turn and takes a place."""
+        await self.turns.wait(request)
+        if self.places is not None:
+            self.places -= 1
+        self.turns.begin(request)
+
+    def end(self, request: Any) -> None:
+        """Gives the place of a request back."""
+        if self.places is not None:
+            self.places += 1
+        self.turns.end(request)
+
+
+def request(number: int, left_ms: int = LONG_MS, model: str = "large") -> Any:
+    return types.SimpleNamespace(
+        number=number,
+        call=types.SimpleNamespace(model_name=model),
+        service="writers",
+        account=None,
+        priority=1,
+        arrived_ms=0,
+        route=types.SimpleNamespace(target_latency_ms=300),
+        left_ms=lambda _: left_ms,
+        queued_ms=0,
+    )
+
+
+async def turn_of_loop() -> None:
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
+async def test_next_request_goes_when_one_ends() -> None:
+    site = Site(places=1)
+    first, second, third = (request(n) for n in range(3))
+    await site.send(first)
+    waiting = [asyncio.create_task(site.send(r)) for r in (second, third)]
+    await turn_of_loop()
+    assert not any(t.done() for t in waiting)
+    site.end(first)
+    await turn_of_loop()
+    assert [t.done() for t in waiting] == [True, False]
+    site.end(second)
+    await turn_of_loop()
+    assert waiting[1].done()
+
+
+async def test_caller_that_leaves_passes_its_turn_on() -> None:
+    site = Site(places=1)
+    first, second, third = (request(n) for n in range(3))
+    await site.send(first)
+    waiting = [asyncio.create_task(site.send(r)) for r in (second, third)]
+    await turn_of_loop()
+    waiting[0].cancel()
+    await turn_of_loop()
+    site.end(first)
+    await turn_of_loop()
+    assert waiting[1].done()
+    assert not waiting[1].cancelled()
+
+
+async def test_request_is_told_before_its_time_is_over() -> None:
+    site = Site(places=0)
+    with pytest.raises(_turns.NoTurnError):
+        await site.turns.wait(request(1, left_ms=SHORT_MS))
+
+
+@pytest.mark.parametrize(
+    ("places", "entries", "model"),
+    [
+        pytest.param(None, 6, "large", id="no-group-serves-the-model"),
+        pytest.param(0, 86, "large", id="loads-are-known-too-late"),
+        pytest.param(0, 6, "", id="plain-server"),
+    ],
+)
+async def test_request_that_nothing_is_known_for_does_not_wait(
+    places: int | None, entries: int, model: str
+) -> None:
+    await Site(places, entries).turns.wait(request(1, model=model))
+
+
+async def test_groups_that_are_lost_end_the_waits() -> None:
+    """Those who wait are refused at once, not at the end of their time."""
+    site = Site(places=0)
+    waiting = asyncio.create_task(site.turns.wait(request(1)))
+    await turn_of_loop()
+    site.places = None
+    site.turns.begin(request(2))
+    site.turns.end(request(2))
+    await turn_of_loop()
+    assert waiting.done()
