Do not count the own pause of an entry as silence of its servers

Cause: an entry that was frozen for 3 s told the others on its return that all its servers stood still: those ended waits there, and the leader probed every member. The events were in its sockets, unread.

--- a/lagooncrank/core/dispatch/_progress.py
+++ b/lagooncrank/core/dispatch/_progress.py
@@ -56,6 +56,12 @@
         if not of_server:
             del self._streams[server_id]
 
+    def excuse(self, pause_ms: int, now_ms: int) -> None:
+        """Takes a pause of this process, in which it could read nothing."""
+        for of_server in self._streams.values():
+            for stream in of_server.values():
+                stream.since_ms = min(stream.since_ms + pause_ms, now_ms)
+
     def is_silent(self, server_id: str, stream: int, now_ms: int) -> bool:
         """Whether a stream has had no event for longer than a pass takes."""
         held = self._streams.get(server_id, {}).get(stream)
--- a/lagooncrank/core/dispatch/tests/test_dispatch.py
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -109,6 +109,17 @@
     assert not progress.stalled(2_000)
 
 
+def test_servers_are_not_silent_while_the_entry_itself_stood_still() -> None:
+    progress = dispatch.StreamProgress()
+    progress.begin("head", 1, 0)
+    progress.note_event("head", 1, 100)
+    progress.begin("other", 2, 3_150)
+    progress.excuse(pause_ms=3_000, now_ms=3_160)
+    assert not progress.stalled(3_160)
+    assert progress.stalled(3_460) == {"head"}
+    assert progress.stalled(4_160) == {"head", "other"}
+
+
 def test_head_counts_as_working_for_a_second_after_an_event() -> None:
     progress = dispatch.StreamProgress()
     progress.begin("head", 1, 0)
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -29,6 +29,8 @@
 #: Report intervals after which a silent backend server counts as lost.
 LOST_AFTER_INTERVALS: Final = 2.75
 
+#: Longer gaps between two ticks mean that this process stood still.
+MAX_TICK_MS: Final = 200
 #: Time for which another entry's word of a stalled server counts.
 TRUST_STALL_MS: Final = 1_500
 
@@ -79,6 +81,7 @@
         self._sequence = 0
         self._noticed_ms = 0
         self._is_connected = True
+        self._watched_ms = clock.now_ms()
         self._stalled_here: frozenset[str] = frozenset()
         #: Servers that stand still elsewhere, with the time of first notice.
         self._stalled_there: dict[str, int] = {}
@@ -144,6 +147,11 @@
         return there | self._stalled_here
 
     def _watch_stalls(self, now_ms: int) -> None:
+        pause_ms = now_ms - self._watched_ms
+        self._watched_ms = now_ms
+        if pause_ms > MAX_TICK_MS:
+            # What came meanwhile is not read yet.
+            self.progress.excuse(pause_ms, now_ms)
         stalled = self.progress.stalled(now_ms)
         begun = stalled - self._stalled_here
         self._stalled_here = stalled
