Add a fault soak of our own: real programs, loopback proxies, signals

Callers, servers and an operator check the promises: bookings run once or are truthfully refused, streams are whole, success bears the signature of a server that ran it, groups are whole and left only when closed, acknowledged documents are never lost. For it the peer links can listen elsewhere than where peers dial.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed-$(shell cksum < requirements-dev.txt | cut -d' ' -f1)
-SOURCES := lagooncrank standins bench demo platform conftest.py
+SOURCES := lagooncrank standins bench demo platform soak conftest.py
 
 .PHONY: install format lint types tests test demo bench
 
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -62,7 +62,9 @@
             {own.node_id: own.peer_address(own.node_id)},
             own.shared_key.encode(),
             clock,
-            listener=_sockets.listener(own.peer_address(own.node_id)),
+            listener=_sockets.listener(
+                own.listen.peers or own.peer_address(own.node_id)
+            ),
             accepts_any=True,
         )
         store = None
--- a/lagooncrank/settings/_seeded.py
+++ b/lagooncrank/settings/_seeded.py
@@ -14,6 +14,9 @@
     readiness: str = ""
     operators: str = ""
     directory: str = ""
+    #: Address for peer links if it is not the one that peers dial, as behind
+    #: an address translation.
+    peers: str = ""
     #: Metrics of the process.
     metrics: str = ""
 
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,91 @@
+"""Callers that keep connections open and check what they are given."""
+
+import asyncio
+import itertools
+import random
+from typing import Final
+
+import aiohttp
+from lagooncrank_platform.tests import site
+from lagooncrank_platform.tests import stand_in
+
+from soak import _ledger
+from soak import _nodes
+
+HOST: Final = "h.example"
+PAUSE_S: Final = (0.0, 0.1)
+TIMEOUT: Final = aiohttp.ClientTimeout(total=10.0)
+NO_STATUS: Final = 0
+#: Path, and whether the request may run more than once.
+KINDS: Final = (("/draft/a", True), ("/book/a", False), ("/look/a", True))
+
+
+class Callers:
+    """Some callers that send one request after the other."""
+
+    def __init__(
+        self,
+        entries: list[_nodes.Node],
+        ledger: _ledger.Ledger,
+        random_: random.Random,
+    ) -> None:
+        self._entries = entries
+        self._ledger = ledger
+        self._random = random_
+        self._numbers = itertools.count(1)
+        #: Requests that ended with the whole answer.
+        self.served = 0
+
+    async def run(self) -> None:
+        """Sends requests until it is cancelled."""
+        async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+            while True:
+                await self._send_one(session)
+                await asyncio.sleep(self._random.uniform(*PAUSE_S))
+
+    async def _send_one(self, session: aiohttp.ClientSession) -> None:
+        path, may_repeat = self._random.choice(KINDS)
+        attempt_id = f"a{next(self._numbers)}"
+        entry = self._random.choice(self._entries)
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": attempt_id,
+            "Credential": site.KEY,
+        }
+        if path.startswith("/draft/"):
+            headers["Model"] = "m"
+        self._ledger.sent(_ledger.Sent(attempt_id, may_repeat))
+        url = f"http://{entry.public.listen}{path}"
+        try:
+            async with session.post(
+                url, data=b"text", headers=headers
+            ) as response:
+                self._note_head(attempt_id, response)
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # A broken connection promises nothing.
+            self._ledger.statuses[NO_STATUS] += 1
+            return
+        if response.status == _ledger.OK:
+            self.served += 1
+            self._check_body(attempt_id, path, body)
+
+    def _note_head(
+        self, attempt_id: str, response: aiohttp.ClientResponse
+    ) -> None:
+        signature = response.headers.get("Server-Signature", "")
+        self._ledger.answered(attempt_id, response.status, signature)
+        answered_id = response.headers.get("Attempt-Id", attempt_id)
+        if answered_id != attempt_id:
+            self._ledger.problem(f"{attempt_id} got the answer {answered_id}")
+
+    def _check_body(self, attempt_id: str, path: str, body: bytes) -> None:
+        if not path.startswith("/draft/"):
+            if body != b"done":
+                self._ledger.problem(f"{attempt_id}: body {body!r}")
+            return
+        lines = body.decode(errors="replace").splitlines()
+        found = [line[4:] for line in lines if line.startswith("id: ")]
+        expected = [str(n) for n in range(1, stand_in.EVENTS + 1)]
+        if found != expected:
+            self._ledger.problem(f"{attempt_id}: events {found}")
--- /dev/null
+++ b/soak/_nodes.py
@@ -0,0 +1,145 @@
+"""Control nodes and entries as processes, behind proxies."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import sys
+from typing import Final
+
+import yaml
+
+from soak import _proxy
+
+PROGRAM: Final = pathlib.Path("platform") / "run.py"
+STOP_GRACE_S: Final = 20.0
+
+
+def free_port(ip: str) -> int:
+    """Returns a port that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What all nodes of one deployment share."""
+
+    folder: pathlib.Path
+    peer_port: int
+    seeds: tuple[str, ...]
+
+
+class Node:
+    """One process and the proxies that lead to it."""
+
+    def __init__(self, plan: Plan, ip: str, role: str) -> None:
+        self.ip = ip
+        self.role = role
+        self._plan = plan
+        self._data = plan.folder / f"data-{ip}"
+        self._log = plan.folder / f"{ip}.log"
+        self._settings_file = plan.folder / f"{ip}.yaml"
+        self._is_first_start = True
+        self._process: asyncio.subprocess.Process | None = None
+        #: Reached by peers, and by callers or operators.
+        self.peers = self._proxy_to(f"{ip}:{plan.peer_port}")
+        self.public = self._proxy_to(f"{ip}:{free_port(ip)}")
+
+    @property
+    def proxies(self) -> tuple[_proxy.Proxy, ...]:
+        """All proxies of this node."""
+        return (self.peers, self.public)
+
+    @property
+    def runs(self) -> bool:
+        """Whether the process lives."""
+        process = self._process
+        return process is not None and process.returncode is None
+
+    async def start(self) -> None:
+        """Starts the process, and its proxies the first time."""
+        if self._is_first_start:
+            for proxy in self.proxies:
+                await proxy.start()
+            self._data.mkdir()
+        self._write_settings()
+        self._is_first_start = False
+        environment = {
+            **os.environ,
+            "LAGOONCRANK_BOOT": str(self._settings_file),
+        }
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process if it lives."""
+        if self.runs and self._process is not None:
+            self._process.send_signal(number)
+
+    async def wait(self) -> None:
+        """Waits for the end of the process; ends it by force if need be."""
+        if self._process is None:
+            return
+        try:
+            async with asyncio.timeout(STOP_GRACE_S):
+                await self._process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self._process.wait()
+
+    async def stop(self) -> None:
+        """Ends the process and the proxies."""
+        self.send(signal.SIGKILL)
+        await self.wait()
+        for proxy in self.proxies:
+            await proxy.stop()
+
+    def wipe(self) -> None:
+        """Loses the disk; the process must not run."""
+        shutil.rmtree(self._data)
+        self._data.mkdir()
+
+    def touch_settings(self) -> None:
+        """Rewrites the settings file, as an operator's tool does."""
+        self._write_settings()
+
+    def _proxy_to(self, listen: str) -> _proxy.Proxy:
+        hidden = f"{self.ip}:{free_port(self.ip)}"
+        return _proxy.Proxy(listen, hidden)
+
+    def _write_settings(self) -> None:
+        is_control = self.role == "control"
+        listen = {"peers": self.peers.target}
+        listen["operators" if is_control else "callers"] = self.public.target
+        if not is_control:
+            listen["readiness"] = f"{self.ip}:{free_port(self.ip)}"
+        if is_control:
+            listen["directory"] = f"{self.ip}:{free_port(self.ip)}"
+        listen["metrics"] = f"{self.ip}:{free_port(self.ip)}"
+        content = {
+            "role": self.role,
+            "ip": self.ip,
+            "failure_domain_id": "a",
+            "peer_port": self._plan.peer_port,
+            "seeds": list(self._plan.seeds),
+            "shared_key": "soak",
+            "is_first_start": self._is_first_start,
+            "data_folder": str(self._data) if is_control else "",
+            "listen": listen,
+            "timing": {"report_interval_ms": 500, "stop_grace_ms": 2_000},
+        }
+        temporary = self._settings_file.with_suffix(".new")
+        temporary.write_text(yaml.safe_dump(content))
+        temporary.replace(self._settings_file)
