Let requests wait a second for the first document and the first servers of an entry

Cause: after a loss of power entries run a second or two before the control nodes. Ruled out: a longer Retry-After, which callers do not heed. Now such a request waits, a quarter of its time and 1 s at most, and is refused then. It is not known to be hopeless.

--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -18,6 +18,7 @@
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _starting
 from lagooncrank.server.seeded import _targets
 from lagooncrank.server.seeded import _turns
 from lagooncrank.server.seeded import _waits
@@ -81,6 +82,7 @@
             ForwardingError: There is none.
         """
         if not exchange.tried:
+            await self._wait_for_servers(exchange)
             await self._take_turn(exchange)
         not_run = 0
         last: _attempt.AttemptFailedError | None = None
@@ -150,6 +152,21 @@
         self._note_failure(exchange, target, error)
         self._check_again(exchange, error, 0)
 
+    async def _wait_for_servers(self, exchange: _exchange.Exchange) -> None:
+        """Waits for the first reports of servers after a start."""
+        if not self._view.table.is_settled and not self._has_target(exchange):
+            left_ms = max(exchange.left_ms(self._clock), 0)
+            await _starting.wait_until(
+                lambda: self._has_target(exchange),
+                _starting.wait_limit_ms(left_ms),
+            )
+
+    def _has_target(self, exchange: _exchange.Exchange) -> bool:
+        target = self._targets.choose(
+            exchange.service, exchange.call.model_name, exchange.tried
+        )
+        return target is not None
+
     async def _take_turn(self, exchange: _exchange.Exchange) -> None:
         try:
             await self._turns.wait(exchange)
@@ -238,10 +255,7 @@
         route = exchange.route
         if not route.may_repeat or exchange.runs + 1 >= route.max_attempts:
             return False
-        other = self._targets.choose(
-            exchange.service, exchange.call.model_name, exchange.tried
-        )
-        return other is not None
+        return self._has_target(exchange)
 
     def _note_failure(
         self,
--- a/lagooncrank/server/seeded/_front.py
+++ b/lagooncrank/server/seeded/_front.py
@@ -20,6 +20,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _forwarding
+from lagooncrank.server.seeded import _starting
 from lagooncrank.server.seeded import _targets
 from lagooncrank.server.seeded import _wire
 
@@ -117,6 +118,7 @@
         call: _wire.CallHead | None = None
         try:
             call = self._read_head(request)
+            await self._wait_for_document(call)
             exchange = self._admit(call, arrived_ms)
             exchange.body = await self._read_body(request)
         except _forwarding.ForwardingError as error:
@@ -147,6 +149,13 @@
             code = results.ResultCode.MALFORMED_REQUEST
             raise _refused(code, str(error)) from error
 
+    async def _wait_for_document(self, call: _wire.CallHead) -> None:
+        if self._documents.catalog is None:
+            await _starting.wait_until(
+                lambda: self._documents.catalog is not None,
+                _starting.wait_limit_ms(call.deadline_ms),
+            )
+
     def _admit(
         self, call: _wire.CallHead, arrived_ms: int
     ) -> _exchange.Exchange:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -113,7 +113,8 @@
         is_request: bool,
     ) -> None:
         """Passes one direction on; a reset of one side resets the other."""
-        with contextlib.suppress(ConnectionError):
+        # Any error of a socket here means that one side has gone.
+        with contextlib.suppress(OSError):
             while piece := await reader.read(CHUNK_BYTES):
                 await self._hold(is_request=is_request)
                 if self.harm.delay_s:
