Use a part of the places only, until an entry has heard of the others

Until 0.7 s after the first summary an entry now takes its part of the places, of eight entries or as many as it knows.

--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -29,6 +29,8 @@
 #: Report intervals after which a silent backend server counts as lost.
 LOST_AFTER_INTERVALS: Final = 2.75
 
+#: Time from the first summary until it counts every entry: two notices.
+LEARN_LOADS_MS: Final = 700
 #: Longer gaps between two ticks mean that this process stood still.
 MAX_TICK_MS: Final = 200
 #: Time for which another entry's word of a stalled server counts.
@@ -71,6 +73,7 @@
         self.has_served = False
         #: Entries that share what is counted over all of them.
         self.entry_count = 1
+        self._first_summary_ms: int | None = None
         #: Called with servers that have begun to stand still.
         self.stall_listeners: list[Callable[[frozenset[str]], None]] = []
         #: Called after the table or the groups may have changed.
@@ -146,6 +149,15 @@
         }
         return there | self._stalled_here
 
+    def knows_others(self, now_ms: int) -> bool:
+        """Whether this entry has heard what all others have in flight.
+
+        After a loss of power all entries start at once, and the first words
+        on loads miss most of them.
+        """
+        first_ms = self._first_summary_ms
+        return first_ms is not None and now_ms - first_ms >= LEARN_LOADS_MS
+
     def _watch_stalls(self, now_ms: int) -> None:
         pause_ms = now_ms - self._watched_ms
         self._watched_ms = now_ms
@@ -265,6 +277,8 @@
         self.entry_count = summary.entries
         self.loads.set_total(summary.in_flight)
         now_ms = self._clock.now_ms()
+        if self._first_summary_ms is None:
+            self._first_summary_ms = now_ms
         begun = frozenset(summary.stalled).difference(self._stalled_there)
         self._stalled_there = {
             s: self._stalled_there.get(s, now_ms) for s in summary.stalled
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from collections.abc import Iterator
 import random
+from typing import Final
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
@@ -11,6 +12,9 @@
 from lagooncrank.server import _shared_state
 from lagooncrank.server.seeded import _fleet_view
 
+#: Entries that are taken to run before their number is known.
+UNKNOWN_ENTRIES: Final = 8
+
 
 class Targets:
     """Chooses where a request goes."""
@@ -58,18 +62,24 @@
         """Returns how many more requests the groups of a model work on.
 
         Returns:
-            None if no group serves the model.
+            None if no group serves the model. Less than 1 if there are no
+            more places than requests.
         """
         heads = list(self._heads(service, model_name))
         if not heads:
             return None
         now_ms = self._clock.now_ms()
         avoided = self.suspects.avoided(now_ms) | self._view.stalled(now_ms)
-        sound = [t for t in heads if t.server_id not in avoided]
-        loads = self._view.loads
-        return sum(
-            max(t.slots - loads.of(t.server_id), 0) for t in sound or heads
-        )
+        usable = [t for t in heads if t.server_id not in avoided] or heads
+        loads = [self._view.loads.of(t.server_id) for t in usable]
+        pairs = zip(usable, loads, strict=True)
+        free = sum(max(t.slots - load, 0) for t, load in pairs)
+        if self._view.knows_others(now_ms):
+            return free
+        # The others take their part of the places at the same moment.
+        entries = max(self._view.entry_count, UNKNOWN_ENTRIES)
+        own_part = sum(t.slots for t in usable) // entries
+        return min(free, own_part - sum(loads))
 
     def failed(self, target: dispatch.Target) -> None:
         """Notes that a target failed a request."""
--- /dev/null
+++ b/lagooncrank/server/seeded/tests/test_all_entries_start_at_once.py
@@ -0,0 +1,54 @@
+"""Room for requests as each of many entries sees it after a loss of power."""
+
+import types
+from typing import Any
+from typing import cast
+
+import pytest
+
+from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank.core import dispatch
+from lagooncrank.server.seeded import _targets
+
+SERVICE = model.ServiceName("writers")
+SLOTS = 13
+HEADS = 10
+
+
+def targets_of(
+    *, knows_others: bool, entries: int, in_flight: int
+) -> _targets.Targets:
+    view: Any = types.SimpleNamespace(
+        loads=dispatch.LoadBook(),
+        stalled=lambda _: set(),
+        knows_others=lambda _: knows_others,
+        entry_count=entries,
+    )
+    view.loads.set_total({f"s{n}": in_flight // HEADS for n in range(HEADS)})
+    near = model.FailureDomainId("a")
+    found = _targets.Targets(near, cast(Any, None), view, clocks.ManualClock())
+    heads = [
+        dispatch.Target(
+            model.BackendServerId(f"s{n}"), "", SERVICE, near, SLOTS, f"g{n}"
+        )
+        for n in range(HEADS)
+    ]
+    found._heads = lambda *_: iter(heads)  # type: ignore[method-assign]
+    return found
+
+
+@pytest.mark.parametrize("entries", [1, 6, 9, 14])
+def test_entries_that_start_together_do_not_take_all_places_at_once(
+    entries: int,
+) -> None:
+    targets = targets_of(knows_others=False, entries=entries, in_flight=0)
+    room = targets.room(SERVICE, "large")
+    assert room is not None
+    running = max(entries, 9)
+    assert 0 < room * running <= HEADS * SLOTS * 1.2
+
+
+def test_entry_that_knows_the_others_uses_what_they_leave() -> None:
+    targets = targets_of(knows_others=True, entries=9, in_flight=100)
+    assert targets.room(SERVICE, "large") == HEADS * SLOTS - 100
