Share free places among entries; keep some for requests that can be in time

Every entry had some 30 requests waiting and took all places that it had last heard of as free, 0.3 to 0.6 s ago; late requests filled each place, so that fresh ones waited as well.

--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from lagooncrank.core.dispatch._line import Waiting
 from lagooncrank.core.dispatch._line import WaitingLine
 from lagooncrank.core.dispatch._loads import LoadBook
+from lagooncrank.core.dispatch._loads import Room
 from lagooncrank.core.dispatch._progress import StreamProgress
 from lagooncrank.core.dispatch._suspects import Suspects
 from lagooncrank.core.dispatch._types import Target
@@ -19,6 +20,7 @@
     "AllowanceRules",
     "LoadBook",
     "RetryAllowance",
+    "Room",
     "StreamProgress",
     "Suspects",
     "Target",
--- a/lagooncrank/core/dispatch/_line.py
+++ b/lagooncrank/core/dispatch/_line.py
@@ -91,7 +91,12 @@
         return tuple(self._waiting)
 
     def take(
-        self, pool: str, running: Mapping[str, int], now_ms: int
+        self,
+        pool: str,
+        running: Mapping[str, int],
+        now_ms: int,
+        *,
+        fresh_only: bool = False,
     ) -> Waiting | None:
         """Removes and returns the request whose turn it is, if any waits.
 
@@ -99,12 +104,18 @@
             pool: Pool that has a place.
             running: Requests that run, by client account.
             now_ms: Monotonic time.
+            fresh_only: Whether the place is kept for a request that can
+                still be in time.
         """
-        of_pool = self._waiting.get(pool)
-        if not of_pool:
+        candidates = [
+            r
+            for r in self._waiting.get(pool, {}).values()
+            if not fresh_only or r.is_fresh(now_ms)
+        ]
+        if not candidates:
             return None
         first = min(
-            of_pool.values(),
+            candidates,
             key=lambda r: self._order(r, running.get(r.account, 0), now_ms),
         )
         self.remove(first)
--- a/lagooncrank/core/dispatch/_loads.py
+++ b/lagooncrank/core/dispatch/_loads.py
@@ -1,6 +1,24 @@
 """Requests in flight at each target, the own ones and those of others."""
 
 from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+from typing import Final
+
+from lagooncrank.core.dispatch import _types
+
+#: Part of the places that late requests leave to those that may be in time.
+KEPT_PART: Final = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """What one entry may send to some targets now."""
+
+    #: Requests that it may send; less than 1 if it sends more already.
+    places: int
+    #: Places among them that are kept for requests that may be in time.
+    kept: int
 
 
 class LoadBook:
@@ -10,6 +28,8 @@
         self._own: dict[str, int] = {}
         self._others: dict[str, int] = {}
         self._told: dict[str, int] = {}
+        #: Own requests in flight when the others were last heard of.
+        self._own_then: dict[str, int] = {}
 
     def begin(self, server_id: str) -> None:
         """Counts a request that is sent."""
@@ -33,11 +53,38 @@
 
         The own part of that sum is taken to be what this entry told last.
         """
+        self._own_then = dict(self._own)
         self._others = {
             server_id: max(count - self._told.get(server_id, 0), 0)
             for server_id, count in in_flight.items()
         }
 
+    def room(self, targets: Sequence[_types.Target], entries: int) -> Room:
+        """Returns what this entry may send to some targets.
+
+        Entries hear of each other late. Each takes its part of the places
+        that were free when it last heard, and those that it frees itself.
+
+        Args:
+            targets: Targets of one pool.
+            entries: Entries that send to them.
+        """
+        own = sum(self._own.get(t.server_id, 0) for t in targets)
+        own_then = sum(self._own_then.get(t.server_id, 0) for t in targets)
+        free = sum(max(t.slots - self.of(t.server_id), 0) for t in targets)
+        free_then = sum(self._free_then(t) for t in targets)
+        part = max(round(free_then / entries), 1)
+        slots = sum(t.slots for t in targets)
+        return Room(
+            min(free, own_then + part - own),
+            int(slots * KEPT_PART / entries),
+        )
+
+    def _free_then(self, target: _types.Target) -> int:
+        own = self._own_then.get(target.server_id, 0)
+        others = self._others.get(target.server_id, 0)
+        return max(target.slots - own - others, 0)
+
     def of(self, server_id: str) -> int:
         """Returns the requests in flight at a server, as far as known."""
         return self._own.get(server_id, 0) + self._others.get(server_id, 0)
--- a/lagooncrank/core/dispatch/tests/test_burst_beyond_all_places.py
+++ b/lagooncrank/core/dispatch/tests/test_burst_beyond_all_places.py
@@ -119,3 +119,13 @@
     line.remove(waiting(1))
     assert line.take(POOL, {}, 0) is None
     assert not line.pools()
+
+
+def test_place_that_is_kept_is_not_given_to_a_late_request() -> None:
+    line = dispatch.WaitingLine(dispatch.ORDERS.get("fresh-first"))
+    line.add(waiting(1, arrived_ms=0))
+    assert line.take(POOL, {}, 1_000, fresh_only=True) is None
+    line.add(waiting(2, arrived_ms=950))
+    found = line.take(POOL, {}, 1_000, fresh_only=True)
+    assert found is not None
+    assert found.number == 2
--- /dev/null
+++ b/lagooncrank/core/dispatch/tests/test_many_wait_at_every_entry.py
@@ -0,0 +1,62 @@
+"""Every entry has more requests than the places that just came free."""
+
+import pytest
+
+from lagooncrank import model
+from lagooncrank.core import dispatch
+
+ENTRIES = 9
+SLOTS = 13
+TARGETS = [
+    dispatch.Target(
+        model.BackendServerId(f"s{n}"),
+        "",
+        model.ServiceName("writers"),
+        model.FailureDomainId("a"),
+        SLOTS,
+    )
+    for n in range(8)
+]
+PLACES = SLOTS * len(TARGETS)
+
+
+def book(in_flight: int, own: int = 0) -> dispatch.LoadBook:
+    """Returns what an entry knows: the same load at each target."""
+    found = dispatch.LoadBook()
+    for number in range(own):
+        found.begin(f"s{number % len(TARGETS)}")
+    found.tell()
+    found.set_total({t.server_id: in_flight for t in TARGETS})
+    return found
+
+
+@pytest.mark.parametrize("in_flight", [0, 6, 11])
+def test_entries_together_take_the_free_places_once(in_flight: int) -> None:
+    free = PLACES - in_flight * len(TARGETS)
+    room = book(in_flight).room(TARGETS, ENTRIES)
+    assert room.places * ENTRIES <= free + ENTRIES
+
+
+def test_entry_uses_again_what_it_frees_itself() -> None:
+    loads = book(in_flight=SLOTS, own=16)
+    before = loads.room(TARGETS, ENTRIES).places
+    loads.end("s0")
+    loads.end("s1")
+    assert before == 0
+    assert loads.room(TARGETS, ENTRIES).places == 2
+
+
+def test_part_is_used_up_until_others_are_heard_of_again() -> None:
+    loads = book(in_flight=4)
+    part = loads.room(TARGETS, ENTRIES).places
+    for number in range(part):
+        loads.begin(f"s{number % len(TARGETS)}")
+    assert loads.room(TARGETS, ENTRIES).places == 0
+    loads.tell()
+    loads.set_total({t.server_id: 5 for t in TARGETS})
+    assert loads.room(TARGETS, ENTRIES).places > 0
+
+
+def test_some_places_are_kept_for_requests_that_may_be_in_time() -> None:
+    room = book(in_flight=0).room(TARGETS, entries=1)
+    assert 0 < room.kept < room.places / 2
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -221,6 +221,9 @@
                 event = decisions.Event.REGAINED
             self._log.write(event, dependency="control nodes")
         self._is_connected = is_connected
+        if not is_connected:
+            # What was last heard of the others says nothing any more.
+            self.loads.set_total({})
         self.table.listen(now_ms, is_connected=is_connected)
 
     def _changed(self) -> None:
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -58,12 +58,13 @@
             knows_loads=self._view.entry_count <= dispatch.MAX_ENTRIES,
         )
 
-    def room(self, service: model.ServiceName, model_name: str) -> int | None:
-        """Returns how many more requests the groups of a model work on.
+    def room(
+        self, service: model.ServiceName, model_name: str
+    ) -> dispatch.Room | None:
+        """Returns what this entry may send to the groups of a model.
 
         Returns:
-            None if no group serves the model. Less than 1 if there are no
-            more places than requests.
+            None if no group serves the model.
         """
         heads = list(self._heads(service, model_name))
         if not heads:
@@ -71,15 +72,10 @@
         now_ms = self._clock.now_ms()
         avoided = self.suspects.avoided(now_ms) | self._view.stalled(now_ms)
         usable = [t for t in heads if t.server_id not in avoided] or heads
-        loads = [self._view.loads.of(t.server_id) for t in usable]
-        pairs = zip(usable, loads, strict=True)
-        free = sum(max(t.slots - load, 0) for t, load in pairs)
-        if self._view.knows_others(now_ms):
-            return free
-        # The others take their part of the places at the same moment.
-        entries = max(self._view.entry_count, UNKNOWN_ENTRIES)
-        own_part = sum(t.slots for t in usable) // entries
-        return min(free, own_part - sum(loads))
+        entries = max(self._view.entry_count, 1)
+        if not self._view.knows_others(now_ms):
+            entries = max(entries, UNKNOWN_ENTRIES)
+        return self._view.loads.room(usable, entries)
 
     def failed(self, target: dispatch.Target) -> None:
         """Notes that a target failed a request."""
--- a/lagooncrank/server/seeded/_turns.py
+++ b/lagooncrank/server/seeded/_turns.py
@@ -61,7 +61,7 @@
             return
         pool = f"{exchange.service} {model_name}"
         self._pools[pool] = (exchange.service, model_name)
-        if not self._line.length(pool) and self._room(pool) > 0:
+        if not self._line.length(pool) and self._room(pool).places > 0:
             return
         await self._wait_in_line(exchange, pool)
 
@@ -93,6 +93,7 @@
         woken = asyncio.get_running_loop().create_future()
         self._woken[exchange.number] = woken
         self._line.add(waiting)
+        self._give()
         self._recheck_soon()
         try:
             async with asyncio.timeout(limit_ms / MS_PER_S):
@@ -111,21 +112,27 @@
         """Gives free places to those whose turn it is."""
         now_ms = self._clock.now_ms()
         for pool in self._line.pools():
-            for _ in range(self._room(pool)):
-                waiting = self._line.take(pool, self._running, now_ms)
+            room = self._room(pool)
+            for places in range(room.places, 0, -1):
+                waiting = self._line.take(
+                    pool,
+                    self._running,
+                    now_ms,
+                    fresh_only=places <= room.kept,
+                )
                 if waiting is None:
                     break
                 self._given[pool] += 1
                 self._woken[waiting.number].set_result(None)
 
-    def _room(self, pool: str) -> int:
-        """Returns how many more requests of a pool may be sent."""
+    def _room(self, pool: str) -> dispatch.Room:
+        """Returns what may be sent of a pool beside the turns given."""
         service, model_name = self._pools[pool]
         room = self._targets.room(service, model_name)
         if room is None:
             # Nothing serves the model: who waits for it is told at once.
-            return self._line.length(pool) + 1
-        return room - self._given[pool]
+            return dispatch.Room(self._line.length(pool) + 1, 0)
+        return dispatch.Room(room.places - self._given[pool], room.kept)
 
     def _recheck_soon(self) -> None:
         if self._recheck is None:
--- a/lagooncrank/server/seeded/tests/test_all_entries_start_at_once.py
+++ b/lagooncrank/server/seeded/tests/test_all_entries_start_at_once.py
@@ -46,9 +46,11 @@
     room = targets.room(SERVICE, "large")
     assert room is not None
     running = max(entries, 9)
-    assert 0 < room * running <= HEADS * SLOTS * 1.2
+    assert 0 < room.places * running <= HEADS * SLOTS * 1.2
 
 
 def test_entry_that_knows_the_others_uses_what_they_leave() -> None:
     targets = targets_of(knows_others=True, entries=9, in_flight=100)
-    assert targets.room(SERVICE, "large") == HEADS * SLOTS - 100
+    room = targets.room(SERVICE, "large")
+    assert room is not None
+    assert room.places == round((HEADS * SLOTS - 100) / 9)
--- a/lagooncrank/server/seeded/tests/test_turns.py
+++ b/lagooncrank/server/seeded/tests/test_turns.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lagooncrank import clock as clocks
+from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _turns
 
@@ -22,12 +23,15 @@
         self.places = places
         self.view = types.SimpleNamespace(entry_count=entries)
         self.turns = _turns.Turns(
-            cast(Any, types.SimpleNamespace(room=lambda *_: self.places)),
+            cast(Any, types.SimpleNamespace(room=lambda *_: self._room())),
             cast(Any, self.view),
             _entry_metrics.EntryMetrics(),
             clocks.ManualClock(),
         )
 
+    def _room(self) -> dispatch.Room | None:
+        return None if self.places is None else dispatch.Room(self.places, 0)
+
     async def send(self, request: Any) -> None:
         """Waits for a turn and takes a place."""
         await self.turns.wait(request)
