Give no turn to a caller that has just left; forget pools that nobody waits for

Found by reading: a place that came free in the same turn of the loop as a caller's leaving ended another request with InvalidStateError (test failed before), and model names that callers made up were kept for good.

--- a/lagooncrank/server/seeded/_turns.py
+++ b/lagooncrank/server/seeded/_turns.py
@@ -60,10 +60,16 @@
         if not model_name or not knows_loads:
             return
         pool = f"{exchange.service} {model_name}"
-        self._pools[pool] = (exchange.service, model_name)
-        if not self._line.length(pool) and self._room(pool).places > 0:
+        is_first = pool not in self._pools
+        if is_first and self._has_place(exchange.service, model_name):
             return
-        await self._wait_in_line(exchange, pool)
+        self._pools[pool] = (exchange.service, model_name)
+        try:
+            await self._wait_in_line(exchange, pool)
+        finally:
+            if not self._line.length(pool) and not self._given[pool]:
+                self._pools.pop(pool, None)
+                self._given.pop(pool, None)
 
     def begin(self, exchange: _exchange.Exchange) -> None:
         """Counts a request that is sent."""
@@ -122,8 +128,15 @@
                 )
                 if waiting is None:
                     break
-                self._given[pool] += 1
-                self._woken[waiting.number].set_result(None)
+                woken = self._woken[waiting.number]
+                if not woken.done():
+                    # Otherwise its caller has left just now.
+                    self._given[pool] += 1
+                    woken.set_result(None)
+
+    def _has_place(self, service: model.ServiceName, model_name: str) -> bool:
+        room = self._targets.room(service, model_name)
+        return room is None or room.places > 0
 
     def _room(self, pool: str) -> dispatch.Room:
         """Returns what may be sent of a pool beside the turns given."""
--- a/lagooncrank/server/seeded/tests/test_turns.py
+++ b/lagooncrank/server/seeded/tests/test_turns.py
@@ -94,6 +94,20 @@
     assert not waiting[1].cancelled()
 
 
+async def test_place_that_comes_free_as_a_caller_leaves_is_no_problem() -> None:
+    site = Site(places=1)
+    first, second, third = (request(n) for n in range(3))
+    await site.send(first)
+    waiting = [asyncio.create_task(site.send(r)) for r in (second, third)]
+    await turn_of_loop()
+    waiting[0].cancel()
+    site.end(first)
+    await asyncio.sleep(2 * _turns.RECHECK_S)
+    assert waiting[1].done()
+    assert not waiting[1].cancelled()
+    assert not site.turns._pools
+
+
 async def test_request_is_told_before_its_time_is_over() -> None:
     site = Site(places=0)
     with pytest.raises(_turns.NoTurnError):
