--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -8,6 +8,7 @@
 
 from soak import _callers
 from soak import _ledger
+from soak import _losses
 from soak import _nodes
 from soak import _operator
 from soak import _proxy
@@ -42,8 +43,7 @@
         self._server_proxies: dict[str, _proxy.Proxy] = {}
         self._engines = engines
         self._started = 0
-        #: Held while a disk is lost: one at a time may be.
-        self.disk_losses = asyncio.Lock()
+        self.losses = _losses.Losses()
         self.callers = _callers.Callers(self.entries, self.ledger, self.random)
         self.operator = _operator.Operator(
             self.controls, self.ledger, self.random
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -21,8 +21,10 @@
 #: Every kind of fault by name.
 FAULTS: Final[registry.Registry[Fault]] = registry.Registry("fault")
 
-#: Time that a node with a new disk has before another one loses its own.
-CATCH_UP_S: Final = 5.0
+#: Kinds after which a disk is empty.
+DISK_LOSSES: Final = frozenset({"lose-disk"})
+#: Kinds that harm backend servers alone.
+OF_SERVERS: Final = frozenset({"replace-servers", "bad-answers", "drain"})
 
 
 async def _down(node: _nodes.Node, number: signal.Signals) -> None:
@@ -84,14 +86,12 @@
     site: _deployment.Deployment, random_: random.Random, for_s: float
 ) -> None:
     """A control node comes back with an empty disk."""
-    async with site.disk_losses:
-        node = random_.choice(site.controls)
-        await _down(node, signal.SIGKILL)
-        node.wipe()
-        await asyncio.sleep(for_s / 2)
-        if not node.runs:
-            await node.start()
-        await asyncio.sleep(CATCH_UP_S)
+    node = random_.choice(site.controls)
+    await _down(node, signal.SIGKILL)
+    node.wipe()
+    await asyncio.sleep(for_s / 2)
+    if not node.runs:
+        await node.start()
 
 
 @FAULTS.register("reload")
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -94,11 +94,24 @@
             for_s = random_.uniform(*FAULT_S)
             # Each fault draws for itself, whatever the others do meanwhile.
             own = random.Random(random_.random())
-            fault = _faults.FAULTS.get(name)
-            group.create_task(fault(site, own, for_s))
+            group.create_task(_carry_out(site, name, own, for_s))
             await asyncio.sleep(random_.uniform(*GAP_S))
 
 
+async def _carry_out(
+    site: _deployment.Deployment,
+    name: str,
+    random_: random.Random,
+    for_s: float,
+) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        if name in _faults.DISK_LOSSES:
+            await stack.enter_async_context(site.losses.of_a_disk())
+        elif name not in _faults.OF_SERVERS:
+            await stack.enter_async_context(site.losses.of_another_kind())
+        await _faults.FAULTS.get(name)(site, random_, for_s)
+
+
 async def _wait_for_service(site: _deployment.Deployment, after: str) -> None:
     """Waits until requests are served and changes acknowledged."""
     served = site.callers.served + ENOUGH_SERVED
