Let an entry take three parts of the free places once it knows the others

While the others are not known it stays at one part: all entries then have much to send at once. The test that together they take the free places once holds for that case; with the others known the bound is three parts, as they rarely have much to send at the same moment.

--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from lagooncrank.core.dispatch._line import Waiting
 from lagooncrank.core.dispatch._line import WaitingLine
 from lagooncrank.core.dispatch._loads import LoadBook
+from lagooncrank.core.dispatch._loads import PARTS
 from lagooncrank.core.dispatch._loads import Room
 from lagooncrank.core.dispatch._progress import StreamProgress
 from lagooncrank.core.dispatch._suspects import Suspects
@@ -17,6 +18,7 @@
 __all__ = [
     "MAX_ENTRIES",
     "ORDERS",
+    "PARTS",
     "AllowanceRules",
     "LoadBook",
     "RetryAllowance",
--- a/lagooncrank/core/dispatch/_loads.py
+++ b/lagooncrank/core/dispatch/_loads.py
@@ -7,6 +7,9 @@
 
 from lagooncrank.core.dispatch import _types
 
+#: Parts of the free places that an entry may take while it knows the others:
+#: they rarely have much to send at the same moment.
+PARTS: Final = 3
 #: Part of the places that late requests leave to those that may be in time.
 KEPT_PART: Final = 0.3
 
@@ -59,24 +62,33 @@
             for server_id, count in in_flight.items()
         }
 
-    def room(self, targets: Sequence[_types.Target], entries: int) -> Room:
+    def room(
+        self,
+        targets: Sequence[_types.Target],
+        entries: int,
+        *,
+        knows_others: bool,
+    ) -> Room:
         """Returns what this entry may send to some targets.
 
-        Entries hear of each other late. Each takes its part of the places
+        Entries hear of each other late. Each takes some parts of the places
         that were free when it last heard, and those that it frees itself.
 
         Args:
             targets: Targets of one pool.
             entries: Entries that send to them.
+            knows_others: Whether the load of all other entries is known;
+                when all start at once it is not, and all have much to send.
         """
         own = sum(self._own.get(t.server_id, 0) for t in targets)
         own_then = sum(self._own_then.get(t.server_id, 0) for t in targets)
         free = sum(max(t.slots - self.of(t.server_id), 0) for t in targets)
         free_then = sum(self._free_then(t) for t in targets)
-        part = max(round(free_then / entries), 1)
+        parts = PARTS if knows_others else 1
+        allowed = max(round(parts * free_then / entries), 1)
         slots = sum(t.slots for t in targets)
         return Room(
-            min(free, own_then + part - own),
+            min(free, own_then + allowed - own),
             int(slots * KEPT_PART / entries),
         )
 
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -73,9 +73,10 @@
         avoided = self.suspects.avoided(now_ms) | self._view.stalled(now_ms)
         usable = [t for t in heads if t.server_id not in avoided] or heads
         entries = max(self._view.entry_count, 1)
-        if not self._view.knows_others(now_ms):
+        knows_others = self._view.knows_others(now_ms)
+        if not knows_others:
             entries = max(entries, UNKNOWN_ENTRIES)
-        return self._view.loads.room(usable, entries)
+        return self._view.loads.room(usable, entries, knows_others=knows_others)
 
     def failed(self, target: dispatch.Target) -> None:
         """Notes that a target failed a request."""
