--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -43,6 +43,8 @@
         self._server_proxies: dict[str, _proxy.Proxy] = {}
         self._engines = engines
         self._started = 0
+        #: When the start began, on the clock of the loop.
+        self.began_s = 0.0
         self.losses = _losses.Losses()
         self.callers = _callers.Callers(self.entries, self.ledger, self.random)
         self.operator = _operator.Operator(
@@ -63,8 +65,8 @@
 
     async def start(self) -> None:
         """Starts all; callers and the operator begin at once."""
-        for node in self.nodes:
-            await node.start()
+        self.began_s = asyncio.get_running_loop().time()
+        await asyncio.gather(*(node.start() for node in self.nodes))
         for _ in range(self._engines):
             await self.add_server("writers", "d1")
         for _ in range(2):
@@ -94,7 +96,9 @@
         self._server_proxies[server.server_id] = proxy
 
     async def lose_server(self, server: _servers.CheckedServer) -> None:
-        """Ends a backend server without a word."""
+        """Ends a backend server without a word, unless it has ended."""
+        if not server.is_running:
+            return
         server.is_running = False
         await server.stop()
         await self._server_proxies.pop(server.server_id).stop()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -54,9 +54,7 @@
     for node in site.controls:
         await node.wait()
     await asyncio.sleep(for_s / 2)
-    for node in site.controls:
-        if not node.runs:
-            await node.start()
+    await asyncio.gather(*(n.start() for n in site.controls if not n.runs))
 
 
 @FAULTS.register("restart")
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -16,6 +16,7 @@
 
 PROGRAM: Final = pathlib.Path("platform") / "run.py"
 STOP_GRACE_S: Final = 20.0
+START_POLL_S: Final = 0.1
 
 
 def free_port(ip: str) -> int:
@@ -82,6 +83,19 @@
                 stderr=log,
                 env=environment,
             )
+        await self._wait_until_it_listens()
+
+    async def _wait_until_it_listens(self) -> None:
+        """Waits for the end of the start; a busy machine takes seconds."""
+        host, _, port = self.public.target.rpartition(":")
+        while self.runs:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(START_POLL_S)
+                continue
+            writer.close()
+            return
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it lives."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -82,7 +82,7 @@
 
 
 async def _harm(
-    site: _deployment.Deployment, setup: Setup, names: list[str]
+    site: _deployment.Deployment, setup: Setup, faults: list[str]
 ) -> None:
     """Begins faults one after the other; they may overlap."""
     random_ = random.Random(setup.seed)
@@ -90,11 +90,10 @@
     async with asyncio.TaskGroup() as group:
         while asyncio.get_running_loop().time() < until_s:
             name = random_.choice(_faults.FAULTS.names())
-            names.append(name)
             for_s = random_.uniform(*FAULT_S)
             # Each fault draws for itself, whatever the others do meanwhile.
             own = random.Random(random_.random())
-            group.create_task(_carry_out(site, name, own, for_s))
+            group.create_task(_carry_out(site, name, own, for_s, faults))
             await asyncio.sleep(random_.uniform(*GAP_S))
 
 
@@ -103,13 +102,21 @@
     name: str,
     random_: random.Random,
     for_s: float,
+    faults: list[str],
 ) -> None:
+    """Carries a fault out and notes when it began and ended."""
     async with contextlib.AsyncExitStack() as stack:
         if name in _faults.DISK_LOSSES:
             await stack.enter_async_context(site.losses.of_a_disk())
         elif name not in _faults.OF_SERVERS:
             await stack.enter_async_context(site.losses.of_another_kind())
+        began_s = _since_s(site)
         await _faults.FAULTS.get(name)(site, random_, for_s)
+        faults.append(f"{name}@{began_s:.1f}-{_since_s(site):.1f}")
+
+
+def _since_s(site: _deployment.Deployment) -> float:
+    return asyncio.get_running_loop().time() - site.began_s
 
 
 async def _wait_for_service(site: _deployment.Deployment, after: str) -> None:
