Soak: a member that was ready and has left is no broken promise

The users' rule asks that each member was ever ready under that epoch, which it was; the check asked that it still is. It now asks for the rule's own condition, also of members that are lost.

--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -27,17 +27,20 @@
         self._ledger = ledger
         self._others = others
         self._members: list[str] = []
+        self._ready_epochs: set[int] = set()
         self.is_running = True
 
-    def epoch_of(self) -> int | None:
-        """Returns the epoch of the group that this server is a member of."""
-        return None if self.group is None else int(self.group["epoch"])
+    def was_ready_in(self, epoch: int) -> bool:
+        """Whether this server was ever ready in a group's epoch."""
+        return epoch in self._ready_epochs
 
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
         if order["operation"] == "join":
             self._check_join(order)
             self._members = list(order["members"])
+            # A join takes effect at once and is reported as ready.
+            self._ready_epochs.add(int(order["epoch"]))
         return await super()._order(request)
 
     def _check_join(self, order: dict[str, Any]) -> None:
@@ -70,13 +73,12 @@
         if self.group is None or self.group["state"] != "open":
             headers = {"Attempt-Id": attempt_id, "Not-Executed": "no group"}
             return web.Response(status=421, headers=headers)
+        epoch = int(self.group["epoch"])
         for member in self._members:
             other = self._others.get(member)
-            # One that was ready and is lost excuses.
-            is_lost = other is None or not other.is_running
-            if not is_lost and other.epoch_of() != self.epoch_of():  # type: ignore[union-attr]
+            if other is None or not other.was_ready_in(epoch):
                 self._ledger.problem(
-                    f"{self.server_id} serves epoch {self.epoch_of()} "
-                    f"without member {member}"
+                    f"{self.server_id} serves epoch {epoch}, in which "
+                    f"{member} was never ready"
                 )
         return None
