Renew no report whose content this node has missed; ask for it instead

A control node that had been cut off held an engine's word from before it joined group g18. After the cut it got renewals, which carry a sequence and no content: the old word looked new. The node became leader, took the open head for one that had left, ended g18 and told its members to join g19. Ruled out: the end of groups whose lost head has no members (g18 had four), and the reports themselves (complete at the node that had heard them). A renewal now names the content that it renews by the sequence of its first report; who holds another one asks the sender for the whole report. The test failed before.

--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -9,6 +9,7 @@
 from lagooncrank.core.fleet._servers import KnownServer
 from lagooncrank.core.fleet._servers import Renewal
 from lagooncrank.core.fleet._servers import ReportBatch
+from lagooncrank.core.fleet._servers import ReportsWanted
 from lagooncrank.core.fleet._servers import ServerTable
 
 __all__ = [
@@ -20,6 +21,7 @@
     "NodeTable",
     "Renewal",
     "ReportBatch",
+    "ReportsWanted",
     "ServerTable",
     "choose_entries",
 ]
--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -32,6 +32,8 @@
 
     report: model.ServerReport
     age_ms: int
+    #: Sequence of the first report with this content, as the sender knows.
+    content_sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +44,15 @@
     born_ms: int
     sequence: int
     age_ms: int
+    #: Names the content that the report renews.
+    content_sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportsWanted:
+    """Asks for the content of reports whose renewals say nothing here."""
+
+    server_ids: tuple[model.BackendServerId, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +72,8 @@
     heard_ms: int
     #: The same by the time for which this node has listened.
     heard_at_listened_ms: int
+    #: Sequence of the first report with this content.
+    content_sequence: int
 
 
 class ServerTable:
@@ -85,10 +98,22 @@
         self._ticked_ms: int | None = None
         self._changed: set[model.BackendServerId] = set()
         self._renewed: set[model.BackendServerId] = set()
+        self._wanted: set[model.BackendServerId] = set()
 
-    def put(self, report: model.ServerReport, heard_ms: int) -> bool:
+    def put(
+        self,
+        report: model.ServerReport,
+        heard_ms: int,
+        content_sequence: int | None = None,
+    ) -> bool:
         """Takes a report.
 
+        Args:
+            report: The report.
+            heard_ms: When it arrived at the system.
+            content_sequence: Sequence of the first report with its content;
+                None if it came from the server itself.
+
         Returns:
             Whether it says more than that the server lives.
         """
@@ -100,31 +125,58 @@
             report = _never_back(held, report)
         if held is None or held.start != report.start:
             self.newest_start_ms = max(self.newest_start_ms, heard_ms)
+        is_renewed = held is not None and _differ_by_sequence_only(held, report)
+        if content_sequence is None:
+            content_sequence = report.sequence
+            if is_renewed and known is not None:
+                content_sequence = known.content_sequence
         age_ms = self._age_ms(heard_ms)
         self._servers[report.server_id] = KnownServer(
-            report, heard_ms, self._listened_ms - age_ms
+            report, heard_ms, self._listened_ms - age_ms, content_sequence
         )
         self._take_address(report)
-        if held is not None and _differ_by_sequence_only(held, report):
+        if is_renewed:
             self._renewed.add(report.server_id)
             return False
         self._changed.add(report.server_id)
         return True
 
     def renew(self, renewal: Renewal, heard_ms: int) -> None:
-        """Takes a report without its content."""
+        """Takes a report without its content.
+
+        It renews nothing if this node missed the content: what it holds
+        would look fresh though the server has said otherwise since.
+        """
         known = self._servers.get(renewal.server_id)
         if known is None or known.report.born_ms != renewal.born_ms:
+            self._wanted.add(renewal.server_id)
             return
         if known.report.sequence >= renewal.sequence:
             return
+        if known.content_sequence != renewal.content_sequence:
+            self._wanted.add(renewal.server_id)
+            return
         report = dataclasses.replace(known.report, sequence=renewal.sequence)
-        self.put(report, heard_ms)
+        self.put(report, heard_ms, renewal.content_sequence)
+
+    def take_wanted(self) -> ReportsWanted | None:
+        """Returns what the last batch left unknown, to ask its sender."""
+        if not self._wanted:
+            return None
+        wanted = ReportsWanted(tuple(sorted(self._wanted)))
+        self._wanted.clear()
+        return wanted
+
+    def reports_of(self, wanted: ReportsWanted, now_ms: int) -> ReportBatch:
+        """Returns the reports that another node asks for."""
+        found = [self._servers.get(s) for s in wanted.server_ids]
+        return ReportBatch(tuple(_aged(k, now_ms) for k in found if k))
 
     def merge(self, batch: ReportBatch, now_ms: int) -> None:
         """Takes what another node passed on."""
         for aged in batch.reports:
-            self.put(aged.report, now_ms - aged.age_ms)
+            heard_ms = now_ms - aged.age_ms
+            self.put(aged.report, heard_ms, aged.content_sequence)
         for renewal in batch.renewals:
             self.renew(renewal, now_ms - renewal.age_ms)
 
@@ -195,10 +247,7 @@
     def whole(self, now_ms: int) -> ReportBatch:
         """Returns all that is known, for a node that knows nothing."""
         return ReportBatch(
-            tuple(
-                AgedReport(k.report, now_ms - k.heard_ms)
-                for k in self._servers.values()
-            )
+            tuple(_aged(k, now_ms) for k in self._servers.values())
         )
 
     def take_news(self, now_ms: int) -> ReportBatch | None:
@@ -210,7 +259,7 @@
         self._changed.clear()
         self._renewed.clear()
         return ReportBatch(
-            tuple(AgedReport(k.report, now_ms - k.heard_ms) for k in changed),
+            tuple(_aged(k, now_ms) for k in changed),
             tuple(_renewal(k, now_ms) for k in renewed),
         )
 
@@ -271,6 +320,12 @@
     return dataclasses.replace(held, sequence=report.sequence) == report
 
 
+def _aged(known: KnownServer, now_ms: int) -> AgedReport:
+    return AgedReport(
+        known.report, now_ms - known.heard_ms, known.content_sequence
+    )
+
+
 def _renewal(known: KnownServer, now_ms: int) -> Renewal:
     report = known.report
     return Renewal(
@@ -278,4 +333,5 @@
         report.born_ms,
         report.sequence,
         now_ms - known.heard_ms,
+        known.content_sequence,
     )
--- a/lagooncrank/core/fleet/tests/test_servers.py
+++ b/lagooncrank/core/fleet/tests/test_servers.py
@@ -188,7 +188,7 @@
     table = fleet.ServerTable(LOST_AFTER_MS)
     table.put(report(), 100)
     whole = table.whole(350)
-    assert whole.reports == (fleet.AgedReport(report(), 250),)
+    assert whole.reports == (fleet.AgedReport(report(), 250, 1),)
 
 
 def test_notices_are_ordered_by_start_and_number() -> None:
@@ -229,3 +229,36 @@
     nodes.put(own, 0)
     voters = (model.NodeId("own"), model.NodeId("b"), model.NodeId("c"))
     assert nodes.summary(500, voters).control_nodes == voters
+
+
+def test_renewal_of_content_that_was_missed_makes_nothing_fresh() -> None:
+    """A node that was cut off holds what a server said before.
+
+    It took a head for one that had left its group, as a later sign of life
+    made the old word look new.
+    """
+    sender = fleet.ServerTable(LOST_AFTER_MS)
+    receiver = fleet.ServerTable(LOST_AFTER_MS)
+    old = report(sequence=1)
+    changed = dataclasses.replace(
+        report(sequence=2), staged=("large",), loaded=("large",)
+    )
+    sender.put(old, 0)
+    receiver.merge(sender.whole(0), 0)
+    sender.take_news(0)
+    sender.put(changed, 100)
+    sender.take_news(100)  # Lost on the way.
+    sender.put(dataclasses.replace(changed, sequence=3), 200)
+    renewal = sender.take_news(200)
+    assert renewal is not None
+    receiver.merge(renewal, 200)
+    held = receiver.get(old.server_id)
+    assert held is not None
+    assert held.report == old
+    wanted = receiver.take_wanted()
+    assert wanted is not None
+    receiver.merge(sender.reports_of(wanted, 210), 210)
+    held = receiver.get(old.server_id)
+    assert held is not None
+    assert held.report.staged == ("large",)
+    assert receiver.take_wanted() is None
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -39,6 +39,7 @@
 _REPORTS: Final = "server-reports"
 _NOTICES: Final = "node-notices"
 _SUMMARY: Final = "fleet-summary"
+_WANTED: Final = "reports-wanted"
 
 
 class FleetView(mode.Service):  # type: ignore[misc, unused-ignore]
@@ -90,6 +91,7 @@
         self._stalled_there: dict[str, int] = {}
         links.on_message(_REPORTS, fleet.ReportBatch, self._on_reports)
         links.on_message(_NOTICES, fleet.NodeNotices, self._on_notices)
+        links.on_message(_WANTED, fleet.ReportsWanted, self._on_wanted)
         links.on_message(_SUMMARY, fleet.FleetSummary, self._on_summary)
         links.on_connected(self._on_connected)
 
@@ -258,9 +260,19 @@
         self, sender: model.NodeId, batch: fleet.ReportBatch
     ) -> None:
         self.table.merge(batch, self._clock.now_ms())
+        wanted = self.table.take_wanted()
+        if wanted is not None:
+            self._links.send(sender, _WANTED, wanted)
         if batch.reports:
             self._changed()
 
+    def _on_wanted(
+        self, sender: model.NodeId, wanted: fleet.ReportsWanted
+    ) -> None:
+        batch = self.table.reports_of(wanted, self._clock.now_ms())
+        if batch.reports:
+            self._links.send(sender, _REPORTS, batch)
+
     def _on_notices(
         self, sender: model.NodeId, batch: fleet.NodeNotices
     ) -> None:
