--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -48,6 +48,7 @@
         self._settings_file = plan.folder / f"{ip}.yaml"
         self._is_first_start = True
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
         #: Reached by peers, and by callers or operators.
         self.peers = self._proxy_to(f"{ip}:{plan.peer_port}")
         self.public = self._proxy_to(f"{ip}:{free_port(ip)}")
@@ -64,7 +65,15 @@
         return process is not None and process.returncode is None
 
     async def start(self) -> None:
-        """Starts the process, and its proxies the first time."""
+        """Starts the process unless it runs, and its proxies the first time.
+
+        Faults that overlap may both want to start it again.
+        """
+        async with self._starting:
+            if not self.runs:
+                await self._start()
+
+    async def _start(self) -> None:
         if self._is_first_start:
             for proxy in self.proxies:
                 await proxy.start()
--- /dev/null
+++ b/soak/tests/test_nodes.py
@@ -0,0 +1,27 @@
+"""Processes of a soak are started once and all ended."""
+
+import asyncio
+import pathlib
+
+from soak import _nodes
+
+
+async def test_two_faults_that_start_a_node_start_one_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    plan = _nodes.Plan(
+        tmp_path, _nodes.free_port("127.0.9.5"), ("127.0.9.5:1",)
+    )
+    node = _nodes.Node(plan, "127.0.9.5", "control")
+    started: list[object] = []
+
+    async def start_process() -> None:
+        await asyncio.sleep(0)
+        started.append(node)
+        node._process = await asyncio.create_subprocess_exec("sleep", "60")
+
+    node._start = start_process  # type: ignore[method-assign]
+    await asyncio.gather(node.start(), node.start())
+    assert len(started) == 1
+    await node.stop()
+    assert not node.runs
