Keep the provider's names of the soak in the adapter's tests

The soak spelled headers, paths, order fields and the settings variable a second time, outside platform/.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -6,13 +6,12 @@
 from typing import Final
 
 import aiohttp
-from lagooncrank_platform.tests import site
+from lagooncrank_platform.tests import outside
 from lagooncrank_platform.tests import stand_in
 
 from soak import _ledger
 from soak import _nodes
 
-HOST: Final = "h.example"
 PAUSE_S: Final = (0.0, 0.1)
 TIMEOUT: Final = aiohttp.ClientTimeout(total=10.0)
 NO_STATUS: Final = 0
@@ -47,13 +46,7 @@
         path, may_repeat = self._random.choice(KINDS)
         attempt_id = f"a{next(self._numbers)}"
         entry = self._random.choice(self._entries)
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": attempt_id,
-            "Credential": site.KEY,
-        }
-        if path.startswith("/draft/"):
-            headers["Model"] = "m"
+        headers = outside.request_headers(path, attempt_id)
         self._ledger.sent(_ledger.Sent(attempt_id, may_repeat))
         url = f"http://{entry.public.listen}{path}"
         try:
@@ -73,14 +66,14 @@
     def _note_head(
         self, attempt_id: str, response: aiohttp.ClientResponse
     ) -> None:
-        signature = response.headers.get("Server-Signature", "")
-        self._ledger.answered(attempt_id, response.status, signature)
-        answered_id = response.headers.get("Attempt-Id", attempt_id)
-        if answered_id != attempt_id:
+        signer = outside.signer_of(response.headers)
+        self._ledger.answered(attempt_id, response.status, signer)
+        answered_id = outside.answered_attempt(response.headers)
+        if answered_id not in (None, attempt_id):
             self._ledger.problem(f"{attempt_id} got the answer {answered_id}")
 
     def _check_body(self, attempt_id: str, path: str, body: bytes) -> None:
-        if not path.startswith("/draft/"):
+        if not path.startswith(outside.ENGINE_PREFIX):
             if body != b"done":
                 self._ledger.problem(f"{attempt_id}: body {body!r}")
             return
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -6,6 +6,8 @@
 import random
 from typing import Final
 
+from lagooncrank_platform.tests import site
+
 from soak import _callers
 from soak import _ledger
 from soak import _losses
@@ -32,7 +34,7 @@
         ips = [f"{network}.{n}" for n in range(1, CONTROLS + entries + 1)]
         plan = _nodes.Plan(
             folder,
-            _nodes.free_port(ips[0]),
+            site.free_port(ips[0]),
             tuple(f"{ip}:1" for ip in ips[:CONTROLS]),
         )
         self.controls = [
@@ -88,7 +90,7 @@
         )
         server.born = self._started
         await server.start()
-        listen = f"127.0.0.1:{_nodes.free_port('127.0.0.1')}"
+        listen = f"127.0.0.1:{site.free_port('127.0.0.1')}"
         proxy = _proxy.Proxy(listen, server.address)
         await proxy.start()
         server.address = listen
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -39,15 +39,15 @@
             return
         self._runs.setdefault(attempt_id, []).append(server_id)
 
-    def answered(self, attempt_id: str, status: int, signature: str) -> None:
-        """Takes the head of an answer."""
+    def answered(self, attempt_id: str, status: int, signer: str) -> None:
+        """Takes the head of an answer and the server that signed it."""
         self.statuses[status] += 1
         self._status[attempt_id] = status
         if status != OK:
             return
         runs = self._runs.get(attempt_id, [])
-        if signature.removeprefix("by-") not in runs:
-            self.problem(f"{attempt_id}: success of {signature!r}, ran {runs}")
+        if signer not in runs:
+            self.problem(f"{attempt_id}: success of {signer!r}, ran {runs}")
 
     def problem(self, text: str) -> None:
         """Notes a broken promise."""
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -6,10 +6,11 @@
 import pathlib
 import shutil
 import signal
-import socket
 import sys
 from typing import Final
 
+from lagooncrank_platform.tests import outside
+from lagooncrank_platform.tests import site
 import yaml
 
 from soak import _proxy
@@ -19,14 +20,6 @@
 START_POLL_S: Final = 0.1
 
 
-def free_port(ip: str) -> int:
-    """Returns a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """What all nodes of one deployment share."""
@@ -51,7 +44,7 @@
         self._starting = asyncio.Lock()
         #: Reached by peers, and by callers or operators.
         self.peers = self._proxy_to(f"{ip}:{plan.peer_port}")
-        self.public = self._proxy_to(f"{ip}:{free_port(ip)}")
+        self.public = self._proxy_to(f"{ip}:{site.free_port(ip)}")
 
     @property
     def proxies(self) -> tuple[_proxy.Proxy, ...]:
@@ -82,7 +75,7 @@
         self._is_first_start = False
         environment = {
             **os.environ,
-            "LAGOONCRANK_BOOT": str(self._settings_file),
+            outside.SETTINGS_VARIABLE: str(self._settings_file),
         }
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -139,7 +132,7 @@
         self._write_settings()
 
     def _proxy_to(self, listen: str) -> _proxy.Proxy:
-        hidden = f"{self.ip}:{free_port(self.ip)}"
+        hidden = f"{self.ip}:{site.free_port(self.ip)}"
         return _proxy.Proxy(listen, hidden)
 
     def _write_settings(self) -> None:
@@ -147,10 +140,10 @@
         listen = {"peers": self.peers.target}
         listen["operators" if is_control else "callers"] = self.public.target
         if not is_control:
-            listen["readiness"] = f"{self.ip}:{free_port(self.ip)}"
+            listen["readiness"] = f"{self.ip}:{site.free_port(self.ip)}"
         if is_control:
-            listen["directory"] = f"{self.ip}:{free_port(self.ip)}"
-        listen["metrics"] = f"{self.ip}:{free_port(self.ip)}"
+            listen["directory"] = f"{self.ip}:{site.free_port(self.ip)}"
+        listen["metrics"] = f"{self.ip}:{site.free_port(self.ip)}"
         content = {
             "role": self.role,
             "ip": self.ip,
--- a/soak/_operator.py
+++ b/soak/_operator.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import aiohttp
+from lagooncrank_platform.tests import outside
 from lagooncrank_platform.tests import site
 
 from soak import _ledger
@@ -41,31 +42,29 @@
                 await self.read(session)
                 await asyncio.sleep(self._random.uniform(*PAUSE_S))
 
-    async def put(self, session: aiohttp.ClientSession) -> bool:
-        """Sends the next version; whether it was acknowledged."""
+    async def put(self, session: aiohttp.ClientSession) -> None:
+        """Sends the next version."""
         self._version += 1
         version = self._version
         content = json.dumps({**site.DOCUMENT, "version": version}).encode()
         status, _ = await self._call(
-            session, "POST", "/-/config/replace", content
+            session, "POST", outside.REPLACE_DOCUMENT, content
         )
         if status == OK:
             self.acknowledged = max(self.acknowledged, version)
-        return status == OK
 
-    async def read(self, session: aiohttp.ClientSession) -> bool:
-        """Reads from any node; whether there was a document."""
+    async def read(self, session: aiohttp.ClientSession) -> None:
+        """Reads from any node; it may not be able to tell."""
         expected = self.acknowledged
-        status, body = await self._call(session, "GET", "/-/config/describe")
+        status, body = await self._call(session, "GET", outside.READ_DOCUMENT)
         if status != OK:
-            return False
+            return
         found: dict[str, Any] = json.loads(body)
         if found["version"] < expected:
             self._ledger.problem(
                 f"version {found['version']} was read after the "
                 f"acknowledgement of {expected}"
             )
-        return True
 
     async def _call(
         self,
--- a/soak/tests/test_nodes.py
+++ b/soak/tests/test_nodes.py
@@ -3,15 +3,15 @@
 import asyncio
 import pathlib
 
+from lagooncrank_platform.tests import site
+
 from soak import _nodes
 
 
 async def test_two_faults_that_start_a_node_start_one_process(
     tmp_path: pathlib.Path,
 ) -> None:
-    plan = _nodes.Plan(
-        tmp_path, _nodes.free_port("127.0.9.5"), ("127.0.9.5:1",)
-    )
+    plan = _nodes.Plan(tmp_path, site.free_port("127.0.9.5"), ("127.0.9.5:1",))
     node = _nodes.Node(plan, "127.0.9.5", "control")
     started: list[object] = []
 
