--- a/bench/_fail_day_run.py
+++ b/bench/_fail_day_run.py
@@ -5,6 +5,7 @@
 import time
 
 from bench import _fail_day
+from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank.core import placement
 from lagooncrank.core import state
@@ -90,7 +91,7 @@
             duration_ms = self._next_step_ms(now_ms) - now_ms
             if now_ms >= WARM_UP_MS:
                 self._fleet.store = self._deployment.store
-                self._account(duration_ms / fleets.MS_PER_S)
+                self._account(duration_ms / clocks.MS_PER_S)
             self._fleet.advance(duration_ms)
         return self.tally
 
--- a/lagooncrank/cli/_apply.py
+++ b/lagooncrank/cli/_apply.py
@@ -22,7 +22,6 @@
 #: Time after which an unchanged wait is reported again.
 PROGRESS_INTERVAL_MS = 5_000
 
-_MS_PER_S = 1_000
 #: Refusals that pass by themselves, such as during an election.
 _PASSING = frozenset(
     {
@@ -179,7 +178,7 @@
                 if not told:
                     _output.progress(f"trying again: {error}")
                 told = True
-            await asyncio.sleep(POLL_INTERVAL_MS / _MS_PER_S)
+            await asyncio.sleep(POLL_INTERVAL_MS / clock.MS_PER_S)
 
     async def _wait_in_force(self, revision: int) -> list[str]:
         reporter = Reporter(revision, self._clock)
@@ -191,7 +190,7 @@
             reporter.report(answer)
             if self._clock.now_ms() >= self._deadline_ms:
                 raise results.LagooncrankError(_not_yet(revision, answer))
-            await asyncio.sleep(POLL_INTERVAL_MS / _MS_PER_S)
+            await asyncio.sleep(POLL_INTERVAL_MS / clock.MS_PER_S)
 
 
 class Reporter:
@@ -244,7 +243,7 @@
         else:
             parts.append(
                 f"{lag['node_id']} (has revision {lag['revision']}, "
-                f"heard {age_ms / _MS_PER_S:.1f} s ago)"
+                f"heard {age_ms / clock.MS_PER_S:.1f} s ago)"
             )
     return ", ".join(parts)
 
--- a/lagooncrank/cli/_configuration_commands.py
+++ b/lagooncrank/cli/_configuration_commands.py
@@ -15,8 +15,6 @@
 from lagooncrank.cli import _options
 from lagooncrank.cli import _output
 
-_MS_PER_S = 1_000
-
 
 def register(app: typer.Typer) -> None:
     """Adds the commands to `app`."""
@@ -101,7 +99,7 @@
     wanted = _apply.Wanted(
         declarations, base_revision, change_id, author or getpass.getuser()
     )
-    wait_ms = int(timeout_s * _MS_PER_S) if wait else None
+    wait_ms = int(timeout_s * clock.MS_PER_S) if wait else None
     applying = _apply.Applying(client, wanted, wait_ms, clock.SystemClock())
     answer = asyncio.run(applying.run())
     _output.show(answer, output)
--- a/lagooncrank/cli/_output.py
+++ b/lagooncrank/cli/_output.py
@@ -9,9 +9,10 @@
 import sys
 from typing import Any
 
+from lagooncrank import clock as clocks
+
 #: Column heads of fields that a table shows in another form.
 _HEADS = {"wall_ms": "time", "lapses_wall_ms": "lapses"}
-_MS_PER_S = 1_000
 
 
 class OutputFormat(enum.StrEnum):
@@ -92,7 +93,7 @@
 def _named_cell(name: str, value: Any) -> str:
     if name in _HEADS and isinstance(value, int):
         moment = datetime.datetime.fromtimestamp(
-            value / _MS_PER_S, datetime.UTC
+            value / clocks.MS_PER_S, datetime.UTC
         )
         return f"{moment:%Y-%m-%d %H:%M:%S} UTC"
     return _cell(value)
--- a/lagooncrank/clock.py
+++ b/lagooncrank/clock.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 NS_PER_MS = 1_000_000
+MS_PER_S = 1_000
 #: A time that is never reached.
 NEVER_MS = 2**62
 
--- a/lagooncrank/questionnaire/_feasibility.py
+++ b/lagooncrank/questionnaire/_feasibility.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Iterator
 
+from lagooncrank import clock as clocks
 from lagooncrank.questionnaire import _answers
 from lagooncrank.questionnaire import _clashes
 from lagooncrank.questionnaire import _demand
 from lagooncrank.questionnaire import _numbers
 from lagooncrank.questionnaire import _room
-from lagooncrank.questionnaire import _units
 from lagooncrank.questionnaire import _voters
 
 
@@ -120,14 +120,14 @@
             f"lower replicas_floor to {model.replicas} or less",
         )
     pace_ms = (
-        _units.MS_PER_S
+        clocks.MS_PER_S
         * model.concurrency_per_replica
         / model.tokens_per_s_per_replica
     )
     if pace_ms > model.between_tokens_ms:
         fitting = (
             model.between_tokens_ms * model.tokens_per_s_per_replica
-        ) // _units.MS_PER_S
+        ) // clocks.MS_PER_S
         yield _clashes.Clash(
             (
                 f"{field}.between_tokens_ms",
--- a/lagooncrank/questionnaire/_units.py
+++ b/lagooncrank/questionnaire/_units.py
@@ -1,6 +1,7 @@
 """Turns the units of answers into those of declarations."""
 
-MS_PER_S = 1_000
+from lagooncrank import clock as clocks
+
 MS_PER_H = 3_600_000
 BYTES_PER_GIB = 2**30
 
@@ -11,7 +12,7 @@
     >>> s_to_ms(1.3)
     1300
     """
-    return round(duration_s * MS_PER_S)
+    return round(duration_s * clocks.MS_PER_S)
 
 
 def gib_to_bytes(size_gib: float) -> int:
--- a/lagooncrank/server/_http_server.py
+++ b/lagooncrank/server/_http_server.py
@@ -22,7 +22,6 @@
 SHUTDOWN_S = 5.0
 #: Sweeps for connections without a request, per sender timeout.
 SWEEPS_PER_TIMEOUT = 4
-MS_PER_S = 1_000
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -100,7 +99,7 @@
         while not self.should_stop:
             self.sweep(self._clock.now_ms())
             interval_ms = self._timeout_ms / SWEEPS_PER_TIMEOUT
-            await self.sleep(interval_ms / MS_PER_S)
+            await self.sleep(interval_ms / clocks.MS_PER_S)
 
     def _note_use(self) -> typedefs.Middleware:
         @web.middleware
--- a/lagooncrank/server/_revision_reports.py
+++ b/lagooncrank/server/_revision_reports.py
@@ -24,7 +24,6 @@
 #: How long an entry waits for the tables of the voters.
 QUERY_TIMEOUT_MS = 1_000
 
-_MS_PER_S = 1_000
 _REPORT = "revision-report"
 _QUERY = "revision-query"
 _TABLE = "revision-table"
@@ -91,7 +90,7 @@
         for voter in sorted(asked):
             self._links.send(voter, _QUERY, RevisionQuery(sequence))
         try:
-            async with asyncio.timeout(QUERY_TIMEOUT_MS / _MS_PER_S):
+            async with asyncio.timeout(QUERY_TIMEOUT_MS / clock.MS_PER_S):
                 await self._all_answered(sequence)
         except TimeoutError:
             self.log.info("a voter did not send its table of revisions")
@@ -110,7 +109,7 @@
             self._changed.clear()
             self._send_report()
             try:
-                async with asyncio.timeout(wait_ms / _MS_PER_S):
+                async with asyncio.timeout(wait_ms / clock.MS_PER_S):
                     await self._changed.wait()
                 wait_ms = FIRST_REPEAT_MS
             except TimeoutError:
--- a/lagooncrank/server/http/_problem.py
+++ b/lagooncrank/server/http/_problem.py
@@ -5,10 +5,10 @@
 from aiohttp import web
 import msgspec
 
+from lagooncrank import clock as clocks
 from lagooncrank import results
 
 CONTENT_TYPE = "application/problem+json"
-MS_PER_S = 1_000
 
 
 def body(refusal: results.Refusal, request_id: str) -> bytes:
@@ -34,7 +34,7 @@
     """Returns the whole HTTP answer for a refusal or error."""
     headers = {"Content-Type": CONTENT_TYPE}
     if refusal.retry_after_ms is not None:
-        retry_after_s = -(-refusal.retry_after_ms // MS_PER_S)
+        retry_after_s = -(-refusal.retry_after_ms // clocks.MS_PER_S)
         headers["Retry-After"] = str(retry_after_s)
     return web.Response(
         body=body(refusal, request_id),
--- a/lagooncrank/server/seeded/_answering.py
+++ b/lagooncrank/server/seeded/_answering.py
@@ -22,7 +22,6 @@
 #: longest one that is on time.
 PAUSE_FACTOR: Final = 5
 MIN_PAUSE_MS: Final = 1_200
-MS_PER_S: Final = 1_000
 FIRST_ERROR_STATUS: Final = 300
 
 
@@ -87,7 +86,7 @@
     ) -> bytes:
         left_ms = max(exchange.left_ms(self._clock), 0)
         try:
-            async with asyncio.timeout(left_ms / MS_PER_S):
+            async with asyncio.timeout(left_ms / clocks.MS_PER_S):
                 body = b"".join([part async for part in answer.body()])
         except TimeoutError as error:
             raise _attempt.AttemptFailedError(
@@ -218,12 +217,12 @@
                 PAUSE_FACTOR * exchange.route.max_event_gap_ms, MIN_PAUSE_MS
             )
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + exchange.left_ms(self._clock) / MS_PER_S
+        end_s = loop.time() + exchange.left_ms(self._clock) / clocks.MS_PER_S
         chunks = answer.body()
         while True:
             until_s = end_s
             if pause_ms is not None:
-                until_s = min(end_s, loop.time() + pause_ms / MS_PER_S)
+                until_s = min(end_s, loop.time() + pause_ms / clocks.MS_PER_S)
             try:
                 async with asyncio.timeout_at(until_s) as timeout:
                     with self._forwarder.waiting(exchange, target, timeout):
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -23,7 +23,6 @@
 #: Part of the grace after which what is still in flight is cut off.
 STOP_BY: Final = 0.93
 POLL_S: Final = 0.1
-MS_PER_S: Final = 1_000
 
 
 class Entry(_node.Node):
@@ -101,9 +100,9 @@
         self.decisions.write(decisions.Event.STOPPING, grace_ms=grace_ms)
         kept_ms = KEPT_FACTOR * ADDRESS_TTL_MS
         last_ms = int(grace_ms * STOP_BY)
-        await asyncio.sleep(min(kept_ms, last_ms) / MS_PER_S)
+        await asyncio.sleep(min(kept_ms, last_ms) / clocks.MS_PER_S)
         left_ms = started_ms + last_ms - self.clock.now_ms()
-        await self._front.drain(max(left_ms, 0) / MS_PER_S)
+        await self._front.drain(max(left_ms, 0) / clocks.MS_PER_S)
 
     async def _watch_readiness(self) -> None:
         while not self.should_stop:
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -29,7 +29,6 @@
 #: times the latency that its route aims at.
 PATIENCE_FACTOR: Final = 4
 MIN_PATIENCE_MS: Final = 500
-MS_PER_S: Final = 1_000
 #: Time left below which a further send cannot succeed.
 MIN_LEFT_MS: Final = 20
 #: Wait of callers that were refused for lack of a target: a group forms in a
@@ -226,7 +225,7 @@
         marks = exchange.marks(target, self._clock)
         wait_ms = self._patience_ms(exchange)
         try:
-            async with asyncio.timeout(wait_ms / MS_PER_S) as timeout:
+            async with asyncio.timeout(wait_ms / clocks.MS_PER_S) as timeout:
                 with self.waiting(exchange, target, timeout):
                     answer = await self._client.open(
                         target, exchange.call, marks, exchange.body
--- a/lagooncrank/server/seeded/_turns.py
+++ b/lagooncrank/server/seeded/_turns.py
@@ -18,7 +18,6 @@
 #: Part of the time left that a request may wait; its caller keeps the rest to
 #: come back in.
 MAX_WAIT_PART: Final = 0.5
-MS_PER_S: Final = 1_000
 
 
 class NoTurnError(Exception):
@@ -102,7 +101,7 @@
         self._give()
         self._recheck_soon()
         try:
-            async with asyncio.timeout(limit_ms / MS_PER_S):
+            async with asyncio.timeout(limit_ms / clocks.MS_PER_S):
                 await woken
         except TimeoutError as error:
             raise NoTurnError from error
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -8,12 +8,12 @@
 from collections.abc import Iterator
 import dataclasses
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank.core import membership
 from lagooncrank.core import placement
 from standins import _orders
 
-MS_PER_S = 1_000
 #: Lease of a running engine's announcement, in milliseconds.
 LEASE_MS = 2_500
 
@@ -139,7 +139,7 @@
         self.now_ms += duration_ms
         loading = [e for e in self.engines if e.speaks and e.desk.is_loading]
         for engine in loading:
-            share = self._rate(len(loading)) * duration_ms // MS_PER_S
+            share = self._rate(len(loading)) * duration_ms // clocks.MS_PER_S
             engine.desk.progress(share)
 
     def next_load_end_ms(self) -> int | None:
@@ -152,7 +152,7 @@
         if not loading:
             return None
         rate = self._rate(len(loading))
-        return self.now_ms + -(-min(loading) * MS_PER_S // rate) + 1
+        return self.now_ms + -(-min(loading) * clocks.MS_PER_S // rate) + 1
 
     def members(self) -> Iterator[membership.Member]:
         """Yields what an entry knows: engines whose lease holds."""
