--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -1,6 +1,5 @@
 """Where an entry sends a request, and what it may send again."""
 
-from lagooncrank.core.dispatch._allowance import AllowanceRules
 from lagooncrank.core.dispatch._allowance import RetryAllowance
 from lagooncrank.core.dispatch._choice import choose_service
 from lagooncrank.core.dispatch._choice import choose_target
@@ -19,7 +18,6 @@
     "MAX_ENTRIES",
     "ORDERS",
     "PARTS",
-    "AllowanceRules",
     "LoadBook",
     "RetryAllowance",
     "Room",
--- a/lagooncrank/core/dispatch/tests/test_dispatch.py
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -69,7 +69,7 @@
 
 def test_repeats_of_all_entries_stay_within_the_common_limit() -> None:
     """A storm of failures: every request asks for a repeat, everywhere."""
-    rules = dispatch.AllowanceRules(window_ms=10_000, ratio=0.2, extra=130)
+    rules = model.AllowanceRules(window_ms=10_000, ratio=0.2, extra=130)
     entries = [dispatch.RetryAllowance(rules) for _ in range(9)]
     requests = repeats = 0
     for now_ms in range(0, 10_000, 10):
@@ -81,7 +81,7 @@
 
 
 def test_allowance_comes_back_with_the_window() -> None:
-    rules = dispatch.AllowanceRules(window_ms=1_000, ratio=0.0, extra=10)
+    rules = model.AllowanceRules(window_ms=1_000, ratio=0.0, extra=10)
     allowance = dispatch.RetryAllowance(rules)
     assert sum(allowance.take(SERVICE, 1, 0) for _ in range(20)) == 6
     assert not allowance.take(SERVICE, 1, 999)
--- a/lagooncrank/model/__init__.py
+++ b/lagooncrank/model/__init__.py
@@ -1,5 +1,6 @@
 """Data classes shared by every part, and their codec."""
 
+from lagooncrank.model._allowance_rules import AllowanceRules
 from lagooncrank.model._announcement import Announcement
 from lagooncrank.model._announcement import BackendServerKind
 from lagooncrank.model._announcement import BackendServerState
@@ -50,6 +51,7 @@
 __all__ = [
     "HOLDING_STATES",
     "AccountPlan",
+    "AllowanceRules",
     "Announcement",
     "BackendServerId",
     "BackendServerKind",
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -41,11 +41,7 @@
         targets = _targets.Targets(
             own.failure_domain_id, self.shared, self.view, clock
         )
-        allowance = dispatch.RetryAllowance(
-            dispatch.AllowanceRules(
-                own.retry.window_ms, own.retry.ratio, own.retry.extra
-            )
-        )
+        allowance = dispatch.RetryAllowance(own.retry)
         forwarder = _forwarding.Forwarder(
             targets,
             self.view,
--- a/lagooncrank/settings/__init__.py
+++ b/lagooncrank/settings/__init__.py
@@ -18,7 +18,6 @@
 from lagooncrank.settings._seeded import FleetTiming
 from lagooncrank.settings._seeded import ListenSettings
 from lagooncrank.settings._seeded import LoadSettings
-from lagooncrank.settings._seeded import RetrySettings
 from lagooncrank.settings._seeded import SeededSettings
 from lagooncrank.settings._shapes import check_shape
 from lagooncrank.settings._shared_key import load_shared_key
@@ -40,7 +39,6 @@
     "PolicySettings",
     "Problem",
     "ProcessSettings",
-    "RetrySettings",
     "Role",
     "SeededSettings",
     "SettingsError",
--- a/lagooncrank/settings/_seeded.py
+++ b/lagooncrank/settings/_seeded.py
@@ -31,15 +31,6 @@
     stop_grace_ms: int = 8_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetrySettings:
-    """Limit on repeated sends of all entries to one service."""
-
-    window_ms: int = 10_000
-    ratio: float = 0.2
-    extra: float = 100.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadSettings:
     """Limit on loads from the weight store."""
@@ -70,7 +61,9 @@
     tolerated_disk_losses: int = 1
     listen: ListenSettings = ListenSettings()
     timing: FleetTiming = FleetTiming()
-    retry: RetrySettings = RetrySettings()
+    retry: model.AllowanceRules = dataclasses.field(
+        default_factory=model.AllowanceRules
+    )
     loads: LoadSettings = LoadSettings()
     log_level: str = "INFO"
 
