Derive the pools that are waited for; ask once who leads, who is avoided, what is known

Turns kept a table of pools beside the line that already knows them, keyed by a text that was built of service and model; the pair is the key now. Groups in the state refused deposed leaders in three copies of the same lines. Whether loads are known was decided in two places, who is avoided in two. Whether a request may be tried elsewhere drew two targets by lot for each attempt only to see that there is one; it looks for the first. The test of forgotten pools asserts on the line and the given turns, as the table is gone.

--- a/lagooncrank/core/dispatch/_line.py
+++ b/lagooncrank/core/dispatch/_line.py
@@ -10,15 +10,16 @@
 import dataclasses
 from typing import Final
 
+from lagooncrank import model
 from lagooncrank import registry
 
 #: Part of the latency aimed at that a request may wait and be in time: the
 #: rest goes to the first event.
 FRESH_PART: Final = 0.5
 
-#: Entries up to which each knows well enough what the others have in flight.
-#: In a larger fleet a place that seems taken is often free again.
-MAX_ENTRIES: Final = 16
+
+#: Service and model whose places a request needs.
+Pool = tuple[model.ServiceName, str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,8 +28,7 @@
 
     #: Names the request within this entry.
     number: int
-    #: Service and model whose places it needs.
-    pool: str
+    pool: Pool
     #: Client account; empty for a request without one.
     account: str
     #: Rank of the request; 0 is the most urgent.
@@ -68,7 +68,7 @@
 
     def __init__(self, order: Order) -> None:
         self._order = order
-        self._waiting: dict[str, dict[int, Waiting]] = {}
+        self._waiting: dict[Pool, dict[int, Waiting]] = {}
 
     def add(self, request: Waiting) -> None:
         """Takes a request."""
@@ -82,17 +82,17 @@
         if not of_pool:
             self._waiting.pop(request.pool, None)
 
-    def length(self, pool: str) -> int:
+    def length(self, pool: Pool) -> int:
         """Returns how many requests wait for a place of a pool."""
         return len(self._waiting.get(pool, ()))
 
-    def pools(self) -> tuple[str, ...]:
+    def pools(self) -> tuple[Pool, ...]:
         """Returns the pools that requests wait for."""
         return tuple(self._waiting)
 
     def take(
         self,
-        pool: str,
+        pool: Pool,
         running: Mapping[str, int],
         now_ms: int,
         *,
--- a/lagooncrank/core/dispatch/_loads.py
+++ b/lagooncrank/core/dispatch/_loads.py
@@ -7,6 +7,9 @@
 
 from lagooncrank.core.dispatch import _types
 
+#: Entries up to which each knows well enough what the others have in flight.
+#: In a larger fleet a place that seems taken is often free again.
+MAX_ENTRIES: Final = 16
 #: Parts of the free places that an entry may take while it knows the others:
 #: they rarely have much to send at the same moment.
 PARTS: Final = 3
@@ -24,6 +27,11 @@
     kept: int
 
 
+def knows_loads(entries: int) -> bool:
+    """Whether entries are few enough to know each other's load."""
+    return entries <= MAX_ENTRIES
+
+
 class LoadBook:
     """Counts requests in flight by backend server."""
 
--- a/lagooncrank/core/dispatch/tests/test_burst_beyond_all_places.py
+++ b/lagooncrank/core/dispatch/tests/test_burst_beyond_all_places.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from lagooncrank import model
 from lagooncrank.core import dispatch
 
-POOL = "writers large"
+POOL = (model.ServiceName("writers"), "large")
 AIM_MS = 300
 #: Requests that a group works on at once, and how long each takes.
 PLACES = 26
--- a/lagooncrank/core/state/_groups.py
+++ b/lagooncrank/core/state/_groups.py
@@ -25,9 +25,9 @@
 
     def form(self, command: _commands.FormGroup) -> _records.Outcome:
         """Creates a group unless one of its members is taken."""
-        if command.term < self.term:
-            return _deposed(command.term, self.term)
-        self.term = command.term
+        deposed = self._refuse_deposed(command.term)
+        if deposed is not None:
+            return deposed
         taken = {m.server_id for g in self.groups.values() for m in g.members}
         for member in command.members:
             if member.server_id in taken:
@@ -49,9 +49,9 @@
 
     def move(self, command: _commands.MoveGroup) -> _records.Outcome:
         """Changes a group's phase, or forgets it."""
-        if command.term < self.term:
-            return _deposed(command.term, self.term)
-        self.term = command.term
+        deposed = self._refuse_deposed(command.term)
+        if deposed is not None:
+            return deposed
         group = self.groups.get(command.name)
         if group is None:
             return _records.Outcome(
@@ -71,9 +71,9 @@
 
     def release(self, command: _commands.ReleaseMembers) -> _records.Outcome:
         """Frees members other than the head of a dissolving group."""
-        if command.term < self.term:
-            return _deposed(command.term, self.term)
-        self.term = command.term
+        deposed = self._refuse_deposed(command.term)
+        if deposed is not None:
+            return deposed
         group = self.groups.get(command.name)
         if group is None or group.phase is not model.GroupPhase.DISSOLVING:
             return _records.Outcome(
@@ -92,9 +92,13 @@
         self.groups[group.name] = left
         return _records.Outcome(results.ResultCode.OK, group=left)
 
-
-def _deposed(term: int, newest: int) -> _records.Outcome:
-    return _records.Outcome(
-        results.ResultCode.NOT_LEADER,
-        f"term {term} is over; a leader of term {newest} has decided since",
-    )
+    def _refuse_deposed(self, term: int) -> _records.Outcome | None:
+        """Takes a leader's term, or refuses one that is over."""
+        if term >= self.term:
+            self.term = term
+            return None
+        return _records.Outcome(
+            results.ResultCode.NOT_LEADER,
+            f"term {term} is over; a leader of term {self.term} has "
+            "decided since",
+        )
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -161,10 +161,9 @@
             )
 
     def _has_target(self, exchange: _exchange.Exchange) -> bool:
-        target = self._targets.choose(
+        return self._targets.has_other(
             exchange.service, exchange.call.model_name, exchange.tried
         )
-        return target is not None
 
     async def _take_turn(self, exchange: _exchange.Exchange) -> None:
         try:
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -43,21 +43,26 @@
         tried: Collection[str],
     ) -> dispatch.Target | None:
         """Returns the best target, or None when there is none."""
-        now_ms = self._clock.now_ms()
-        if model_name:
-            targets = self._heads(service, model_name)
-        else:
-            targets = self._servers(service)
         return dispatch.choose_target(
-            targets,
+            self._of(service, model_name),
             self._view.loads,
-            self.suspects.avoided(now_ms) | self._view.stalled(now_ms),
+            self._avoided(),
             tried,
             self._near,
             (random.random(), random.random()),
-            knows_loads=self._view.entry_count <= dispatch.MAX_ENTRIES,
+            knows_loads=dispatch.knows_loads(self._view.entry_count),
         )
 
+    def has_other(
+        self,
+        service: model.ServiceName,
+        model_name: str,
+        tried: Collection[str],
+    ) -> bool:
+        """Whether there is a target that was not tried."""
+        targets = self._of(service, model_name)
+        return any(t.server_id not in tried for t in targets)
+
     def room(
         self, service: model.ServiceName, model_name: str
     ) -> dispatch.Room | None:
@@ -69,11 +74,10 @@
         heads = list(self._heads(service, model_name))
         if not heads:
             return None
-        now_ms = self._clock.now_ms()
-        avoided = self.suspects.avoided(now_ms) | self._view.stalled(now_ms)
+        avoided = self._avoided()
         usable = [t for t in heads if t.server_id not in avoided] or heads
         entries = max(self._view.entry_count, 1)
-        knows_others = self._view.knows_others(now_ms)
+        knows_others = self._view.knows_others(self._clock.now_ms())
         if not knows_others:
             entries = max(entries, UNKNOWN_ENTRIES)
         return self._view.loads.room(usable, entries, knows_others=knows_others)
@@ -82,6 +86,18 @@
         """Notes that a target failed a request."""
         self.suspects.note_failure(target.server_id, self._clock.now_ms())
 
+    def _avoided(self) -> set[str]:
+        """Returns the servers that failed lately or stand still."""
+        now_ms = self._clock.now_ms()
+        return self.suspects.avoided(now_ms) | self._view.stalled(now_ms)
+
+    def _of(
+        self, service: model.ServiceName, model_name: str
+    ) -> Iterator[dispatch.Target]:
+        if model_name:
+            return self._heads(service, model_name)
+        return self._servers(service)
+
     def _heads(
         self, service: model.ServiceName, model_name: str
     ) -> Iterator[dispatch.Target]:
--- a/lagooncrank/server/seeded/_turns.py
+++ b/lagooncrank/server/seeded/_turns.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from lagooncrank import clock as clocks
-from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
@@ -39,11 +38,9 @@
         self._metrics = metrics
         self._clock = clock
         self._line = dispatch.WaitingLine(dispatch.ORDERS.get(ORDER))
-        #: Service and model of each pool that requests wait for.
-        self._pools: dict[str, tuple[model.ServiceName, str]] = {}
         self._woken: dict[int, asyncio.Future[None]] = {}
         #: Turns given to requests that were not sent yet.
-        self._given: collections.Counter[str] = collections.Counter()
+        self._given: collections.Counter[dispatch.Pool] = collections.Counter()
         #: Requests that run, by client account.
         self._running: collections.Counter[str] = collections.Counter()
         self._recheck: asyncio.TimerHandle | None = None
@@ -55,20 +52,18 @@
             NoTurnError: Its turn did not come in time.
         """
         model_name = exchange.call.model_name
-        knows_loads = self._view.entry_count <= dispatch.MAX_ENTRIES
+        knows_loads = dispatch.knows_loads(self._view.entry_count)
         if not model_name or not knows_loads:
             return
-        pool = f"{exchange.service} {model_name}"
-        is_first = pool not in self._pools
-        if is_first and self._has_place(exchange.service, model_name):
+        pool = (exchange.service, model_name)
+        is_waited_for = self._line.length(pool) or self._given[pool]
+        if not is_waited_for and self._room(pool).places > 0:
             return
-        self._pools[pool] = (exchange.service, model_name)
         try:
             await self._wait_in_line(exchange, pool)
         finally:
-            if not self._line.length(pool) and not self._given[pool]:
-                self._pools.pop(pool, None)
-                self._given.pop(pool, None)
+            if not self._given[pool]:
+                del self._given[pool]
 
     def begin(self, exchange: _exchange.Exchange) -> None:
         """Counts a request that is sent."""
@@ -83,7 +78,7 @@
         self._give()
 
     async def _wait_in_line(
-        self, exchange: _exchange.Exchange, pool: str
+        self, exchange: _exchange.Exchange, pool: dispatch.Pool
     ) -> None:
         waiting = dispatch.Waiting(
             exchange.number,
@@ -133,14 +128,9 @@
                     self._given[pool] += 1
                     woken.set_result(None)
 
-    def _has_place(self, service: model.ServiceName, model_name: str) -> bool:
-        room = self._targets.room(service, model_name)
-        return room is None or room.places > 0
-
-    def _room(self, pool: str) -> dispatch.Room:
+    def _room(self, pool: dispatch.Pool) -> dispatch.Room:
         """Returns what may be sent of a pool beside the turns given."""
-        service, model_name = self._pools[pool]
-        room = self._targets.room(service, model_name)
+        room = self._targets.room(*pool)
         if room is None:
             # Nothing serves the model: who waits for it is told at once.
             return dispatch.Room(self._line.length(pool) + 1, 0)
--- a/lagooncrank/server/seeded/tests/test_turns.py
+++ b/lagooncrank/server/seeded/tests/test_turns.py
@@ -105,7 +105,8 @@
     await asyncio.sleep(2 * _turns.RECHECK_S)
     assert waiting[1].done()
     assert not waiting[1].cancelled()
-    assert not site.turns._pools
+    assert not site.turns._given
+    assert not site.turns._line.pools()
 
 
 async def test_request_is_told_before_its_time_is_over() -> None:
