Plan loads only when one may begin, and sort engines once

The leader built what a service has, and the loads that would be useful, at every step, also while all concurrent loads were under way. Engines that lack a model were found by comparing each with every other.

--- a/lagooncrank/core/groups/__init__.py
+++ b/lagooncrank/core/groups/__init__.py
@@ -13,7 +13,6 @@
 from lagooncrank.core.groups._planning import Planner
 from lagooncrank.core.groups._serving import serving_groups
 from lagooncrank.core.groups._staging import Staging
-from lagooncrank.core.groups._supply import wanted_groups
 
 __all__ = [
     "Action",
@@ -29,5 +28,4 @@
     "Stage",
     "Staging",
     "serving_groups",
-    "wanted_groups",
 ]
--- a/lagooncrank/core/groups/_late_loads.py
+++ b/lagooncrank/core/groups/_late_loads.py
@@ -81,10 +81,13 @@
     under_way: Mapping[str, str],
 ) -> Iterator[_Option]:
     for domain, reports in supply.free.items():
-        warm = [r for r in reports if _will_have(r, profile, under_way)]
-        cold = [
-            r for r in reports if r not in warm and r.server_id not in under_way
-        ]
+        warm: list[model.ServerReport] = []
+        cold: list[model.ServerReport] = []
+        for report in reports:
+            if _will_have(report, profile, under_way):
+                warm.append(report)
+            elif report.server_id not in under_way:
+                cold.append(report)
         if len(warm) + len(cold) < profile.size:
             continue
         # A host that keeps nothing loses nothing by a load.
--- a/lagooncrank/core/groups/_staging.py
+++ b/lagooncrank/core/groups/_staging.py
@@ -86,21 +86,32 @@
         if engine is None:
             return
         under_way = self.under_way(table, now_ms)
+        if not self._has_room(engine, under_way, now_ms):
+            return
         supply = _supply.supply_of(service, engine, table, groups)
         members = _members(_serving(service, groups), table)
         # A copy, as what is begun here is not under way for this round.
         loads = _late_loads.wanted_loads(supply, dict(under_way), members)
         for load in loads:
-            most = engine.max_concurrent_loads
-            if not load.is_urgent:
-                most = int(most * SECOND_MODEL_PART)
-            has_room = self._pace.room(engine.loads_per_s, now_ms)
-            if len(under_way) >= most or not has_room:
+            part = 1.0 if load.is_urgent else SECOND_MODEL_PART
+            if not self._has_room(engine, under_way, now_ms, part):
                 return
             self._pace.note(1, now_ms)
             under_way[load.report.server_id] = load.profile.name
             yield self._begin(load.report, load.profile, now_ms)
 
+    def _has_room(
+        self,
+        engine: model.EngineProfile,
+        under_way: Mapping[str, str],
+        now_ms: int,
+        part: float = 1.0,
+    ) -> bool:
+        """Whether one more load may begin within a part of the limit."""
+        if len(under_way) >= int(engine.max_concurrent_loads * part):
+            return False
+        return self._pace.room(engine.loads_per_s, now_ms) > 0
+
     def _begin(
         self,
         report: model.ServerReport,
