Give the watch for stalled servers a class of its own

FleetView had grown to 368 lines and held the own streams, the word of others and the listeners beside the tables of servers and nodes.

--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -18,6 +18,7 @@
 from lagooncrank.server import _shared_state
 from lagooncrank.server import links as peer_links
 from lagooncrank.server.seeded import _decisions
+from lagooncrank.server.seeded import _stalls
 
 PASS_ON_S: Final = 0.05
 NOTICE_INTERVAL_MS: Final = 250
@@ -31,10 +32,6 @@
 
 #: Time from the first summary until it counts every entry: two notices.
 LEARN_LOADS_MS: Final = 700
-#: Longer gaps between two ticks mean that this process stood still.
-MAX_TICK_MS: Final = 200
-#: Time for which another entry's word of a stalled server counts.
-TRUST_STALL_MS: Final = 1_500
 
 _REPORTS: Final = "server-reports"
 _NOTICES: Final = "node-notices"
@@ -67,7 +64,7 @@
         self.table = fleet.ServerTable(lost_after_ms)
         self.nodes = fleet.NodeTable(NOTICE_LEASE_MS)
         self.loads = dispatch.LoadBook()
-        self.progress = dispatch.StreamProgress()
+        self.stalls = _stalls.Stalls(clock.now_ms())
         #: Whether callers may be sent to this node.
         self.is_open = False
         #: Whether this entry has taken a request.
@@ -75,8 +72,6 @@
         #: Entries that share what is counted over all of them.
         self.entry_count = 1
         self._first_summary_ms: int | None = None
-        #: Called with servers that have begun to stand still.
-        self.stall_listeners: list[Callable[[frozenset[str]], None]] = []
         #: Called after the table or the groups may have changed.
         self.listeners: list[Callable[[], None]] = []
         self._control_nodes: tuple[model.NodeId, ...] = ()
@@ -85,10 +80,6 @@
         self._sequence = 0
         self._noticed_ms = 0
         self._is_connected = True
-        self._watched_ms = clock.now_ms()
-        self._stalled_here: frozenset[str] = frozenset()
-        #: Servers that stand still elsewhere, with the time of first notice.
-        self._stalled_there: dict[str, int] = {}
         links.on_message(_REPORTS, fleet.ReportBatch, self._on_reports)
         links.on_message(_NOTICES, fleet.NodeNotices, self._on_notices)
         links.on_message(_WANTED, fleet.ReportsWanted, self._on_wanted)
@@ -138,19 +129,6 @@
             self._noticed_ms = now_ms
             self.notify_others()
 
-    def stalled(self, now_ms: int) -> set[str]:
-        """Returns the servers whose answers stand still, here or elsewhere.
-
-        Word of other entries counts for a while only: by then the leader has
-        found out what is wrong.
-        """
-        there = {
-            s
-            for s, at in self._stalled_there.items()
-            if now_ms - at < TRUST_STALL_MS
-        }
-        return there | self._stalled_here
-
     def knows_others(self, now_ms: int) -> bool:
         """Whether this entry has heard what all others have in flight.
 
@@ -161,21 +139,10 @@
         return first_ms is not None and now_ms - first_ms >= LEARN_LOADS_MS
 
     def _watch_stalls(self, now_ms: int) -> None:
-        pause_ms = now_ms - self._watched_ms
-        self._watched_ms = now_ms
-        if pause_ms > MAX_TICK_MS:
-            # What came meanwhile is not read yet.
-            self.progress.excuse(pause_ms, now_ms)
-        stalled = self.progress.stalled(now_ms)
-        begun = stalled - self._stalled_here
-        self._stalled_here = stalled
+        begun = self.stalls.watch(now_ms)
         if begun:
             self.notify_others()
-            self._tell_stalled(begun)
-
-    def _tell_stalled(self, servers: frozenset[str]) -> None:
-        for listener in self.stall_listeners:
-            listener(servers)
+            self.stalls.tell(begun)
 
     def notify_others(self) -> None:
         """Tells others of this node now."""
@@ -191,8 +158,8 @@
             self._sequence,
             self.has_served,
             self.loads.tell(),
-            tuple(self._stalled_here),
-            tuple(self.progress.working(now_ms)),
+            tuple(self.stalls.here),
+            tuple(self.stalls.progress.working(now_ms)),
         )
         if self.is_control:
             self.nodes.put(notice, now_ms)
@@ -294,12 +261,7 @@
         now_ms = self._clock.now_ms()
         if self._first_summary_ms is None:
             self._first_summary_ms = now_ms
-        begun = frozenset(summary.stalled).difference(self._stalled_there)
-        self._stalled_there = {
-            s: self._stalled_there.get(s, now_ms) for s in summary.stalled
-        }
-        if begun:
-            self._tell_stalled(begun)
+        self.stalls.tell(self.stalls.hear(summary.stalled, now_ms))
         if summary.control_nodes:
             self._follow(summary.control_nodes)
 
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -68,7 +68,7 @@
         self._log = log
         self._waits = _waits.Waits()
         self._turns = _turns.Turns(targets, view, metrics, clock)
-        view.stall_listeners.append(self._end_waits)
+        view.stalls.listeners.append(self._end_waits)
 
     async def open(
         self, exchange: _exchange.Exchange
@@ -104,7 +104,7 @@
         """Ends the count of a request at its target."""
         self._view.loads.end(target.server_id)
         self._turns.end(exchange)
-        self._view.progress.end(target.server_id, exchange.number)
+        self._view.stalls.progress.end(target.server_id, exchange.number)
 
     def waiting(
         self,
@@ -121,7 +121,7 @@
         self._waits.end(
             servers,
             lambda server_id, exchange: (
-                self._view.progress.is_silent(
+                self._view.stalls.progress.is_silent(
                     server_id, exchange.number, now_ms
                 )
                 and self._may_try_on(exchange)
@@ -132,7 +132,7 @@
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> None:
         """Notes that an answer goes on."""
-        self._view.progress.note_event(
+        self._view.stalls.progress.note_event(
             target.server_id, exchange.number, self._clock.now_ms()
         )
 
@@ -205,7 +205,7 @@
         self._view.loads.begin(target.server_id)
         self._turns.begin(exchange)
         if target.group:
-            self._view.progress.begin(
+            self._view.stalls.progress.begin(
                 target.server_id, exchange.number, self._clock.now_ms()
             )
         is_open = False
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -89,7 +89,7 @@
     def _avoided(self) -> set[str]:
         """Returns the servers that failed lately or stand still."""
         now_ms = self._clock.now_ms()
-        return self.suspects.avoided(now_ms) | self._view.stalled(now_ms)
+        return self.suspects.avoided(now_ms) | self._view.stalls.known(now_ms)
 
     def _of(
         self, service: model.ServiceName, model_name: str
--- a/lagooncrank/server/seeded/tests/test_all_entries_start_at_once.py
+++ b/lagooncrank/server/seeded/tests/test_all_entries_start_at_once.py
@@ -9,6 +9,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank.core import dispatch
+from lagooncrank.server.seeded import _stalls
 from lagooncrank.server.seeded import _targets
 
 SERVICE = model.ServiceName("writers")
@@ -21,7 +22,7 @@
 ) -> _targets.Targets:
     view: Any = types.SimpleNamespace(
         loads=dispatch.LoadBook(),
-        stalled=lambda _: set(),
+        stalls=_stalls.Stalls(now_ms=0),
         knows_others=lambda _: knows_others,
         entry_count=entries,
     )
