Say the repeated set-ups of tests once

Pairs of the small model, two requests that wait, notices of nodes and the run of a checked world stood two or three times each. The assertions are the same.

--- a/lagooncrank/core/consensus/tests/invariants.py
+++ b/lagooncrank/core/consensus/tests/invariants.py
@@ -94,3 +94,12 @@
             record = host.applier.machine.call(call)
             if record is not None and record.state is state.CallState.NOT_RUN:
                 assert record.owner != owner, "a run call is not_run"
+
+
+def run_checked(
+    world: worlds.World, checks: Invariants, duration_ms: int
+) -> None:
+    """Runs a world and checks it after each step."""
+    for _ in range(0, duration_ms, worlds.STEP_MS):
+        world.run(worlds.STEP_MS)
+        checks.check()
--- a/lagooncrank/core/consensus/tests/test_elastic_voters.py
+++ b/lagooncrank/core/consensus/tests/test_elastic_voters.py
@@ -59,18 +59,10 @@
     for host in world.hosts.values():
         host.start()
     checks = invariants.Invariants(world)
-    run_checked(world, checks, 3_000)
+    invariants.run_checked(world, checks, 3_000)
     return world, checks
 
 
-def run_checked(
-    world: worlds.World, checks: invariants.Invariants, duration_ms: int
-) -> None:
-    for _ in range(0, duration_ms, worlds.STEP_MS):
-        world.run(worlds.STEP_MS)
-        checks.check()
-
-
 def add_node(world: worlds.World, name: str) -> worlds.Host:
     node_id = model.NodeId(name)
     world.all_ids = (*world.all_ids, node_id)
@@ -90,10 +82,10 @@
     gone = world.hosts[world.voter_ids[0]]
     leader = world.leader()
     leader.calls.change(0)
-    run_checked(world, checks, 500)
+    invariants.run_checked(world, checks, 500)
     gone.crash()
     successor = add_node(world, "w0")
-    run_checked(world, checks, 12_000)
+    invariants.run_checked(world, checks, 12_000)
     assert voters_of(successor) == {*world.voter_ids[1:], successor.node_id}
     assert successor.applier.revision == 1
 
@@ -102,12 +94,12 @@
     world, checks = elastic_world()
     world.hosts[world.voter_ids[0]].crash()
     successor = add_node(world, "w0")
-    run_checked(world, checks, 12_000)
+    invariants.run_checked(world, checks, 12_000)
     world.hosts[world.voter_ids[1]].crash()
-    run_checked(world, checks, 4_000)
+    invariants.run_checked(world, checks, 4_000)
     last = world.hosts[world.voter_ids[2]]
     last.calls.change(0)
-    run_checked(world, checks, 2_000)
+    invariants.run_checked(world, checks, 2_000)
     assert successor.applier.revision == last.applier.revision == 1
 
 
@@ -115,9 +107,9 @@
     world, checks = elastic_world()
     follower = next(n for n in world.voter_ids if n != world.leader().node_id)
     world.isolate(follower)
-    run_checked(world, checks, 8_000)
+    invariants.run_checked(world, checks, 8_000)
     world.heal()
-    run_checked(world, checks, 3_000)
+    invariants.run_checked(world, checks, 3_000)
     assert voters_of(world.leader()) == set(world.voter_ids)
 
 
@@ -145,11 +137,11 @@
     host = world.hosts[world.voter_ids[position]]
     host.crash()
     host.disk = world.new_disk(host.node_id)
-    run_checked(world, checks, 500)
+    invariants.run_checked(world, checks, 500)
     host.start()
     exposed_ms = 0
     for _ in range(0, 4_000, worlds.STEP_MS):
-        run_checked(world, checks, worlds.STEP_MS)
+        invariants.run_checked(world, checks, worlds.STEP_MS)
         if len(voters_of(world.leader())) < 3:
             exposed_ms += worlds.STEP_MS
     assert exposed_ms <= EXPOSED_LIMIT_MS
--- a/lagooncrank/core/consensus/tests/test_faults.py
+++ b/lagooncrank/core/consensus/tests/test_faults.py
@@ -129,20 +129,12 @@
         stateful.run_state_machine_as_test(Faults, settings=search)
 
 
-def run_checked(
-    world: worlds.World, checks: invariants.Invariants, duration_ms: int
-) -> None:
-    for _ in range(0, duration_ms, worlds.STEP_MS):
-        world.run(worlds.STEP_MS)
-        checks.check()
-
-
 def quiet_world() -> tuple[worlds.World, invariants.Invariants]:
     """A world with a leader, in which nothing else happens."""
     world = worlds.World(seed=3)
     world.is_used = False
     checks = invariants.Invariants(world)
-    run_checked(world, checks, 3_000)
+    invariants.run_checked(world, checks, 3_000)
     return world, checks
 
 
@@ -151,7 +143,7 @@
     leader = world.leader()
     deaf = next(n for n in world.voter_ids if n != leader.node_id)
     world.blocked.add((leader.node_id, deaf))
-    run_checked(world, checks, 5_000)
+    invariants.run_checked(world, checks, 5_000)
     assert world.leader() is leader
 
 
@@ -163,7 +155,7 @@
     )
     world.isolate(behind.node_id)
     leader.calls.change(0)
-    run_checked(world, checks, 500)
+    invariants.run_checked(world, checks, 500)
     assert replaced.applier.revision == 1
     assert world.may_replace(replaced)
     replaced.crash()
@@ -171,7 +163,7 @@
     replaced.start()
     world.blocked.clear()
     world.isolate(leader.node_id)
-    run_checked(world, checks, 4_000)
+    invariants.run_checked(world, checks, 4_000)
     world.heal()
     checks.check()
     checks.check_settled()
--- a/lagooncrank/core/fleet/tests/test_servers.py
+++ b/lagooncrank/core/fleet/tests/test_servers.py
@@ -1,6 +1,7 @@
 """Reports that come late, twice, out of order or from an earlier start."""
 
 import dataclasses
+from typing import Any
 
 import hypothesis
 from hypothesis import strategies
@@ -191,14 +192,27 @@
     assert whole.reports == (fleet.AgedReport(report(), 250, 1),)
 
 
+def notice_of(
+    name: str, role: model.NodeRole, **fields: Any
+) -> fleet.NodeNotice:
+    """Returns the notice of a node; entries are open."""
+    is_entry = role is model.NodeRole.ENTRY
+    given = {"incarnation": 1, "sequence": 1, **fields}
+    return fleet.NodeNotice(
+        model.NodeId(name),
+        role,
+        model.FailureDomainId("a"),
+        f"{name}:80" if is_entry else "",
+        is_entry,
+        **given,
+    )
+
+
 def test_notices_are_ordered_by_start_and_number() -> None:
     nodes = fleet.NodeTable(lease_ms=1_000)
-    notice = fleet.NodeNotice(
-        model.NodeId("n1"),
+    notice = notice_of(
+        "n1",
         model.NodeRole.ENTRY,
-        model.FailureDomainId("a"),
-        "10.0.0.1:80",
-        True,
         incarnation=2,
         sequence=5,
         in_flight={"s1": 3},
@@ -217,16 +231,7 @@
 def test_control_node_that_is_cut_off_still_names_the_other_voters() -> None:
     """Entries that follow it must find the others, which have a quorum."""
     nodes = fleet.NodeTable(lease_ms=1_000)
-    own = fleet.NodeNotice(
-        model.NodeId("own"),
-        model.NodeRole.CONTROL,
-        model.FailureDomainId("a"),
-        "",
-        False,
-        incarnation=1,
-        sequence=1,
-    )
-    nodes.put(own, 0)
+    nodes.put(notice_of("own", model.NodeRole.CONTROL), 0)
     voters = (model.NodeId("own"), model.NodeId("b"), model.NodeId("c"))
     assert nodes.summary(500, voters).control_nodes == voters
 
--- a/lagooncrank/core/groups/tests/test_planning.py
+++ b/lagooncrank/core/groups/tests/test_planning.py
@@ -44,6 +44,14 @@
     ]
 
 
+def small_pairs() -> list[model.Group]:
+    """Returns six groups of the small model, of twelve engines."""
+    return [
+        world.group(n, n + 1, model_name="small", epoch=n)
+        for n in range(0, 12, 2)
+    ]
+
+
 def test_first_start_divides_engines_by_share() -> None:
     found = plan(world.table_of(*engines(48)), [], may_load=True)
     assert formed(found) == ["large"] * 8 + ["small"] * 8
@@ -84,14 +92,8 @@
 
 
 def test_pairs_of_one_domain_make_room_for_a_model_without_a_group() -> None:
-    pairs = [
-        world.group(n, n + 1, model_name="small", epoch=n)
-        for n in range(0, 12, 2)
-    ]
-    reports = [
-        world.engine(n, domain=f"d{n // 4}", staged=("large",))
-        for n in range(12)
-    ]
+    pairs = small_pairs()
+    reports = engines(12, per_domain=4, staged=("large",))
     found = plan(world.table_of(*reports), pairs)
     broken = [a for a in found if isinstance(a, groups.Move)]
     assert len(broken) == 2
@@ -99,13 +101,8 @@
 
 
 def test_engines_set_free_are_kept_for_the_model_that_lacks_them() -> None:
-    pairs = [
-        world.group(n, n + 1, model_name="small", epoch=n)
-        for n in range(0, 12, 2)
-    ]
-    reports = [
-        world.engine(n, domain=f"d{n // 4}", staged=BOTH) for n in range(12)
-    ]
+    pairs = small_pairs()
+    reports = engines(12, per_domain=4, staged=BOTH)
     planner = groups.Planner()
     table = world.table_of(*reports)
     broken = [
@@ -199,14 +196,8 @@
 
 def test_group_whose_head_is_lost_does_not_keep_others_from_changing() -> None:
     """Its work is not waited for, as nobody can say when it ends."""
-    pairs = [
-        world.group(n, n + 1, model_name="small", epoch=n)
-        for n in range(0, 12, 2)
-    ]
-    reports = [
-        world.engine(n, domain=f"d{n // 4}", staged=("large",))
-        for n in range(12)
-    ]
+    pairs = small_pairs()
+    reports = engines(12, per_domain=4, staged=("large",))
     leaving = dataclasses.replace(
         world.group(20, 21, phase=model.GroupPhase.DISSOLVING, epoch=99),
         waits_for_work=True,
--- a/lagooncrank/server/seeded/tests/test_turns.py
+++ b/lagooncrank/server/seeded/tests/test_turns.py
@@ -65,27 +65,29 @@
         await asyncio.sleep(0)
 
 
-async def test_next_request_goes_when_one_ends() -> None:
+async def site_where_two_wait() -> tuple[Site, Any, list[asyncio.Task[None]]]:
+    """Returns a site, the request at its one place, and two that wait."""
     site = Site(places=1)
     first, second, third = (request(n) for n in range(3))
     await site.send(first)
     waiting = [asyncio.create_task(site.send(r)) for r in (second, third)]
     await turn_of_loop()
+    return site, first, waiting
+
+
+async def test_next_request_goes_when_one_ends() -> None:
+    site, first, waiting = await site_where_two_wait()
     assert not any(t.done() for t in waiting)
     site.end(first)
     await turn_of_loop()
     assert [t.done() for t in waiting] == [True, False]
-    site.end(second)
+    site.end(request(1))
     await turn_of_loop()
     assert waiting[1].done()
 
 
 async def test_caller_that_leaves_passes_its_turn_on() -> None:
-    site = Site(places=1)
-    first, second, third = (request(n) for n in range(3))
-    await site.send(first)
-    waiting = [asyncio.create_task(site.send(r)) for r in (second, third)]
-    await turn_of_loop()
+    site, first, waiting = await site_where_two_wait()
     waiting[0].cancel()
     await turn_of_loop()
     site.end(first)
@@ -95,11 +97,7 @@
 
 
 async def test_place_that_comes_free_as_a_caller_leaves_is_no_problem() -> None:
-    site = Site(places=1)
-    first, second, third = (request(n) for n in range(3))
-    await site.send(first)
-    waiting = [asyncio.create_task(site.send(r)) for r in (second, third)]
-    await turn_of_loop()
+    site, first, waiting = await site_where_two_wait()
     waiting[0].cancel()
     site.end(first)
     await asyncio.sleep(2 * _turns.RECHECK_S)
