--- a/lagooncrank/server/seeded/_answering.py
+++ b/lagooncrank/server/seeded/_answering.py
@@ -17,12 +17,12 @@
 from lagooncrank.server.seeded import _events
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _forwarding
+from lagooncrank.server.seeded import _wire
 
 #: A resumable stream goes on elsewhere after a pause of this many times the
 #: longest one that is on time.
 PAUSE_FACTOR: Final = 5
 MIN_PAUSE_MS: Final = 1_200
-FIRST_ERROR_STATUS: Final = 300
 
 
 class Answering:
@@ -54,7 +54,7 @@
         """
         target, answer = await self._forwarder.open(exchange)
         is_stream = exchange.route.kind is model.RequestKind.STREAM
-        if answer.head.status >= FIRST_ERROR_STATUS or not is_stream:
+        if answer.head.status >= _wire.FIRST_ERROR_STATUS or not is_stream:
             return await self._whole(request, exchange, target, answer)
         return await self._stream(request, exchange, target, answer, closing)
 
@@ -173,7 +173,7 @@
     ) -> tuple[dispatch.Target, _attempt.Answer]:
         """Opens the rest of a stream at another server."""
         target, answer = await self._forwarder.open(exchange)
-        if answer.head.status < FIRST_ERROR_STATUS:
+        if answer.head.status < _wire.FIRST_ERROR_STATUS:
             return target, answer
         answer.close()
         self._forwarder.close(exchange, target)
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -175,7 +175,7 @@
             )
         if head.is_not_run:
             raise AttemptFailedError(Failure.NOT_RUN, str(head.status))
-        if head.status < 300 and not head.is_signed:
+        if head.status < _wire.FIRST_ERROR_STATUS and not head.is_signed:
             raise AttemptFailedError(Failure.LOST, "the answer is not signed")
         if head.is_encoded:
             raise AttemptFailedError(Failure.LOST, "the body is encoded")
--- a/lagooncrank/server/seeded/_wire.py
+++ b/lagooncrank/server/seeded/_wire.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+from typing import Final
 from typing import Protocol
 
 from lagooncrank import model
@@ -11,6 +12,9 @@
 #: Header lines in the order and case in which they came.
 Headers = tuple[tuple[str, str], ...]
 
+#: First status that is not an answer of success.
+FIRST_ERROR_STATUS: Final = 300
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallHead:
