Take fields with a default factory as optional; report nodes that end at start

The soak's settings name no limit on repeats, so all its nodes ended at their start and the soak waited 60 s for service. Ruled out: a missing package in a fresh clone, and load.

The soak now says at once which node ended and why.

--- a/lagooncrank/settings/_shapes.py
+++ b/lagooncrank/settings/_shapes.py
@@ -68,12 +68,17 @@
             yield from check_shape(
                 plain[field.name], hints[field.name], f"{prefix}{field.name}"
             )
-        elif field.default is dataclasses.MISSING:
+        elif _is_required(field):
             yield _problems.Problem(
                 path, f"lacks the required field {field.name!r}"
             )
 
 
+def _is_required(field: dataclasses.Field[Any]) -> bool:
+    has_default = field.default is not dataclasses.MISSING
+    return not has_default and field.default_factory is dataclasses.MISSING
+
+
 def _check_items(
     plain: Any, kind: Any, path: str
 ) -> Iterator[_problems.Problem]:
--- a/lagooncrank/settings/tests/test_yaml.py
+++ b/lagooncrank/settings/tests/test_yaml.py
@@ -3,6 +3,8 @@
 
 import pytest
 
+from lagooncrank import model
+from lagooncrank import results
 from lagooncrank import settings
 
 DIGEST = "0" * 64
@@ -263,3 +265,18 @@
         "client_accounts: [{name: a, key_sha256s: [], share: 3}]", "d.yaml"
     )
     assert declarations.client_accounts[0].share == 3
+
+
+def test_seeded_daemon_starts_without_optional_settings() -> None:
+    """The soak's settings file names no limit on repeats."""
+    text = """
+role: entry
+ip: 10.0.0.1
+failure_domain_id: a
+peer_port: 7000
+seeds: [10.0.0.2:1]
+shared_key: key
+"""
+    code = results.ResultCode.INVALID_SETTINGS
+    loaded = settings.parse(text, settings.SeededSettings, "own.yaml", code)
+    assert loaded.retry == model.AllowanceRules()
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -20,6 +20,15 @@
 START_POLL_S: Final = 0.1
 
 
+class StartError(Exception):
+    """A process ended by itself before it listened."""
+
+    def __init__(self, ip: str, exit_code: int, last_line: str) -> None:
+        super().__init__(f"{ip} ended with {exit_code} at start: {last_line}")
+        self.ip = ip
+        self.exit_code = exit_code
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """What all nodes of one deployment share."""
@@ -88,7 +97,11 @@
         await self._wait_until_it_listens()
 
     async def _wait_until_it_listens(self) -> None:
-        """Waits for the end of the start; a busy machine takes seconds."""
+        """Waits for the end of the start; a busy machine takes seconds.
+
+        Raises:
+            StartError: The process ended by itself, not by a signal.
+        """
         host, _, port = self.public.target.rpartition(":")
         while self.runs:
             try:
@@ -98,6 +111,13 @@
                 continue
             writer.close()
             return
+        exit_code = self._process.returncode if self._process else None
+        if exit_code is not None and exit_code > 0:
+            raise StartError(self.ip, exit_code, self._last_logged_line())
+
+    def _last_logged_line(self) -> str:
+        lines = self._log.read_text(errors="replace").splitlines()
+        return lines[-1] if lines else ""
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it lives."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -1,6 +1,7 @@
 """Plays one seed and returns the promises that were broken."""
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import pathlib
@@ -11,6 +12,7 @@
 
 from soak import _deployment
 from soak import _faults
+from soak import _nodes
 from soak import _operator
 
 #: Longest time from the end of the last fault to service. It is far beyond
@@ -63,8 +65,10 @@
         await _harm(site, setup, faults)
         await _wait_for_service(site, "the last fault")
         await _read_back(site)
-    except RecoveryError as error:
-        site.ledger.problem(str(error))
+    except* (RecoveryError, _nodes.StartError) as errors:
+        # Faults run in a task group, which wraps what they raise.
+        for error in _leaves(errors):
+            site.ledger.problem(str(error))
     finally:
         await site.stop()
     return Report(
@@ -77,6 +81,14 @@
     )
 
 
+def _leaves(group: BaseExceptionGroup) -> Iterator[BaseException]:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
+
+
 class RecoveryError(Exception):
     """The system did not serve again in time."""
 
--- a/soak/tests/test_nodes.py
+++ b/soak/tests/test_nodes.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from lagooncrank_platform.tests import site
+import pytest
 
 from soak import _nodes
 
@@ -25,3 +26,15 @@
     assert len(started) == 1
     await node.stop()
     assert not node.runs
+
+
+async def test_process_that_ends_at_its_start_is_reported(
+    tmp_path: pathlib.Path,
+) -> None:
+    plan = _nodes.Plan(tmp_path, site.free_port("127.0.9.6"), ("127.0.9.6:1",))
+    node = _nodes.Node(plan, "127.0.9.6", "no-such-role")
+    try:
+        with pytest.raises(_nodes.StartError, match="role"):
+            await node.start()
+    finally:
+        await node.stop()
