--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -1,10 +1,12 @@
 """What is known of backend servers and nodes from their reports."""
 
+from lagooncrank.core.fleet._directory import HeardEntries
 from lagooncrank.core.fleet._nodes import choose_entries
 from lagooncrank.core.fleet._nodes import FleetSummary
 from lagooncrank.core.fleet._nodes import NodeNotice
 from lagooncrank.core.fleet._nodes import NodeNotices
 from lagooncrank.core.fleet._nodes import NodeTable
+from lagooncrank.core.fleet._nodes import OpenEntry
 from lagooncrank.core.fleet._servers import AgedReport
 from lagooncrank.core.fleet._servers import KnownServer
 from lagooncrank.core.fleet._servers import Renewal
@@ -15,10 +17,12 @@
 __all__ = [
     "AgedReport",
     "FleetSummary",
+    "HeardEntries",
     "KnownServer",
     "NodeNotice",
     "NodeNotices",
     "NodeTable",
+    "OpenEntry",
     "Renewal",
     "ReportBatch",
     "ReportsWanted",
--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -45,13 +45,21 @@
     notices: tuple[NodeNotice, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenEntry:
+    """An entry that callers may be sent to."""
+
+    #: Address for callers, "ip:port".
+    address: str
+    failure_domain: model.FailureDomainId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetSummary:
     """What an entry needs to know of the other nodes."""
 
     control_nodes: tuple[model.NodeId, ...]
-    #: Entries that callers may be sent to.
-    entries: int
+    open_entries: tuple[OpenEntry, ...]
     #: Requests in flight over all entries, by backend server.
     in_flight: dict[str, int]
     #: Servers whose answers stand still at some entry.
@@ -81,14 +89,22 @@
             if now_ms - heard_ms < self._lease_ms:
                 yield notice
 
-    def open_entries(self, now_ms: int) -> list[NodeNotice]:
-        """Returns the entries that callers may be sent to, ordered by id."""
+    def is_open(self, node_id: model.NodeId, now_ms: int) -> bool:
+        """Whether callers may be sent to a node, as it said last."""
+        held = self._notices.get(node_id)
+        if held is None:
+            return False
+        notice, heard_ms = held
+        return notice.is_open and now_ms - heard_ms < self._lease_ms
+
+    def open_entries(self, now_ms: int) -> tuple[OpenEntry, ...]:
+        """Returns the entries that callers may be sent to, by address."""
         found = [
-            n
+            OpenEntry(n.address, n.failure_domain)
             for n in self.live(now_ms)
             if n.role is model.NodeRole.ENTRY and n.is_open
         ]
-        return sorted(found, key=lambda n: n.node_id)
+        return tuple(sorted(found, key=lambda entry: entry.address))
 
     def summary(
         self, now_ms: int, voters: Iterable[model.NodeId]
@@ -110,9 +126,7 @@
                 in_flight[server_id] = in_flight.get(server_id, 0) + count
         return FleetSummary(
             tuple(dict.fromkeys((*control_nodes, *voters))),
-            sum(
-                1 for n in live if n.role is model.NodeRole.ENTRY and n.is_open
-            ),
+            self.open_entries(now_ms),
             in_flight,
             tuple(sorted(self.stalled(now_ms))),
         )
@@ -127,11 +141,11 @@
 
 
 def choose_entries(
-    entries: Sequence[NodeNotice],
+    entries: Sequence[OpenEntry],
     most: int,
     near: model.FailureDomainId,
     draw: float,
-) -> Sequence[NodeNotice]:
+) -> Sequence[OpenEntry]:
     """Returns the entries that one caller is told of.
 
     Those of its own failure domain are enough if many of them run: they are
--- a/lagooncrank/core/fleet/tests/test_many_entries_named.py
+++ b/lagooncrank/core/fleet/tests/test_many_entries_named.py
@@ -12,16 +12,10 @@
 NOWHERE = model.FailureDomainId("")
 
 
-def entries(count: int) -> list[fleet.NodeNotice]:
+def entries(count: int) -> list[fleet.OpenEntry]:
     return [
-        fleet.NodeNotice(
-            model.NodeId(f"10.{zone}.0.{number}"),
-            model.NodeRole.ENTRY,
-            model.FailureDomainId(str(zone)),
-            f"10.{zone}.0.{number}:80",
-            True,
-            incarnation=1,
-            sequence=1,
+        fleet.OpenEntry(
+            f"10.{zone}.0.{number}:80", model.FailureDomainId(str(zone))
         )
         for zone, number in (divmod(i, 22) for i in range(count))
     ]
@@ -30,8 +24,8 @@
 @pytest.mark.parametrize("count", [0, 1, 63, 64])
 def test_few_entries_are_all_named(count: int) -> None:
     found = fleet.choose_entries(entries(count), MOST, NOWHERE, draw=0.7)
-    assert sorted(n.node_id for n in found) == sorted(
-        n.node_id for n in entries(count)
+    assert sorted(n.address for n in found) == sorted(
+        n.address for n in entries(count)
     )
 
 
@@ -42,9 +36,9 @@
     for step in range(len(running)):
         draw = (step + 0.5) / len(running)
         found = fleet.choose_entries(running, MOST, NOWHERE, draw)
-        assert len({n.node_id for n in found}) == MOST
-        named.update(n.node_id for n in found)
-    assert set(named) == {n.node_id for n in running}
+        assert len({n.address for n in found}) == MOST
+        named.update(n.address for n in found)
+    assert set(named) == {n.address for n in running}
     assert set(named.values()) == {MOST}
 
 
--- a/lagooncrank/core/fleet/tests/test_servers.py
+++ b/lagooncrank/core/fleet/tests/test_servers.py
@@ -222,7 +222,7 @@
     older = dataclasses.replace(notice, incarnation=1, sequence=9)
     assert not nodes.put(older, 1)
     summary = nodes.summary(500, ())
-    assert summary.entries == 1
+    assert [entry.address for entry in summary.open_entries] == ["n1:80"]
     assert summary.in_flight == {"s1": 3}
     assert summary.stalled == ("s1",)
     assert not nodes.open_entries(1_000)
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -1,13 +1,9 @@
 """A seeded control node: votes, knows the fleet, forms groups."""
 
-from collections.abc import Sequence
-import random
 from typing import Final
 
 from lagooncrank import clock as clocks
-from lagooncrank import model
 from lagooncrank import settings
-from lagooncrank.core import fleet
 from lagooncrank.server.seeded import _group_driver
 from lagooncrank.server.seeded import _node
 from lagooncrank.server.seeded import _wire
@@ -48,15 +44,3 @@
         """Whether a quorum answered lately, so that what is told spreads."""
         age_ms = self.shared.contact_age_ms()
         return age_ms is not None and age_ms < QUORUM_CONTACT_MS
-
-    def open_entries(
-        self, most: int, near: model.FailureDomainId
-    ) -> Sequence[fleet.NodeNotice]:
-        """Returns entries that a caller may be sent to.
-
-        Args:
-            most: Number of entries that the answer may name.
-            near: Failure domain of the caller; empty if it is not known.
-        """
-        running = self.view.nodes.open_entries(self.clock.now_ms())
-        return fleet.choose_entries(running, most, near, random.random())
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -72,6 +72,7 @@
         #: Entries that share what is counted over all of them.
         self.entry_count = 1
         self._first_summary_ms: int | None = None
+        self._heard_entries = fleet.HeardEntries()
         #: Called after the table or the groups may have changed.
         self.listeners: list[Callable[[], None]] = []
         self._control_nodes: tuple[model.NodeId, ...] = ()
@@ -138,6 +139,13 @@
         first_ms = self._first_summary_ms
         return first_ms is not None and now_ms - first_ms >= LEARN_LOADS_MS
 
+    def open_entries(self, now_ms: int) -> tuple[fleet.OpenEntry, ...]:
+        """Returns the entries that callers may be sent to."""
+        if self.is_control:
+            return self.nodes.open_entries(now_ms)
+        own = self._settings.listen.callers
+        return self._heard_entries.named(now_ms, "" if self.is_open else own)
+
     def _watch_stalls(self, now_ms: int) -> None:
         begun = self.stalls.watch(now_ms)
         if begun:
@@ -177,7 +185,7 @@
         self._fresh_notices.clear()
         self._links.send_all(self._other_control_nodes(), _NOTICES, batch)
         summary = self.nodes.summary(now_ms, self._voters())
-        self.entry_count = summary.entries
+        self.entry_count = len(summary.open_entries)
         self._follow(summary.control_nodes)
         self._links.send_all(self._shared.followers, _SUMMARY, summary)
 
@@ -245,20 +253,27 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         before = self.nodes.stalled(now_ms)
+        has_closed = False
         for notice in batch.notices:
+            was_open = self.nodes.is_open(notice.node_id, now_ms)
             if self.nodes.put(notice, now_ms):
                 self._fresh_notices[notice.node_id] = notice
-        if not self.nodes.stalled(now_ms) <= before:
+                has_closed |= was_open and not notice.is_open
+        has_stalled = not self.nodes.stalled(now_ms) <= before
+        if has_stalled or has_closed:
+            # Callers must not be sent to an entry that stops.
             self._pass_on_notices(now_ms)
+        if has_stalled:
             for listener in self.listeners:
                 listener()
 
     def _on_summary(
         self, sender: model.NodeId, summary: fleet.FleetSummary
     ) -> None:
-        self.entry_count = summary.entries
-        self.loads.set_total(summary.in_flight)
         now_ms = self._clock.now_ms()
+        self._heard_entries.hear(summary.open_entries, now_ms)
+        self.entry_count = len(summary.open_entries)
+        self.loads.set_total(summary.in_flight)
         if self._first_summary_ms is None:
             self._first_summary_ms = now_ms
         self.stalls.tell(self.stalls.hear(summary.stalled, now_ms))
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -1,7 +1,9 @@
 """What every seeded node has: links, shared state, view of the fleet."""
 
 import asyncio
+from collections.abc import Sequence
 import pathlib
+import random
 import sys
 from typing import Final
 
@@ -10,8 +12,10 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import decisions
+from lagooncrank import model
 from lagooncrank import settings
 from lagooncrank.core import consensus
+from lagooncrank.core import fleet
 from lagooncrank.server import _shared_state
 from lagooncrank.server import _sockets
 from lagooncrank.server import links as peer_links
@@ -101,6 +105,18 @@
             first_start=self.settings.is_first_start,
         )
 
+    def open_entries(
+        self, most: int, near: model.FailureDomainId
+    ) -> Sequence[fleet.OpenEntry]:
+        """Returns entries that a caller may be sent to.
+
+        Args:
+            most: Number of entries that the answer may name.
+            near: Failure domain of the caller; empty if it is not known.
+        """
+        running = self.view.open_entries(self.clock.now_ms())
+        return fleet.choose_entries(running, most, near, random.random())
+
     def reload(self, own: settings.SeededSettings) -> None:
         """Takes changed settings; the addresses in use stay."""
         self.decisions.write(decisions.Event.RELOADED, seeds=own.seeds)
--- a/lagooncrank/server/seeded/_running.py
+++ b/lagooncrank/server/seeded/_running.py
@@ -20,7 +20,7 @@
 SETTINGS_CHECK_S: Final = 1.0
 SHUTDOWN_S: Final = 0.3
 
-#: An application and the address "ip:port" that it is served on.
+#: An application and the address "ip:port" that it is served on, if any.
 Site = tuple[web.Application, str]
 
 
@@ -45,7 +45,7 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     await node.start()
-    runners = [await _serve(app, address) for app, address in sites]
+    runners = [await _serve(app, address) for app, address in sites if address]
     watcher = asyncio.create_task(
         _reload_on_change(node, settings_file, load, changed)
     )
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -161,7 +161,6 @@
         listen["operators" if is_control else "callers"] = self.public.target
         if not is_control:
             listen["readiness"] = f"{self.ip}:{site.free_port(self.ip)}"
-        if is_control:
             listen["directory"] = f"{self.ip}:{site.free_port(self.ip)}"
         listen["metrics"] = f"{self.ip}:{site.free_port(self.ip)}"
         content = {
