Count no silence of servers while a control node has no quorum

Cause: a control node refuses reports while it has no quorum, but counted that time as listened to. The loss and return of the quorum are logged now.

--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -31,6 +31,8 @@
 MIN_LOG_BYTES: Final = 4_194_304
 MIN_LOG_SNAPSHOTS: Final = 4
 TIMING: Final = consensus.Timing()
+#: Age of the last contact with a quorum beyond which a node is cut off.
+QUORUM_CONTACT_MS: Final = 1_500
 
 _log = logbook.Logger("lagooncrank.shared_state")
 
@@ -173,6 +175,12 @@
         """Returns the age of the last quorum contact; None before any."""
         return self._participant.contact_age_ms(self._clock.now_ms())
 
+    @property
+    def has_quorum(self) -> bool:
+        """Whether a quorum answered lately, so that what is told spreads."""
+        age_ms = self.contact_age_ms()
+        return age_ms is not None and age_ms < QUORUM_CONTACT_MS
+
     def lease_holds(self) -> bool:
         """Whether quorum contact is recent enough to take new work."""
         configuration = self.view.configuration
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -1,16 +1,11 @@
 """A seeded control node: votes, knows the fleet, forms groups."""
 
-from typing import Final
-
 from lagooncrank import clock as clocks
 from lagooncrank import settings
 from lagooncrank.server.seeded import _group_driver
 from lagooncrank.server.seeded import _node
 from lagooncrank.server.seeded import _wire
 
-#: Age of the last contact with a quorum beyond which this node is cut off.
-QUORUM_CONTACT_MS: Final = 1_500
-
 
 class Control(_node.Node):
     """One control node, without the server for its callers."""
@@ -42,5 +37,4 @@
     @property
     def has_quorum(self) -> bool:
         """Whether a quorum answered lately, so that what is told spreads."""
-        age_ms = self.shared.contact_age_ms()
-        return age_ms is not None and age_ms < QUORUM_CONTACT_MS
+        return self.shared.has_quorum
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -190,13 +190,22 @@
         self._links.send_all(self._shared.followers, _SUMMARY, summary)
 
     def _listen(self, now_ms: int) -> None:
-        connected = self._links.connected()
-        is_connected = self.is_control or self._shared.upstream in connected
+        """Counts the time for which this node hears of backend servers.
+
+        A control node without a quorum refuses their reports, so that their
+        silence towards it means nothing.
+        """
+        if self.is_control:
+            is_connected = self._shared.has_quorum
+            dependency = "quorum"
+        else:
+            is_connected = self._shared.upstream in self._links.connected()
+            dependency = "control nodes"
         if is_connected is not self._is_connected:
             event = decisions.Event.LOST
             if is_connected:
                 event = decisions.Event.REGAINED
-            self._log.write(event, dependency="control nodes")
+            self._log.write(event, dependency=dependency)
         self._is_connected = is_connected
         if not is_connected:
             # What was last heard of the others says nothing any more.
