Serve by the groups of the replicated state until engines have reported

Cause: after a loss of power each engine is heard within 1.2 s of the control nodes' return, and an entry used a group only once it had heard all members, so that groups of four came back after about a second. Their engines had served all the while, and the state names head, address and epoch.

--- a/lagooncrank/core/catalog/_catalog.py
+++ b/lagooncrank/core/catalog/_catalog.py
@@ -45,6 +45,13 @@
         sizes = {m.name: m.size for m in plan.engine.models}
         return sizes.get(name)
 
+    def engine_slots(self, service: model.ServiceName) -> int:
+        """Returns the requests that an engine works on at once, or 0."""
+        plan = self.services.get(service)
+        if plan is None or plan.engine is None:
+            return 0
+        return plan.engine.slots
+
     @property
     def requires_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -214,6 +214,11 @@
             self._listened_ms += min(passed_ms, MAX_TICK_MS)
         self._ticked_ms = now_ms
 
+    @property
+    def listened_ms(self) -> int:
+        """Time for which this node could hear of servers."""
+        return self._listened_ms
+
     @property
     def is_settled(self) -> bool:
         """Whether a server that is unknown would have been heard by now."""
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -39,7 +39,11 @@
         self.metrics = _entry_metrics.EntryMetrics()
         self._client = _attempt.BackendClient(calls)
         targets = _targets.Targets(
-            own.failure_domain_id, self.shared, self.view, clock
+            own.failure_domain_id,
+            self.shared,
+            self.view,
+            self.documents,
+            clock,
         )
         allowance = dispatch.RetryAllowance(own.retry)
         forwarder = _forwarding.Forwarder(
--- a/lagooncrank/server/seeded/_targets.py
+++ b/lagooncrank/server/seeded/_targets.py
@@ -10,10 +10,12 @@
 from lagooncrank.core import dispatch
 from lagooncrank.core import groups
 from lagooncrank.server import _shared_state
+from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
 
 #: Entries that are taken to run before their number is known.
 UNKNOWN_ENTRIES: Final = 8
+UNKNOWN_DOMAIN: Final = model.FailureDomainId("")
 
 
 class Targets:
@@ -24,11 +26,13 @@
         near: model.FailureDomainId,
         shared: _shared_state.ReplicatedState,
         view: _fleet_view.FleetView,
+        documents: _documents.Documents,
         clock: clocks.Clock,
     ) -> None:
         self._near = near
         self._shared = shared
         self._view = view
+        self._documents = documents
         self._clock = clock
         self.suspects = dispatch.Suspects()
 
@@ -108,6 +112,20 @@
             known = self._view.table.get(group.head.server_id)
             if known is not None:
                 yield _target(known.report, group.name)
+            else:
+                yield self._unheard_head(group)
+
+    def _unheard_head(self, group: model.Group) -> dispatch.Target:
+        """Returns a head that has not reported since this entry started."""
+        catalog = self._documents.catalog
+        return dispatch.Target(
+            group.head.server_id,
+            group.head.address,
+            group.service,
+            UNKNOWN_DOMAIN,
+            0 if catalog is None else catalog.engine_slots(group.service),
+            group.name,
+        )
 
     def _servers(self, service: model.ServiceName) -> Iterator[dispatch.Target]:
         for known in self._view.table.ready(service):
--- a/lagooncrank/server/seeded/tests/test_all_entries_start_at_once.py
+++ b/lagooncrank/server/seeded/tests/test_all_entries_start_at_once.py
@@ -28,7 +28,9 @@
     )
     view.loads.set_total({f"s{n}": in_flight // HEADS for n in range(HEADS)})
     near = model.FailureDomainId("a")
-    found = _targets.Targets(near, cast(Any, None), view, clocks.ManualClock())
+    found = _targets.Targets(
+        near, cast(Any, None), view, cast(Any, None), clocks.ManualClock()
+    )
     heads = [
         dispatch.Target(
             model.BackendServerId(f"s{n}"), "", SERVICE, near, SLOTS, f"g{n}"
