--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -17,6 +17,7 @@
 from lagooncrank.core import fleet
 from lagooncrank.server import _shared_state
 from lagooncrank.server import links as peer_links
+from lagooncrank.server.seeded import _control_nodes
 from lagooncrank.server.seeded import _decisions
 from lagooncrank.server.seeded import _stalls
 
@@ -75,7 +76,9 @@
         self._heard_entries = fleet.HeardEntries()
         #: Called after the table or the groups may have changed.
         self.listeners: list[Callable[[], None]] = []
-        self._control_nodes: tuple[model.NodeId, ...] = ()
+        self._control_nodes = _control_nodes.ControlNodes(
+            own, links, shared, log
+        )
         self._fresh_notices: dict[model.NodeId, fleet.NodeNotice] = {}
         self._told: frozenset[model.NodeId] = frozenset()
         self._sequence = 0
@@ -110,11 +113,11 @@
 
     async def on_start(self) -> None:
         """Learns of the control nodes that the settings name."""
-        self._follow(self._settings.seed_ids)
+        self._control_nodes.follow(self._settings.seed_ids)
 
     def add_seeds(self, seeds: tuple[model.NodeId, ...]) -> None:
         """Asks further control nodes."""
-        self._follow((*self._control_nodes, *seeds))
+        self._control_nodes.add(seeds)
 
     @mode.Service.timer(PASS_ON_S)  # type: ignore[misc, unused-ignore]
     async def _pass_on_now_and_then(self) -> None:
@@ -177,16 +180,20 @@
         batch = fleet.NodeNotices((notice,))
         connected = self._links.connected()
         # Two control nodes are told, so that the loss of one is not seen.
-        told = [n for n in self._ordered_control_nodes() if n in connected]
+        told = [
+            n
+            for n in self._control_nodes.others_by_distance()
+            if n in connected
+        ]
         self._links.send_all(told[:2], _NOTICES, batch)
 
     def _pass_on_notices(self, now_ms: int) -> None:
         batch = fleet.NodeNotices(tuple(self._fresh_notices.values()))
         self._fresh_notices.clear()
-        self._links.send_all(self._other_control_nodes(), _NOTICES, batch)
-        summary = self.nodes.summary(now_ms, self._voters())
+        self._links.send_all(self._control_nodes.others(), _NOTICES, batch)
+        summary = self.nodes.summary(now_ms, self._control_nodes.voters())
         self.entry_count = len(summary.open_entries)
-        self._follow(summary.control_nodes)
+        self._control_nodes.follow(summary.control_nodes)
         self._links.send_all(self._shared.followers, _SUMMARY, summary)
 
     def _listen(self, now_ms: int) -> None:
@@ -230,7 +237,7 @@
             self._links.send_all(new_followers, _REPORTS, whole)
         if news is not None:
             others = followers - new_followers
-            others = others.union(self._other_control_nodes())
+            others = others.union(self._control_nodes.others())
             self._links.send_all(others, _REPORTS, news)
 
     def _on_connected(self, peer: model.NodeId) -> None:
@@ -287,49 +294,7 @@
             self._first_summary_ms = now_ms
         self.stalls.tell(self.stalls.hear(summary.stalled, now_ms))
         if summary.control_nodes:
-            self._follow(summary.control_nodes)
-
-    def _follow(self, control_nodes: tuple[model.NodeId, ...]) -> None:
-        """Keeps links with the control nodes and may follow any of them."""
-        found = dict.fromkeys((*control_nodes, *self._voters()))
-        if not found or tuple(found) == self._control_nodes:
-            return
-        for gone in set(self._control_nodes) - set(found):
-            if gone not in self._settings.seed_ids:
-                self._links.drop_peer(gone)
-        self._control_nodes = tuple(found)
-        for node_id in self._control_nodes:
-            if node_id != self._settings.node_id:
-                address = self._settings.peer_address(node_id)
-                self._links.add_peer(node_id, address)
-        self._log.write(decisions.Event.NODE, control=self._control_nodes)
-        self._shared.set_peers(
-            tuple(self._ordered_control_nodes()),
-            frozenset(self._control_nodes),
-        )
-
-    def _voters(self) -> tuple[model.NodeId, ...]:
-        """Returns the voters as this node's log has them."""
-        voters = self._shared.voters
-        if voters is None:
-            return ()
-        return tuple(v.node_id for v in voters.members)
-
-    def _other_control_nodes(self) -> list[model.NodeId]:
-        own = self._settings.node_id
-        return [n for n in self._control_nodes if n != own]
-
-    def _ordered_control_nodes(self) -> list[model.NodeId]:
-        """Returns the other control nodes, the nearest first.
-
-        Addresses of one failure domain share a prefix, so the control node
-        with the longest common prefix is the nearest.
-        """
-        own = self._settings.ip
-        return sorted(
-            self._other_control_nodes(),
-            key=lambda n: (-_common_prefix(own, n), n),
-        )
+            self._control_nodes.follow(summary.control_nodes)
 
     def _note_server(self, report: model.ServerReport) -> None:
         self._log.write(
@@ -342,13 +307,3 @@
             loaded=report.loaded,
             sequence=report.sequence,
         )
-
-
-def _common_prefix(one: str, other: str) -> int:
-    """Returns how many leading parts two IP addresses share.
-
-    >>> _common_prefix("10.1.0.40", "10.1.0.43")
-    3
-    """
-    pairs = zip(one.split("."), other.split("."), strict=False)
-    return next((i for i, (a, b) in enumerate(pairs) if a != b), 4)
