Serve metrics of control nodes; count orders and changes of groups

Control nodes had no metrics at the address of the settings, though the shared state counted proposals, failed reads and syncs. Now they serve these, a counter of group changes and a histogram of the time until engines answer an order.

--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -2,6 +2,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import settings
+from lagooncrank.server.seeded import _control_metrics
 from lagooncrank.server.seeded import _group_driver
 from lagooncrank.server.seeded import _node
 from lagooncrank.server.seeded import _wire
@@ -19,6 +20,7 @@
         started_ms: int | None = None,
     ) -> None:
         super().__init__(own, documents, clock, started_ms)
+        self.metrics = _control_metrics.ControlMetrics()
         self._driver = _group_driver.GroupDriver(
             own,
             self.shared,
@@ -27,6 +29,7 @@
             engines,
             clock,
             self.decisions,
+            self.metrics,
         )
 
     async def on_start(self) -> None:
--- /dev/null
+++ b/lagooncrank/server/seeded/_control_metrics.py
@@ -0,0 +1,44 @@
+"""Counters and latency histograms of a control node."""
+
+import prometheus_client
+
+from lagooncrank.core import groups
+
+ORDER_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+
+
+class ControlMetrics:
+    """Metrics of one control node, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._orders_s = prometheus_client.Histogram(
+            "lagooncrank_order_seconds",
+            "Time from an order to an engine until its answer, by status; "
+            "status 0 is none.",
+            ("order", "status"),
+            buckets=ORDER_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._group_changes = prometheus_client.Counter(
+            "lagooncrank_group_changes",
+            "Changes of groups that were proposed, by kind and outcome.",
+            ("change", "outcome"),
+            registry=self.registry,
+        )
+
+    def answered(
+        self, order: groups.OrderKind | str, status: int, took_ms: int
+    ) -> None:
+        """Observes the answer to an order, or its absence."""
+        seconds = took_ms / 1_000
+        self._orders_s.labels(str(order), str(status)).observe(seconds)
+
+    def changed(self, change: str, outcome: str) -> None:
+        """Counts a proposed change of a group."""
+        self._group_changes.labels(change, outcome).inc()
+
+    def exposition(self) -> bytes:
+        """Returns these metrics and those of the shared state as text."""
+        shared = prometheus_client.generate_latest(prometheus_client.REGISTRY)
+        return shared + prometheus_client.generate_latest(self.registry)
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -13,6 +13,7 @@
 from lagooncrank.core import groups
 from lagooncrank.core import state
 from lagooncrank.server import _shared_state
+from lagooncrank.server.seeded import _control_metrics
 from lagooncrank.server.seeded import _decisions
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
@@ -36,8 +37,10 @@
         engines: _wire.EngineClient,
         clock: clocks.Clock,
         log: _decisions.DecisionLog,
+        metrics: _control_metrics.ControlMetrics,
     ) -> None:
         super().__init__()
+        self._metrics = metrics
         self._shared = shared
         self._view = view
         self._documents = documents
@@ -172,6 +175,7 @@
                 )
                 self._commit(
                     move,
+                    action.phase or "forgotten",
                     {group.name},
                     group=group.name,
                     epoch=group.epoch,
@@ -182,6 +186,7 @@
                 released = action.server_ids
                 self._commit(
                     state.ReleaseMembers(group.name, released, term),
+                    "members_released",
                     {group.name},
                     group=group.name,
                     epoch=group.epoch,
@@ -194,6 +199,7 @@
                 members = [m.server_id for m in action.members]
                 self._commit(
                     form,
+                    model.GroupPhase.FORMING,
                     set(members),
                     phase=model.GroupPhase.FORMING,
                     model=action.model_name,
@@ -202,15 +208,20 @@
                 )
 
     def _commit(
-        self, command: state.Command, subjects: set[str], **fields: Any
+        self,
+        command: state.Command,
+        change: str,
+        subjects: set[str],
+        **fields: Any,
     ) -> None:
         """Proposes a change; nothing else is done to its subjects meanwhile."""
         self._proposing.update(subjects)
-        self.add_future(self._propose(command, subjects, fields))
+        self.add_future(self._propose(command, change, subjects, fields))
 
     async def _propose(
         self,
         command: state.Command,
+        change: str,
         subjects: set[str],
         fields: dict[str, Any],
     ) -> None:
@@ -218,6 +229,7 @@
             outcome = await self._shared.propose(command, PROPOSAL_TIMEOUT_MS)
         finally:
             self._proposing.difference_update(subjects)
+        self._metrics.changed(change, outcome.code.name)
         if outcome.group is not None:
             fields["group"] = outcome.group.name
         self._log.write(
@@ -226,7 +238,10 @@
         self._wake.set()
 
     async def _stage(self, stage: groups.Stage) -> None:
+        began_ms = self._clock.now_ms()
         outcome = await self._engines.stage(stage, self._shared.term)
+        took_ms = self._clock.now_ms() - began_ms
+        self._metrics.answered("stage", outcome.status, took_ms)
         self._log.write(
             decisions.Event.ORDER,
             order="stage",
@@ -236,7 +251,10 @@
         )
 
     async def _send(self, order: groups.Order) -> None:
+        began_ms = self._clock.now_ms()
         outcome = await self._engines.send(order, self._shared.term)
+        took_ms = self._clock.now_ms() - began_ms
+        self._metrics.answered(order.kind, outcome.status, took_ms)
         self._log.write(
             decisions.Event.ORDER,
             order=order.kind,
