--- a/lagooncrank/core/consensus/tests/test_elastic_voters.py
+++ b/lagooncrank/core/consensus/tests/test_elastic_voters.py
@@ -52,9 +52,11 @@
     assert found == set(wanted)
 
 
-def elastic_world() -> tuple[worlds.World, invariants.Invariants]:
+def elastic_world(
+    voter_target: int = 3,
+) -> tuple[worlds.World, invariants.Invariants]:
     world = worlds.World(seed=3)
-    world.voter_target = 3
+    world.voter_target = voter_target
     world.is_used = False
     for host in world.hosts.values():
         host.start()
@@ -103,6 +105,28 @@
     assert successor.applier.revision == last.applier.revision == 1
 
 
+def test_two_lost_disks_are_borne_while_all_others_lose_power() -> None:
+    """Three founders take two more in where two disks may be lost at once."""
+    world, checks = elastic_world(voter_target=5)
+    for name in ("w3", "w4"):
+        add_node(world, name).start()
+    invariants.run_checked(world, checks, 5_000)
+    leader = world.leader()
+    assert len(voters_of(leader)) == 5
+    leader.calls.change(0)
+    invariants.run_checked(world, checks, 500)
+    hosts = [world.hosts[n] for n in sorted(voters_of(leader))]
+    for host in hosts:
+        host.crash()
+    for host in hosts[:2]:
+        host.disk = world.new_disk(host.node_id)
+    invariants.run_checked(world, checks, 500)
+    for host in hosts:
+        host.start()
+    invariants.run_checked(world, checks, 5_000)
+    assert {h.applier.revision for h in hosts} == {1}
+
+
 def test_voter_that_is_only_cut_off_for_a_while_stays() -> None:
     world, checks = elastic_world()
     follower = next(n for n in world.voter_ids if n != world.leader().node_id)
