--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,8 +17,8 @@
 from aiohttp import web
 
 from lagooncrank import model
-from standins import _announcer
 from standins import _process
+from standins import _running
 from standins import _tokens
 
 NDJSON = "application/x-ndjson"
@@ -282,17 +282,7 @@
             crash_text=arguments.crash_text,
         )
     )
-    listener = _process.listen(arguments.port)
-    engine.address = _process.address_of(listener)
-    close = await _process.serve(engine.app(), listener)
-    entries = _process.split_entries(arguments.entries)
-    announcer = _announcer.Announcer(entries, engine.announcement)
-    await announcer.start()
-    await _process.wait_for_sigterm()
-    engine.leaving = True
-    await announcer.announce()
-    await announcer.stop()
-    await close()
+    await _running.run_until_sigterm(engine, arguments)
 
 
 if __name__ == "__main__":
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 
 from lagooncrank import model
-from standins import _announcer
 from standins import _process
+from standins import _running
 
 
 class PlainServiceStandIn:
@@ -100,17 +100,7 @@
         arguments.failure_domain,
         tuple(arguments.serves.split(",")),
     )
-    listener = _process.listen(arguments.port)
-    service.address = _process.address_of(listener)
-    close = await _process.serve(service.app(), listener)
-    entries = _process.split_entries(arguments.entries)
-    announcer = _announcer.Announcer(entries, service.announcement)
-    await announcer.start()
-    await _process.wait_for_sigterm()
-    service.leaving = True
-    await announcer.announce()
-    await announcer.stop()
-    await close()
+    await _running.run_until_sigterm(service, arguments)
 
 
 if __name__ == "__main__":
