--- a/bench/decision_log.py
+++ b/bench/decision_log.py
@@ -7,7 +7,6 @@
 deployments.
 """
 
-import asyncio
 import os
 import time
 from typing import Final
@@ -50,7 +49,7 @@
     return took_ns / LINES / 1_000
 
 
-async def main() -> None:
+def main() -> None:
     """Prints the cost."""
     line_us = cost_us()
     core = line_us * REQUESTS_PER_S * LINES_PER_REQUEST / 1e6
@@ -58,4 +57,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(main())
+    main()
