End one link, not the process, on an error of that link

Cause: asyncio clears a transport's loop when its connection is lost. Change: abort only while the connection exists; a malformed message ends its link as a typed error; any other error of a dialled link is logged and counted. Ruled out: skipping abort whenever the transport is closing, as a peer that does not read would then hold the link.

--- a/lagooncrank/server/links/_channel.py
+++ b/lagooncrank/server/links/_channel.py
@@ -159,7 +159,10 @@
 
     def abort(self) -> None:
         """Closes the connection without waiting for an unresponsive peer."""
-        self._connection.transport.abort()
+        # asyncio raises AttributeError if a transport is aborted after it was
+        # closed with unwritten bytes and has lost its connection since.
+        if not self._connection.connection_lost_waiter.done():
+            self._connection.transport.abort()
 
     async def _read(
         self, on_message: Callable[[bytes], Awaitable[None]]
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -22,6 +22,7 @@
 from lagooncrank import settings
 from lagooncrank.server import _interfaces
 from lagooncrank.server.links import _channel
+from lagooncrank.server.links import _handshake
 from lagooncrank.server.links import _metrics
 from lagooncrank.server.links import _reconnect_backoff
 
@@ -260,6 +261,10 @@
             self._record_refusal(peer, error)
         except (OSError, TimeoutError, websockets.WebSocketException) as error:
             _log.debug("peer {} is unreachable: {}", peer, error)
+        except Exception:
+            # An unexpected error of one link must not end the process.
+            _metrics.LINKS_CLOSED.labels("internal_error").inc()
+            _log.exception("the link with peer {} failed", peer)
 
     async def _accept(self, connection: ws_server.ServerConnection) -> None:
         try:
@@ -292,7 +297,12 @@
             self._remove_channel(channel)
 
     async def _receive(self, peer: model.NodeId, payload: bytes) -> None:
-        kind, plain_body = cbor2.loads(payload)
+        """Passes a message to the handler of its kind.
+
+        Raises:
+            HandshakeError: The message is not a pair of kind and body.
+        """
+        kind, plain_body = _decode(peer, payload)
         handler = self._handlers.get(kind)
         if handler is None:
             _metrics.MESSAGES_DROPPED.labels("unknown_kind").inc()
@@ -321,3 +331,22 @@
     ) -> None:
         _metrics.LINKS_CLOSED.labels("refused").inc()
         _log.warning("link with {} refused: {}", peer or "unknown peer", error)
+
+
+def _decode(peer: model.NodeId, payload: bytes) -> tuple[str, Any]:
+    """Returns the kind and the body of a message.
+
+    Raises:
+        HandshakeError: The message is not a pair of kind and body.
+    """
+    try:
+        kind, plain_body = cbor2.loads(payload)
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        raise _handshake.HandshakeError(
+            peer, f"it sent a malformed message: {error}"
+        ) from error
+    if not isinstance(kind, str):
+        raise _handshake.HandshakeError(
+            peer, "it sent a message without a kind"
+        )
+    return kind, plain_body
