Send an order with the term in which it was decided

Cause: the group driver read the term when the order left, one or more turns of the loop after the decision. A deposed leader's decision could go out with the next term, and engines could not tell it from the new leader's orders. Test (both cases failed before): the term changes between the decision of a group order or a load order and its sending. Ruled out: dropping such orders; an engine that saw a higher term refuses the lower one, and one that did not may still carry it out safely, as its group was committed before the order.

--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -176,9 +176,9 @@
         term = self._term or 0
         match action:
             case groups.Order():
-                self.add_future(self._send(action))
+                self.add_future(self._send(action, term))
             case groups.StageOrder():
-                self.add_future(self._stage(action))
+                self.add_future(self._stage(action, term))
             case groups.PhaseChange(group=group):
                 command = state.SetGroupPhase(
                     group.name, action.phase, term, action.waits_for_work
@@ -247,9 +247,9 @@
         )
         self._wake.set()
 
-    async def _stage(self, order: groups.StageOrder) -> None:
+    async def _stage(self, order: groups.StageOrder, term: int) -> None:
         began_ms = self._clock.now_ms()
-        outcome = await self._engines.stage(order, self._shared.term)
+        outcome = await self._engines.stage(order, term)
         took_ms = self._clock.now_ms() - began_ms
         self._metrics.observe_order("stage", outcome.status, took_ms)
         self._log.write(
@@ -260,9 +260,13 @@
             status=outcome.status,
         )
 
-    async def _send(self, order: groups.Order) -> None:
+    async def _send(self, order: groups.Order, term: int) -> None:
+        """Sends an order with the term in which it was decided.
+
+        An engine that a later leader has ordered refuses the lower term.
+        """
         began_ms = self._clock.now_ms()
-        outcome = await self._engines.send(order, self._shared.term)
+        outcome = await self._engines.send(order, term)
         took_ms = self._clock.now_ms() - began_ms
         self._metrics.observe_order(order.kind, outcome.status, took_ms)
         self._log.write(
--- /dev/null
+++ b/lagooncrank/server/seeded/tests/test_orders_around_a_new_term.py
@@ -0,0 +1,88 @@
+"""Orders that one leader decided leave while another one takes over.
+
+They must carry the term of their decision: with the newer term, engines could
+not tell them from the orders of the new leader.
+"""
+
+import asyncio
+import types
+from typing import Any
+from typing import cast
+
+import pytest
+
+from lagooncrank import clock as clocks
+from lagooncrank import settings
+from lagooncrank.core import groups
+from lagooncrank.core.groups.tests import builders
+from lagooncrank.server.seeded import _adapter
+from lagooncrank.server.seeded import _control_metrics
+from lagooncrank.server.seeded import _group_driver
+
+DECIDED_TERM = 3
+NEXT_TERM = 4
+MEMBER = builders.group(1).head
+
+
+class FakeEngines:
+    """Records the terms of the orders that it receives."""
+
+    def __init__(self) -> None:
+        self.terms: list[int] = []
+
+    async def send(
+        self, order: groups.Order, term: int
+    ) -> _adapter.OrderOutcome:
+        self.terms.append(term)
+        return _adapter.OrderOutcome(202)
+
+    async def stage(
+        self, order: groups.StageOrder, term: int
+    ) -> _adapter.OrderOutcome:
+        self.terms.append(term)
+        return _adapter.OrderOutcome(202)
+
+
+@pytest.mark.parametrize(
+    "order",
+    [
+        pytest.param(
+            groups.Order(groups.OrderKind.JOIN, builders.group(1), MEMBER),
+            id="group-order",
+        ),
+        pytest.param(groups.StageOrder(MEMBER, "large"), id="load-order"),
+    ],
+)
+async def test_order_carries_the_term_of_its_decision(
+    order: groups.Action,
+) -> None:
+    shared = types.SimpleNamespace(
+        term=DECIDED_TERM,
+        is_leader=True,
+        lease_holds=lambda: True,
+        on_applied=lambda _: None,
+    )
+    engines = FakeEngines()
+    driver = _group_driver.GroupDriver(
+        settings.SeededSettings(
+            settings.Role.CONTROL,
+            "10.0.0.1",
+            cast(Any, "a"),
+            7340,
+            (),
+            "key",
+        ),
+        cast(Any, shared),
+        cast(Any, types.SimpleNamespace(listeners=[])),
+        cast(Any, None),
+        cast(Any, engines),
+        clocks.ManualClock(),
+        cast(Any, types.SimpleNamespace(write=lambda *_, **__: None)),
+        _control_metrics.ControlMetrics(),
+    )
+    driver._check_leadership()
+    driver._execute(order)
+    shared.term = NEXT_TERM
+    while not engines.terms:
+        await asyncio.sleep(0)
+    assert engines.terms == [DECIDED_TERM]
