End streams that send bytes but no event

Cause: the limit on pauses restarted at each chunk, so a server that sent a byte now and then held a stream until the caller's deadline (20 s in the test). Change: only a complete event restarts the limit. Test: a head that sends single bytes of an event after two events; before, the stream ended with DEADLINE_EXCEEDED after 20,001 ms, now it is resumed at another group with all six events in order. Ruled out: a second copy of a response, sent late on a connection in use again. Its attempt id does not match the next request's, so no other caller gets it; the new test passes with the code as it was. Ruled out: cutting slow but sound streams. A stall is acted on only if all streams of a head stalled and another attempt is allowed; the last attempt runs to its deadline.

--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -209,8 +209,9 @@
         backend_response: _attempt.BackendResponse,
     ) -> AsyncIterator[bytes]:
         splitter = _events.EventSplitter()
+        time_limit = self._stream_time_limit(exchange)
         async for chunk in self._read_chunks(
-            exchange, target, backend_response
+            exchange, target, backend_response, time_limit
         ):
             ready = []
             for event in splitter.feed(chunk):
@@ -220,6 +221,7 @@
                     exchange.last_event_id = event.event_id
                 ready.append(event.raw)
             if ready:
+                time_limit.restart_pause()
                 yield b"".join(ready)
         if splitter.has_partial_event:
             raise _attempt.AttemptFailedError(
@@ -232,31 +234,13 @@
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         backend_response: _attempt.BackendResponse,
+        time_limit: "_StreamTimeLimit",
     ) -> AsyncIterator[bytes]:
-        """Yields the body, and fails the attempt if it pauses for too long.
-
-        Only requests that may run again have a limit on pauses; the deadline
-        applies to all.
-        """
-        pause_ms: int | None = None
-        if exchange.route.is_retry_safe:
-            pause_ms = max(
-                STREAM_PAUSE_FACTOR * exchange.route.max_event_gap_ms,
-                MIN_STREAM_PAUSE_MS,
-            )
-        loop = asyncio.get_running_loop()
-        deadline_s = (
-            loop.time() + exchange.remaining_ms(self._clock) / clocks.MS_PER_S
-        )
+        """Yields the body, and fails the attempt at the time limit."""
         chunks = backend_response.body()
         while True:
-            timeout_at_s = deadline_s
-            if pause_ms is not None:
-                timeout_at_s = min(
-                    deadline_s, loop.time() + pause_ms / clocks.MS_PER_S
-                )
             try:
-                async with asyncio.timeout_at(timeout_at_s) as timeout:
+                async with asyncio.timeout_at(time_limit.at_s) as timeout:
                     with self._forwarder.register_wait(
                         exchange, target, timeout
                     ):
@@ -269,6 +253,22 @@
                 return
             yield chunk
 
+    def _stream_time_limit(
+        self, exchange: _exchange.Exchange
+    ) -> "_StreamTimeLimit":
+        """Returns the time limit of one attempt of a stream.
+
+        Only requests that may run again have a limit on pauses; the deadline
+        applies to all.
+        """
+        pause_ms: int | None = None
+        if exchange.route.is_retry_safe:
+            pause_ms = max(
+                STREAM_PAUSE_FACTOR * exchange.route.max_event_gap_ms,
+                MIN_STREAM_PAUSE_MS,
+            )
+        return _StreamTimeLimit(exchange.remaining_ms(self._clock), pause_ms)
+
     def _abort(
         self,
         request: web.BaseRequest,
@@ -302,6 +302,34 @@
         )
 
 
+class _StreamTimeLimit:
+    """Time by which the next complete event of a stream must arrive.
+
+    A part of an event does not extend it: a server that sends a byte now and
+    then has stalled.
+    """
+
+    def __init__(self, remaining_ms: int, pause_ms: int | None) -> None:
+        """Starts the limit of an attempt.
+
+        Args:
+            remaining_ms: Time until the deadline of the request.
+            pause_ms: Longest pause between two events; None for no limit.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._deadline_s = self._loop.time() + remaining_ms / clocks.MS_PER_S
+        self._pause_ms = pause_ms
+        #: Time on the clock of the event loop.
+        self.at_s = self._deadline_s
+        self.restart_pause()
+
+    def restart_pause(self) -> None:
+        """Restarts the limit on pauses after a complete event."""
+        if self._pause_ms is not None:
+            pause_s = self._pause_ms / clocks.MS_PER_S
+            self.at_s = min(self._deadline_s, self._loop.time() + pause_s)
+
+
 def _set_headers(
     response: web.StreamResponse, backend_response: _attempt.BackendResponse
 ) -> None:
