--- a/lagooncrank/server/links/tests/test_failing_links.py
+++ b/lagooncrank/server/links/tests/test_failing_links.py
@@ -101,7 +101,7 @@
         dialled.set()
         raise AttributeError("unexpected")
 
-    monkeypatch.setattr(_links.ws_client, "connect", fail)
+    monkeypatch.setattr(ws_client, "connect", fail)
     listener = socket.socket()
     listener.bind(("127.0.0.1", 0))
     host, port = listener.getsockname()
--- a/lagooncrank/server/seeded/_slot_queue.py
+++ b/lagooncrank/server/seeded/_slot_queue.py
@@ -15,9 +15,6 @@
 #: Interval at which queued requests are checked again: slots that other entries
 #: release are reported to this one later.
 RECHECK_INTERVAL_S: Final = 0.05
-#: Fraction of its remaining time that a request may wait; the rest is left to
-#: its caller for a retry.
-MAX_WAIT_FRACTION: Final = 0.5
 
 
 class QueueTimeoutError(Exception):
@@ -94,8 +91,8 @@
             exchange.route.target_latency_ms,
         )
         began_ms = self._clock.now_ms()
-        limit_ms = (
-            max(exchange.remaining_ms(self._clock), 0) * MAX_WAIT_FRACTION
+        limit_ms = dispatch.queue_limit_ms(
+            exchange.route, exchange.remaining_ms(self._clock)
         )
         grant_future = asyncio.get_running_loop().create_future()
         self._grant_futures[exchange.number] = grant_future
--- a/lagooncrank/server/seeded/tests/test_orders_around_a_new_term.py
+++ b/lagooncrank/server/seeded/tests/test_orders_around_a_new_term.py
@@ -29,17 +29,20 @@
 
     def __init__(self) -> None:
         self.terms: list[int] = []
+        self.received = asyncio.Event()
 
     async def send(
         self, order: groups.Order, term: int
     ) -> _adapter.OrderOutcome:
         self.terms.append(term)
+        self.received.set()
         return _adapter.OrderOutcome(202)
 
     async def stage(
         self, order: groups.StageOrder, term: int
     ) -> _adapter.OrderOutcome:
         self.terms.append(term)
+        self.received.set()
         return _adapter.OrderOutcome(202)
 
 
@@ -83,6 +86,5 @@
     driver._check_leadership()
     driver._execute(order)
     shared.term = NEXT_TERM
-    while not engines.terms:
-        await asyncio.sleep(0)
+    await engines.received.wait()
     assert engines.terms == [DECIDED_TERM]
--- a/lagooncrank/server/seeded/tests/test_slot_queue.py
+++ b/lagooncrank/server/seeded/tests/test_slot_queue.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lagooncrank import clock as clocks
+from lagooncrank import model as lagoon_model
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _slot_queue
@@ -63,7 +64,11 @@
         account=None,
         priority=1,
         arrived_ms=0,
-        route=types.SimpleNamespace(target_latency_ms=300),
+        route=types.SimpleNamespace(
+            target_latency_ms=300,
+            max_event_gap_ms=300,
+            kind=lagoon_model.RequestKind.IDEMPOTENT,
+        ),
         remaining_ms=lambda _: remaining_ms,
         queued_ms=0,
     )
