Use the weights that engines keep, and load spare engines at the start

Change: the table keeps the loaded models of an engine that is in no group; spare engines load the model that their fabric domain serves most.

--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -134,6 +134,7 @@
             and previous.incarnation_id == report.incarnation_id
         ):
             report = _retain_leaving_state(previous, report)
+            report = _retain_loaded_models(previous, report)
         if previous is None or previous.incarnation_id != report.incarnation_id:
             self.newest_start_ms = max(self.newest_start_ms, received_ms)
         is_renewed = previous is not None and _differ_by_sequence_only(
@@ -355,6 +356,19 @@
     return dataclasses.replace(report, state=previous.state)
 
 
+def _retain_loaded_models(
+    previous: model.ServerReport, report: model.ServerReport
+) -> model.ServerReport:
+    """Returns the report with the previous weights of an idle engine.
+
+    An engine without a group reports no loaded model, although it keeps the
+    weights of its last group in memory until it joins another one.
+    """
+    if report.loaded or report.membership is not None:
+        return report
+    return dataclasses.replace(report, loaded=previous.loaded)
+
+
 def _differ_by_sequence_only(
     previous: model.ServerReport, report: model.ServerReport
 ) -> bool:
--- a/lagooncrank/core/groups/_staging.py
+++ b/lagooncrank/core/groups/_staging.py
@@ -18,6 +18,7 @@
 from lagooncrank.core.groups import _inventory
 from lagooncrank.core.groups import _load_rate
 from lagooncrank.core.groups import _runtime_loads
+from lagooncrank.core.groups import _startup_loads
 
 #: Added to the expected duration of a load before it counts as failed.
 LOAD_TIMEOUT_MARGIN_MS: Final = 8_000
@@ -64,11 +65,22 @@
         groups: Mapping[str, model.Group],
         now_ms: int,
     ) -> Iterator[_actions.StageOrder]:
-        """Yields loads of a second model before requests are served."""
+        """Yields loads before requests are served.
+
+        Members of groups load a second model, and engines that no group of
+        their fabric domain needs load a first one.
+        """
         engine = service.engine
-        if engine is None or len(engine.models) < 2:
+        if engine is None:
             return
         loads_in_progress = self.loads_in_progress(table, now_ms)
+        inventory = _inventory.inventory_of(service, engine, table, groups)
+        for load in _startup_loads.spare_engine_loads(
+            inventory, loads_in_progress
+        ):
+            yield self._start_load(load.report, load.profile, now_ms)
+        if len(engine.models) < 2:
+            return
         for group in _serving_groups(service, groups):
             others = [m for m in engine.models if m.name != group.model_name]
             for report in _ready_members((group,), table):
--- /dev/null
+++ b/lagooncrank/core/groups/tests/test_pairs_of_members_lost.py
@@ -0,0 +1,145 @@
+"""Engines are lost in pairs for good, faster than new ones can load weights.
+
+The engines that remain must form groups from the weights that they hold: those
+in memory, which an engine keeps when it leaves its group, and those that its
+host staged before requests were served.
+"""
+
+import pytest
+
+from lagooncrank import model
+from lagooncrank.core import fleet
+from lagooncrank.core import groups
+from lagooncrank.core.groups import _inventory
+from lagooncrank.core.groups.tests import builders
+
+NOW_MS = 10_000
+
+
+def engine_that_left(
+    number: int, held: str, staged: tuple[str, ...]
+) -> list[model.ServerReport]:
+    """Returns the last report in a group, and the one after leaving it."""
+    in_group = builders.engine_report(
+        number,
+        staged=staged,
+        loaded=(held,),
+        membership=builders.membership_at(model.MemberState.READY),
+    )
+    idle = builders.next_report(in_group, loaded=(), membership=None)
+    return [in_group, idle]
+
+
+def table_after_a_loss() -> fleet.ServerTable:
+    """Three of four members remain, and a spare holds the same model."""
+    reports = [
+        report
+        for number in (1, 2, 3)
+        for report in engine_that_left(number, "large", ("small",))
+    ]
+    spare = builders.engine_report(4, staged=("large",))
+    return builders.server_table(*reports, spare)
+
+
+def planned_models(table: fleet.ServerTable) -> list[str]:
+    actions = groups.Planner().plan(
+        builders.SERVICE_CONFIG,
+        table,
+        {},
+        now_ms=NOW_MS,
+        allow_cold_members=False,
+        expects_more_engines=False,
+    )
+    return [a.model_name for a in actions if isinstance(a, groups.PlannedGroup)]
+
+
+def test_remaining_members_form_their_group_again_with_a_spare() -> None:
+    assert planned_models(table_after_a_loss()) == ["large"]
+
+
+def test_engine_keeps_its_weights_until_it_joins_another_group() -> None:
+    left = engine_that_left(1, "large", ())
+    table = builders.server_table(*left)
+    record = table.get(left[0].server_id)
+    assert record is not None
+    assert record.report.loaded == ("large",)
+    joining = builders.next_report(
+        left[1],
+        membership=builders.membership_at(model.MemberState.JOINING, epoch=8),
+    )
+    table.put(joining, NOW_MS)
+    record = table.get(left[0].server_id)
+    assert record is not None
+    assert record.report.loaded == ()
+
+
+def test_restarted_engine_has_no_weights_in_memory() -> None:
+    left = engine_that_left(1, "large", ())
+    restarted = builders.engine_report(1, born_ms=200)
+    table = builders.server_table(*left, restarted)
+    record = table.get(restarted.server_id)
+    assert record is not None
+    assert record.report.loaded == ()
+
+
+def test_kept_weights_are_passed_on_to_other_nodes() -> None:
+    left = engine_that_left(1, "large", ())
+    table = builders.server_table(*left)
+    other = builders.server_table()
+    updates = table.pop_updates(NOW_MS)
+    assert updates is not None
+    other.merge(updates, NOW_MS)
+    record = other.get(left[0].server_id)
+    assert record is not None
+    assert record.report.loaded == ("large",)
+
+
+@pytest.mark.parametrize(
+    ("serving", "expected"),
+    [
+        pytest.param(
+            [builders.group(1, 2, 3, 4)], "large", id="spare-of-a-large-group"
+        ),
+        pytest.param(
+            [
+                builders.group(1, 2, model_name="small", epoch=7),
+                builders.group(3, 4, model_name="small", epoch=8),
+            ],
+            "small",
+            id="spare-of-two-small-groups",
+        ),
+        pytest.param([], "large", id="domain-without-groups"),
+    ],
+)
+def test_spare_engine_loads_what_its_domain_serves_before_requests(
+    serving: list[model.Group], expected: str
+) -> None:
+    members = [
+        report
+        for g in serving
+        for report in builders.member_reports(
+            g, [model.MemberState.READY] * len(g.members)
+        )
+    ]
+    spare = builders.engine_report(9)
+    table = builders.server_table(*members, spare)
+    staging = groups.StagingPlanner(window_ms=5_000)
+    orders = staging.startup_loads(
+        builders.SERVICE_CONFIG, table, {g.name: g for g in serving}, NOW_MS
+    )
+    loads = {o.member.server_id: o.model_name for o in orders}
+    assert loads[spare.server_id] == expected
+
+
+def test_spare_engine_with_weights_loads_nothing_more() -> None:
+    spare = builders.engine_report(9, staged=("small",))
+    table = builders.server_table(spare)
+    staging = groups.StagingPlanner(window_ms=5_000)
+    orders = staging.startup_loads(builders.SERVICE_CONFIG, table, {}, NOW_MS)
+    assert not list(orders)
+
+
+def test_weights_in_memory_are_preferred_to_staged_ones() -> None:
+    report = builders.engine_report(1, staged=("small",), loaded=("large",))
+    assert _inventory.warmth(report, "large") is _inventory.Warmth.LOADED
+    assert _inventory.warmth(report, "small") is _inventory.Warmth.STAGED
--- a/lagooncrank/model/_server_report.py
+++ b/lagooncrank/model/_server_report.py
@@ -60,7 +60,8 @@
     fabric_domain: str = ""
     #: Models with a copy of the weights on the host.
     staged: tuple[str, ...] = ()
-    #: Models with weights in the memory of the engine.
+    #: Models with weights in the memory of the engine. An engine that leaves
+    #: its group keeps them until it joins another one.
     loaded: tuple[str, ...] = ()
     membership: Membership | None = None
 
