Prepare spare engines with both models before the first request

Hypothesis: a spare that holds one model completes a group only of that model; with one model in memory and another on its host it completes either. Change: a group of one engine loads the staged weights into memory, never opens, and is dissolved; its host then stages the other model. A load in progress displaces what the host holds, so an engine that loads one model no longer counts as holding another that it has only staged.

--- a/lagooncrank/core/groups/_actions.py
+++ b/lagooncrank/core/groups/_actions.py
@@ -65,6 +65,8 @@
     members: tuple[model.GroupMember, ...]
     #: Number of members whose host must load from the weight store.
     cold_members: int
+    #: Whether the members only load the weights and then leave.
+    is_preload: bool = False
 
 
 Action = Order | PhaseChange | MemberRelease | StageOrder | PlannedGroup
--- a/lagooncrank/core/groups/_inventory.py
+++ b/lagooncrank/core/groups/_inventory.py
@@ -121,7 +121,7 @@
     group_counts = {m.name: 0 for m in engine.models}
     models_by_domain: dict[str, list[str]] = {}
     for group in own_groups:
-        if group.phase is model.GroupPhase.DISSOLVING:
+        if group.is_preload or group.phase is model.GroupPhase.DISSOLVING:
             continue
         group_counts[group.model_name] = (
             group_counts.get(group.model_name, 0) + 1
--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -115,8 +115,7 @@
             return
         ready_members = [m for m in group.members if _is_ready(group, m, table)]
         if len(ready_members) == len(group.members):
-            phase = model.GroupPhase.SERVING
-            yield _actions.PhaseChange(group, phase, "all members are ready")
+            yield _ready_change(group)
             return
         for member in group.members:
             if _member_state(group, member, table) is None:
@@ -223,6 +222,15 @@
         yield _actions.Order(kind, group, member)
 
 
+def _ready_change(group: model.Group) -> _actions.PhaseChange:
+    """Returns the change of a group whose members are all ready."""
+    if group.is_preload:
+        phase = model.GroupPhase.DISSOLVING
+        return _actions.PhaseChange(group, phase, "the weights are loaded")
+    phase = model.GroupPhase.SERVING
+    return _actions.PhaseChange(group, phase, "all members are ready")
+
+
 def is_orphaned_head(
     report: model.ServerReport, groups: Mapping[str, model.Group]
 ) -> bool:
--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -89,6 +89,8 @@
             if planned_group is None:
                 break
             yield planned_group
+        if allow_cold_members and not expects_more_engines:
+            yield from _preloads(service, inventory)
         if not allow_cold_members:
             yield from self._dissolve_for_neediest(
                 service, inventory, table, groups, now_ms
@@ -168,6 +170,24 @@
             )
 
 
+def _preloads(
+    service: model.ServiceConfig, inventory: _inventory.EngineInventory
+) -> Iterator[_actions.PlannedGroup]:
+    """Yields groups of one engine that load staged weights into memory.
+
+    An engine keeps the weights of its last group, so that its host can then
+    stage another model, and the engine can serve either of them.
+    """
+    for reports in inventory.free.values():
+        for report in reports:
+            if report.loaded or not report.staged:
+                continue
+            member = _inventory.to_group_member(report)
+            yield _actions.PlannedGroup(
+                service.name, report.staged[0], (member,), 0, is_preload=True
+            )
+
+
 def _donor_sets(
     neediest: model.ModelProfile,
     inventory: _inventory.EngineInventory,
--- a/lagooncrank/core/groups/_runtime_loads.py
+++ b/lagooncrank/core/groups/_runtime_loads.py
@@ -147,7 +147,9 @@
     profile: model.ModelProfile,
     loads_in_progress: Mapping[str, str],
 ) -> bool:
-    if loads_in_progress.get(report.server_id) == profile.name:
-        return True
+    loading = loads_in_progress.get(report.server_id)
+    if loading is not None and profile.name not in report.loaded:
+        # The load displaces the model that the host holds.
+        return loading == profile.name
     warmth = _inventory.warmth(report, profile.name)
     return warmth < _inventory.Warmth.COLD
--- a/lagooncrank/core/groups/_startup_loads.py
+++ b/lagooncrank/core/groups/_startup_loads.py
@@ -17,10 +17,11 @@
     inventory: _inventory.EngineInventory,
     loads_in_progress: Mapping[str, str],
 ) -> Iterator[_runtime_loads.PlannedLoad]:
-    """Yields a load for each free engine without weights.
+    """Yields loads of free engines.
 
-    The engine loads the model that the most engines of its fabric domain
-    serve, as that model is the most likely to lose a member there.
+    An engine without weights loads the model that the most engines of its
+    fabric domain serve, as that model is the most likely to lose a member
+    there. An engine that has weights in memory loads another model.
 
     Args:
         inventory: Engines and groups of a service.
@@ -30,9 +31,21 @@
     for domain, reports in inventory.free.items():
         profile = _most_served(inventory, domain)
         for report in reports:
-            is_empty = not report.staged and not report.loaded
-            if is_empty and report.server_id not in loads_in_progress:
+            if report.server_id in loads_in_progress:
+                continue
+            if not report.staged and not report.loaded:
                 yield _runtime_loads.PlannedLoad(report, profile)
+            elif report.loaded and set(report.staged) <= set(report.loaded):
+                yield from _second_model_load(report, inventory)
+
+
+def _second_model_load(
+    report: model.ServerReport, inventory: _inventory.EngineInventory
+) -> Iterator[_runtime_loads.PlannedLoad]:
+    for profile in inventory.models_by_need():
+        if profile.name not in report.loaded:
+            yield _runtime_loads.PlannedLoad(report, profile)
+            return
 
 
 def _most_served(
--- a/lagooncrank/core/state/_commands.py
+++ b/lagooncrank/core/state/_commands.py
@@ -211,6 +211,8 @@
     members: tuple[model.GroupMember, ...]
     #: Term of the deciding leader; older terms are refused.
     term: int
+    #: Whether the members only load the weights and then leave.
+    is_preload: bool = False
 
 
 @COMMANDS.register("move_group")
--- a/lagooncrank/core/state/_groups.py
+++ b/lagooncrank/core/state/_groups.py
@@ -43,6 +43,7 @@
             command.model_name,
             command.members,
             model.GroupPhase.FORMING,
+            is_preload=command.is_preload,
         )
         self.groups[group.name] = group
         return _records.Outcome(results.ResultCode.OK, group=group)
--- a/lagooncrank/model/_server_report.py
+++ b/lagooncrank/model/_server_report.py
@@ -105,6 +105,9 @@
     phase: GroupPhase
     #: Whether the head may finish its requests before the group is dissolved.
     waits_for_work: bool = False
+    #: Whether the members only load the model's weights into memory and then
+    #: leave; the head is never opened.
+    is_preload: bool = False
 
     @property
     def head(self) -> GroupMember:
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -204,7 +204,11 @@
                 )
             case groups.PlannedGroup():
                 form_group = state.FormGroup(
-                    action.service, action.model_name, action.members, term
+                    action.service,
+                    action.model_name,
+                    action.members,
+                    term,
+                    action.is_preload,
                 )
                 members = [m.server_id for m in action.members]
                 self._commit(
@@ -215,6 +219,7 @@
                     model=action.model_name,
                     members=members,
                     cold_members=action.cold_members,
+                    is_preload=action.is_preload,
                 )
 
     def _commit(
