Answer requests that are accepted just before a stopping entry closes

Cause: a stopping entry closed its connections at the first instant without a request in flight, while its listener was still open, so under load a request accepted in that instant ended without an answer. Change: the listener closes when callers no longer use the address; then the entry waits until no request has arrived for 100 ms, within the same limit.

--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -31,6 +31,9 @@
 #: all nodes takes about this long.
 NO_DOCUMENT_RETRY_AFTER_MS: Final = 2_000
 SHUTDOWN_TIMEOUT_S: Final = 0.5
+#: Time without any request after which a stopping entry closes its connections;
+#: longer than a request on a new connection takes to arrive.
+QUIET_S: Final = 0.1
 
 
 class CallerServer:
@@ -62,6 +65,8 @@
         #: Whether each connection is closed after its next response.
         self.is_closing = False
         self._in_flight = 0
+        #: Number of requests since the start.
+        self._served = 0
         self._idle = asyncio.Event()
         self._idle.set()
         self._server: web.Server | None = None
@@ -83,28 +88,45 @@
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(self._server, sock=sock)
 
+    def stop_accepting(self) -> None:
+        """Refuses new connections; open ones are served on."""
+        if self._listener is not None:
+            self._listener.close()
+
     async def drain(self, timeout_s: float) -> bool:
-        """Waits for the requests in flight.
+        """Waits until no request has been in flight for a moment.
+
+        A request may have arrived on an open connection just when the last
+        one ended.
 
         Returns:
-            Whether all of them ended within the timeout.
+            Whether that was so within the timeout.
         """
         try:
             async with asyncio.timeout(timeout_s):
-                await self._idle.wait()
+                while not await self._stays_idle():
+                    await self._idle.wait()
         except TimeoutError:
             return False
         return True
 
+    async def _stays_idle(self) -> bool:
+        """Returns whether no request is or comes in flight for a moment."""
+        if not self._idle.is_set():
+            return False
+        served = self._served
+        await asyncio.sleep(QUIET_S)
+        return self._idle.is_set() and self._served == served
+
     async def stop(self) -> None:
         """Closes the listening socket and every connection."""
-        if self._listener is not None:
-            self._listener.close()
+        self.stop_accepting()
         if self._server is not None:
             await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._in_flight += 1
+        self._served += 1
         self._idle.clear()
         self._view.has_served = True
         try:
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -107,6 +107,7 @@
         await asyncio.sleep(
             min(address_use_ms, drain_deadline_ms) / clocks.MS_PER_S
         )
+        self._caller_server.stop_accepting()
         remaining_ms = started_ms + drain_deadline_ms - self.clock.now_ms()
         await self._caller_server.drain(max(remaining_ms, 0) / clocks.MS_PER_S)
 
