--- a/lagooncrank/cli/_app.py
+++ b/lagooncrank/cli/_app.py
@@ -12,6 +12,7 @@
 from lagooncrank.cli import _maintenance_commands
 from lagooncrank.cli import _output
 from lagooncrank.cli import _questionnaire_command
+from lagooncrank.cli import _report_command
 
 #: Program name in help texts and shell completion.
 PROGRAM_NAME = "lagooncrank"
@@ -27,6 +28,7 @@
 _inspection_commands.register(app)
 _maintenance_commands.register(app)
 _explain_command.register(app)
+_report_command.register(app)
 _questionnaire_command.register(app)
 
 
--- a/lagooncrank/cli/_explain_command.py
+++ b/lagooncrank/cli/_explain_command.py
@@ -1,13 +1,12 @@
 """Command that explains why a request failed."""
 
-from collections.abc import Iterator
 import pathlib
-import sys
 from typing import Annotated
 
 import typer
 
 from lagooncrank.cli import _explain
+from lagooncrank.cli import _log_files
 from lagooncrank.cli import _output
 
 #: Exit code if no line names the request.
@@ -31,7 +30,7 @@
     ] = None,
 ) -> None:
     """Shows what happened to a request, from the logs of all nodes."""
-    lines = _explain.parse_lines(_read_texts(logs or []))
+    lines = _explain.parse_lines(_log_files.read_texts(logs or []))
     timeline = list(_explain.request_timeline(request, lines))
     for sentence in timeline:
         print(sentence)
@@ -41,11 +40,3 @@
             "entry for the time when the caller sent it"
         )
         raise typer.Exit(NOT_FOUND)
-
-
-def _read_texts(logs: list[pathlib.Path]) -> Iterator[str]:
-    if not logs:
-        yield from sys.stdin
-    for path in logs:
-        with path.open(encoding="utf-8", errors="replace") as file:
-            yield from file
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -76,6 +76,9 @@
         "request",
         "status",
         "first_ms",
+        "target_ms",
+        "longest_gap_ms",
+        "max_gap_ms",
         "queued_ms",
         "tried",
         "document",
@@ -126,8 +129,11 @@
         "server_changed",
         "A backend server reported a change or does not respond.",
         "server",
+        "service",
         "state",
         "membership",
+        "staged",
+        "loaded",
         "sequence",
     )
     GROUP = (
@@ -137,7 +143,9 @@
         "epoch",
         "phase",
         "reason",
+        "model",
         "members",
+        "is_preload",
         "outcome",
     )
     ORDER = (
@@ -146,6 +154,7 @@
         "order",
         "group",
         "epoch",
+        "model",
         "server",
         "status",
     )
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -30,6 +30,9 @@
     #: Id of the last event that was passed to the caller.
     last_event_id: int | None = None
     first_event_ms: int | None = None
+    newest_event_ms: int | None = None
+    #: Longest time between two events that were passed to the caller.
+    longest_gap_ms: int = 0
     #: Time that the request waited for a slot of a group.
     queued_ms: int = 0
 
@@ -45,6 +48,15 @@
             return self.account.priority
         return self.route.priority
 
+    def record_event(self, now_ms: int) -> None:
+        """Records the time of an event that is passed to the caller."""
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms
+        if self.newest_event_ms is not None:
+            gap_ms = now_ms - self.newest_event_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.newest_event_ms = now_ms
+
     def remaining_ms(self, clock: clocks.Clock) -> int:
         """Returns the time until the deadline, negative after it."""
         return self.deadline_ms - clock.now_ms()
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -215,8 +215,7 @@
         ):
             ready = []
             for event in splitter.feed(chunk):
-                if exchange.first_event_ms is None:
-                    exchange.first_event_ms = self._clock.now_ms()
+                exchange.record_event(self._clock.now_ms())
                 if event.event_id is not None:
                     exchange.last_event_id = event.event_id
                 ready.append(event.raw)
@@ -298,6 +297,9 @@
             decisions.Event.ANSWERED,
             status=status,
             first_ms=first_ms - exchange.arrived_ms,
+            target_ms=exchange.route.target_latency_ms,
+            longest_gap_ms=exchange.longest_gap_ms,
+            max_gap_ms=exchange.route.max_event_gap_ms,
             **exchange.log_fields(self._clock),
         )
 
