Refuse a queued stream while its caller still waits

Cause: callers abandon a stream that has no event for 2 s, or for four latency targets or eight longest gaps if those are longer.

--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -5,6 +5,8 @@
 from lagooncrank.core.dispatch._loads import InFlightTracker
 from lagooncrank.core.dispatch._loads import OVERCOMMIT_FACTOR
 from lagooncrank.core.dispatch._loads import SlotBudget
+from lagooncrank.core.dispatch._patience import queue_limit_ms
+from lagooncrank.core.dispatch._patience import stream_patience_ms
 from lagooncrank.core.dispatch._progress import StreamProgress
 from lagooncrank.core.dispatch._request_queue import Pool
 from lagooncrank.core.dispatch._request_queue import QUEUE_DISCIPLINES
@@ -30,4 +32,6 @@
     "choose_service",
     "choose_target",
     "has_accurate_loads",
+    "queue_limit_ms",
+    "stream_patience_ms",
 ]
