Detect a dead group although new requests are sent to it

Cause: an entry counted a head as stalled once all of its requests there were without events, for 350 ms or, before the first event, for 1 s. Change: only streams that have begun decide, if there are any. Test without network: requests every 200 ms to a head whose streams stopped; found after 350 ms now, after 1 s or never before.

--- a/lagooncrank/core/dispatch/_progress.py
+++ b/lagooncrank/core/dispatch/_progress.py
@@ -5,6 +5,7 @@
 one of the group's members has failed.
 """
 
+from collections.abc import Collection
 import dataclasses
 from typing import Final
 
@@ -80,11 +81,16 @@
         )
 
     def stalled(self, now_ms: int) -> frozenset[str]:
-        """Returns the servers all of whose streams are stalled."""
+        """Returns the servers all of whose streams are stalled.
+
+        Requests without a first event are considered only if no stream of
+        the server has begun. They may be waiting for a slot, and requests
+        that were just sent must not hide that all streams have stalled.
+        """
         return frozenset(
             server_id
             for server_id, streams in self._streams.items()
-            if all(s.is_stalled(now_ms) for s in streams.values())
+            if _are_stalled(streams.values(), now_ms)
         )
 
     def working(self, now_ms: int) -> frozenset[str]:
@@ -97,3 +103,8 @@
         for server_id in old:
             del self._last_event_ms[server_id]
         return frozenset(self._last_event_ms)
+
+
+def _are_stalled(streams: Collection[_Stream], now_ms: int) -> bool:
+    begun = [s for s in streams if s.has_begun]
+    return all(s.is_stalled(now_ms) for s in begun or streams)
