Probe a head at which a request timed out before its first event

Cause: requests of a route with a latency target of 200 ms time out after 800 ms without a response, but a head without streams in progress counted as stalled only after 1 s. Change: an entry names the heads at which requests have just timed out in its notice; the leader probes the members, as for stalled heads. Others do not avoid a suspected head, as its group may only be full. Ruled out: a shorter limit before the first event, which would move all waiting requests of a full group to others at once.

--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -38,6 +38,8 @@
     stalled: tuple[str, ...] = ()
     #: Servers that sent events on response streams recently.
     working: tuple[str, ...] = ()
+    #: Servers at which a request has just timed out before its first event.
+    suspected: tuple[str, ...] = ()
     #: Time since the node issued the notice, when it was passed on.
     age_ms: int = 0
 
@@ -139,6 +141,10 @@
         """Returns the servers whose streams have stalled at any entry."""
         return {s for n in self.live(now_ms) for s in n.stalled}
 
+    def suspected(self, now_ms: int) -> set[str]:
+        """Returns the servers at which requests have just timed out."""
+        return {s for n in self.live(now_ms) for s in n.suspected}
+
     def working(self, now_ms: int) -> set[str]:
         """Returns the servers that sent events to any entry recently."""
         return {s for n in self.live(now_ms) for s in n.working}
--- a/lagooncrank/core/fleet/tests/test_servers.py
+++ b/lagooncrank/core/fleet/tests/test_servers.py
@@ -228,6 +228,15 @@
     assert not nodes.open_entries(1_000)
 
 
+def test_servers_are_suspected_while_the_notice_is_valid() -> None:
+    nodes = fleet.NodeTable(lease_ms=1_000)
+    entry = notice_from("n1", model.NodeRole.ENTRY, suspected=("s1",))
+    nodes.put(entry, 0)
+    assert nodes.suspected(999) == {"s1"}
+    assert not nodes.stalled(999)
+    assert not nodes.suspected(1_000)
+
+
 def test_partitioned_control_node_reports_all_voters() -> None:
     """Entries that follow it need the other voters, which have a quorum."""
     nodes = fleet.NodeTable(lease_ms=1_000)
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -175,6 +175,7 @@
             self.loads.publish(),
             tuple(self.stall_detector.stalled_locally),
             tuple(self.stall_detector.progress.working(now_ms)),
+            tuple(self.stall_detector.suspected(now_ms)),
         )
         if self.is_control:
             self.nodes.put(notice, now_ms)
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -298,6 +298,10 @@
     ) -> None:
         if error.failure is not _attempt.FailureKind.SERVER_ERROR:
             self._target_selector.record_failure(target)
+        if error.failure is _attempt.FailureKind.TIMED_OUT and target.group:
+            self._view.stall_detector.record_timeout(
+                target.server_id, self._clock.now_ms()
+            )
 
     def _check_retry(
         self,
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -100,8 +100,9 @@
         return is_leader
 
     def _probe_stalled(self, now_ms: int) -> None:
-        """Probes the members of stalled groups."""
-        stalled = self._view.nodes.stalled(now_ms)
+        """Probes the members of groups that have stalled or may have."""
+        nodes = self._view.nodes
+        stalled = nodes.stalled(now_ms) | nodes.suspected(now_ms)
         if not stalled:
             return
         for group in self._shared.view.groups.values():
--- a/lagooncrank/server/seeded/_stall_detector.py
+++ b/lagooncrank/server/seeded/_stall_detector.py
@@ -10,6 +10,8 @@
 MAX_CHECK_INTERVAL_MS: Final = 200
 #: Time for which a stall that the fleet summary reports is used.
 REMOTE_STALL_TTL_MS: Final = 1_500
+#: Time for which a server is suspected after a request timed out there.
+SUSPICION_MS: Final = 1_000
 
 
 class StallDetector:
@@ -25,6 +27,8 @@
         #: Servers that any entry reports as stalled, with the time at which
         #: this entry received the first report.
         self._stalled_remotely: dict[str, int] = {}
+        #: Servers at which a request of this entry timed out, with the time.
+        self._timed_out_ms: dict[str, int] = {}
 
     def check_streams(self, now_ms: int) -> frozenset[str]:
         """Checks this entry's streams.
@@ -56,6 +60,22 @@
         }
         return newly_stalled
 
+    def record_timeout(self, server_id: str, now_ms: int) -> None:
+        """Records that a request timed out before its first event.
+
+        The server may have failed, or its group may only be full.
+        """
+        self._timed_out_ms[server_id] = now_ms
+
+    def suspected(self, now_ms: int) -> frozenset[str]:
+        """Returns the servers at which a request has just timed out."""
+        self._timed_out_ms = {
+            server_id: timed_out_ms
+            for server_id, timed_out_ms in self._timed_out_ms.items()
+            if now_ms - timed_out_ms < SUSPICION_MS
+        }
+        return frozenset(self._timed_out_ms)
+
     def notify(self, newly_stalled: frozenset[str]) -> None:
         """Calls the listeners if any server has just stalled."""
         if newly_stalled:
--- a/lagooncrank/server/seeded/tests/test_stall_detector.py
+++ b/lagooncrank/server/seeded/tests/test_stall_detector.py
@@ -39,3 +39,16 @@
     stall_detector.notify(frozenset())
     stall_detector.notify(frozenset({"head"}))
     assert notified == [{"head"}]
+
+
+def test_server_is_suspected_for_a_while_after_a_timeout() -> None:
+    """Requests time out before they count as stalled if targets are short.
+
+    A head without streams in progress would otherwise never be probed.
+    """
+    stall_detector = _stall_detector.StallDetector(now_ms=0)
+    stall_detector.record_timeout("head", 800)
+    expires_ms = 800 + _stall_detector.SUSPICION_MS
+    assert stall_detector.suspected(expires_ms - 1) == {"head"}
+    assert not stall_detector.suspected(expires_ms)
+    assert not stall_detector.stalled_servers(900)
