Form the first groups from whole fabric domains, with few engines left over

Hypothesis: of a domain of nine engines, groups of four and three leave two over, and after a loss the weights of two models do not mix; two groups of four or three of three use eight or nine, and whatever remains fits together again. Groups were formed while engines still registered, from the first four or five of a domain.

--- a/lagooncrank/core/groups/_inventory.py
+++ b/lagooncrank/core/groups/_inventory.py
@@ -50,6 +50,21 @@
             self.engine.models, key=lambda m: (self.fill_ratio(m.name), m.name)
         )
 
+    def stranded_engines(self, engines: int) -> int:
+        """Returns how many of some engines no whole groups could take up.
+
+        Args:
+            engines: Number of free engines of one fabric domain.
+        """
+        sizes = [m.engines_per_replica for m in self.engine.models]
+        usable = [0] * (engines + 1)
+        for count in range(1, engines + 1):
+            totals = [
+                size + usable[count - size] for size in sizes if size <= count
+            ]
+            usable[count] = max(totals, default=0)
+        return engines - usable[engines]
+
     def allocate(
         self,
         fabric_domain: str,
--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -24,6 +24,8 @@
 RESERVATION_MS: Final = 5_000
 
 
+#: Maximum time before the first groups that engines are given to register.
+MAX_REGISTRATION_WAIT_MS: Final = 3_000
 #: Number of groups by which one model may be ahead of the neediest one if their
 #: engines hold the weights of that one too.
 MAX_LEAD_GROUPS: Final = 2
@@ -40,6 +42,9 @@
     #: Number of groups of the same model in the domain. A failure of the
     #: domain takes all of them down.
     siblings: int
+    #: Number of free engines of the domain that no whole group could take up
+    #: any more because of this one.
+    stranded_engines: int
 
 
 class Planner:
@@ -49,6 +54,8 @@
         #: Model for which the free engines of each fabric domain are reserved,
         #: and the end of the reservation.
         self._reservations: dict[str, tuple[str, int]] = {}
+        #: When this planner first saw a free engine of a service.
+        self._first_engine_ms: dict[model.ServiceName, int] = {}
 
     def plan(
         self,
@@ -71,8 +78,8 @@
                 must load from the weight store. True until the first request
                 is served, while loads are short.
             expects_more_engines: Whether an engine registered within the last
-                report interval, so that more are expected. Small groups then
-                wait, so that enough engines are left for large ones.
+                report interval, so that more are expected. Before the first
+                request groups then wait for them, within limits.
         """
         if service.engine is None:
             return
@@ -84,13 +91,13 @@
             for domain, reservation in self._reservations.items()
             if now_ms < reservation[1]
         }
-        keep_for_larger = allow_cold_members and expects_more_engines
+        if allow_cold_members and self._awaits_engines(
+            service.name, inventory, now_ms, expects_more_engines
+        ):
+            return
         while True:
             planned_group = self._next_group(
-                service,
-                inventory,
-                allow_cold_members=allow_cold_members,
-                keep_for_larger=keep_for_larger,
+                service, inventory, allow_cold_members=allow_cold_members
             )
             if planned_group is None:
                 break
@@ -102,13 +109,30 @@
                 service, inventory, table, groups, now_ms
             )
 
+    def _awaits_engines(
+        self,
+        service: model.ServiceName,
+        inventory: _inventory.EngineInventory,
+        now_ms: int,
+        expects_more_engines: bool,
+    ) -> bool:
+        """Returns whether to wait until more engines have registered.
+
+        Groups that are formed from half of a fabric domain's engines may
+        leave some of the others without a group.
+        """
+        if inventory.free:
+            self._first_engine_ms.setdefault(service, now_ms)
+        first_ms = self._first_engine_ms.get(service, now_ms)
+        is_time_left = now_ms - first_ms < MAX_REGISTRATION_WAIT_MS
+        return expects_more_engines and is_time_left
+
     def _next_group(
         self,
         service: model.ServiceConfig,
         inventory: _inventory.EngineInventory,
         *,
         allow_cold_members: bool,
-        keep_for_larger: bool,
     ) -> _actions.PlannedGroup | None:
         models = (
             _largest_first(inventory)
@@ -124,8 +148,6 @@
                 if allow_cold_members
                 or not _is_held_back(profile, c.members, inventory)
             ]
-            if not candidates and keep_for_larger:
-                return None
             if not candidates:
                 continue
             best = min(candidates, key=_preference)
@@ -245,18 +267,22 @@
         )
         members = tuple(ordered[: profile.engines_per_replica])
         states = [_inventory.warmth(r, profile.name) for r in members]
+        unassigned = len(reports) - profile.engines_per_replica
         yield _Candidate(
             domain,
             members,
             states.count(_inventory.Warmth.COLD),
             states.count(_inventory.Warmth.STAGED),
             inventory.models_by_domain.get(domain, []).count(profile.name),
+            inventory.stranded_engines(unassigned)
+            - inventory.stranded_engines(len(reports)),
         )
 
 
-def _preference(candidate: _Candidate) -> tuple[int, int, int, str]:
+def _preference(candidate: _Candidate) -> tuple[int, int, int, int, str]:
     return (
         candidate.cold_members,
+        candidate.stranded_engines,
         candidate.siblings,
         candidate.staged_members,
         candidate.fabric_domain,
