Load spare engines only when all engines have registered

Cause: since groups wait for registration, every engine is without a group at first, and the staging planner took all of them for spares. They loaded the large model; members of small groups then waited for that load, and their started load counted as in progress for 24 s, as the join had displaced it, so they got no second model. Change: spare loads start when no engine has registered for a report interval. Test: an engine loads nothing while others still register.

--- a/bench/_repair_fleet.py
+++ b/bench/_repair_fleet.py
@@ -174,24 +174,26 @@
         self._plan()
 
     def _plan(self) -> None:
+        expects_more_engines = self._now_ms < REPORT_INTERVAL_MS
         actions = self._planner.plan(
             self._service,
             self._table,
             self._groups,
             now_ms=self._now_ms,
             allow_cold_members=self._is_startup,
-            expects_more_engines=self._now_ms < REPORT_INTERVAL_MS,
+            expects_more_engines=expects_more_engines,
         )
         for action in list(actions):
             self._execute(action)
+        arguments = (self._service, self._table, self._groups, self._now_ms)
         loads = (
-            self._staging.startup_loads
+            self._staging.startup_loads(
+                *arguments, expects_more_engines=expects_more_engines
+            )
             if self._is_startup
-            else self._staging.runtime_loads
+            else self._staging.runtime_loads(*arguments)
         )
-        for order in list(
-            loads(self._service, self._table, self._groups, self._now_ms)
-        ):
+        for order in list(loads):
             self._execute(order)
 
     def _execute(self, action: groups.Action) -> None:
--- a/lagooncrank/core/groups/_staging.py
+++ b/lagooncrank/core/groups/_staging.py
@@ -64,21 +64,33 @@
         table: fleet.ServerTable,
         groups: Mapping[str, model.Group],
         now_ms: int,
+        *,
+        expects_more_engines: bool,
     ) -> Iterator[_actions.StageOrder]:
         """Yields loads before requests are served.
 
         Members of groups load a second model, and engines that no group of
         their fabric domain needs load a first one.
+
+        Args:
+            service: An engine service.
+            table: Reports of the engines.
+            groups: Groups that exist, in any phase.
+            now_ms: Monotonic time.
+            expects_more_engines: Whether engines are still registering. Free
+                engines may then become members of groups, whose model a load
+                of another one would only delay.
         """
         engine = service.engine
         if engine is None:
             return
         loads_in_progress = self.loads_in_progress(table, now_ms)
-        inventory = _inventory.inventory_of(service, engine, table, groups)
-        for load in _startup_loads.spare_engine_loads(
-            inventory, loads_in_progress
-        ):
-            yield self._start_load(load.report, load.profile, now_ms)
+        if not expects_more_engines:
+            inventory = _inventory.inventory_of(service, engine, table, groups)
+            for load in _startup_loads.spare_engine_loads(
+                inventory, loads_in_progress
+            ):
+                yield self._start_load(load.report, load.profile, now_ms)
         if len(engine.models) < 2:
             return
         for group in _serving_groups(service, groups):
--- a/lagooncrank/core/groups/tests/test_domains_of_odd_size.py
+++ b/lagooncrank/core/groups/tests/test_domains_of_odd_size.py
@@ -97,6 +97,23 @@
     assert plan(late_ms, expects_more_engines=True) == 1
 
 
+@pytest.mark.parametrize("expects_more_engines", [True, False])
+def test_engines_load_nothing_while_others_still_register(
+    expects_more_engines: bool,
+) -> None:
+    """They may become members, which a load of another model would delay."""
+    table = builders.server_table(builders.engine_report(1))
+    staging = groups.StagingPlanner(window_ms=5_000)
+    orders = staging.startup_loads(
+        service_of((4, 3)),
+        table,
+        {},
+        NOW_MS,
+        expects_more_engines=expects_more_engines,
+    )
+    assert bool(list(orders)) is not expects_more_engines
+
+
 def stranded_naively(sizes: tuple[int, ...], engines: int) -> int:
     """Tries every group size in turn; the reference for the fast version."""
     fits = [size for size in sizes if size <= engines]
--- a/lagooncrank/core/groups/tests/test_pairs_of_members_lost.py
+++ b/lagooncrank/core/groups/tests/test_pairs_of_members_lost.py
@@ -128,7 +128,11 @@
     table = builders.server_table(*members, spare)
     staging = groups.StagingPlanner(window_ms=5_000)
     orders = staging.startup_loads(
-        builders.SERVICE_CONFIG, table, {g.name: g for g in serving}, NOW_MS
+        builders.SERVICE_CONFIG,
+        table,
+        {g.name: g for g in serving},
+        NOW_MS,
+        expects_more_engines=False,
     )
     loads = {o.member.server_id: o.model_name for o in orders}
     assert loads[spare.server_id] == expected
@@ -149,7 +153,9 @@
     spare = builders.engine_report(9, staged=staged, loaded=loaded)
     table = builders.server_table(spare)
     staging = groups.StagingPlanner(window_ms=5_000)
-    orders = staging.startup_loads(builders.SERVICE_CONFIG, table, {}, NOW_MS)
+    orders = staging.startup_loads(
+        builders.SERVICE_CONFIG, table, {}, NOW_MS, expects_more_engines=False
+    )
     assert [o.model_name for o in orders] == expected
 
 
--- a/lagooncrank/core/groups/tests/test_planning.py
+++ b/lagooncrank/core/groups/tests/test_planning.py
@@ -138,14 +138,24 @@
     table = builders.server_table(*reports)
     existing = {group.name: group}
     stages = list(
-        staging.startup_loads(builders.SERVICE_CONFIG, table, existing, NOW_MS)
+        staging.startup_loads(
+            builders.SERVICE_CONFIG,
+            table,
+            existing,
+            NOW_MS,
+            expects_more_engines=False,
+        )
     )
     assert [(s.member.server_id, s.model_name) for s in stages] == [
         ("s1", "large")
     ]
     assert not list(
         staging.startup_loads(
-            builders.SERVICE_CONFIG, table, existing, NOW_MS + 100
+            builders.SERVICE_CONFIG,
+            table,
+            existing,
+            NOW_MS + 100,
+            expects_more_engines=False,
         )
     )
 
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -139,10 +139,8 @@
         is_startup = not self._has_served_requests(now_ms)
         table = self._view.table
         current_groups = self._shared.view.groups
-        plan_staging = (
-            self._staging.startup_loads
-            if is_startup
-            else self._staging.runtime_loads
+        expects_more_engines = (
+            now_ms - table.newest_start_ms < self._report_interval_ms
         )
         for service in catalog.services.values():
             actions = self._planner.plan(
@@ -151,8 +149,7 @@
                 current_groups,
                 now_ms=now_ms,
                 allow_cold_members=is_startup,
-                expects_more_engines=now_ms - table.newest_start_ms
-                < self._report_interval_ms,
+                expects_more_engines=expects_more_engines,
             )
             for action in actions:
                 self._execute(action)
@@ -161,9 +158,19 @@
             )
             for order in orphan_orders:
                 self._execute(order)
-            for stage_order in plan_staging(
-                service, table, current_groups, now_ms
-            ):
+            if is_startup:
+                loads = self._staging.startup_loads(
+                    service,
+                    table,
+                    current_groups,
+                    now_ms,
+                    expects_more_engines=expects_more_engines,
+                )
+            else:
+                loads = self._staging.runtime_loads(
+                    service, table, current_groups, now_ms
+                )
+            for stage_order in loads:
                 self._execute(stage_order)
 
     def _has_served_requests(self, now_ms: int) -> bool:
