Answer unusual input of callers as their error

Cause: a bearer key whose bytes are no UTF-8 could not be encoded again, and numbers of several thousand digits can't be converted, so both ended as INTERNAL_ERROR; an event id of such a length cut its stream. Change: keys are encoded with the same error handler that decoded them; integers in headers and event ids have at most 18 digits. Probe times of groups that are gone are dropped (they were kept for the life of the process).

--- a/lagooncrank/server/http/_auth.py
+++ b/lagooncrank/server/http/_auth.py
@@ -36,7 +36,10 @@
                 "a key is required; send it in the header "
                 "'Authorization: Bearer KEY'",
             )
-        key = header.removeprefix(SCHEME).strip().encode()
+        # The HTTP library decodes bytes that are no UTF-8 to surrogates.
+        key = (
+            header.removeprefix(SCHEME).strip().encode(errors="surrogateescape")
+        )
         account = self._find_account(hashlib.sha256(key).hexdigest())
         if account is None:
             raise results.error(
--- a/lagooncrank/server/http/_completions.py
+++ b/lagooncrank/server/http/_completions.py
@@ -24,6 +24,9 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 DEFAULT_TIMEOUT_MS = 120_000
 MAX_TIMEOUT_MS = 3_600_000
+#: Longest number in the timeout header; the language refuses to convert
+#: numbers of several thousand digits.
+MAX_TIMEOUT_DIGITS = 18
 
 
 class CompletionHandlers:
@@ -185,10 +188,13 @@
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return DEFAULT_TIMEOUT_MS
-    if not (text.isascii() and text.isdigit() and int(text) > 0):
+    is_number = text.isascii() and text.isdigit()
+    is_number = is_number and len(text) <= MAX_TIMEOUT_DIGITS
+    if not is_number or int(text) == 0:
         raise results.error(
             results.ResultCode.MALFORMED_REQUEST,
-            f"{DEADLINE_HEADER} is {text!r}, must be a positive number of "
-            "milliseconds",
+            f"{DEADLINE_HEADER} is {text[:MAX_TIMEOUT_DIGITS]!r}, must be a "
+            f"positive number of milliseconds of at most {MAX_TIMEOUT_DIGITS} "
+            "digits",
         )
     return min(int(text), MAX_TIMEOUT_MS)
--- a/lagooncrank/server/seeded/_events.py
+++ b/lagooncrank/server/seeded/_events.py
@@ -2,6 +2,11 @@
 
 from collections.abc import Iterator
 import dataclasses
+from typing import Final
+
+#: Longer numbers are no ids; the language refuses to convert numbers of several
+#: thousand digits.
+MAX_ID_DIGITS: Final = 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,5 +61,6 @@
         name, _, value = line.partition(b":")
         if name == b"id":
             text = value.strip()
-            return int(text) if text.isdigit() else None
+            is_integer = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            return int(text) if is_integer else None
     return None
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -101,11 +101,18 @@
 
     def _probe_stalled(self, now_ms: int) -> None:
         """Probes the members of groups that have stalled or may have."""
+        current_groups = self._shared.view.groups
+        epochs = {group.epoch for group in current_groups.values()}
+        self._probed_ms = {
+            epoch: probed_ms
+            for epoch, probed_ms in self._probed_ms.items()
+            if epoch in epochs
+        }
         nodes = self._view.nodes
         stalled = nodes.stalled(now_ms) | nodes.suspected(now_ms)
         if not stalled:
             return
-        for group in self._shared.view.groups.values():
+        for group in current_groups.values():
             if group.phase is not model.GroupPhase.SERVING:
                 continue
             probed_ms = self._probed_ms.get(group.epoch)
