--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -22,8 +22,6 @@
 #: How long engines of dissolved groups are reserved for the model for which
 #: the groups were dissolved. Their heads finish requests during that time.
 RESERVATION_MS: Final = 5_000
-
-
 #: Maximum time before the first groups that engines are given to register.
 MAX_REGISTRATION_WAIT_MS: Final = 3_000
 #: Number of groups by which one model may be ahead of the neediest one if their
