--- a/lagooncrank/core/crashes/tests/_fleet.py
+++ b/lagooncrank/core/crashes/tests/_fleet.py
@@ -15,7 +15,31 @@
 HEAD_TO_FIRST_EVENT_MS = 40
 HEAD_TO_SOUND_MS = 300
 HEAD_TO_END_MS = 600
+#: Times from the head to each of the further events of a sound run.
+EVENT_INTERVAL_MS = 40
+#: Runs with more events are no evidence of what crashed their engine.
+MAX_EVENTS_OF_EVIDENCE = 3
 CRASHING_PART = "bad"
+#: Feature of a whole request that crashes engines and is sent again and again.
+CRASHING_REQUEST = "request-crashing"
+#: Time from a failure until the caller of the request tries again.
+CALLER_RETRY_MS = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Repeats:
+    """A request that crashes engines, and comes in rounds of equal copies."""
+
+    from_ms: int = 5_000
+    interval_ms: int = 4_000
+    #: Copies in a round, each at an entry of its own.
+    copies: int = 3
+    #: Time between two copies of a round.
+    spacing_ms: int = 5
+    #: Attempts that the caller of each copy makes at most.
+    caller_attempts: int = 3
+    #: Events of a run before it crashes its engine.
+    events: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +61,9 @@
     down_ms: int = 2_500
     #: Times at which an entry restarts without memory.
     entry_restarts_ms: tuple[int, ...] = ()
+    repeats: Repeats | None = None
+    #: Fraction of the requests that are copies of one sound request.
+    frequent_share: float = 0.0
     #: Number of client accounts, each with a part in all of its prompts.
     tenants: int = 5
     end_ms: int = 60_000
@@ -67,8 +94,10 @@
     entry: int
     features: tuple[str, ...]
     is_repeat: bool
+    #: Attempts that its caller may still make.
+    caller_attempts: int = 0
     has_begun: bool = False
-    has_event: bool = False
+    events: int = 0
     is_lost: bool = False
     began_ms: int = 0
 
@@ -103,6 +132,8 @@
             self._after(restart_ms, self._restart_entry)
         if scenario.failure_interval_ms:
             self._after(scenario.failure_interval_ms, self._fail_engine)
+        if scenario.repeats is not None:
+            self._after(scenario.repeats.from_ms, self._begin_round)
         while self._events:
             self._now_ms, _, action = heapq.heappop(self._events)
             if self._now_ms > scenario.end_ms:
@@ -130,15 +161,58 @@
             parts[1] = "tenant0"
             parts.insert(self._random.randrange(1, 4), CRASHING_PART)
         parts.append(f"request-{next(self._numbers)}")
+        if scenario.frequent_share and (
+            self._random.random() < scenario.frequent_share
+        ):
+            parts = ["common", "request-frequent"]
+            is_crashing = False
         entry = self._random.randrange(scenario.entries)
         if not is_crashing:
             self.outcome.sound_requests += 1
         self._send(entry, tuple(parts), is_repeat=False)
 
+    def _begin_round(self) -> None:
+        repeats = self._repeats
+        self._after(repeats.interval_ms, self._begin_round)
+        entries = self._random.sample(
+            range(self.scenario.entries), repeats.copies
+        )
+        for number, entry in enumerate(entries):
+            delay_ms = number * repeats.spacing_ms
+            self._after(delay_ms, lambda e=entry: self._call(e))  # type: ignore[misc]
+
+    @property
+    def _repeats(self) -> Repeats:
+        assert self.scenario.repeats is not None
+        return self.scenario.repeats
+
+    def _call(self, entry: int) -> None:
+        attempts = self._repeats.caller_attempts
+        self._send(
+            entry,
+            ("common", CRASHING_REQUEST),
+            is_repeat=False,
+            caller_attempts=attempts - 1,
+        )
+
+    def _call_again(self, run: _Run) -> None:
+        entry = self._random.randrange(self.scenario.entries)
+        self._send(
+            entry,
+            run.features,
+            is_repeat=False,
+            caller_attempts=run.caller_attempts - 1,
+        )
+
     def _send(
-        self, entry: int, features: tuple[str, ...], *, is_repeat: bool
+        self,
+        entry: int,
+        features: tuple[str, ...],
+        *,
+        is_repeat: bool,
+        caller_attempts: int = 0,
     ) -> None:
-        is_crashing = CRASHING_PART in features
+        is_crashing = _is_crashing(features)
         evidence = self.entries[entry]
         accusation = evidence.find(features)
         if accusation is not None and not self._starts_trial(entry, accusation):
@@ -150,11 +224,16 @@
         if not running:
             return
         engine = self._random.choice(running)
+        delay_ms = self._random.randrange(START_TO_HEAD_MS)
+        if CRASHING_REQUEST in features:
+            # All copies of a round begin at the same time, each on an engine.
+            running.sort(key=lambda n: sum(map(_is_copy, self._runs[n])))
+            engine = running[0]
+            delay_ms = 0
         if is_crashing:
             self.outcome.sends_ms.append(self._now_ms)
-        run = _Run(entry, features, is_repeat)
+        run = _Run(entry, features, is_repeat, caller_attempts)
         self._runs[engine].append(run)
-        delay_ms = self._random.randrange(START_TO_HEAD_MS)
         self._after(delay_ms, lambda: self._begin(engine, run))
 
     def _starts_trial(self, entry: int, accusation: crashes.Accusation) -> bool:
@@ -172,15 +251,19 @@
             return
         run.has_begun = True
         run.began_ms = self._now_ms
-        if CRASHING_PART in run.features:
+        if _is_crashing(run.features):
+            if _is_copy(run):
+                run.events = self._repeats.events
             self._after(HEAD_TO_CRASH_MS, lambda: self._crash(engine, run))
             return
-        self._after(HEAD_TO_FIRST_EVENT_MS, lambda: self._progress(run))
+        for number in range(MAX_EVENTS_OF_EVIDENCE):
+            delay_ms = HEAD_TO_FIRST_EVENT_MS + number * EVENT_INTERVAL_MS
+            self._after(delay_ms, lambda: self._progress(run))
         self._after(HEAD_TO_SOUND_MS, lambda: self._sound(run))
         self._after(HEAD_TO_END_MS, lambda: self._end(engine, run))
 
     def _progress(self, run: _Run) -> None:
-        run.has_event = True
+        run.events += 1
 
     def _sound(self, run: _Run) -> None:
         if not run.is_lost:
@@ -208,17 +291,24 @@
 
     def _record_lost(self, engine: int, run: _Run) -> None:
         evidence = self.entries[run.entry]
-        if run.has_begun and not run.has_event:
+        if run.has_begun and run.events < MAX_EVENTS_OF_EVIDENCE:
             evidence.record_crash(
                 model.BackendServerId(f"e{engine}"),
                 self._born[engine],
                 run.features,
-                0,
+                run.events,
                 self._now_ms,
             )
             self._publish(run.entry)
         if not run.is_repeat and evidence.may_repeat(run.features):
-            self._send(run.entry, run.features, is_repeat=True)
+            self._send(
+                run.entry,
+                run.features,
+                is_repeat=True,
+                caller_attempts=run.caller_attempts,
+            )
+        elif run.caller_attempts:
+            self._after(CALLER_RETRY_MS, lambda: self._call_again(run))
 
     def _restart(self, engine: int) -> None:
         self._born[engine] = self._now_ms
@@ -265,3 +355,11 @@
 
     def _deliver(self, entry: int, batch: crashes.EvidenceBatch) -> None:
         self.entries[entry].merge(batch, self._now_ms, is_relay=False)
+
+
+def _is_crashing(features: tuple[str, ...]) -> bool:
+    return CRASHING_PART in features or CRASHING_REQUEST in features
+
+
+def _is_copy(run: _Run) -> bool:
+    return CRASHING_REQUEST in run.features
