Log the content and the process of each lost run

run_lost was not written if the connection of a plain server broke before the head of a response, and named neither the digest of the request nor the process of the server. So a log could not tell copies of one request from different ones, nor two lives of a server.

--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -72,12 +72,14 @@
     )
     RUN_LOST = (
         "run_lost",
-        "A response that had begun broke off with its connection.",
+        "A connection broke before the response was complete.",
         "request",
         "server",
+        "born_ms",
         "events",
         "run_ms",
         "parts",
+        "content",
         "tried",
         "age_ms",
     )
--- a/lagooncrank/server/seeded/_crash_guard.py
+++ b/lagooncrank/server/seeded/_crash_guard.py
@@ -84,16 +84,20 @@
         events = exchange.run_events if has_begun else 0
         if events >= MIN_SOUND_EVENTS:
             return
-        record = self._view.table.get(model.BackendServerId(target.server_id))
         self._evidence.record_crash(
             target.server_id,
-            0 if record is None else record.report.born_ms,
+            self.born_ms(target),
             _features(exchange),
             events,
             self._clock.now_ms(),
         )
         self._evidence_exchange.publish()
 
+    def born_ms(self, target: dispatch.Target) -> int:
+        """Returns when a target's process started; 0 if it has no report."""
+        record = self._view.table.get(target.server_id)
+        return 0 if record is None else record.report.born_ms
+
     def record_event(self, exchange: _exchange.Exchange) -> None:
         """Records that a response made progress."""
         run_ms = self._clock.now_ms() - exchange.run_began_ms
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -102,9 +102,7 @@
                 return target, await self._start_attempt(exchange, target)
             except _attempt.AttemptFailedError as error:
                 last_error = error
-            self._crash_guard.record_lost(
-                exchange, target, last_error, has_begun=False
-            )
+            self._record_lost(exchange, target, last_error, has_begun=False)
             self._record_failure(exchange, target, last_error)
             if last_error.may_have_run:
                 exchange.possible_runs += 1
@@ -175,17 +173,33 @@
         """
         exchange.possible_runs += 1
         self._record_failure(exchange, target, error)
+        self._record_lost(exchange, target, error, has_begun=True)
+        self._check_retry(exchange, error, 0)
+
+    def _record_lost(
+        self,
+        exchange: _exchange.Exchange,
+        target: dispatch.Target,
+        error: _attempt.AttemptFailedError,
+        *,
+        has_begun: bool,
+    ) -> None:
+        """Records a failed attempt, which may show that its server crashed."""
         if error.failure is _attempt.FailureKind.RESPONSE_LOST:
+            now_ms = self._clock.now_ms()
             self._log.write(
                 decisions.Event.RUN_LOST,
                 server=target.server_id,
-                events=exchange.run_events,
-                run_ms=self._clock.now_ms() - exchange.run_began_ms,
+                born_ms=self._crash_guard.born_ms(target),
+                events=exchange.run_events if has_begun else None,
+                run_ms=now_ms - exchange.run_began_ms if has_begun else None,
                 parts=exchange.request_head.shared_parts,
+                content=exchange.content_digest(),
                 **exchange.log_fields(self._clock),
             )
-        self._crash_guard.record_lost(exchange, target, error, has_begun=True)
-        self._check_retry(exchange, error, 0)
+        self._crash_guard.record_lost(
+            exchange, target, error, has_begun=has_begun
+        )
 
     async def _wait_for_servers(self, exchange: _exchange.Exchange) -> None:
         """Waits for the first server reports after a start."""
