Count copies of one request that crash servers at the same time

What callers saw: a request that crashes the servers that run it was sent to servers seven times more, long after it had crashed three.

Cause: crashes within 50 ms counted as one, as a failed domain looks alike. Copies that arrive together (also repeats of callers) crash their servers within that time, so a round of three counted as one crash or two, and the next rounds were forwarded.

Change: if every process that was lost in a burst had run a copy of the same request, the copies explain the burst and each crash counts, up to the three that an accusation needs (more would only delay the first trial run). If one of the lost processes had run none, there is another cause and the burst counts as one, as before; so do bursts that prompt parts have in common. A copy that ended well up to 2 s before clears the request: that was known only after a first crash, now entries remember every sound request.

Ruled out: a shorter interval for all, as copies may end in one millisecond; failure domains of the servers (the kinds of trouble hold failures across domains).

--- a/lagooncrank/core/crashes/__init__.py
+++ b/lagooncrank/core/crashes/__init__.py
@@ -8,6 +8,8 @@
 from lagooncrank.core.crashes._evidence import MAX_RECORDS
 from lagooncrank.core.crashes._evidence import MAX_SOUND_FEATURES
 from lagooncrank.core.crashes._evidence import RECORD_TTL_MS
+from lagooncrank.core.crashes._features import is_whole_request
+from lagooncrank.core.crashes._features import whole_request_feature
 from lagooncrank.core.crashes._trials import is_trial_due
 from lagooncrank.core.crashes._trials import trial_at_ms
 from lagooncrank.core.crashes._trials import TURN_MS
@@ -29,5 +31,7 @@
     "SoundFeature",
     "find_accusations",
     "is_trial_due",
+    "is_whole_request",
     "trial_at_ms",
+    "whole_request_feature",
 ]
--- a/lagooncrank/core/crashes/_accusations.py
+++ b/lagooncrank/core/crashes/_accusations.py
@@ -6,17 +6,24 @@
 with all features that are candidates for the same crashes, as they cannot be
 told apart. Only requests with all of these features are refused: a request with
 some of them is admitted, and its outcome tells them apart.
+
+Servers that crash at the same time usually have a common cause, such as a
+failed domain, so they count as one crash. Copies of one request that run at the
+same time are another such cause: if each of these servers ran one, each counts.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
 from typing import Final
 
+from lagooncrank.core.crashes import _features
+
 #: Crashes with a common candidate after which it is accused.
 MIN_CRASHES: Final = 3
-#: Crashes closer to each other count as one, as they have another common cause,
-#: such as a failed domain.
+#: Crashes closer to each other have a common cause.
 MIN_CRASH_INTERVAL_MS: Final = 50
 #: A run that began at most this long before a crash, and made progress, clears
 #: its features of the crash.
@@ -43,7 +50,8 @@
     features: frozenset[str]
     #: Processes that crashed.
     processes: frozenset[Process]
-    #: Crashes that count, at most one in a short interval.
+    #: Crashes that count. Those of a short interval count as one, or, if copies
+    #: of one request explain them, as many as an accusation requires.
     crashes: int
     newest_crash_ms: int
 
@@ -117,27 +125,58 @@
 ) -> Accusation:
     def rank(feature: str) -> tuple[int, int, str]:
         processes = candidates[feature]
-        return _count_crashes(processes, crash_times), len(processes), feature
+        crashes = _count_crashes(feature, processes, crash_times)
+        return crashes, len(processes), feature
 
-    strongest = candidates[max(candidates, key=rank)]
+    feature = max(candidates, key=rank)
+    strongest = candidates[feature]
     return Accusation(
         frozenset(f for f, found in candidates.items() if found >= strongest),
         frozenset(strongest),
-        _count_crashes(strongest, crash_times),
+        _count_crashes(feature, strongest, crash_times),
         max(crash_times[p] for p in strongest),
     )
 
 
 def _count_crashes(
-    processes: Iterable[Process], crash_times: Mapping[Process, int]
+    feature: str,
+    processes: Collection[Process],
+    crash_times: Mapping[Process, int],
 ) -> int:
     count = 0
-    counted_ms: int | None = None
-    for crashed_ms in sorted(crash_times[p] for p in processes):
-        if (
-            counted_ms is None
-            or crashed_ms - counted_ms >= MIN_CRASH_INTERVAL_MS
+    for burst in _bursts(crash_times[p] for p in processes):
+        crashes = 1
+        if _features.is_whole_request(feature) and _is_explained(
+            burst, processes, crash_times
         ):
-            count += 1
-            counted_ms = crashed_ms
+            crashes = len(burst)
+        # Copies that run at the same time lead to an accusation, but say
+        # nothing about trial runs, so they do not delay the next one.
+        count = max(count + 1, min(count + crashes, MIN_CRASHES))
     return count
+
+
+def _bursts(crash_times: Iterable[int]) -> Iterator[list[int]]:
+    """Groups crash times that are close to each other."""
+    burst: list[int] = []
+    for crashed_ms in sorted(crash_times):
+        if burst and crashed_ms - burst[0] >= MIN_CRASH_INTERVAL_MS:
+            yield burst
+            burst = []
+        burst.append(crashed_ms)
+    if burst:
+        yield burst
+
+
+def _is_explained(
+    burst: list[int],
+    processes: Collection[Process],
+    crash_times: Mapping[Process, int],
+) -> bool:
+    """Returns whether no other process crashed at the time of a burst."""
+    first_ms = burst[0] - MIN_CRASH_INTERVAL_MS
+    last_ms = burst[-1] + MIN_CRASH_INTERVAL_MS
+    return not any(
+        first_ms < crashed_ms < last_ms and process not in processes
+        for process, crashed_ms in crash_times.items()
+    )
--- a/lagooncrank/server/seeded/_crash_guard.py
+++ b/lagooncrank/server/seeded/_crash_guard.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from lagooncrank import clock as clocks
-from lagooncrank import model
 from lagooncrank.core import crashes
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt
@@ -109,10 +108,7 @@
         if exchange.is_run_sound:
             return
         exchange.is_run_sound = True
-        features = exchange.request_head.shared_parts
-        if self._evidence.has_records:
-            features = _features(exchange)
-        self._evidence.record_sound(features, exchange.run_began_ms)
+        self._evidence.record_sound(_features(exchange), exchange.run_began_ms)
 
     def _may_start_trial(
         self, accusation: crashes.Accusation, now_ms: int
@@ -126,5 +122,5 @@
 
 
 def _features(exchange: _exchange.Exchange) -> tuple[str, ...]:
-    digest = f"request-{exchange.content_digest()}"
-    return (*exchange.request_head.shared_parts, digest)
+    whole = crashes.whole_request_feature(exchange.content_digest())
+    return (*exchange.request_head.shared_parts, whole)
--- a/lagooncrank/server/seeded/tests/test_crash_guard.py
+++ b/lagooncrank/server/seeded/tests/test_crash_guard.py
@@ -95,6 +95,7 @@
         has_begun: bool = True,
         group: str = "g",
         is_disconnect: bool = True,
+        pause_ms: int = 1_000,
     ) -> None:
         target = dispatch.Target(
             model.BackendServerId(server),
@@ -108,12 +109,19 @@
             _attempt.FailureKind.RESPONSE_LOST, "", is_disconnect=is_disconnect
         )
         self.guard.record_lost(exchange, target, error, has_begun=has_begun)
-        self.clock.advance(1_000)
+        self.clock.advance(pause_ms)
 
 
-def request(*parts: str, body: bytes = b"") -> _exchange.Exchange:
+def request(
+    *parts: str, body: bytes = b"", headers: _adapter.Headers = ()
+) -> _exchange.Exchange:
     request_head = _adapter.RequestHead(
-        "id", "POST", "/a", "h", prompt_parts=parts
+        "id",
+        "POST",
+        "/a",
+        "h",
+        prompt_parts=parts,
+        forwarded_headers=headers,
     )
     route = cast(model.Route, None)
     service = model.ServiceName("s")
@@ -164,6 +172,32 @@
     assert node.guard.find_accusation(request()) is None
 
 
+# Guards against: a failure of all servers blames a request that many callers
+# send, as nothing is known about its sound runs of before.
+def test_sound_run_before_the_first_crash_clears_a_frequent_request() -> None:
+    node = _Node()
+    sound = request(body=b"frequent")
+    sound.begin_run(node.clock.now_ms())
+    node.guard.record_sound(sound)
+    for number in range(3):
+        copy = request(body=b"frequent")
+        node.lose(copy, f"p{number}", has_begun=False, group="", pause_ms=5)
+    assert node.guard.find_accusation(request(body=b"frequent")) is None
+
+
+# Guards against: copies that crash servers at the same time count as one crash,
+# also if the caller's other headers change from copy to copy.
+def test_copies_that_crash_plain_servers_together_are_refused() -> None:
+    node = _Node()
+    for number in range(3):
+        copy = request(
+            body=b"crash", headers=(("Idempotency-Key", f"{number}"),)
+        )
+        node.lose(copy, f"p{number}", has_begun=False, group="", pause_ms=5)
+    assert node.guard.find_accusation(request(body=b"crash")) is not None
+    assert node.guard.find_accusation(request(body=b"other")) is None
+
+
 def test_trial_run_is_admitted_once_and_its_progress_clears_the_part() -> None:
     node = _Node()
     for number in range(3):
