Keep crash records behind an accusation when many others arrive

What callers saw (in a test): a request that had crashed three servers and was refused was forwarded again right after an unrelated failure.

Cause: the 64 records were replaced by last use, so the 70 runs that one larger failure broke pushed out those of the accusation within 0.1 s.

Change: the record that says least goes first: records of accused requests last, and before them one of the process that lost the most runs, as one of many runs is rarely what crashed it. So two crashes of a request that is not accused yet outlive such a failure as well.

Ruled out: a larger table (any size is exceeded by a larger failure, and all records are compared with each other at each crash).

--- a/lagooncrank/core/crashes/_evidence.py
+++ b/lagooncrank/core/crashes/_evidence.py
@@ -5,6 +5,7 @@
 accusations from the same evidence.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 from typing import Final
@@ -16,7 +17,7 @@
 #: Time for which a record is retained after the crash, or after the last
 #: request that was refused because of it.
 RECORD_TTL_MS: Final = 60_000
-#: Further records replace the ones that were not used for the longest time.
+#: Further records replace others, those behind accusations last.
 MAX_RECORDS: Final = 64
 #: Further features replace the ones that were sound the longest time ago.
 MAX_SOUND_FEATURES: Final = 4_096
@@ -217,10 +218,25 @@
         )
         self._records[_key(record)] = _Record(run, used_ms)
         if len(self._records) > MAX_RECORDS:
-            oldest = min(self._records, key=lambda k: self._records[k].used_ms)
-            del self._records[oldest]
+            del self._records[self._least_useful()]
         return True
 
+    def _least_useful(self) -> _Key:
+        """Returns the record that says least about what crashes servers.
+
+        One of many runs that a process lost is rarely the cause.
+        """
+        runs = collections.Counter(
+            r.run.process for r in self._records.values()
+        )
+
+        def rank(key: _Key) -> tuple[bool, int, int]:
+            record = self._records[key]
+            is_accusing = self.find(record.run.features) is not None
+            return is_accusing, -runs[record.run.process], record.used_ms
+
+        return min(self._records, key=rank)
+
     def _add_sound(self, feature: str, began_ms: int) -> bool:
         """Adds a sound run; returns whether it clears any record."""
         known_ms = self._sound_ms.get(feature)
--- a/lagooncrank/core/crashes/tests/test_evidence.py
+++ b/lagooncrank/core/crashes/tests/test_evidence.py
@@ -131,6 +131,26 @@
     assert len(evidence._sound_ms) <= crashes.MAX_SOUND_FEATURES
 
 
+# Guards against: the first crash of a request is forgotten in a larger failure.
+def test_records_of_a_failure_with_many_runs_are_replaced_first() -> None:
+    evidence = evidence_of_crashes(2)
+    for number in range(2 * crashes.MAX_RECORDS):
+        now_ms = 12_000 + number
+        features = ("common", f"r{number}")
+        evidence.record_crash(server(90), 1, features, 0, now_ms)
+    evidence.record_crash(server(91), 1, ("bad", "r92"), 0, 12_500)
+    assert evidence.find(["bad"])
+
+
+def test_only_records_behind_an_accusation_are_bounded_too() -> None:
+    evidence = crashes.CrashEvidence()
+    for number in range(2 * crashes.MAX_RECORDS):
+        now_ms = 10_000 + 1_000 * number
+        evidence.record_crash(server(number), 1, ("bad",), 0, now_ms)
+    assert len(evidence.batch(200_000).records) == crashes.MAX_RECORDS
+    assert evidence.find(["bad"])
+
+
 @pytest.mark.parametrize(
     ("count", "interval_ms"),
     [(3, 15_000), (4, 90_000), (5, 540_000), (6, 600_000), (60, 600_000)],
