Consider all young runs of a crashed server, not only the youngest

What callers saw (in a test): a request that crashes its server right after its first event was never refused while other requests began there all the time: 84 copies were sent later than 3 s after the third crash, 3 allowed.

Cause: of the runs lost with one process only those with the fewest events were considered. An innocent run that had sent nothing yet hid the cause, at each crash anew.

Features count as inseparable if each crashed process had a run with all of them, no longer if they are of different runs of these processes. If the feature accused first is innocent, the crashes go on without it and the other one explains more of them.

--- a/lagooncrank/core/crashes/_accusations.py
+++ b/lagooncrank/core/crashes/_accusations.py
@@ -3,9 +3,9 @@
 One feature is assumed to be the cause of each crash. A feature of a run that
 broke off is a candidate unless a run with it made progress around that time or
 later. The feature that is a candidate for the most crashes is accused, together
-with all features that are candidates for the same crashes, as they cannot be
-told apart. Only requests with all of these features are refused: a request with
-some of them is admitted, and its outcome tells them apart.
+with the features that ran with it each time, as they cannot be told apart. Only
+requests with all of these features are refused: a request with some of them is
+admitted, and its outcome tells them apart.
 
 Servers that crash at the same time usually have a common cause, such as a
 failed domain, so they count as one crash. Copies of one request that run at the
@@ -72,17 +72,17 @@
         sound_ms: When the newest run with a feature began that made progress.
         min_crashes: Number of crashes that an accusation requires.
     """
+    runs = tuple(_without_cleared(runs, sound_ms))
     crash_times: dict[Process, int] = {}
     candidates: dict[str, set[Process]] = {}
-    for run in _youngest_runs(runs):
+    for run in runs:
         known_ms = crash_times.get(run.process, run.crashed_ms)
         crash_times[run.process] = min(known_ms, run.crashed_ms)
         for feature in run.features:
-            if not clears(sound_ms.get(feature), run.crashed_ms):
-                candidates.setdefault(feature, set()).add(run.process)
+            candidates.setdefault(feature, set()).add(run.process)
     accusations = []
     while candidates:
-        accusation = _strongest(candidates, crash_times)
+        accusation = _strongest(candidates, crash_times, runs)
         if accusation.crashes < min_crashes:
             break
         accusations.append(accusation)
@@ -94,18 +94,17 @@
     return tuple(accusations)
 
 
-def _youngest_runs(runs: Iterable[LostRun]) -> Iterable[LostRun]:
-    """Returns the runs of each crashed process with the fewest events.
-
-    The run that had just begun is the most likely cause.
-    """
-    runs = list(runs)
-    fewest: dict[Process, int] = {}
+def _without_cleared(
+    runs: Iterable[LostRun], sound_ms: Mapping[str, int]
+) -> Iterator[LostRun]:
+    """Yields runs with only the features that may have crashed the server."""
     for run in runs:
-        fewest[run.process] = min(
-            fewest.get(run.process, run.events), run.events
+        features = tuple(
+            feature
+            for feature in run.features
+            if not clears(sound_ms.get(feature), run.crashed_ms)
         )
-    return [run for run in runs if run.events == fewest[run.process]]
+        yield dataclasses.replace(run, features=features)
 
 
 def clears(began_ms: int | None, crashed_ms: int) -> bool:
@@ -121,23 +120,55 @@
 
 
 def _strongest(
-    candidates: Mapping[str, set[Process]], crash_times: Mapping[Process, int]
+    candidates: Mapping[str, set[Process]],
+    crash_times: Mapping[Process, int],
+    runs: Collection[LostRun],
 ) -> Accusation:
-    def rank(feature: str) -> tuple[int, int, str]:
+    """Returns the accusation that explains the most crashes.
+
+    Of features that explain equally many, the one whose runs had the fewest
+    events: a run that had just begun is the more likely cause.
+    """
+
+    def rank(feature: str) -> tuple[int, int, int, str]:
         processes = candidates[feature]
         crashes = _count_crashes(feature, processes, crash_times)
-        return crashes, len(processes), feature
+        events = sum(_fewest_events(feature, processes, runs).values())
+        return crashes, len(processes), -events, feature
 
     feature = max(candidates, key=rank)
-    strongest = candidates[feature]
+    processes = candidates[feature]
     return Accusation(
-        frozenset(f for f, found in candidates.items() if found >= strongest),
-        frozenset(strongest),
-        _count_crashes(feature, strongest, crash_times),
-        max(crash_times[p] for p in strongest),
+        _inseparable(feature, processes, runs),
+        frozenset(processes),
+        _count_crashes(feature, processes, crash_times),
+        max(crash_times[p] for p in processes),
     )
 
 
+def _fewest_events(
+    feature: str, processes: Collection[Process], runs: Iterable[LostRun]
+) -> dict[Process, int]:
+    """Returns the events of each process's youngest run with a feature."""
+    fewest: dict[Process, int] = {}
+    for run in runs:
+        if feature in run.features and run.process in processes:
+            known = fewest.get(run.process, run.events)
+            fewest[run.process] = min(known, run.events)
+    return fewest
+
+
+def _inseparable(
+    feature: str, processes: Collection[Process], runs: Iterable[LostRun]
+) -> frozenset[str]:
+    """Returns the features that each process ran together with a feature."""
+    together: dict[Process, set[str]] = {}
+    for run in runs:
+        if feature in run.features and run.process in processes:
+            together.setdefault(run.process, set()).update(run.features)
+    return frozenset(set.intersection(*together.values()))
+
+
 def _count_crashes(
     feature: str,
     processes: Collection[Process],
--- a/lagooncrank/core/crashes/tests/test_fleet.py
+++ b/lagooncrank/core/crashes/tests/test_fleet.py
@@ -24,6 +24,13 @@
         dataclasses.replace(BASE, engines=2),
         dataclasses.replace(BASE, engines=1, requests_per_s=6.0),
         dataclasses.replace(BASE, tenants=1),
+        # Other runs begin all the time, and have fewer events at a crash.
+        dataclasses.replace(
+            BASE,
+            requests_per_s=200.0,
+            crashing_share=0.02,
+            events_before_crash=1,
+        ),
         dataclasses.replace(BASE, entries=40, requests_per_s=40.0),
         dataclasses.replace(BASE, domain_failures_ms=(4_900, 5_200, 9_000)),
         dataclasses.replace(BASE, failure_interval_ms=700),
