Record crashes under the process that a request was sent to

What callers saw (in a test): a part or a request that crashes the same server, which starts again under its id, was refused later than after three crashes.

Cause: a crash is identified by the server and the start time of its process. The start time was looked up in the entry's table of reports when the connection broke. A group of a new start can be known before the report of that start (the selector has a branch for it), so the second crash got the start time of the first one and counted as the same.

Change: a target carries the start time of the process that the request is meant for, that of the group's head or of the report it was made from.

Test: test_each_start_of_a_server_that_crashes_counts; without a report in the table the former look-up gave 0 for all three starts and the test fails.

--- a/lagooncrank/core/dispatch/_types.py
+++ b/lagooncrank/core/dispatch/_types.py
@@ -17,3 +17,5 @@
     slots: int
     #: Name of the group that the target heads; empty for a plain service.
     group: str = ""
+    #: Start time of the process that the request is meant for; 0 if unknown.
+    born_ms: int = 0
--- a/lagooncrank/server/seeded/_crash_guard.py
+++ b/lagooncrank/server/seeded/_crash_guard.py
@@ -85,18 +85,13 @@
             return
         self._evidence.record_crash(
             target.server_id,
-            self.born_ms(target),
+            target.born_ms,
             _features(exchange),
             events,
             self._clock.now_ms(),
         )
         self._evidence_exchange.publish()
 
-    def born_ms(self, target: dispatch.Target) -> int:
-        """Returns when a target's process started; 0 if it has no report."""
-        record = self._view.table.get(target.server_id)
-        return 0 if record is None else record.report.born_ms
-
     def record_event(self, exchange: _exchange.Exchange) -> None:
         """Records that a response made progress."""
         run_ms = self._clock.now_ms() - exchange.run_began_ms
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -190,7 +190,7 @@
             self._log.write(
                 decisions.Event.RUN_LOST,
                 server=target.server_id,
-                born_ms=self._crash_guard.born_ms(target),
+                born_ms=target.born_ms,
                 events=exchange.run_events if has_begun else None,
                 run_ms=now_ms - exchange.run_began_ms if has_begun else None,
                 parts=exchange.request_head.shared_parts,
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -132,6 +132,7 @@
             UNKNOWN_DOMAIN,
             0 if catalog is None else catalog.engine_slots(group.service),
             group.name,
+            group.head.born_ms,
         )
 
     def _ready_servers(
@@ -149,4 +150,5 @@
         report.failure_domain,
         report.slots,
         group,
+        report.born_ms,
     )
--- a/lagooncrank/server/seeded/tests/test_crash_guard.py
+++ b/lagooncrank/server/seeded/tests/test_crash_guard.py
@@ -38,16 +38,10 @@
         self.sent.append((nodes, batch))
 
 
-class _Table:
-    def get(self, _: object) -> None:
-        return None
-
-
 class _View:
     def __init__(self) -> None:
         self.is_control = False
         self.entry_count = 1
-        self.table = _Table()
 
     def entry_position(self, _: int) -> int:
         return 0
@@ -96,6 +90,7 @@
         group: str = "g",
         is_disconnect: bool = True,
         pause_ms: int = 1_000,
+        born_ms: int = 1,
     ) -> None:
         target = dispatch.Target(
             model.BackendServerId(server),
@@ -104,6 +99,7 @@
             model.FailureDomainId("a"),
             4,
             group,
+            born_ms,
         )
         error = _attempt.AttemptFailedError(
             _attempt.FailureKind.RESPONSE_LOST, "", is_disconnect=is_disconnect
@@ -198,6 +194,22 @@
     assert node.guard.find_accusation(request(body=b"other")) is None
 
 
+# Guards against: crashes of a server that restarts under its id count as one
+# while the report of its new start is on its way to the entry.
+def test_each_start_of_a_server_that_crashes_counts() -> None:
+    node = _Node()
+    for born_ms in (1, 2, 3):
+        node.lose(request("bad", f"r{born_ms}"), "e1", born_ms=born_ms)
+    assert node.guard.find_accusation(request("bad", "new")) is not None
+
+
+def test_runs_that_one_start_of_a_server_loses_count_once() -> None:
+    node = _Node()
+    for number in range(3):
+        node.lose(request("bad", f"r{number}"), "e1", born_ms=1)
+    assert node.guard.find_accusation(request("bad", "new")) is None
+
+
 def test_trial_run_is_admitted_once_and_its_progress_clears_the_part() -> None:
     node = _Node()
     for number in range(3):
