--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -97,6 +97,19 @@
         "crashes",
         "servers",
     )
+    LIMIT = (
+        "limit_changed",
+        "A backend server limits its requests from now on, or no longer.",
+        "server",
+        "born_ms",
+        "rate_per_s",
+    )
+    LIMIT_INVALID = (
+        "limit_invalid",
+        "A backend server stated a limit that cannot be read; it is ignored.",
+        "server",
+        "born_ms",
+    )
     ANSWERED = (
         "request_answered",
         "A response was forwarded in full.",
--- a/lagooncrank/results.py
+++ b/lagooncrank/results.py
@@ -71,6 +71,7 @@
     BACKEND_PROTOCOL_ERROR = 309, 502, "The backend response is invalid."
     BACKEND_OVERLOADED = 310, 503, "The backend server refused the request."
     CRASH_SUSPECTED = 311, 503, "Requests like this one crash backend servers."
+    SERVER_LIMITED = 312, 503, "The backend servers limit their requests."
 
     KEY_REQUIRED = 400, 400, "The service requires an Idempotency-Key."
     KEY_REUSED = 401, 422, "The key was used with another request body."
--- a/lagooncrank/server/seeded/_adapter.py
+++ b/lagooncrank/server/seeded/_adapter.py
@@ -12,6 +12,7 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import groups
+from lagooncrank.core import limits
 
 #: Header fields in their original order and case.
 Headers = tuple[tuple[str, str], ...]
@@ -83,6 +84,10 @@
     is_encoded: bool
     #: Headers to return to the caller.
     forwarded_headers: Headers
+    #: Whether another server than the expected one responded.
+    is_other_server: bool = False
+    #: Limit of the server's requests from all entries together.
+    limit: limits.StatedLimit = limits.UNLIMITED
 
 
 class MalformedRequestError(Exception):
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -62,6 +62,9 @@
         self.detail = detail[:MAX_DETAIL_CHARS]
         #: Whether the server ended the connection while it ran the request.
         self.is_disconnect = is_disconnect
+        #: Head of the response, if the server stated that it did not run the
+        #: request.
+        self.head: _adapter.ResponseHead | None = None
         super().__init__(f"{failure}: {self.detail}")
 
     @property
@@ -213,7 +216,9 @@
                 f"the response is for attempt {head.attempt_id!r}",
             )
         if head.is_not_run:
-            raise AttemptFailedError(FailureKind.NOT_RUN, str(head.status))
+            error = AttemptFailedError(FailureKind.NOT_RUN, str(head.status))
+            error.head = head
+            raise error
         if head.status < _adapter.FIRST_ERROR_STATUS and not head.is_signed:
             raise AttemptFailedError(
                 FailureKind.RESPONSE_LOST, "the response has no signature"
--- a/lagooncrank/server/seeded/_control_metrics.py
+++ b/lagooncrank/server/seeded/_control_metrics.py
@@ -27,6 +27,18 @@
             registry=self.registry,
         )
 
+        self._permits = prometheus_client.Counter(
+            "lagooncrank_permits",
+            "Permits to send to servers that limit their requests, by what "
+            "became of them.",
+            ("outcome",),
+            registry=self.registry,
+        )
+
+    def count_permits(self, outcome: str, count: int) -> None:
+        """Counts permits that were issued to entries."""
+        self._permits.labels(outcome).inc(count)
+
     def observe_order(
         self, order: groups.OrderKind | str, status: int, took_ms: int
     ) -> None:
--- a/lagooncrank/server/seeded/_crash_evidence.py
+++ b/lagooncrank/server/seeded/_crash_evidence.py
@@ -12,7 +12,6 @@
 from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank.core import crashes
-from lagooncrank.server import _shared_state
 from lagooncrank.server import links as peer_links
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _fleet_view
@@ -22,8 +21,6 @@
 MIN_PUBLISH_INTERVAL_MS: Final = 100
 #: Interval at which control nodes send all evidence, as messages may be lost.
 REPEAT_INTERVAL_MS: Final = 5_000
-#: With two recipients, the loss of one control node does not delay evidence.
-MAX_ENTRY_RECIPIENTS: Final = 2
 
 _EVIDENCE: Final = "crash-evidence"
 
@@ -35,14 +32,12 @@
         self,
         view: _fleet_view.FleetView,
         links: peer_links.Links,
-        shared: _shared_state.ReplicatedState,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
     ) -> None:
         super().__init__()
         self._view = view
         self._links = links
-        self._shared = shared
         self._clock = clock
         self._log = log
         self.evidence = crashes.CrashEvidence()
@@ -65,7 +60,7 @@
         batch = self.evidence.pop_unsent(now_ms)
         if batch.records or batch.sound:
             self._published_ms = now_ms
-            self._send(self._recipients(), batch)
+            self._send(self._view.news_recipients(), batch)
 
     @mode.Service.timer(CHECK_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _check_periodically(self) -> None:
@@ -79,7 +74,8 @@
             and now_ms - self._repeated_ms >= REPEAT_INTERVAL_MS
         ):
             self._repeated_ms = now_ms
-            self._send(self._recipients(), self.evidence.batch(now_ms))
+            batch = self.evidence.batch(now_ms)
+            self._send(self._view.news_recipients(), batch)
 
     def _on_evidence(
         self, _sender: model.NodeId, batch: crashes.EvidenceBatch
@@ -96,12 +92,6 @@
         batch = self.evidence.batch(self._clock.now_ms())
         self._send(frozenset({peer}), batch)
 
-    def _recipients(self) -> frozenset[model.NodeId]:
-        control_nodes = self._view.connected_control_nodes()
-        if self._view.is_control:
-            return self._shared.followers.union(control_nodes)
-        return frozenset(control_nodes[:MAX_ENTRY_RECIPIENTS])
-
     def _send(
         self, recipients: frozenset[model.NodeId], batch: crashes.EvidenceBatch
     ) -> None:
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -39,12 +39,14 @@
     ) -> None:
         super().__init__(node_settings, document_codec, clock)
         self.metrics = _entry_metrics.EntryMetrics()
+        self.server_limits.count_permits = self.metrics.count_permits
         self._client = _attempt.BackendClient(http_codec)
         target_selector = _target_selector.TargetSelector(
             node_settings.failure_domain_id,
             self.shared,
             self.view,
             self.documents,
+            self.server_limits,
             clock,
         )
         retry_budget = dispatch.SharedRetryBudget(node_settings.retry)
@@ -54,6 +56,7 @@
             self._client,
             retry_budget,
             _crash_guard.CrashGuard(self.crash_evidence, self.view, clock),
+            self.server_limits,
             self.metrics,
             clock,
             self.decision_log,
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -48,6 +48,18 @@
             registry=self.registry,
         )
 
+        self._permits = prometheus_client.Counter(
+            "lagooncrank_permits",
+            "Permits to send to servers that limit their requests, by what "
+            "became of them.",
+            ("outcome",),
+            registry=self.registry,
+        )
+
+    def count_permits(self, outcome: str, count: int) -> None:
+        """Counts permits that were issued, used or not used in time."""
+        self._permits.labels(outcome).inc(count)
+
     def observe_queue_time(
         self, service: model.ServiceName, queued_ms: int
     ) -> None:
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -33,6 +33,10 @@
 #: unreachable.
 UNREACHABLE_AFTER_INTERVALS: Final = 2.75
 
+#: With two recipients, the loss of one control node does not delay what an
+#: entry sends to others.
+MAX_ENTRY_RECIPIENTS: Final = 2
+
 #: Time from the first fleet summary until the totals in it include all entries:
 #: two notice intervals.
 LOADS_SETTLING_MS: Final = 700
@@ -168,6 +172,16 @@
         others = self._control_nodes.others_by_distance()
         return [n for n in others if n in connected]
 
+    def news_recipients(self) -> frozenset[model.NodeId]:
+        """Returns the nodes that this node passes on news to.
+
+        From an entry they go to control nodes, which pass them on to others.
+        """
+        control_nodes = self.connected_control_nodes()
+        if self.is_control:
+            return self._shared.followers.union(control_nodes)
+        return frozenset(control_nodes[:MAX_ENTRY_RECIPIENTS])
+
     def _check_stalls(self, now_ms: int) -> None:
         newly_stalled = self.stall_detector.check_streams(now_ms)
         if newly_stalled:
@@ -198,9 +212,7 @@
             self._forward_notices(now_ms)
             return
         batch = fleet.NodeNotices((notice,))
-        # With two recipients, the loss of one control node does not delay it.
-        recipients = self.connected_control_nodes()
-        self._links.send_all(recipients[:2], _NOTICES, batch)
+        self._links.send_all(self.news_recipients(), _NOTICES, batch)
 
     def _forward_notices(self, now_ms: int) -> None:
         batch = fleet.NodeNotices(tuple(self._pending_notices.values()))
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -21,6 +21,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _response_waits
+from lagooncrank.server.seeded import _server_limits
 from lagooncrank.server.seeded import _slot_queue
 from lagooncrank.server.seeded import _startup_wait
 from lagooncrank.server.seeded import _target_selector
@@ -59,6 +60,7 @@
         client: _attempt.BackendClient,
         retry_budget: dispatch.SharedRetryBudget,
         crash_guard: _crash_guard.CrashGuard,
+        limits: _server_limits.ServerLimits,
         metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
@@ -68,6 +70,7 @@
         self._client = client
         self._retry_budget = retry_budget
         self._crash_guard = crash_guard
+        self._limits = limits
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -76,6 +79,7 @@
             target_selector, view, metrics, clock
         )
         view.stall_detector.listeners.append(self._expire_waits)
+        limits.listeners.append(self._slot_queue.grant_slots)
 
     async def open(
         self, exchange: _exchange.Exchange
@@ -93,10 +97,12 @@
         self._check_accusations(exchange, None)
         if not exchange.tried:
             await self._wait_for_servers(exchange)
-            await self._wait_for_slot(exchange)
+            await self._wait_for_slot(exchange, None)
         rejections = 0
         last_error: _attempt.AttemptFailedError | None = None
         while True:
+            if exchange.tried and self._is_limited(exchange):
+                await self._wait_for_slot(exchange, last_error)
             target = self._next_target(exchange, last_error)
             try:
                 return target, await self._start_attempt(exchange, target)
@@ -215,15 +221,44 @@
             exchange.service, exchange.request_head.model_name, exchange.tried
         )
 
-    async def _wait_for_slot(self, exchange: _exchange.Exchange) -> None:
+    def _is_limited(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether all targets of a request limit their requests."""
+        return self._target_selector.is_limited(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+
+    async def _wait_for_slot(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
         try:
             await self._slot_queue.wait(exchange)
         except _slot_queue.QueueTimeoutError as error:
+            if self._is_limited(exchange):
+                refusal = self._limit_refusal(exchange, last_error)
+                raise ForwardingError(refusal) from error
             code = results.ResultCode.QUEUE_TIMEOUT
             raise ForwardingError(
-                _final_refusal(exchange, code, None)
+                _final_refusal(exchange, code, last_error)
             ) from error
 
+    def _limit_refusal(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> results.Refusal:
+        """Returns the refusal of a request that limited servers do not take."""
+        code = results.ResultCode.SERVER_LIMITED
+        refusal = _final_refusal(exchange, code, last_error)
+        if refusal.ran is not results.ExecutionStatus.NOT_RUN:
+            return refusal
+        wait_ms = self._target_selector.permit_wait_ms(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+        retry_after_ms = max(wait_ms, OVERLOAD_RETRY_AFTER_MS)
+        return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
+
     def _next_target(
         self,
         exchange: _exchange.Exchange,
@@ -233,6 +268,8 @@
         target = self._target_selector.choose(
             exchange.service, exchange.request_head.model_name, exchange.tried
         )
+        if target is None and self._is_limited(exchange):
+            raise ForwardingError(self._limit_refusal(exchange, last_error))
         if target is None:
             raise ForwardingError(_no_target_refusal(exchange, last_error))
         is_retry = bool(exchange.tried)
@@ -305,6 +342,7 @@
     ) -> _attempt.BackendResponse:
         metadata = exchange.forwarding_metadata(target, self._clock)
         wait_ms = self._response_timeout_ms(exchange)
+        sent_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(wait_ms / clocks.MS_PER_S) as timeout:
                 with self.register_wait(exchange, target, timeout):
@@ -319,6 +357,13 @@
                 _attempt.FailureKind.TIMED_OUT,
                 f"no response within {wait_ms} ms",
             ) from error
+        except _attempt.AttemptFailedError as error:
+            if error.head is not None and not error.head.is_other_server:
+                self._limits.record_response(target, error.head.limit, sent_ms)
+            raise
+        self._limits.record_response(
+            target, backend_response.head.limit, sent_ms
+        )
         if (
             backend_response.head.status >= FIRST_SERVER_ERROR_STATUS
             and self._may_retry(exchange)
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -25,6 +25,7 @@
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _server_limits
 
 #: Voters beyond twice the tolerated disk losses: 2f + 1 voters still have a
 #: majority after f losses.
@@ -101,7 +102,14 @@
             self.decision_log,
         )
         self.crash_evidence = _crash_evidence.CrashEvidenceExchange(
-            self.view, self.links, self.shared, clock, self.decision_log
+            self.view, self.links, clock, self.decision_log
+        )
+        self.server_limits = _server_limits.ServerLimits(
+            node_settings.node_id,
+            self.view,
+            self.links,
+            clock,
+            self.decision_log,
         )
 
     async def on_start(self) -> None:
@@ -112,6 +120,7 @@
             self.shared,
             self.view,
             self.crash_evidence,
+            self.server_limits,
         ):
             await self.add_runtime_dependency(component)
         self.decision_log.write(
--- a/lagooncrank/server/seeded/_slot_queue.py
+++ b/lagooncrank/server/seeded/_slot_queue.py
@@ -18,7 +18,7 @@
 
 
 class QueueTimeoutError(Exception):
-    """No slot became available within the maximum wait of a request."""
+    """No slot becomes available within the maximum wait of a request."""
 
 
 class SlotQueue:
@@ -54,13 +54,15 @@
             QueueTimeoutError: No slot became available in time.
         """
         model_name = exchange.request_head.model_name
-        has_accurate_loads = dispatch.has_accurate_loads(self._view.entry_count)
-        if not model_name or not has_accurate_loads:
-            return
         pool = (exchange.service, model_name)
+        is_limited = self._target_selector.is_limited(*pool, exchange.tried)
+        if not is_limited and not self._target_selector.has_slots(model_name):
+            return
         is_contended = self._queue.length(pool) or self._granted[pool]
         if not is_contended and self._available_slots(pool).slots > 0:
             return
+        if is_limited:
+            self._check_permit_wait(exchange, pool)
         try:
             await self._wait_in_queue(exchange, pool)
         finally:
@@ -77,7 +79,22 @@
         self._running[account] -= 1
         if self._running[account] <= 0:
             del self._running[account]
-        self._grant_slots()
+        self.grant_slots()
+
+    def _check_permit_wait(
+        self, exchange: _exchange.Exchange, pool: dispatch.Pool
+    ) -> None:
+        """Checks that a permit for a request may come while it waits.
+
+        Raises:
+            QueueTimeoutError: It comes later.
+        """
+        limit_ms = dispatch.queue_limit_ms(
+            exchange.route, exchange.remaining_ms(self._clock)
+        )
+        wait_ms = self._target_selector.permit_wait_ms(*pool, exchange.tried)
+        if wait_ms > limit_ms:
+            raise QueueTimeoutError
 
     async def _wait_in_queue(
         self, exchange: _exchange.Exchange, pool: dispatch.Pool
@@ -97,7 +114,7 @@
         grant_future = asyncio.get_running_loop().create_future()
         self._grant_futures[exchange.number] = grant_future
         self._queue.add(queued)
-        self._grant_slots()
+        self.grant_slots()
         self._schedule_recheck()
         try:
             async with asyncio.timeout(limit_ms / clocks.MS_PER_S):
@@ -109,13 +126,15 @@
             del self._grant_futures[exchange.number]
             if grant_future.done() and not grant_future.cancelled():
                 self._granted[pool] -= 1
-            exchange.queued_ms = self._clock.now_ms() - began_ms
-            self._metrics.observe_queue_time(
-                exchange.service, exchange.queued_ms
-            )
+            queued_ms = self._clock.now_ms() - began_ms
+            exchange.queued_ms += queued_ms
+            self._metrics.observe_queue_time(exchange.service, queued_ms)
+
+    def grant_slots(self) -> None:
+        """Grants available slots to the next requests in the queue.
 
-    def _grant_slots(self) -> None:
-        """Grants available slots to the next requests in the queue."""
+        Requests that still wait may need permits of limited servers.
+        """
         now_ms = self._clock.now_ms()
         for pool in self._queue.pools():
             slot_budget = self._available_slots(pool)
@@ -133,6 +152,8 @@
                     # A cancelled future means that the caller has just left.
                     self._granted[pool] += 1
                     grant_future.set_result(None)
+            if waiting := self._queue.length(pool):
+                self._target_selector.request_permits(*pool, waiting)
 
     def _available_slots(self, pool: dispatch.Pool) -> dispatch.SlotBudget:
         """Returns the slots that may still be granted to a pool's requests."""
@@ -154,7 +175,7 @@
 
     def _on_recheck(self) -> None:
         self._recheck = None
-        self._grant_slots()
+        self.grant_slots()
         if self._queue.pools():
             self._schedule_recheck()
 
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterator
+from collections.abc import Sequence
 import random
 from typing import Final
 
@@ -12,6 +13,7 @@
 from lagooncrank.server import _shared_state
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _server_limits
 
 #: Number of entries assumed while not all of them are known.
 ASSUMED_ENTRIES: Final = 8
@@ -27,12 +29,14 @@
         shared: _shared_state.ReplicatedState,
         view: _fleet_view.FleetView,
         documents: _documents.DocumentStore,
+        limits: _server_limits.ServerLimits,
         clock: clocks.Clock,
     ) -> None:
         self._failure_domain = failure_domain
         self._shared = shared
         self._view = view
         self._documents = documents
+        self._limits = limits
         self._clock = clock
         self.backoff = dispatch.FailureBackoff()
 
@@ -46,11 +50,17 @@
         model_name: str,
         tried: Collection[str],
     ) -> dispatch.Target | None:
-        """Returns the best target, or None if there is none."""
-        return dispatch.choose_target(
-            self._candidates(service, model_name),
+        """Returns the best target, or None if there is none.
+
+        If the target limits its requests, this uses a permit for it.
+        """
+        candidates = self._untried(service, model_name, tried)
+        limited = self._limited(candidates)
+        avoided = self._avoided()
+        target = dispatch.choose_target(
+            self._with_permits(candidates, limited, avoided),
             self._view.loads,
-            self._avoided(),
+            avoided,
             tried,
             self._failure_domain,
             (random.random(), random.random()),
@@ -58,6 +68,80 @@
                 self._view.entry_count
             ),
         )
+        if limited:
+            if target is not None:
+                self._limits.use_permit(target)
+            # For the next request: limited servers are to receive their rate.
+            self._limits.request_permits(limited, 1)
+        return target
+
+    def is_limited(
+        self,
+        service: model.ServiceName,
+        model_name: str,
+        tried: Collection[str],
+    ) -> bool:
+        """Returns whether all untried targets limit their requests."""
+        if not self._limits.has_limits:
+            return False
+        candidates = self._untried(service, model_name, tried)
+        return bool(candidates) and self._limited(candidates) == candidates
+
+    def permit_wait_ms(
+        self,
+        service: model.ServiceName,
+        model_name: str,
+        tried: Collection[str],
+    ) -> int:
+        """Returns the estimated time until any untried target has a permit."""
+        return self._limits.wait_ms(self._untried(service, model_name, tried))
+
+    def request_permits(
+        self, service: model.ServiceName, model_name: str, needed: int
+    ) -> None:
+        """Requests permits for waiting requests, as far as there are limits."""
+        limited = self._limited(list(self._candidates(service, model_name)))
+        if limited:
+            self._limits.request_permits(limited, needed)
+
+    def _limited(
+        self, targets: Sequence[dispatch.Target]
+    ) -> list[dispatch.Target]:
+        """Returns the targets that limit their requests."""
+        if not self._limits.has_limits:
+            return []
+        return [t for t in targets if self._limits.is_limited(t)]
+
+    def _untried(
+        self,
+        service: model.ServiceName,
+        model_name: str,
+        tried: Collection[str],
+    ) -> list[dispatch.Target]:
+        candidates = self._candidates(service, model_name)
+        return [t for t in candidates if t.server_id not in tried]
+
+    def _with_permits(
+        self,
+        targets: Sequence[dispatch.Target],
+        limited: Sequence[dispatch.Target],
+        avoided: Collection[str],
+    ) -> Sequence[dispatch.Target]:
+        """Returns the targets that a request may be sent to now.
+
+        Permits that are not used soon are lost, so they go first.
+        """
+        if not limited:
+            return targets
+        permitted = [t for t in limited if self._limits.permits(t)]
+        usable = [
+            t
+            for t in permitted
+            if t.server_id not in avoided
+            and self._view.loads.in_flight(t.server_id) < t.slots
+        ]
+        unlimited = [t for t in targets if t not in limited]
+        return usable or (unlimited + permitted)
 
     def has_untried(
         self,
@@ -66,20 +150,44 @@
         tried: Collection[str],
     ) -> bool:
         """Returns whether there is a target that was not tried yet."""
-        targets = self._candidates(service, model_name)
-        return any(t.server_id not in tried for t in targets)
+        return bool(self._untried(service, model_name, tried))
 
     def slot_budget(
         self, service: model.ServiceName, model_name: str
     ) -> dispatch.SlotBudget | None:
-        """Returns the slots of a model's groups that this entry may use now.
+        """Returns how many requests this entry may send to a pool now.
+
+        They are the slots of its targets without a limit, and the permits for
+        those with one.
 
         Returns:
-            None if no group serves the model.
+            None if no target serves the pool, or if requests to it need not
+            wait for a slot.
         """
-        heads = list(self._group_heads(service, model_name))
-        if not heads:
+        targets = list(self._candidates(service, model_name))
+        limited = self._limited(targets)
+        permits = sum(self._limits.permits(t) for t in limited)
+        if limited and len(limited) == len(targets):
+            return dispatch.SlotBudget(permits, 0)
+        if not targets or not self.has_slots(model_name):
             return None
+        unlimited = [t for t in targets if t not in limited]
+        budget = self._unlimited_budget(unlimited)
+        return dispatch.SlotBudget(budget.slots + permits, budget.reserved)
+
+    def has_slots(self, model_name: str) -> bool:
+        """Returns whether the slots of targets without a limit are known.
+
+        Args:
+            model_name: Model of a request; empty for one to a plain service.
+        """
+        return bool(model_name) and dispatch.has_accurate_loads(
+            self._view.entry_count
+        )
+
+    def _unlimited_budget(
+        self, heads: Sequence[dispatch.Target]
+    ) -> dispatch.SlotBudget:
         avoided = self._avoided()
         usable = [t for t in heads if t.server_id not in avoided] or heads
         entry_count = max(self._view.entry_count, 1)
--- a/lagooncrank/server/seeded/tests/test_address_of_a_restarted_head.py
+++ b/lagooncrank/server/seeded/tests/test_address_of_a_restarted_head.py
@@ -43,6 +43,7 @@
         shared,
         view,
         cast(Any, types.SimpleNamespace(catalog=None)),
+        cast(Any, types.SimpleNamespace(has_limits=False)),
         clocks.ManualClock(),
     )
     assert list(
--- a/lagooncrank/server/seeded/tests/test_crash_guard.py
+++ b/lagooncrank/server/seeded/tests/test_crash_guard.py
@@ -46,12 +46,8 @@
     def entry_position(self, _: int) -> int:
         return 0
 
-    def connected_control_nodes(self) -> list[model.NodeId]:
-        return [CONTROL]
-
-
-class _Shared:
-    followers: frozenset[model.NodeId] = frozenset({ENTRY})
+    def news_recipients(self) -> frozenset[model.NodeId]:
+        return frozenset({CONTROL, ENTRY} if self.is_control else {CONTROL})
 
 
 class _Log:
@@ -73,7 +69,6 @@
         self.exchange = _crash_evidence.CrashEvidenceExchange(
             cast(Any, self.view),
             cast(Any, self.links),
-            cast(Any, _Shared()),
             self.clock,
             cast(Any, self.log),
         )
--- a/lagooncrank/server/seeded/tests/test_slot_budget_after_start.py
+++ b/lagooncrank/server/seeded/tests/test_slot_budget_after_start.py
@@ -35,6 +35,7 @@
         cast(Any, None),
         view,
         cast(Any, None),
+        cast(Any, types.SimpleNamespace(has_limits=False)),
         clocks.ManualClock(),
     )
     heads = [
--- a/lagooncrank/server/seeded/tests/test_slot_queue.py
+++ b/lagooncrank/server/seeded/tests/test_slot_queue.py
@@ -22,12 +22,20 @@
 
     def __init__(self, slots: int | None, entries: int = 6) -> None:
         self.slots = slots
+        #: Time until a permit comes, if all groups limit their requests.
+        self.permit_wait_ms: int | None = None
         self.view = types.SimpleNamespace(entry_count=entries)
         self.slot_queue = _slot_queue.SlotQueue(
             cast(
                 Any,
                 types.SimpleNamespace(
-                    slot_budget=lambda *_: self._slot_budget()
+                    slot_budget=lambda *_: self._slot_budget(),
+                    is_limited=lambda *_: self.permit_wait_ms is not None,
+                    permit_wait_ms=lambda *_: self.permit_wait_ms,
+                    request_permits=lambda *_: None,
+                    has_slots=lambda model: (
+                        bool(model) and dispatch.has_accurate_loads(entries)
+                    ),
                 ),
             ),
             cast(Any, self.view),
@@ -71,6 +79,7 @@
         ),
         remaining_ms=lambda _: remaining_ms,
         queued_ms=0,
+        tried=(),
     )
 
 
