Keep the requests of all entries within the limits that servers state

Cause: the header was not decoded, and each entry knows only its own requests.

Change: the adapter decodes the header into StatedLimit; core/limits (no I/O) holds limits by process and issues permits; server/seeded/_server_limits passes them between nodes. For each limited process one control node issues permits on demand from a token bucket. An entry without a response from it uses three quarters of its equal share, and another control node takes over only after 2 s without a link. Requests to a pool whose servers are all limited wait in the entry's queue, which serves accounts fairly, or are refused at once with SERVER_LIMITED (312) if a permit comes too late for their callers, with that time as Retry-After.

--- a/lagooncrank/core/limits/_client.py
+++ b/lagooncrank/core/limits/_client.py
@@ -144,6 +144,7 @@
     ) -> None:
         for node in self._connected - connected:
             self._missing_since_ms[node] = now_ms
+            self._unanswered_ms.pop(node, None)
         for node in connected:
             self._missing_since_ms.pop(node, None)
         for node, since_ms in list(self._missing_since_ms.items()):
--- a/lagooncrank/server/seeded/tests/test_slot_queue.py
+++ b/lagooncrank/server/seeded/tests/test_slot_queue.py
@@ -111,6 +111,28 @@
     assert waiting[1].done()
 
 
+# Guards against: a request waits for a permit that comes after its caller left.
+async def test_request_whose_permit_comes_too_late_is_refused_at_once() -> None:
+    groups = FakeGroups(slots=0)
+    groups.permit_wait_ms = LONG_MS
+    with pytest.raises(_slot_queue.QueueTimeoutError):
+        await groups.send(request(1))
+    assert groups.slot_queue._queue.pools() == ()
+
+
+@pytest.mark.parametrize("model", ["large", ""])
+async def test_requests_wait_for_permits_of_limited_servers(model: str) -> None:
+    groups = FakeGroups(slots=0, entries=83)
+    groups.permit_wait_ms = 0
+    waiting = asyncio.create_task(groups.send(request(1, model=model)))
+    await run_event_loop()
+    assert not waiting.done()
+    groups.slots = 1
+    groups.slot_queue.grant_slots()
+    await run_event_loop()
+    assert waiting.done()
+
+
 async def test_slot_of_cancelled_request_goes_to_the_next() -> None:
     groups, first, waiting = await groups_with_two_waiting()
     waiting[0].cancel()
