Bound the memory of permits, and count them in one place (LIMIT)

What an entry knew of ended processes was kept for good; it goes with their limits now. Choosing a server compared each target with each limited one. Denials of permits no longer wake the queue.

--- a/lagooncrank/core/limits/_limit_table.py
+++ b/lagooncrank/core/limits/_limit_table.py
@@ -117,8 +117,12 @@
         """Returns all limits, and those that were withdrawn."""
         return self._reports(self._known, now_ms)
 
-    def evict_expired(self, now_ms: int) -> None:
-        """Removes the processes of which nothing was heard for a long time."""
+    def evict_expired(self, now_ms: int) -> list[_types.Process]:
+        """Removes the processes of which nothing was heard for a long time.
+
+        Returns:
+            These processes.
+        """
         expired = [
             process
             for process, known in self._known.items()
@@ -126,6 +130,7 @@
         ]
         for process in expired:
             self._remove(process)
+        return expired
 
     def _reports(
         self, processes: Iterable[_types.Process], now_ms: int
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -24,7 +24,7 @@
     ) -> None:
         super().__init__(node_settings, document_codec, clock, started_ms)
         self.metrics = _control_metrics.ControlMetrics()
-        self.server_limits.count_permits = self.metrics.count_permits
+        self.server_limits.count_permits = self.metrics.permits.count
         self._driver = _group_driver.GroupDriver(
             node_settings,
             self.shared,
--- a/lagooncrank/server/seeded/_control_metrics.py
+++ b/lagooncrank/server/seeded/_control_metrics.py
@@ -3,6 +3,7 @@
 import prometheus_client
 
 from lagooncrank.core import groups
+from lagooncrank.server.seeded import _permit_metrics
 
 ORDER_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 
@@ -27,17 +28,7 @@
             registry=self.registry,
         )
 
-        self._permits = prometheus_client.Counter(
-            "lagooncrank_permits",
-            "Permits to send to servers that limit their requests, by what "
-            "became of them.",
-            ("outcome",),
-            registry=self.registry,
-        )
-
-    def count_permits(self, outcome: str, count: int) -> None:
-        """Counts permits that were issued to entries."""
-        self._permits.labels(outcome).inc(count)
+        self.permits = _permit_metrics.PermitMetrics(self.registry)
 
     def observe_order(
         self, order: groups.OrderKind | str, status: int, took_ms: int
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -39,7 +39,7 @@
     ) -> None:
         super().__init__(node_settings, document_codec, clock)
         self.metrics = _entry_metrics.EntryMetrics()
-        self.server_limits.count_permits = self.metrics.count_permits
+        self.server_limits.count_permits = self.metrics.permits.count
         self._client = _attempt.BackendClient(http_codec)
         target_selector = _target_selector.TargetSelector(
             node_settings.failure_domain_id,
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -4,6 +4,7 @@
 
 from lagooncrank import model
 from lagooncrank import results
+from lagooncrank.server.seeded import _permit_metrics
 
 FIRST_BYTE_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
 QUEUE_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0)
@@ -48,17 +49,7 @@
             registry=self.registry,
         )
 
-        self._permits = prometheus_client.Counter(
-            "lagooncrank_permits",
-            "Permits to send to servers that limit their requests, by what "
-            "became of them.",
-            ("outcome",),
-            registry=self.registry,
-        )
-
-    def count_permits(self, outcome: str, count: int) -> None:
-        """Counts permits that were issued, used or not used in time."""
-        self._permits.labels(outcome).inc(count)
+        self.permits = _permit_metrics.PermitMetrics(self.registry)
 
     def observe_queue_time(
         self, service: model.ServiceName, queued_ms: int
--- a/lagooncrank/server/seeded/_server_limits.py
+++ b/lagooncrank/server/seeded/_server_limits.py
@@ -201,7 +201,8 @@
     ) -> None:
         self._client.record_response(sender)
         self._client.add(batch, self._clock.now_ms())
-        self._notify()
+        if any(grant.count for grant in batch.grants):
+            self._notify()
 
     def _on_reports(
         self, sender: model.NodeId, batch: limits.LimitReports
@@ -262,8 +263,10 @@
     @mode.Service.timer(EVICTION_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _evict_periodically(self) -> None:
         now_ms = self._clock.now_ms()
-        self.table.evict_expired(now_ms)
+        for process in self.table.evict_expired(now_ms):
+            self._client.forget(process)
         self._issuer.evict_unused(now_ms)
+        self._own_issuer.evict_unused(now_ms)
 
 
 def _process(target: dispatch.Target) -> limits.Process:
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -140,7 +140,7 @@
             if t.server_id not in avoided
             and self._view.loads.in_flight(t.server_id) < t.slots
         ]
-        unlimited = [t for t in targets if t not in limited]
+        unlimited = [t for t in targets if not self._limits.is_limited(t)]
         return usable or (unlimited + permitted)
 
     def has_untried(
@@ -171,8 +171,9 @@
             return dispatch.SlotBudget(permits, 0)
         if not targets or not self.has_slots(model_name):
             return None
-        unlimited = [t for t in targets if t not in limited]
-        budget = self._unlimited_budget(unlimited)
+        if limited:
+            targets = [t for t in targets if not self._limits.is_limited(t)]
+        budget = self._unlimited_budget(targets)
         return dispatch.SlotBudget(budget.slots + permits, budget.reserved)
 
     def has_slots(self, model_name: str) -> bool:
