--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -8,6 +8,7 @@
 from lagooncrank.core.dispatch._patience import queue_limit_ms
 from lagooncrank.core.dispatch._patience import stream_patience_ms
 from lagooncrank.core.dispatch._progress import StreamProgress
+from lagooncrank.core.dispatch._recent_use import RecentUse
 from lagooncrank.core.dispatch._request_queue import Pool
 from lagooncrank.core.dispatch._request_queue import QUEUE_DISCIPLINES
 from lagooncrank.core.dispatch._request_queue import QueuedRequest
@@ -24,6 +25,7 @@
     "InFlightTracker",
     "Pool",
     "QueuedRequest",
+    "RecentUse",
     "RequestQueue",
     "SharedRetryBudget",
     "SlotBudget",
--- a/lagooncrank/core/dispatch/_request_queue.py
+++ b/lagooncrank/core/dispatch/_request_queue.py
@@ -75,6 +75,18 @@
     return (int(is_late), request.priority, running, request.arrived_ms)
 
 
+@QUEUE_DISCIPLINES.register("fewest-recent")
+def fewest_recent(
+    request: QueuedRequest, running: int, now_ms: int
+) -> tuple[int, ...]:
+    """Serves accounts with the fewest requests first, late or not.
+
+    For servers that limit their requests: waiting for one to be taken is
+    usual there, and fresh requests of a large account always come.
+    """
+    return (request.priority, running, request.arrived_ms)
+
+
 class RequestQueue:
     """Waiting requests by pool, in the order of a queue discipline."""
 
@@ -109,6 +121,7 @@
         now_ms: int,
         *,
         on_time_only: bool = False,
+        discipline: QueueDiscipline | None = None,
     ) -> QueuedRequest | None:
         """Removes and returns the next request, or None if none qualifies.
 
@@ -118,7 +131,9 @@
             now_ms: Monotonic time in milliseconds.
             on_time_only: Whether the slot is reserved for a request that can
                 still meet its latency target.
+            discipline: Order of the requests, in place of that of the queue.
         """
+        order = discipline or self._discipline
         candidates = [
             r
             for r in self._waiting.get(pool, {}).values()
@@ -128,9 +143,7 @@
             return None
         first = min(
             candidates,
-            key=lambda r: self._discipline(
-                r, running.get(r.account, 0), now_ms
-            ),
+            key=lambda r: order(r, running.get(r.account, 0), now_ms),
         )
         self.remove(first)
         return first
--- a/lagooncrank/server/seeded/_slot_queue.py
+++ b/lagooncrank/server/seeded/_slot_queue.py
@@ -12,6 +12,8 @@
 from lagooncrank.server.seeded import _target_selector
 
 QUEUE_DISCIPLINE: Final = "fresh-first"
+#: The same for pools all of whose servers limit their requests.
+LIMITED_DISCIPLINE: Final = "fewest-recent"
 #: Interval at which queued requests are checked again: slots that other entries
 #: release are reported to this one later.
 RECHECK_INTERVAL_S: Final = 0.05
@@ -43,6 +45,9 @@
         self._granted: collections.Counter[dispatch.Pool] = (
             collections.Counter()
         )
+        self._limited_order = dispatch.QUEUE_DISCIPLINES.get(LIMITED_DISCIPLINE)
+        #: Requests to limited pools.
+        self._recent_use = dispatch.RecentUse()
         #: Running requests by client account.
         self._running: collections.Counter[str] = collections.Counter()
         self._recheck: asyncio.TimerHandle | None = None
@@ -60,6 +65,9 @@
             return
         is_contended = self._queue.length(pool) or self._granted[pool]
         if not is_contended and self._available_slots(pool).slots > 0:
+            if is_limited:
+                account = _account_name(exchange)
+                self._recent_use.record(account, self._clock.now_ms())
             return
         if is_limited:
             self._check_permit_wait(exchange, pool)
@@ -139,11 +147,8 @@
         for pool in self._queue.pools():
             slot_budget = self._available_slots(pool)
             for slots in range(slot_budget.slots, 0, -1):
-                queued = self._queue.pop_next(
-                    pool,
-                    self._running,
-                    now_ms,
-                    on_time_only=slots <= slot_budget.reserved,
+                queued = self._pop_next(
+                    pool, now_ms, on_time_only=slots <= slot_budget.reserved
                 )
                 if queued is None:
                     break
@@ -155,6 +160,24 @@
             if waiting := self._queue.length(pool):
                 self._target_selector.request_permits(*pool, waiting)
 
+    def _pop_next(
+        self, pool: dispatch.Pool, now_ms: int, *, on_time_only: bool
+    ) -> dispatch.QueuedRequest | None:
+        """Removes and returns the next request of a pool, if any."""
+        if not self._target_selector.is_limited(*pool, ()):
+            return self._queue.pop_next(
+                pool, self._running, now_ms, on_time_only=on_time_only
+            )
+        queued = self._queue.pop_next(
+            pool,
+            self._recent_use.counts(now_ms),
+            now_ms,
+            discipline=self._limited_order,
+        )
+        if queued is not None:
+            self._recent_use.record(queued.account, now_ms)
+        return queued
+
     def _available_slots(self, pool: dispatch.Pool) -> dispatch.SlotBudget:
         """Returns the slots that may still be granted to a pool's requests."""
         slot_budget = self._target_selector.slot_budget(*pool)
--- a/lagooncrank/server/seeded/tests/test_slot_queue.py
+++ b/lagooncrank/server/seeded/tests/test_slot_queue.py
@@ -63,13 +63,16 @@
 
 
 def request(
-    number: int, remaining_ms: int = LONG_MS, model: str = "large"
+    number: int,
+    remaining_ms: int = LONG_MS,
+    model: str = "large",
+    account: str = "",
 ) -> Any:
     return types.SimpleNamespace(
         number=number,
         request_head=types.SimpleNamespace(model_name=model),
         service="writers",
-        account=None,
+        account=types.SimpleNamespace(account=account) if account else None,
         priority=1,
         arrived_ms=0,
         route=types.SimpleNamespace(
@@ -133,6 +136,28 @@
     assert waiting.done()
 
 
+# Guards against: a large account takes all permits of limited servers.
+async def test_permit_goes_to_the_account_with_fewer_requests() -> None:
+    groups = FakeGroups(slots=2)
+    groups.permit_wait_ms = 0
+    for number in range(2):
+        sent = request(number, account="large")
+        await groups.send(sent)
+        groups.slot_queue.end(sent)
+    accounts = ("large", "large", "small")
+    waiting = [
+        asyncio.create_task(groups.send(request(10 + n, account=account)))
+        for n, account in enumerate(accounts)
+    ]
+    await run_event_loop()
+    groups.slots = 1
+    groups.slot_queue.grant_slots()
+    await run_event_loop()
+    assert [t.done() for t in waiting] == [False, False, True]
+    for task in waiting[:2]:
+        task.cancel()
+
+
 async def test_slot_of_cancelled_request_goes_to_the_next() -> None:
     groups, first, waiting = await groups_with_two_waiting()
     waiting[0].cancel()
