Let nodes agree on which crashes were at the same time

What callers saw: nodes that hold the same evidence accused different requests, so a request that one entry refuses was sent by another.

Cause: crashes less than 50 ms apart count as one, and each node computed the times from the ages in messages, which take different times. In one log the last two crashes are 50 ms apart at the entry, in the other the first two 58 ms. It counted three; two of the control nodes got less, counted two and never accused the part. The design claims that all nodes derive the same from the same evidence.

Change: records carry the start of the node that saw the crash and the time on its clock. A node keeps the lowest difference to each such clock that it has seen, as the fastest message is the most accurate, and derives all times of that clock from it.

--- a/lagooncrank/core/crashes/_evidence.py
+++ b/lagooncrank/core/crashes/_evidence.py
@@ -32,6 +32,10 @@
 @dataclasses.dataclass(slots=True)
 class _Record:
     run: _accusations.LostRun
+    #: Start of the node that saw the crash; empty if unknown.
+    origin: str
+    #: When the run broke off, on the clock of that node.
+    origin_ms: int
     used_ms: int
     #: Last use that other nodes know; None if they do not know the record.
     sent_used_ms: int | None = None
@@ -40,7 +44,16 @@
 class CrashEvidence:
     """Runs that broke off, and features of runs that made progress."""
 
-    def __init__(self) -> None:
+    def __init__(self, origin: str = "") -> None:
+        """Creates evidence without any records.
+
+        Args:
+            origin: Identifies this start of the node, and so its clock.
+        """
+        self._origin = origin
+        #: Difference between this node's clock and that of each other one. As
+        #: messages take time, the lowest value seen is the most accurate.
+        self._offsets_ms: dict[str, int] = {}
         self._records: dict[_Key, _Record] = {}
         #: When the newest sound run with a feature began, oldest entry first.
         self._sound_ms: dict[str, int] = {}
@@ -69,7 +82,14 @@
         now_ms: int,
     ) -> None:
         """Records a run that broke off."""
-        record = _types.CrashRecord(server_id, born_ms, features, events)
+        record = _types.CrashRecord(
+            server_id,
+            born_ms,
+            features,
+            events,
+            origin=self._origin,
+            crashed_ms=now_ms,
+        )
         self._add(record, now_ms)
         self._derive()
 
@@ -104,7 +124,7 @@
         may cost one more engine.
         """
         suspected = _accusations.find_accusations(
-            (r.run for r in self._records.values()),
+            self._runs(),
             self._sound_ms,
             MAX_CRASHES_BEFORE_REPEAT + 1,
         )
@@ -151,7 +171,7 @@
     def batch(self, now_ms: int) -> _types.EvidenceBatch:
         """Returns all records, and what is known about their features."""
         return _types.EvidenceBatch(
-            tuple(_aged(r, now_ms) for r in self._records.values()),
+            tuple(self._aged(r, now_ms) for r in self._records.values()),
             self._sound_features(self._crashes_ms, now_ms),
         )
 
@@ -167,10 +187,24 @@
         for feature in sound:
             self._record_sent_sound(feature, self._sound_ms[feature])
         return _types.EvidenceBatch(
-            tuple(_aged(r, now_ms) for r in unsent),
+            tuple(self._aged(r, now_ms) for r in unsent),
             self._sound_features(sound, now_ms),
         )
 
+    def _aged(self, record: _Record, now_ms: int) -> _types.CrashRecord:
+        run = self._located(record)
+        server_id, born_ms = run.process
+        return _types.CrashRecord(
+            model.BackendServerId(server_id),
+            born_ms,
+            run.features,
+            run.events,
+            max(now_ms - run.crashed_ms, 0),
+            max(now_ms - record.used_ms, 0),
+            record.origin,
+            record.origin_ms,
+        )
+
     def _sound_features(
         self, features: Iterable[str], now_ms: int
     ) -> tuple[_types.SoundFeature, ...]:
@@ -203,6 +237,7 @@
         self._sent_sound_ms[feature] = max(known_ms, began_ms)
 
     def _add(self, record: _types.CrashRecord, now_ms: int) -> bool:
+        self._update_offset(record, now_ms)
         used_ms = now_ms - record.unused_ms
         if now_ms - used_ms >= RECORD_TTL_MS:
             return False
@@ -216,11 +251,34 @@
             record.events,
             now_ms - record.age_ms,
         )
-        self._records[_key(record)] = _Record(run, used_ms)
+        self._records[_key(record)] = _Record(
+            run, record.origin, record.crashed_ms, used_ms
+        )
         if len(self._records) > MAX_RECORDS:
             del self._records[self._least_useful()]
         return True
 
+    def _update_offset(self, record: _types.CrashRecord, now_ms: int) -> None:
+        if record.origin:
+            offset_ms = now_ms - record.age_ms - record.crashed_ms
+            known_ms = self._offsets_ms.get(record.origin, offset_ms)
+            self._offsets_ms[record.origin] = min(known_ms, offset_ms)
+
+    def _runs(self) -> list[_accusations.LostRun]:
+        """Returns the runs of all records, with times on this node's clock.
+
+        Nodes that received records with different delays would otherwise
+        differ in which crashes were at the same time.
+        """
+        return [self._located(r) for r in self._records.values()]
+
+    def _located(self, record: _Record) -> _accusations.LostRun:
+        offset_ms = self._offsets_ms.get(record.origin)
+        if offset_ms is None:
+            return record.run
+        crashed_ms = record.origin_ms + offset_ms
+        return dataclasses.replace(record.run, crashed_ms=crashed_ms)
+
     def _least_useful(self) -> _Key:
         """Returns the record that says least about what crashes servers.
 
@@ -249,7 +307,13 @@
         return self._is_news(feature, known_ms, began_ms)
 
     def _derive(self) -> None:
-        runs = [r.run for r in self._records.values()]
+        origins = {r.origin for r in self._records.values()}
+        self._offsets_ms = {
+            origin: offset_ms
+            for origin, offset_ms in self._offsets_ms.items()
+            if origin in origins
+        }
+        runs = self._runs()
         self._crashes_ms = {}
         for run in runs:
             for feature in run.features:
@@ -270,16 +334,3 @@
 def _is_unsent(record: _Record) -> bool:
     sent_ms = record.sent_used_ms
     return sent_ms is None or record.used_ms - sent_ms > RESEND_USE_MS
-
-
-def _aged(record: _Record, now_ms: int) -> _types.CrashRecord:
-    run = record.run
-    server_id, born_ms = run.process
-    return _types.CrashRecord(
-        model.BackendServerId(server_id),
-        born_ms,
-        run.features,
-        run.events,
-        max(now_ms - run.crashed_ms, 0),
-        max(now_ms - record.used_ms, 0),
-    )
--- a/lagooncrank/core/crashes/_types.py
+++ b/lagooncrank/core/crashes/_types.py
@@ -24,6 +24,11 @@
     #: Time since a request was last refused because of the record, or since
     #: the run broke off.
     unused_ms: int = 0
+    #: Start of the node that saw it; empty if unknown. Records of one node have
+    #: exact times between them, on its clock.
+    origin: str = ""
+    #: When the run broke off, on the clock of that node.
+    crashed_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagooncrank/core/crashes/tests/_fleet.py
+++ b/lagooncrank/core/crashes/tests/_fleet.py
@@ -109,7 +109,7 @@
         self.outcome = Outcome()
         self.scenario = scenario
         self.entries = [
-            crashes.CrashEvidence() for _ in range(scenario.entries)
+            crashes.CrashEvidence(f"n{n}") for n in range(scenario.entries)
         ]
         self._control = crashes.CrashEvidence()
         self._random = random.Random(seed)
@@ -323,7 +323,8 @@
 
     def _restart_entry(self) -> None:
         entry = self._random.randrange(self.scenario.entries)
-        self.entries[entry] = crashes.CrashEvidence()
+        origin = f"n{entry} since {self._now_ms}"
+        self.entries[entry] = crashes.CrashEvidence(origin)
         batch = self._control.batch(self._now_ms)
         self._after(300, lambda: self._deliver(entry, batch))
 
--- a/lagooncrank/core/crashes/tests/test_evidence.py
+++ b/lagooncrank/core/crashes/tests/test_evidence.py
@@ -82,6 +82,30 @@
     assert evidence.pop_unsent(10_500) == crashes.EvidenceBatch()
 
 
+# Guards against: nodes that receive the same records with different delays
+# disagree on which crashes were at the same time, and so on what is accused.
+@pytest.mark.parametrize("delays_ms", [(30, 30, 1), (1, 30, 2), (400, 5, 90)])
+def test_nodes_accuse_alike_whatever_the_delays(
+    delays_ms: tuple[int, int, int],
+) -> None:
+    entry = crashes.CrashEvidence("n1@1")
+    control = crashes.CrashEvidence("c1@1")
+    interval_ms = crashes.MIN_CRASH_INTERVAL_MS
+    now_ms = 10_000
+    for number, delay_ms in enumerate(delays_ms):
+        now_ms += interval_ms
+        features = ("bad", f"r{number}")
+        entry.record_crash(server(number), 1, features, 0, now_ms)
+        batch = entry.pop_unsent(now_ms)
+        # The clocks of two nodes differ by any amount.
+        control.merge(batch, now_ms + 777_000 + delay_ms, is_relay=True)
+    assert entry.find(["bad"])
+    assert control.find(["bad"])
+    follower = crashes.CrashEvidence("n2@1")
+    follower.merge(control.batch(790_000), 90_000, is_relay=False)
+    assert follower.find(["bad"])
+
+
 def test_restarted_entry_learns_the_accusation() -> None:
     control = evidence_of_crashes(3)
     restarted = crashes.CrashEvidence()
--- a/lagooncrank/server/seeded/_crash_evidence.py
+++ b/lagooncrank/server/seeded/_crash_evidence.py
@@ -34,13 +34,23 @@
         links: peer_links.Links,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
+        origin: str,
     ) -> None:
+        """Creates the exchange without any evidence.
+
+        Args:
+            view: Tells the nodes to exchange with.
+            links: Carries the messages.
+            clock: Clock of the process.
+            log: Receives what is found and cleared.
+            origin: Identifies this start of the node.
+        """
         super().__init__()
         self._view = view
         self._links = links
         self._clock = clock
         self._log = log
-        self.evidence = crashes.CrashEvidence()
+        self.evidence = crashes.CrashEvidence(origin)
         self._published_ms = 0
         self._repeated_ms = 0
         self._logged: dict[frozenset[str], crashes.Accusation] = {}
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -102,7 +102,11 @@
             self.decision_log,
         )
         self.crash_evidence = _crash_evidence.CrashEvidenceExchange(
-            self.view, self.links, clock, self.decision_log
+            self.view,
+            self.links,
+            clock,
+            self.decision_log,
+            origin=f"{node_settings.node_id}@{self.incarnation}",
         )
         self.server_limits = _server_limits.ServerLimits(
             node_settings.node_id,
--- a/lagooncrank/server/seeded/tests/test_crash_guard.py
+++ b/lagooncrank/server/seeded/tests/test_crash_guard.py
@@ -71,6 +71,7 @@
             cast(Any, self.links),
             self.clock,
             cast(Any, self.log),
+            origin="n1@1",
         )
         self.guard = _crash_guard.CrashGuard(
             self.exchange, cast(Any, self.view), self.clock
