List that a limited server gets less than promised with many entries (LIMIT)

A trial in which requests for permits stand no longer than the waiting request did not suffice; not mended now.

--- a/lagooncrank/core/limits/tests/test_fleet.py
+++ b/lagooncrank/core/limits/tests/test_fleet.py
@@ -70,6 +70,23 @@
         assert served >= 0.9 * rate_per_s * scenario.end_ms / 1_000
 
 
+# Guards against: with many entries, permits go to entries whose request has
+# just been refused, and the server is left idle.
+def test_limited_servers_get_their_rate_with_many_entries() -> None:
+    scenario = dataclasses.replace(
+        BASE, entries=83, requests_per_s=60.0, rates_per_s=(1.4, 2.2, 8.0)
+    )
+    used = []
+    for seed in range(12):
+        outcome = _fleet.Fleet(scenario, seed).play()
+        for process, rate_per_s in zip(
+            outcome.sends_ms, scenario.rates_per_s, strict=True
+        ):
+            served = len(outcome.sends_ms[process])
+            used.append(served / (rate_per_s * scenario.end_ms / 1_000))
+    assert min(used) >= 0.9
+
+
 def test_entries_without_control_nodes_send_three_quarters() -> None:
     cut = _fleet.Cut(0, 30_000, tuple(range(9)), (0, 1, 2))
     scenario = dataclasses.replace(
