--- a/lagooncrank/server/_sockets.py
+++ b/lagooncrank/server/_sockets.py
@@ -35,12 +35,28 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
 
 
-def client_socket(address_info: tuple[Any, ...]) -> socket.socket:
-    """Returns an unconnected socket for one result of `getaddrinfo`."""
+def client_socket(
+    address_info: tuple[Any, ...], source_ip: str = ""
+) -> socket.socket:
+    """Returns an unconnected socket for one result of `getaddrinfo`.
+
+    Args:
+        address_info: The result of `getaddrinfo`.
+        source_ip: Local address to connect from; empty for the kernel's choice.
+
+    Raises:
+        OSError: The local address is not one of this machine.
+    """
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
     detect_dead_peer(sock)
+    if source_ip:
+        try:
+            sock.bind((source_ip, 0))
+        except OSError:
+            sock.close()
+            raise
     return sock
 
 
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator
 import dataclasses
 import enum
+import socket
+from typing import Any
 from typing import Final
 
 import aiohttp
@@ -128,8 +130,10 @@
 class BackendClient:
     """HTTP client with a pool of connections to backend servers."""
 
-    def __init__(self, codec: _adapter.HttpCodec) -> None:
+    def __init__(self, codec: _adapter.HttpCodec, source_ip: str = "") -> None:
         self._codec = codec
+        #: Local address of new connections; empty for the kernel's choice.
+        self.source_ip = source_ip
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -137,7 +141,7 @@
         connector = _bounded_http.BoundedConnector(
             limit=0,
             keepalive_timeout=KEEPALIVE_S,
-            socket_factory=_sockets.client_socket,
+            socket_factory=self._create_socket,
         )
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
@@ -149,6 +153,9 @@
             middlewares=(_library_retries.send_once,),
         )
 
+    def _create_socket(self, address_info: tuple[Any, ...]) -> socket.socket:
+        return _sockets.client_socket(address_info, self.source_ip)
+
     async def stop(self) -> None:
         """Closes all connections."""
         if self._session is not None:
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -40,7 +40,9 @@
         super().__init__(node_settings, document_codec, clock)
         self.metrics = _entry_metrics.EntryMetrics()
         self.server_limits.count_permits = self.metrics.permits.count
-        self._client = _attempt.BackendClient(http_codec)
+        self._client = _attempt.BackendClient(
+            http_codec, node_settings.source_ip
+        )
         target_selector = _target_selector.TargetSelector(
             node_settings.failure_domain_id,
             self.shared,
--- a/lagooncrank/settings/_seeded.py
+++ b/lagooncrank/settings/_seeded.py
@@ -65,6 +65,9 @@
         default_factory=model.RetryBudgetRules
     )
     loads: LoadSettings = LoadSettings()
+    #: Local IP address of connections to backend servers; empty for the
+    #: kernel's choice.
+    source_ip: str = ""
     log_level: str = "INFO"
 
     @property
