--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -20,6 +20,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _forwarding
+from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _response_relay
 from lagooncrank.server.seeded import _startup_wait
 from lagooncrank.server.seeded import _target_selector
@@ -147,13 +148,13 @@
             await self._wait_for_document(request_head)
             exchange = self._admit(request_head, arrived_ms)
             exchange.body = await self._read_body(request)
-        except _forwarding.ForwardingError as error:
+        except _refusals.ForwardingError as error:
             return self._refuse(request_head, error.refusal)
         try:
             return await self._response_relay.serve(
                 request, exchange, close_connection=self.is_closing
             )
-        except _forwarding.ForwardingError as error:
+        except _refusals.ForwardingError as error:
             return self._refuse(request_head, error.refusal, exchange)
         except asyncio.CancelledError:
             self._log.write(
@@ -289,7 +290,7 @@
 
 def _refusal_error(
     code: results.ResultCode, reason: str, retry_after_ms: int | None = None
-) -> _forwarding.ForwardingError:
-    return _forwarding.ForwardingError(
+) -> _refusals.ForwardingError:
+    return _refusals.ForwardingError(
         results.Refusal(code, reason, retry_after_ms=retry_after_ms)
     )
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -20,36 +20,22 @@
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _response_waits
+from lagooncrank.server.seeded import _retry_rules
 from lagooncrank.server.seeded import _server_limits
 from lagooncrank.server.seeded import _slot_queue
 from lagooncrank.server.seeded import _startup_wait
 from lagooncrank.server.seeded import _target_selector
 
-#: Maximum attempts of one request that backend servers did not run.
-MAX_REJECTIONS: Final = 3
 #: A request that may run again is retried elsewhere if there is no response
 #: within this many times the target latency of its route.
 RESPONSE_TIMEOUT_FACTOR: Final = 4
 MIN_RESPONSE_TIMEOUT_MS: Final = 500
-#: Remaining time below which a retry cannot succeed.
-MIN_REMAINING_MS: Final = 20
-#: Delay before callers should retry if there was no target: a group forms in a
-#: second or two.
-NO_TARGET_RETRY_AFTER_MS: Final = 1_500
-OVERLOAD_RETRY_AFTER_MS: Final = 250
 #: Lowest HTTP status of a server error.
 FIRST_SERVER_ERROR_STATUS: Final = 500
 
 
-class ForwardingError(Exception):
-    """A request ends without a response of a backend server."""
-
-    def __init__(self, refusal: results.Refusal) -> None:
-        self.refusal = refusal
-        super().__init__(refusal.reason)
-
-
 class Forwarder:
     """Makes the attempts of all requests of one entry."""
 
@@ -70,6 +56,7 @@
         self._client = client
         self._retry_budget = retry_budget
         self._crash_guard = crash_guard
+        self._retry_rules = _retry_rules.RetryRules(crash_guard, clock)
         self._limits = limits
         self._metrics = metrics
         self._clock = clock
@@ -114,7 +101,7 @@
                 exchange.possible_runs += 1
             else:
                 rejections += 1
-            self._check_retry(exchange, last_error, rejections)
+            self._retry_rules.check(exchange, last_error, rejections)
 
     def close(
         self, exchange: _exchange.Exchange, target: dispatch.Target
@@ -180,7 +167,7 @@
         exchange.possible_runs += 1
         self._record_failure(exchange, target, error)
         self._record_lost(exchange, target, error, has_begun=True)
-        self._check_retry(exchange, error, 0)
+        self._retry_rules.check(exchange, error, 0)
 
     def _record_lost(
         self,
@@ -237,10 +224,10 @@
         except _slot_queue.QueueTimeoutError as error:
             if self._is_limited(exchange):
                 refusal = self._limit_refusal(exchange, last_error)
-                raise ForwardingError(refusal) from error
+                raise _refusals.ForwardingError(refusal) from error
             code = results.ResultCode.QUEUE_TIMEOUT
-            raise ForwardingError(
-                _final_refusal(exchange, code, last_error)
+            raise _refusals.ForwardingError(
+                _refusals.final_refusal(exchange, code, last_error)
             ) from error
 
     def _limit_refusal(
@@ -250,13 +237,13 @@
     ) -> results.Refusal:
         """Returns the refusal of a request that limited servers do not take."""
         code = results.ResultCode.SERVER_LIMITED
-        refusal = _final_refusal(exchange, code, last_error)
+        refusal = _refusals.final_refusal(exchange, code, last_error)
         if refusal.ran is not results.ExecutionStatus.NOT_RUN:
             return refusal
         wait_ms = self._target_selector.permit_wait_ms(
             exchange.service, exchange.request_head.model_name, exchange.tried
         )
-        retry_after_ms = max(wait_ms, OVERLOAD_RETRY_AFTER_MS)
+        retry_after_ms = max(wait_ms, _refusals.OVERLOAD_RETRY_AFTER_MS)
         return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
 
     def _next_target(
@@ -269,9 +256,13 @@
             exchange.service, exchange.request_head.model_name, exchange.tried
         )
         if target is None and self._is_limited(exchange):
-            raise ForwardingError(self._limit_refusal(exchange, last_error))
+            raise _refusals.ForwardingError(
+                self._limit_refusal(exchange, last_error)
+            )
         if target is None:
-            raise ForwardingError(_no_target_refusal(exchange, last_error))
+            raise _refusals.ForwardingError(
+                _refusals.no_target_refusal(exchange, last_error)
+            )
         is_retry = bool(exchange.tried)
         if is_retry:
             entry_count = self._view.entry_count
@@ -280,8 +271,8 @@
                 exchange.service, entry_count, now_ms
             ):
                 code = results.ResultCode.RETRY_BUDGET_SPENT
-                raise ForwardingError(
-                    _final_refusal(exchange, code, last_error)
+                raise _refusals.ForwardingError(
+                    _refusals.final_refusal(exchange, code, last_error)
                 )
             self._metrics.count_retry(
                 last_error.failure if last_error else "resumed"
@@ -309,13 +300,13 @@
         if accusation is None:
             return
         code = results.ResultCode.CRASH_SUSPECTED
-        refusal = _final_refusal(exchange, code, last_error)
+        refusal = _refusals.final_refusal(exchange, code, last_error)
         if refusal.ran is results.ExecutionStatus.NOT_RUN:
             retry_after_ms = self._crash_guard.retry_after_ms(accusation)
             refusal = dataclasses.replace(
                 refusal, retry_after_ms=retry_after_ms
             )
-        raise ForwardingError(refusal)
+        raise _refusals.ForwardingError(refusal)
 
     async def _start_attempt(
         self, exchange: _exchange.Exchange, target: dispatch.Target
@@ -410,92 +401,9 @@
                 target.server_id, self._clock.now_ms()
             )
 
-    def _check_retry(
-        self,
-        exchange: _exchange.Exchange,
-        error: _attempt.AttemptFailedError,
-        rejections: int,
-    ) -> None:
-        """Checks that a failed request may be retried.
-
-        Args:
-            exchange: The request.
-            error: Failure of the last attempt.
-            rejections: Attempts so far that backend servers did not run.
-
-        Raises:
-            ForwardingError: The request must not be retried.
-        """
-        remaining_ms = exchange.remaining_ms(self._clock)
-        if remaining_ms < MIN_REMAINING_MS:
-            code = results.ResultCode.DEADLINE_EXCEEDED
-            raise ForwardingError(_final_refusal(exchange, code, error))
-        if rejections >= MAX_REJECTIONS:
-            code = results.ResultCode.BACKEND_OVERLOADED
-            raise ForwardingError(_final_refusal(exchange, code, error))
-        if exchange.possible_runs == 0:
-            return
-        route = exchange.route
-        if not route.is_retry_safe:
-            code = results.ResultCode.OUTCOME_UNKNOWN
-            raise ForwardingError(_final_refusal(exchange, code, error))
-        if exchange.possible_runs >= route.max_attempts:
-            code = results.ResultCode.BACKEND_LOST
-            raise ForwardingError(_final_refusal(exchange, code, error))
-        if error.is_disconnect and not self._crash_guard.may_repeat(exchange):
-            code = results.ResultCode.CRASH_SUSPECTED
-            raise ForwardingError(_final_refusal(exchange, code, error))
-
-
-def _no_target_refusal(
-    exchange: _exchange.Exchange, last_error: _attempt.AttemptFailedError | None
-) -> results.Refusal:
-    code = results.ResultCode.NO_BACKEND_SERVER
-    if exchange.request_head.model_name:
-        code = results.ResultCode.NO_SERVING_REPLICA
-    return _final_refusal(exchange, code, last_error)
-
-
-def _final_refusal(
-    exchange: _exchange.Exchange,
-    code: results.ResultCode,
-    last_error: _attempt.AttemptFailedError | None,
-) -> results.Refusal:
-    """Returns the refusal that ends a request.
-
-    Its code and HTTP status do not claim that a request was not run if it may
-    have run.
-    """
-    detail = f" after {last_error}" if last_error else ""
-    reason = f"route {exchange.route.name!r}: {code.meaning}{detail}"
-    if exchange.possible_runs:
-        # After a possible run only a status that leaves the outcome open
-        # is correct.
-        if code.http_status not in (502, 504):
-            code = results.ResultCode.BACKEND_LOST
-        return results.Refusal(code, reason, results.ExecutionStatus.UNKNOWN)
-    if code.http_status not in (429, 503):
-        code = results.ResultCode.BACKEND_OVERLOADED
-    retry_after_ms = (
-        OVERLOAD_RETRY_AFTER_MS if last_error else NO_TARGET_RETRY_AFTER_MS
-    )
-    return results.Refusal(
-        code,
-        reason,
-        results.ExecutionStatus.NOT_RUN,
-        retry_after_ms=retry_after_ms,
-    )
-
 
 def route_timeout_ms(route: model.Route, deadline_ms: int | None) -> int:
     """Returns the lower of a route's timeout and the caller's deadline."""
     if deadline_ms is None:
         return route.timeout_ms
     return min(route.timeout_ms, deadline_ms)
-
-
-def stream_lost_refusal(
-    exchange: _exchange.Exchange, error: _attempt.AttemptFailedError
-) -> results.Refusal:
-    """Returns the refusal that ends a stream which cannot be resumed."""
-    return _final_refusal(exchange, results.ResultCode.BACKEND_LOST, error)
--- /dev/null
+++ b/lagooncrank/server/seeded/_refusals.py
@@ -0,0 +1,68 @@
+"""Refusals that end a request without a response of a backend server."""
+
+from typing import Final
+
+from lagooncrank import results
+from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _exchange
+
+#: Delay before callers should retry if there was no target: a group forms in a
+#: second or two.
+NO_TARGET_RETRY_AFTER_MS: Final = 1_500
+OVERLOAD_RETRY_AFTER_MS: Final = 250
+
+
+class ForwardingError(Exception):
+    """A request ends without a response of a backend server."""
+
+    def __init__(self, refusal: results.Refusal) -> None:
+        self.refusal = refusal
+        super().__init__(refusal.reason)
+
+
+def no_target_refusal(
+    exchange: _exchange.Exchange, last_error: _attempt.AttemptFailedError | None
+) -> results.Refusal:
+    """Returns the refusal of a request that no server is left for."""
+    code = results.ResultCode.NO_BACKEND_SERVER
+    if exchange.request_head.model_name:
+        code = results.ResultCode.NO_SERVING_REPLICA
+    return final_refusal(exchange, code, last_error)
+
+
+def final_refusal(
+    exchange: _exchange.Exchange,
+    code: results.ResultCode,
+    last_error: _attempt.AttemptFailedError | None,
+) -> results.Refusal:
+    """Returns the refusal that ends a request.
+
+    Its code and HTTP status do not claim that a request was not run if it may
+    have run.
+    """
+    detail = f" after {last_error}" if last_error else ""
+    reason = f"route {exchange.route.name!r}: {code.meaning}{detail}"
+    if exchange.possible_runs:
+        # After a possible run only a status that leaves the outcome open
+        # is correct.
+        if code.http_status not in (502, 504):
+            code = results.ResultCode.BACKEND_LOST
+        return results.Refusal(code, reason, results.ExecutionStatus.UNKNOWN)
+    if code.http_status not in (429, 503):
+        code = results.ResultCode.BACKEND_OVERLOADED
+    retry_after_ms = (
+        OVERLOAD_RETRY_AFTER_MS if last_error else NO_TARGET_RETRY_AFTER_MS
+    )
+    return results.Refusal(
+        code,
+        reason,
+        results.ExecutionStatus.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def stream_lost_refusal(
+    exchange: _exchange.Exchange, error: _attempt.AttemptFailedError
+) -> results.Refusal:
+    """Returns the refusal that ends a stream which cannot be resumed."""
+    return final_refusal(exchange, results.ResultCode.BACKEND_LOST, error)
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -22,6 +22,7 @@
 from lagooncrank.server.seeded import _events
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _forwarding
+from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _stream_quota
 
 #: A resumable stream is resumed elsewhere after a pause of this many times the
@@ -141,7 +142,7 @@
         try:
             async for chunk in chunks:
                 await response.write(chunk)
-        except _forwarding.ForwardingError as error:
+        except _refusals.ForwardingError as error:
             self._abort(request, exchange, error)
             return response
         except ConnectionError:
@@ -209,8 +210,8 @@
         error = _attempt.AttemptFailedError(
             _attempt.FailureKind.SERVER_ERROR, str(backend_response.head.status)
         )
-        raise _forwarding.ForwardingError(
-            _forwarding.stream_lost_refusal(exchange, error)
+        raise _refusals.ForwardingError(
+            _refusals.stream_lost_refusal(exchange, error)
         )
 
     async def _read_events(
@@ -294,7 +295,7 @@
         self,
         request: web.BaseRequest,
         exchange: _exchange.Exchange,
-        error: _forwarding.ForwardingError,
+        error: _refusals.ForwardingError,
     ) -> None:
         """Aborts the connection so that the response does not look complete."""
         self._metrics.count_refusal(error.refusal.code)
