Serve through another entry while this one reaches no backend server

Callers of an entry that was partitioned from all backend servers got 503 in milliseconds (reset) or after a second (hanging): 0 of 71 first attempts served while the other entries served 260 of 262.

Cause: what runs is known from the control nodes' reports, which say nothing about this entry's own path. Class of fault: another node's view taken for one's own.

Now each entry decides from its own connections which services it reaches (core/reach, no I/O): failures at two servers in a row, or silence of three servers at once, make it assume that it is cut off; health checks on new connections refute or confirm that. Meanwhile it delegates requests to another entry over HTTP, one hop, authenticated by the shared key, without the caller's key. The other entry counts attempts, retries, permits and crash evidence. A cut-off entry leaves the list of addresses.

test_partitioned_entry.py failed before for streams, bookings and lookups and passes now.

--- a/lagooncrank/core/dispatch/_types.py
+++ b/lagooncrank/core/dispatch/_types.py
@@ -19,3 +19,5 @@
     group: str = ""
     #: Start time of the process that the request is meant for; 0 if unknown.
     born_ms: int = 0
+    #: Whether the target is another entry, which the request is delegated to.
+    is_entry: bool = False
--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -40,6 +40,13 @@
     working: tuple[str, ...] = ()
     #: Servers at which a request has just timed out before its first event.
     suspected: tuple[str, ...] = ()
+    #: Address for requests that other entries delegate; empty if the node does
+    #: not accept them.
+    delegation_address: str = ""
+    #: Services that the node has no path to.
+    unreached: tuple[model.ServiceName, ...] = ()
+    #: Whether the node has a path to no service at all.
+    is_cut_off: bool = False
     #: Time since the node issued the notice, when it was passed on.
     age_ms: int = 0
 
@@ -58,6 +65,13 @@
     #: Address for callers, "ip:port".
     address: str
     failure_domain: model.FailureDomainId
+    #: Address for requests that other entries delegate; empty if the entry does
+    #: not accept them.
+    delegation_address: str = ""
+    #: Services that the entry has no path to.
+    unreached: tuple[model.ServiceName, ...] = ()
+    #: Whether the entry has a path to no service at all.
+    is_cut_off: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +135,13 @@
     def open_entries(self, now_ms: int) -> tuple[OpenEntry, ...]:
         """Returns the entries that accept new requests, ordered by address."""
         found = [
-            OpenEntry(n.address, n.failure_domain)
+            OpenEntry(
+                n.address,
+                n.failure_domain,
+                n.delegation_address,
+                n.unreached,
+                n.is_cut_off,
+            )
             for n in self.live(now_ms)
             if n.role is model.NodeRole.ENTRY and n.is_open
         ]
@@ -173,9 +193,10 @@
 ) -> Sequence[OpenEntry]:
     """Returns the entries to report to one caller.
 
-    If the caller's failure domain has enough entries, only these are returned,
-    as they are close and traffic between domains is paid for. Over many
-    callers each entry is returned equally often.
+    Entries that have no path to any backend server are left out, unless all
+    are such. If the caller's failure domain has enough entries, only these are
+    returned, as they are close and traffic between domains is paid for. Over
+    many callers each entry is returned equally often.
 
     Args:
         entries: Entries that accept new requests.
@@ -183,6 +204,7 @@
         caller_domain: Failure domain of the caller.
         draw: Random number, 0.0 to 1.0, that selects the first entry.
     """
+    entries = [e for e in entries if not e.is_cut_off] or entries
     local = [e for e in entries if e.failure_domain == caller_domain]
     found = local if len(local) >= ENOUGH_LOCAL_ENTRIES else entries
     if len(found) <= max_entries:
--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -305,6 +305,10 @@
             if record.report.service == service and self.is_ready(record):
                 yield record
 
+    def ready_services(self) -> set[model.ServiceName]:
+        """Returns the services that have a server which accepts requests."""
+        return {r.report.service for r in self.all() if self.is_ready(r)}
+
     def all(self) -> Iterable[ServerRecord]:
         """Returns the records of all servers."""
         return self._servers.values()
--- /dev/null
+++ b/lagooncrank/core/reach/_silence.py
@@ -0,0 +1,78 @@
+"""Detects that all backend servers have fallen silent at the same time."""
+
+import dataclasses
+from typing import Final
+
+#: Time without a byte from any server after which several that owe one are
+#: silent. A sound server sends the events of a stream, and accepts a
+#: connection, well within it.
+SILENCE_MS: Final = 400
+#: Number of servers that must be silent at once: a single one may pause.
+MIN_SILENT_SERVERS: Final = 3
+#: Longest time that one call of `advance` counts: during a pause of this
+#: process nothing could be received.
+MAX_ADVANCE_MS: Final = 100
+
+
+@dataclasses.dataclass(slots=True)
+class _Wait:
+    server_id: str
+    #: Observed time since which the server owes something.
+    since_ms: int
+
+
+class SilenceWatch:
+    """Tracks servers that owe a connection or the next event of a stream."""
+
+    def __init__(self, now_ms: int) -> None:
+        self._now_ms = now_ms
+        #: Time that passed while this process could receive, in milliseconds.
+        self._observed_ms = 0
+        #: Observed time at which any server was last heard.
+        self._heard_ms = 0
+        self._waits: dict[int, _Wait] = {}
+
+    def advance(self, now_ms: int) -> None:
+        """Counts the time since the last call; to be called periodically."""
+        passed_ms = max(now_ms - self._now_ms, 0)
+        self._now_ms = now_ms
+        self._observed_ms += min(passed_ms, MAX_ADVANCE_MS)
+
+    def begin(self, number: int, server_id: str) -> None:
+        """Records that a server owes something from now on.
+
+        Args:
+            number: Identifies the wait.
+            server_id: The server.
+        """
+        self._waits[number] = _Wait(server_id, self._observed_ms)
+
+    def end(self, number: int) -> None:
+        """Ends a wait, whatever its outcome."""
+        self._waits.pop(number, None)
+
+    def record_heard(self, number: int | None = None) -> None:
+        """Records a sign of life of any server.
+
+        Args:
+            number: Wait that goes on for the next sign; None if there is none.
+        """
+        self._heard_ms = self._observed_ms
+        if number is not None and number in self._waits:
+            self._waits[number].since_ms = self._observed_ms
+
+    @property
+    def heard_ago_ms(self) -> int:
+        """Observed time since any server was last heard."""
+        return self._observed_ms - self._heard_ms
+
+    def is_silent(self) -> bool:
+        """Returns whether no server is heard although several owe something."""
+        if self.heard_ago_ms < SILENCE_MS:
+            return False
+        overdue = {
+            wait.server_id
+            for wait in self._waits.values()
+            if self._observed_ms - wait.since_ms >= SILENCE_MS
+        }
+        return len(overdue) >= MIN_SILENT_SERVERS
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -110,6 +110,36 @@
         "server",
         "born_ms",
     )
+    SERVICE_UNREACHED = (
+        "service_unreached",
+        "This entry has no path to a service; others serve its requests.",
+        "service",
+        "servers",
+        "heard_ago_ms",
+    )
+    SERVICE_REACHED = (
+        "service_reached",
+        "This entry has a path to a service again.",
+        "service",
+        "servers",
+        "heard_ago_ms",
+    )
+    DELEGATED = (
+        "request_delegated",
+        "A request is sent to another entry, which serves it.",
+        "request",
+        "to",
+        "delegates",
+        "tried",
+        "age_ms",
+    )
+    DELEGATION_REFUSED = (
+        "delegation_refused",
+        "A request that another entry delegated is not accepted.",
+        "request",
+        "sender",
+        "reason",
+    )
     ANSWERED = (
         "request_answered",
         "A response was forwarded in full.",
--- a/lagooncrank/results.py
+++ b/lagooncrank/results.py
@@ -72,6 +72,7 @@
     BACKEND_OVERLOADED = 310, 503, "The backend server refused the request."
     CRASH_SUSPECTED = 311, 503, "Requests like this one crash backend servers."
     SERVER_LIMITED = 312, 503, "The backend servers limit their requests."
+    DELEGATION_REFUSED = 313, 503, "The other entry cannot serve it either."
 
     KEY_REQUIRED = 400, 400, "The service requires an Idempotency-Key."
     KEY_REUSED = 401, 422, "The key was used with another request body."
--- a/lagooncrank/server/_bounded_http.py
+++ b/lagooncrank/server/_bounded_http.py
@@ -58,6 +58,12 @@
         protocol: type[client_proto.ResponseHandler] = _BoundedProtocol
         self._factory = functools.partial(protocol, loop=self._loop)
 
+    def close_idle(self) -> None:
+        """Closes the connections that wait for a request."""
+        for connections in self._conns.values():
+            for idle_protocol, _ in connections:
+                idle_protocol.close()
+
 
 def open_session(
     connector: BoundedConnector,
--- a/lagooncrank/server/seeded/_adapter.py
+++ b/lagooncrank/server/seeded/_adapter.py
@@ -51,6 +51,11 @@
         """Path without the query."""
         return self.target.partition("?")[0]
 
+    def without_header(self, name: str) -> "RequestHead":
+        """Returns the request without a header, given in lower case."""
+        kept = [(n, v) for n, v in self.forwarded_headers if n.lower() != name]
+        return dataclasses.replace(self, forwarded_headers=tuple(kept))
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Parts of the prompt that other requests may share."""
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -1,15 +1,19 @@
 """One attempt: sends a request to one backend server over HTTP."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import dataclasses
 import enum
 import socket
+import types
 from typing import Any
 from typing import Final
+from typing import Protocol
 
 import aiohttp
 import yarl
 
+from lagooncrank import clock as clocks
 from lagooncrank.core import dispatch
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _connection_end
@@ -20,7 +24,8 @@
 #: Shorter than the usual keep-alive timeout of backend servers, so that no
 #: request is sent on a connection that the server is closing.
 KEEPALIVE_S: Final = 4.0
-CONNECT_TIMEOUT_S: Final = 1.0
+#: Callers allow a second for their whole attempt to be read.
+CONNECT_TIMEOUT_S: Final = 0.5
 #: Errors of the HTTP library quote what the server sent.
 MAX_DETAIL_CHARS: Final = 300
 
@@ -127,6 +132,16 @@
         self.response.release()
 
 
+class ConnectionObserver(Protocol):
+    """Is told how the connection for one attempt comes about."""
+
+    def on_connecting(self) -> None:
+        """Called when a connection is being opened."""
+
+    def on_connected(self) -> None:
+        """Called when the connection is open."""
+
+
 class BackendClient:
     """HTTP client with a pool of connections to backend servers."""
 
@@ -135,31 +150,69 @@
         #: Local address of new connections; empty for the kernel's choice.
         self.source_ip = source_ip
         self._session: aiohttp.ClientSession | None = None
+        self._probe_session: aiohttp.ClientSession | None = None
+        self._connector: _bounded_http.BoundedConnector | None = None
 
     async def start(self) -> None:
-        """Opens the client session."""
-        connector = _bounded_http.BoundedConnector(
+        """Opens the client sessions."""
+        self._connector = _bounded_http.BoundedConnector(
             limit=0,
             keepalive_timeout=KEEPALIVE_S,
             socket_factory=self._create_socket,
         )
+        self._session = self._open_session(self._connector)
+        probe_connector = _bounded_http.BoundedConnector(
+            force_close=True, socket_factory=self._create_socket
+        )
+        self._probe_session = self._open_session(probe_connector)
+
+    def _open_session(
+        self, connector: _bounded_http.BoundedConnector
+    ) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         )
-        self._session = _bounded_http.open_session(
+        return _bounded_http.open_session(
             connector,
             timeout,
             skip_auto_headers=_NO_AUTO_HEADERS,
             middlewares=(_library_retries.send_once,),
+            trace_configs=(_connection_traces(),),
         )
 
+    def close_idle_connections(self) -> None:
+        """Closes the connections in the pool, which may be dead by now."""
+        if self._connector is not None:
+            self._connector.close_idle()
+
+    async def probe(self, address: str, path: str, timeout_ms: int) -> bool:
+        """Returns whether a server responds on a new connection.
+
+        Args:
+            address: Address of the server, "ip:port".
+            path: Path of the server's health check.
+            timeout_ms: Time limit of the whole probe.
+        """
+        assert self._probe_session is not None
+        url = yarl.URL(f"http://{address}{path}", encoded=True)
+        try:
+            async with (
+                asyncio.timeout(timeout_ms / clocks.MS_PER_S),
+                self._probe_session.get(url, allow_redirects=False),
+            ):
+                return True
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            # The caller counts and logs what the outcome means.
+            return False
+
     def _create_socket(self, address_info: tuple[Any, ...]) -> socket.socket:
         return _sockets.client_socket(address_info, self.source_ip)
 
     async def stop(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._probe_session):
+            if session is not None:
+                await session.close()
 
     async def open(
         self,
@@ -167,9 +220,20 @@
         request_head: _adapter.RequestHead,
         metadata: _adapter.ForwardingMetadata,
         body: bytes,
+        *,
+        added_headers: _adapter.Headers = (),
+        observer: ConnectionObserver | None = None,
     ) -> BackendResponse:
         """Sends a request and waits for the head of its response.
 
+        Args:
+            target: Where to send it.
+            request_head: The request.
+            metadata: Metadata that the codec encodes as headers.
+            body: Body of the request.
+            added_headers: Further headers.
+            observer: Is told whether a connection is opened for the request.
+
         Raises:
             AttemptFailedError: No valid response to this request arrived.
         """
@@ -181,11 +245,15 @@
                     f"http://{target.address}{request_head.target}",
                     encoded=True,
                 ),
-                headers=self._codec.backend_request_headers(
-                    request_head, metadata
+                headers=(
+                    *self._codec.backend_request_headers(
+                        request_head, metadata
+                    ),
+                    *added_headers,
                 ),
                 data=body or None,
                 allow_redirects=False,
+                trace_request_ctx=observer,
             )
         except (
             aiohttp.ClientConnectorError,
@@ -234,3 +302,28 @@
             raise AttemptFailedError(
                 FailureKind.RESPONSE_LOST, "the body is encoded"
             )
+
+
+def _connection_traces() -> aiohttp.TraceConfig:
+    """Returns hooks that tell the observer of a request about connections."""
+    config = aiohttp.TraceConfig()
+
+    async def on_connecting(
+        _session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        _params: aiohttp.TraceConnectionCreateStartParams,
+    ) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.on_connecting()
+
+    async def on_connected(
+        _session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        _params: aiohttp.TraceConnectionCreateEndParams,
+    ) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.on_connected()
+
+    config.on_connection_create_start.append(on_connecting)
+    config.on_connection_create_end.append(on_connected)
+    return config
--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -1,6 +1,8 @@
 """HTTP server for callers' requests."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
@@ -15,6 +17,7 @@
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _decision_log
+from lagooncrank.server.seeded import _delegated_request
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
@@ -36,6 +39,8 @@
 #: longer than a request on a new connection takes to arrive.
 QUIET_S: Final = 0.1
 
+RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 
 class CallerServer:
     """Accepts and validates callers' requests, and returns responses."""
@@ -70,13 +75,26 @@
         self._served = 0
         self._idle = asyncio.Event()
         self._idle.set()
-        self._server: web.Server | None = None
-        self._listener: asyncio.Server | None = None
+        self._servers: list[web.Server] = []
+        self._listeners: list[asyncio.Server] = []
 
     async def start(self) -> None:
         """Starts to listen for callers."""
-        self._server = web.Server(
-            self._handle,
+        await self.listen(self._settings.listen.callers, self._serve)
+
+    async def listen(self, address: str, handler: RequestHandler) -> None:
+        """Starts to listen at an address.
+
+        Args:
+            address: Address, "ip:port".
+            handler: Serves the requests that arrive there.
+        """
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            return await self._track(request, handler)
+
+        server = web.Server(
+            handle,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
@@ -85,14 +103,15 @@
             max_headers=MAX_HEADERS,
             auto_decompress=False,
         )
-        sock = _sockets.listener(self._settings.listen.callers)
+        self._servers.append(server)
+        sock = _sockets.listener(address)
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._server, sock=sock)
+        self._listeners.append(await loop.create_server(server, sock=sock))
 
     def stop_accepting(self) -> None:
         """Refuses new connections; open ones are served on."""
-        if self._listener is not None:
-            self._listener.close()
+        for listener in self._listeners:
+            listener.close()
 
     async def drain(self, timeout_s: float) -> bool:
         """Waits until no request has been in flight for a moment.
@@ -120,18 +139,21 @@
         return self._idle.is_set() and self._served == served
 
     async def stop(self) -> None:
-        """Closes the listening socket and every connection."""
+        """Closes the listening sockets and every connection."""
         self.stop_accepting()
-        if self._server is not None:
-            await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
+        for server in self._servers:
+            await server.shutdown(SHUTDOWN_TIMEOUT_S)
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _track(
+        self, request: web.BaseRequest, handler: RequestHandler
+    ) -> web.StreamResponse:
+        """Serves a request and counts it as in flight meanwhile."""
         self._in_flight += 1
         self._served += 1
         self._idle.clear()
         self._view.has_served = True
         try:
-            response = await self._serve(request)
+            response = await handler(request)
         finally:
             self._in_flight -= 1
             if self._in_flight == 0:
@@ -144,18 +166,24 @@
         arrived_ms = self._clock.now_ms()
         request_head: _adapter.RequestHead | None = None
         try:
-            request_head = self._read_head(request)
+            request_head = self.read_head(request)
             await self._wait_for_document(request_head)
             exchange = self._admit(request_head, arrived_ms)
-            exchange.body = await self._read_body(request)
+            exchange.body = await self.read_body(request)
         except _refusals.ForwardingError as error:
-            return self._refuse(request_head, error.refusal)
+            return self.refuse(request_head, error.refusal)
+        return await self.serve_exchange(request, exchange)
+
+    async def serve_exchange(
+        self, request: web.BaseRequest, exchange: _exchange.Exchange
+    ) -> web.StreamResponse:
+        """Forwards an admitted request and returns its response."""
         try:
             return await self._response_relay.serve(
                 request, exchange, close_connection=self.is_closing
             )
         except _refusals.ForwardingError as error:
-            return self._refuse(request_head, error.refusal, exchange)
+            return self.refuse(exchange.request_head, error.refusal, exchange)
         except asyncio.CancelledError:
             self._log.write(
                 decisions.Event.CALLER_LEFT,
@@ -163,7 +191,12 @@
             )
             raise
 
-    def _read_head(self, request: web.BaseRequest) -> _adapter.RequestHead:
+    def read_head(self, request: web.BaseRequest) -> _adapter.RequestHead:
+        """Decodes the head of a request.
+
+        Raises:
+            ForwardingError: It is malformed.
+        """
         headers = tuple(
             (n.decode("latin-1"), v.decode("latin-1"))
             for n, v in request.raw_headers
@@ -232,7 +265,12 @@
             raise _refusal_error(code, "the key is missing or unknown")
         return account
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def read_body(self, request: web.BaseRequest) -> bytes:
+        """Reads the whole body of a request.
+
+        Raises:
+            ForwardingError: It exceeds the operators' limit.
+        """
         if not request.can_read_body:
             return b""
         if request.headers.get("Expect", "").lower() == "100-continue":
@@ -251,12 +289,13 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
-    def _refuse(
+    def refuse(
         self,
         request_head: _adapter.RequestHead | None,
         refusal: results.Refusal,
         exchange: _exchange.Exchange | None = None,
     ) -> web.Response:
+        """Returns the response that refuses a request, and logs it."""
         self._metrics.count_refusal(refusal.code)
         self._log_refusal(request_head, refusal, exchange)
         headers = self._codec.refusal_headers(request_head, refusal)
@@ -268,6 +307,10 @@
         if refusal.code is results.ResultCode.REQUEST_TOO_LARGE:
             # The rest of the body was not read.
             response.force_close()
+        if exchange is not None and exchange.delegated_by is not None:
+            _delegated_request.Outcome.of_refusal(
+                refusal, exchange.possible_runs
+            ).add_to(response.headers)
         return response
 
     def _log_refusal(
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -11,9 +11,12 @@
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _caller_server
 from lagooncrank.server.seeded import _crash_guard
+from lagooncrank.server.seeded import _delegation_server
+from lagooncrank.server.seeded import _delegator
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _node
+from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _response_relay
 from lagooncrank.server.seeded import _target_selector
 
@@ -52,6 +55,27 @@
             clock,
         )
         retry_budget = dispatch.SharedRetryBudget(node_settings.retry)
+        reach_monitor = _reach_monitor.ReachMonitor(
+            self.view,
+            self._client,
+            self.documents,
+            self.metrics.reach,
+            clock,
+            self.decision_log,
+        )
+        self._reach_monitor = reach_monitor
+        #: Has connections of its own: those to servers are closed while this
+        #: entry has no path to them.
+        self._entry_client = _attempt.BackendClient(http_codec)
+        delegator = _delegator.Delegator(
+            node_settings,
+            self._entry_client,
+            self.view,
+            reach_monitor.detector,
+            self.metrics.reach,
+            clock,
+            self.decision_log,
+        )
         forwarder = _forwarding.Forwarder(
             target_selector,
             self.view,
@@ -59,6 +83,8 @@
             retry_budget,
             _crash_guard.CrashGuard(self.crash_evidence, self.view, clock),
             self.server_limits,
+            reach_monitor,
+            delegator,
             self.metrics,
             clock,
             self.decision_log,
@@ -78,6 +104,15 @@
             clock,
             self.decision_log,
         )
+        self._delegation_server = _delegation_server.DelegationServer(
+            node_settings,
+            self._caller_server,
+            self.documents,
+            reach_monitor.detector,
+            self.metrics.reach,
+            clock,
+            self.decision_log,
+        )
         self._is_stopping = False
 
     @property
@@ -89,13 +124,17 @@
         """Starts the components and listens for callers."""
         await super().on_start()
         await self._client.start()
+        await self._entry_client.start()
+        await self.add_runtime_dependency(self._reach_monitor)
         await self._caller_server.start()
+        await self._delegation_server.start()
         self.add_future(self._publish_readiness())
 
     async def on_stop(self) -> None:
         """Closes the connections to callers and to backend servers."""
         await self._caller_server.stop()
         await self._client.stop()
+        await self._entry_client.stop()
 
     async def prepare_stop(self) -> None:
         """Withdraws from the directory, then drains the requests in flight.
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -5,6 +5,7 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.server.seeded import _permit_metrics
+from lagooncrank.server.seeded import _reach_metrics
 
 FIRST_BYTE_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
 QUEUE_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0)
@@ -49,6 +50,7 @@
             registry=self.registry,
         )
 
+        self.reach = _reach_metrics.ReachMetrics(self.registry)
         self.permits = _permit_metrics.PermitMetrics(self.registry)
 
     def observe_queue_time(
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -45,6 +45,15 @@
     is_run_sound: bool = False
     #: Whether this is a trial run of a request that may crash its server.
     is_trial: bool = False
+    #: Whether a backend server may have received the request.
+    has_arrived: bool = False
+    #: Entry that delegated the request to this one; None for a caller's own.
+    delegated_by: model.NodeId | None = None
+    #: Delegation addresses of the entries that it was delegated to.
+    delegates: list[str] = dataclasses.field(default_factory=list)
+    #: Attempts in which a backend server may have run the request, according
+    #: to the entry that it was delegated to last.
+    delegated_runs: int = 0
     #: Time that the request waited for a slot of a group.
     queued_ms: int = 0
 
@@ -66,6 +75,11 @@
         self.run_events = 0
         self.is_run_sound = False
 
+    def record_lost_run(self) -> None:
+        """Counts an attempt that may have run and yielded no response."""
+        self.has_arrived = True
+        self.possible_runs = max(self.possible_runs + 1, self.delegated_runs)
+
     def content_digest(self) -> str:
         """Returns a digest of what a repeat of the request has in common."""
         account = "" if self.account is None else self.account.account
@@ -115,4 +129,6 @@
             "age_ms": clock.now_ms() - self.arrived_ms,
             "queued_ms": self.queued_ms,
             "tried": self.tried,
+            "delegates": self.delegates,
+            "delegated_by": self.delegated_by,
         }
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -80,6 +80,8 @@
         self.has_served = False
         #: Number of entries that share the slots and the retry budget.
         self.entry_count = 1
+        #: Services that this entry has no path to.
+        self.unreached: tuple[model.ServiceName, ...] = ()
         self._first_summary_ms: int | None = None
         self._cached_entries = fleet.CachedEntryList()
         #: Called after backend servers or stalled servers may have changed.
@@ -157,6 +159,15 @@
             now_ms, "" if self.is_open else own_address
         )
 
+    def known_entries(self, now_ms: int) -> tuple[fleet.OpenEntry, ...]:
+        """Returns all open entries, also those that callers are not sent to."""
+        return self._cached_entries.entries_for_callers(now_ms)
+
+    def publish_reach(self, unreached: tuple[model.ServiceName, ...]) -> None:
+        """Publishes which services this entry has no path to."""
+        self.unreached = unreached
+        self.publish_notice()
+
     def entry_position(self, now_ms: int) -> int | None:
         """Returns this entry's index among the open entries, if it is open."""
         entries = self._cached_entries.entries_for_callers(now_ms)
@@ -205,6 +216,10 @@
             tuple(self.stall_detector.stalled_locally),
             tuple(self.stall_detector.progress.working(now_ms)),
             tuple(self.stall_detector.suspected(now_ms)),
+            self._settings.listen.delegations,
+            self.unreached,
+            bool(self.unreached)
+            and self.table.ready_services().issubset(self.unreached),
         )
         if self.is_control:
             self.nodes.put(notice, now_ms)
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -17,9 +17,11 @@
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _crash_guard
 from lagooncrank.server.seeded import _decision_log
+from lagooncrank.server.seeded import _delegator
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _response_waits
 from lagooncrank.server.seeded import _retry_rules
@@ -47,6 +49,8 @@
         retry_budget: dispatch.SharedRetryBudget,
         crash_guard: _crash_guard.CrashGuard,
         limits: _server_limits.ServerLimits,
+        reach_monitor: _reach_monitor.ReachMonitor,
+        delegator: _delegator.Delegator,
         metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
@@ -58,6 +62,8 @@
         self._crash_guard = crash_guard
         self._retry_rules = _retry_rules.RetryRules(crash_guard, clock)
         self._limits = limits
+        self._reach_monitor = reach_monitor
+        self._delegator = delegator
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -67,6 +73,7 @@
         )
         view.stall_detector.listeners.append(self._expire_waits)
         limits.listeners.append(self._slot_queue.grant_slots)
+        reach_monitor.silence_listeners.append(self._expire_silent_waits)
 
     async def open(
         self, exchange: _exchange.Exchange
@@ -81,16 +88,10 @@
         Raises:
             ForwardingError: No attempt succeeded and no other is allowed.
         """
-        self._check_accusations(exchange, None)
-        if not exchange.tried:
-            await self._wait_for_servers(exchange)
-            await self._wait_for_slot(exchange, None)
         rejections = 0
         last_error: _attempt.AttemptFailedError | None = None
         while True:
-            if exchange.tried and self._is_limited(exchange):
-                await self._wait_for_slot(exchange, last_error)
-            target = self._next_target(exchange, last_error)
+            target = await self._next_target(exchange, last_error)
             try:
                 return target, await self._start_attempt(exchange, target)
             except _attempt.AttemptFailedError as error:
@@ -98,8 +99,8 @@
             self._record_lost(exchange, target, last_error, has_begun=False)
             self._record_failure(exchange, target, last_error)
             if last_error.may_have_run:
-                exchange.possible_runs += 1
-            else:
+                exchange.record_lost_run()
+            elif not target.is_entry:
                 rejections += 1
             self._retry_rules.check(exchange, last_error, rejections)
 
@@ -107,6 +108,10 @@
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> None:
         """Records that a request no longer runs at its target."""
+        if target.is_entry:
+            self._delegator.end(target)
+            return
+        self._reach_monitor.silence.end(exchange.number)
         self._view.loads.end(target.server_id)
         self._slot_queue.end(exchange)
         self._view.stall_detector.progress.end(
@@ -140,17 +145,30 @@
             ),
         )
 
+    def _expire_silent_waits(self, servers: frozenset[str]) -> None:
+        """Expires waits at servers that this entry has lost its path to."""
+        self._response_waits.expire(
+            servers, lambda _server_id, exchange: self._may_retry(exchange)
+        )
+
     def record_event(
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> None:
         """Records that a response made progress."""
+        if target.is_entry:
+            return
+        self._reach_monitor.silence.record_heard(exchange.number)
         self._view.stall_detector.progress.record_event(
             target.server_id, exchange.number, self._clock.now_ms()
         )
         self._crash_guard.record_event(exchange)
 
-    def record_complete(self, exchange: _exchange.Exchange) -> None:
+    def record_complete(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> None:
         """Records that a response is complete."""
+        if target.is_entry:
+            return
         self._crash_guard.record_sound(exchange)
 
     def handle_broken_response(
@@ -164,7 +182,9 @@
         Raises:
             ForwardingError: The request must not be retried.
         """
-        exchange.possible_runs += 1
+        exchange.record_lost_run()
+        if target.is_entry:
+            self._delegator.record_failure(target, error)
         self._record_failure(exchange, target, error)
         self._record_lost(exchange, target, error, has_begun=True)
         self._retry_rules.check(exchange, error, 0)
@@ -178,6 +198,8 @@
         has_begun: bool,
     ) -> None:
         """Records a failed attempt, which may show that its server crashed."""
+        if target.is_entry:
+            return
         if error.failure is _attempt.FailureKind.RESPONSE_LOST:
             now_ms = self._clock.now_ms()
             self._log.write(
@@ -246,7 +268,41 @@
         retry_after_ms = max(wait_ms, _refusals.OVERLOAD_RETRY_AFTER_MS)
         return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
 
-    def _next_target(
+    async def _next_target(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> dispatch.Target:
+        """Returns the entry or the backend server for the next attempt.
+
+        Raises:
+            ForwardingError: There is none, or the request must not be retried.
+        """
+        entry = self._delegator.choose(exchange)
+        if entry is None:
+            self._check_accusations(exchange, last_error)
+            await self._wait_for_admission(exchange, last_error)
+            # The path to the servers may have been lost during the wait.
+            entry = self._delegator.choose(exchange)
+        if entry is None:
+            return self._next_server(exchange, last_error)
+        if exchange.has_arrived:
+            self._spend_retry(exchange, entry, last_error)
+        return entry
+
+    async def _wait_for_admission(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
+        """Waits until a request may be sent to a backend server."""
+        if not exchange.tried:
+            await self._wait_for_servers(exchange)
+            await self._wait_for_slot(exchange, last_error)
+        elif self._is_limited(exchange):
+            await self._wait_for_slot(exchange, last_error)
+
+    def _next_server(
         self,
         exchange: _exchange.Exchange,
         last_error: _attempt.AttemptFailedError | None,
@@ -263,29 +319,41 @@
             raise _refusals.ForwardingError(
                 _refusals.no_target_refusal(exchange, last_error)
             )
-        is_retry = bool(exchange.tried)
-        if is_retry:
-            entry_count = self._view.entry_count
-            now_ms = self._clock.now_ms()
-            if not self._retry_budget.try_acquire(
-                exchange.service, entry_count, now_ms
-            ):
-                code = results.ResultCode.RETRY_BUDGET_SPENT
-                raise _refusals.ForwardingError(
-                    _refusals.final_refusal(exchange, code, last_error)
-                )
-            self._metrics.count_retry(
-                last_error.failure if last_error else "resumed"
-            )
-            self._log.write(
-                decisions.Event.SENT_AGAIN,
-                to=target.server_id,
-                failure=last_error.failure if last_error else None,
-                **exchange.log_fields(self._clock),
-            )
+        if exchange.tried:
+            self._spend_retry(exchange, target, last_error)
         exchange.tried.append(target.server_id)
         return target
 
+    def _spend_retry(
+        self,
+        exchange: _exchange.Exchange,
+        target: dispatch.Target,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
+        """Takes a retry from the budget.
+
+        Raises:
+            ForwardingError: The budget is spent.
+        """
+        entry_count = self._view.entry_count
+        now_ms = self._clock.now_ms()
+        if not self._retry_budget.try_acquire(
+            exchange.service, entry_count, now_ms
+        ):
+            code = results.ResultCode.RETRY_BUDGET_SPENT
+            raise _refusals.ForwardingError(
+                _refusals.final_refusal(exchange, code, last_error)
+            )
+        self._metrics.count_retry(
+            last_error.failure if last_error else "resumed"
+        )
+        self._log.write(
+            decisions.Event.SENT_AGAIN,
+            to=target.server_id,
+            failure=last_error.failure if last_error else None,
+            **exchange.log_fields(self._clock),
+        )
+
     def _check_accusations(
         self,
         exchange: _exchange.Exchange,
@@ -311,6 +379,8 @@
     async def _start_attempt(
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> _attempt.BackendResponse:
+        if target.is_entry:
+            return await self._start_delegation(exchange, target)
         self._view.loads.begin(target.server_id)
         self._slot_queue.begin(exchange)
         if target.group:
@@ -326,6 +396,33 @@
                 self.close(exchange, target)
         self._target_selector.backoff.record_success(target.server_id)
         exchange.begin_run(self._clock.now_ms())
+        if exchange.route.kind is model.RequestKind.STREAM:
+            # The server owes events from now on.
+            self._reach_monitor.silence.begin(exchange.number, target.server_id)
+        return backend_response
+
+    async def _start_delegation(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> _attempt.BackendResponse:
+        """Delegates a request to another entry."""
+        self._delegator.begin(target)
+        wait_ms = self._delegation_timeout_ms(exchange)
+        is_open = False
+        try:
+            async with asyncio.timeout(wait_ms / clocks.MS_PER_S):
+                backend_response = await self._delegator.open(exchange, target)
+            is_open = True
+        except TimeoutError as error:
+            failure = _attempt.AttemptFailedError(
+                _attempt.FailureKind.TIMED_OUT,
+                f"no response of an entry within {wait_ms} ms",
+            )
+            self._delegator.record_failure(target, failure)
+            raise failure from error
+        finally:
+            if not is_open:
+                self._delegator.end(target)
+        exchange.begin_run(self._clock.now_ms())
         return backend_response
 
     async def _send_request(
@@ -334,6 +431,7 @@
         metadata = exchange.forwarding_metadata(target, self._clock)
         wait_ms = self._response_timeout_ms(exchange)
         sent_ms = self._clock.now_ms()
+        observer = self._reach_monitor.observe(target.server_id)
         try:
             async with asyncio.timeout(wait_ms / clocks.MS_PER_S) as timeout:
                 with self.register_wait(exchange, target, timeout):
@@ -342,16 +440,27 @@
                         exchange.request_head,
                         metadata,
                         exchange.body,
+                        observer=observer,
                     )
         except TimeoutError as error:
-            raise _attempt.AttemptFailedError(
+            failure = _attempt.AttemptFailedError(
                 _attempt.FailureKind.TIMED_OUT,
                 f"no response within {wait_ms} ms",
-            ) from error
+            )
+            self._reach_monitor.record_failure(
+                exchange.service, observer, failure
+            )
+            raise failure from error
         except _attempt.AttemptFailedError as error:
+            self._reach_monitor.record_failure(
+                exchange.service, observer, error
+            )
             if error.head is not None and not error.head.is_other_server:
                 self._limits.record_response(target, error.head.limit, sent_ms)
             raise
+        finally:
+            observer.end()
+        self._reach_monitor.record_response(exchange.service, observer)
         self._limits.record_response(
             target, backend_response.head.limit, sent_ms
         )
@@ -377,6 +486,17 @@
             max(RESPONSE_TIMEOUT_FACTOR * target_ms, MIN_RESPONSE_TIMEOUT_MS),
         )
 
+    def _delegation_timeout_ms(self, exchange: _exchange.Exchange) -> int:
+        """Returns how long to wait for the head of an entry's response.
+
+        It is long enough for a retry by that entry.
+        """
+        remaining_ms = max(exchange.remaining_ms(self._clock), 0)
+        if not exchange.route.is_retry_safe:
+            return remaining_ms
+        wait_ms = RESPONSE_TIMEOUT_FACTOR * exchange.route.target_latency_ms
+        return min(remaining_ms, 2 * max(wait_ms, MIN_RESPONSE_TIMEOUT_MS))
+
     def _may_retry(self, exchange: _exchange.Exchange) -> bool:
         """Returns whether a request may run again if this attempt fails."""
         route = exchange.route
@@ -394,6 +514,10 @@
         error: _attempt.AttemptFailedError,
     ) -> None:
         self._metrics.count_failure(error.failure)
+        if target.is_entry:
+            return
+        if error.failure is not _attempt.FailureKind.CONNECT:
+            exchange.has_arrived = True
         if error.failure is not _attempt.FailureKind.SERVER_ERROR:
             self._target_selector.record_failure(target)
         if error.failure is _attempt.FailureKind.TIMED_OUT and target.group:
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -18,6 +18,7 @@
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _body_reader
 from lagooncrank.server.seeded import _decision_log
+from lagooncrank.server.seeded import _delegated_request
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _events
 from lagooncrank.server.seeded import _exchange
@@ -74,9 +75,9 @@
                 break
         is_success = backend_response.head.status < _adapter.FIRST_ERROR_STATUS
         if is_success and backend_response.is_framed:
-            self._forwarder.record_complete(exchange)
+            self._forwarder.record_complete(exchange, target)
         response = web.Response(status=backend_response.head.status, body=body)
-        _set_headers(response, backend_response)
+        _set_headers(response, backend_response, exchange)
         self._record_response(exchange, backend_response.head.status)
         return response
 
@@ -126,7 +127,7 @@
         close_connection: bool,
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=backend_response.head.status)
-        _set_headers(response, backend_response)
+        _set_headers(response, backend_response, exchange)
         if close_connection:
             response.force_close()
         # A length would not hold for the events of another run after a resume.
@@ -178,7 +179,7 @@
                         yield chunk
                 backend_response.release()
                 if exchange.run_events and backend_response.is_framed:
-                    self._forwarder.record_complete(exchange)
+                    self._forwarder.record_complete(exchange, target)
                 return
             except _attempt.AttemptFailedError as error:
                 self._forwarder.handle_broken_response(exchange, target, error)
@@ -223,7 +224,7 @@
     ) -> AsyncIterator[bytes]:
         splitter = _events.EventSplitter()
         quota = _stream_quota.StreamQuota(buffer)
-        time_limit = self._stream_time_limit(exchange)
+        time_limit = self._stream_time_limit(exchange, target)
         async for chunk in self._read_chunks(
             exchange, target, backend_response, time_limit
         ):
@@ -276,7 +277,7 @@
             yield chunk
 
     def _stream_time_limit(
-        self, exchange: _exchange.Exchange
+        self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> "_StreamTimeLimit":
         """Returns the time limit of one attempt of a stream.
 
@@ -289,6 +290,9 @@
                 STREAM_PAUSE_FACTOR * exchange.route.max_event_gap_ms,
                 MIN_STREAM_PAUSE_MS,
             )
+            if target.is_entry:
+                # The other entry resumes the stream first.
+                pause_ms *= 2
         return _StreamTimeLimit(exchange.remaining_ms(self._clock), pause_ms)
 
     def _abort(
@@ -377,7 +381,12 @@
 
 
 def _set_headers(
-    response: web.StreamResponse, backend_response: _attempt.BackendResponse
+    response: web.StreamResponse,
+    backend_response: _attempt.BackendResponse,
+    exchange: _exchange.Exchange,
 ) -> None:
     for name, value in backend_response.head.forwarded_headers:
         response.headers.add(name, value)
+    if exchange.delegated_by is not None:
+        outcome = _delegated_request.Outcome(exchange.possible_runs + 1)
+        outcome.add_to(response.headers)
--- a/lagooncrank/settings/_seeded.py
+++ b/lagooncrank/settings/_seeded.py
@@ -18,6 +18,8 @@
     #: behind network address translation.
     peers: str = ""
     metrics: str = ""
+    #: Address for requests that other entries delegate to this one.
+    delegations: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
