Send nothing to a server during the rest that it asked for

A server that turned an entry away with 503 and Retry-After got more requests from it during that time; with all servers of a service at rest, callers were told to come back after 250 ms.

Cause: the header was read by nobody. Class of fault: what a server says of itself is dropped. The failure backoff of 500 ms took its place, which a success clears and which gives way when no other server is left.

The target selector excludes held processes where all candidates are listed, so first attempts, retries, resumed streams and delegated requests pass it. If all servers rest, requests are refused at once with the time at which the first is free, spread over a quarter of it more.

--- a/lagooncrank/core/dispatch/_types.py
+++ b/lagooncrank/core/dispatch/_types.py
@@ -21,3 +21,8 @@
     born_ms: int = 0
     #: Whether the target is another entry, which the request is delegated to.
     is_entry: bool = False
+
+    @property
+    def process(self) -> tuple[model.BackendServerId, int]:
+        """Id and start time of the process."""
+        return (self.server_id, self.born_ms)
--- /dev/null
+++ b/lagooncrank/core/holds/_types.py
@@ -0,0 +1,22 @@
+"""What a response says about its server's readiness for new requests."""
+
+import dataclasses
+from typing import Final
+
+from lagooncrank import model
+
+#: A process of a server: its id and start time.
+Process = tuple[model.BackendServerId, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatedAvailability:
+    """What one response says; nothing by default."""
+
+    #: Time for which the server wants no requests from this entry; None if it
+    #: does not say so.
+    rest_ms: int | None = None
+
+
+#: A response that says nothing of it.
+NOTHING_STATED: Final = StatedAvailability()
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -110,6 +110,13 @@
         "server",
         "born_ms",
     )
+    SERVER_RESTING = (
+        "server_resting",
+        "A backend server asked for a pause; it gets no requests meanwhile.",
+        "server",
+        "born_ms",
+        "rest_ms",
+    )
     SERVICE_UNREACHED = (
         "service_unreached",
         "This entry has no path to a service; others serve its requests.",
--- a/lagooncrank/results.py
+++ b/lagooncrank/results.py
@@ -73,6 +73,7 @@
     CRASH_SUSPECTED = 311, 503, "Requests like this one crash backend servers."
     SERVER_LIMITED = 312, 503, "The backend servers limit their requests."
     DELEGATION_REFUSED = 313, 503, "The other entry cannot serve it either."
+    BACKEND_RESTING = 314, 503, "The backend servers asked for a pause."
 
     KEY_REQUIRED = 400, 400, "The service requires an Idempotency-Key."
     KEY_REUSED = 401, 422, "The key was used with another request body."
--- a/lagooncrank/server/seeded/_adapter.py
+++ b/lagooncrank/server/seeded/_adapter.py
@@ -12,6 +12,7 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import groups
+from lagooncrank.core import holds
 from lagooncrank.core import limits
 
 #: Header fields in their original order and case.
@@ -93,6 +94,8 @@
     is_other_server: bool = False
     #: Limit of the server's requests from all entries together.
     limit: limits.StatedLimit = limits.UNLIMITED
+    #: Whether the server takes new requests from this entry.
+    availability: holds.StatedAvailability = holds.NOTHING_STATED
 
 
 class MalformedRequestError(Exception):
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -34,6 +34,12 @@
             ("reason",),
             registry=self.registry,
         )
+        self._holds = prometheus_client.Counter(
+            "lagooncrank_server_holds",
+            "Servers that get nothing more, by what they said of themselves.",
+            ("reason",),
+            registry=self.registry,
+        )
         self._first_byte_s = prometheus_client.Histogram(
             "lagooncrank_first_byte_seconds",
             "Time from arrival to the first event or the whole answer.",
@@ -71,6 +77,10 @@
         """Counts an attempt that yielded no response."""
         self._failures.labels(reason).inc()
 
+    def count_hold(self, reason: str) -> None:
+        """Counts a server that wants no new requests."""
+        self._holds.labels(reason).inc()
+
     def observe_response(
         self, service: model.ServiceName, first_ms: int
     ) -> None:
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 from typing import Final
 
 from lagooncrank import clock as clocks
@@ -14,6 +15,7 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import dispatch
+from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _crash_guard
 from lagooncrank.server.seeded import _decision_log
@@ -317,13 +319,27 @@
             )
         if target is None:
             raise _refusals.ForwardingError(
-                _refusals.no_target_refusal(exchange, last_error)
+                self._no_target_refusal(exchange, last_error)
             )
         if exchange.tried:
             self._spend_retry(exchange, target, last_error)
         exchange.tried.append(target.server_id)
         return target
 
+    def _no_target_refusal(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> results.Refusal:
+        rest_ms = self._target_selector.rest_ms(
+            exchange.service, exchange.request_head.model_name
+        )
+        if rest_ms is None:
+            return _refusals.no_target_refusal(exchange, last_error)
+        return _refusals.resting_refusal(
+            exchange, last_error, rest_ms, random.random()
+        )
+
     def _spend_retry(
         self,
         exchange: _exchange.Exchange,
@@ -456,14 +472,12 @@
                 exchange.service, observer, error
             )
             if error.head is not None and not error.head.is_other_server:
-                self._limits.record_response(target, error.head.limit, sent_ms)
+                self._record_statements(target, error.head, sent_ms)
             raise
         finally:
             observer.end()
         self._reach_monitor.record_response(exchange.service, observer)
-        self._limits.record_response(
-            target, backend_response.head.limit, sent_ms
-        )
+        self._record_statements(target, backend_response.head, sent_ms)
         if (
             backend_response.head.status >= FIRST_SERVER_ERROR_STATUS
             and self._may_retry(exchange)
@@ -475,6 +489,31 @@
             )
         return backend_response
 
+    def _record_statements(
+        self,
+        target: dispatch.Target,
+        head: _adapter.ResponseHead,
+        sent_ms: int,
+    ) -> None:
+        """Records what a response says about its server.
+
+        Args:
+            target: The server.
+            head: Head of the response.
+            sent_ms: When the request was sent.
+        """
+        self._limits.record_response(target, head.limit, sent_ms)
+        if self._target_selector.holds.record(
+            target.process, head.availability, self._clock.now_ms()
+        ):
+            self._metrics.count_hold("rest")
+            self._log.write(
+                decisions.Event.SERVER_RESTING,
+                server=target.server_id,
+                born_ms=target.born_ms,
+                rest_ms=head.availability.rest_ms,
+            )
+
     def _response_timeout_ms(self, exchange: _exchange.Exchange) -> int:
         """Returns how long to wait for the head of a response."""
         remaining_ms = max(exchange.remaining_ms(self._clock), 0)
--- a/lagooncrank/server/seeded/_refusals.py
+++ b/lagooncrank/server/seeded/_refusals.py
@@ -1,5 +1,6 @@
 """Refusals that end a request without a response of a backend server."""
 
+import dataclasses
 from typing import Final
 
 from lagooncrank import results
@@ -10,6 +11,10 @@
 #: second or two.
 NO_TARGET_RETRY_AFTER_MS: Final = 1_500
 OVERLOAD_RETRY_AFTER_MS: Final = 250
+#: Fraction of the wait for a server at rest over which callers are spread, so
+#: that not all of them return in the same moment.
+REST_SPREAD_FRACTION: Final = 0.25
+MIN_REST_SPREAD_MS: Final = 250
 
 
 class ForwardingError(Exception):
@@ -30,6 +35,29 @@
     return final_refusal(exchange, code, last_error)
 
 
+def resting_refusal(
+    exchange: _exchange.Exchange,
+    last_error: _attempt.AttemptFailedError | None,
+    rest_ms: int,
+    draw: float,
+) -> results.Refusal:
+    """Returns the refusal of a request all of whose servers rest.
+
+    Args:
+        exchange: The request.
+        last_error: Failure of its last attempt, if any.
+        rest_ms: Time until the first server takes requests again.
+        draw: Random number, 0.0 to 1.0, that spreads the callers.
+    """
+    code = results.ResultCode.BACKEND_RESTING
+    refusal = final_refusal(exchange, code, last_error)
+    if refusal.ran is not results.ExecutionStatus.NOT_RUN:
+        return refusal
+    spread_ms = max(REST_SPREAD_FRACTION * rest_ms, MIN_REST_SPREAD_MS)
+    retry_after_ms = rest_ms + int(draw * spread_ms)
+    return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
+
+
 def final_refusal(
     exchange: _exchange.Exchange,
     code: results.ResultCode,
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -10,6 +10,7 @@
 from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.core import groups
+from lagooncrank.core import holds
 from lagooncrank.server import _shared_state
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
@@ -39,6 +40,8 @@
         self._limits = limits
         self._clock = clock
         self.backoff = dispatch.FailureBackoff()
+        #: Servers that take no new requests, by their own word.
+        self.holds = holds.ServerHolds()
 
     def choose_service(self, route: model.Route) -> model.ServiceName:
         """Chooses a service at random by the weights of the route."""
@@ -210,8 +213,33 @@
             now_ms
         ) | self._view.stall_detector.stalled_servers(now_ms)
 
+    def rest_ms(
+        self, service: model.ServiceName, model_name: str
+    ) -> int | None:
+        """Returns when the first of the held servers of a pool is free.
+
+        Returns:
+            Time in milliseconds; None if no server of the pool is held.
+        """
+        now_ms = self._clock.now_ms()
+        held = [
+            t.process
+            for t in self._serving_targets(service, model_name)
+            if self.holds.is_held(t.process, now_ms)
+        ]
+        return self.holds.first_free_ms(held, now_ms)
+
     def _candidates(
         self, service: model.ServiceName, model_name: str
+    ) -> Iterator[dispatch.Target]:
+        """Yields the targets that any attempt may be sent to."""
+        now_ms = self._clock.now_ms()
+        for target in self._serving_targets(service, model_name):
+            if not self.holds.is_held(target.process, now_ms):
+                yield target
+
+    def _serving_targets(
+        self, service: model.ServiceName, model_name: str
     ) -> Iterator[dispatch.Target]:
         if model_name:
             return self._group_heads(service, model_name)
