Send nothing more to a server whose response says that it leaves

A server that leaves says so in all of its responses; it got all 20 further requests of the test. Leaving was known from reports only, which reach an entry through control nodes and not while it is cut off from them.

An entry that passes on such a response from another entry learns of the process through the outcome header.

Not shared with other entries: a false word of one server then costs that server one entry's requests.

--- a/lagooncrank/core/holds/_holds.py
+++ b/lagooncrank/core/holds/_holds.py
@@ -20,6 +20,10 @@
     """Holds of all processes that this entry had responses from."""
 
     def __init__(self) -> None:
+        #: Processes that are leaving, in the order of their statements.
+        self._leaving: collections.OrderedDict[_types.Process, None] = (
+            collections.OrderedDict()
+        )
         #: End of the rest by process, oldest statement first.
         self._resting_until_ms: collections.OrderedDict[_types.Process, int] = (
             collections.OrderedDict()
@@ -44,9 +48,26 @@
         Returns:
             Whether the process is held for longer than before.
         """
-        if not stated.rest_ms or stated.rest_ms < 0:
+        has_left = stated.is_leaving and self._record_leaving(process)
+        has_rest = bool(stated.rest_ms) and self._record_rest(
+            process, stated.rest_ms or 0, now_ms
+        )
+        return has_left or has_rest
+
+    def _record_leaving(self, process: _types.Process) -> bool:
+        if process in self._leaving:
+            return False
+        self._leaving[process] = None
+        if len(self._leaving) > MAX_PROCESSES:
+            self._leaving.popitem(last=False)
+        return True
+
+    def _record_rest(
+        self, process: _types.Process, rest_ms: int, now_ms: int
+    ) -> bool:
+        if rest_ms < 0:
             return False
-        until_ms = now_ms + min(stated.rest_ms, MAX_REST_MS)
+        until_ms = now_ms + min(rest_ms, MAX_REST_MS)
         if until_ms <= self._resting_until_ms.get(process, 0):
             return False
         self._resting_until_ms[process] = until_ms
@@ -57,10 +78,12 @@
 
     def is_held(self, process: _types.Process, now_ms: int) -> bool:
         """Returns whether a process takes no new requests now."""
+        if process in self._leaving:
+            return True
         return self.remaining_ms(process, now_ms) > 0
 
     def remaining_ms(self, process: _types.Process, now_ms: int) -> int:
-        """Returns the time until a process takes requests again, or 0."""
+        """Returns the rest of a process that is left, or 0."""
         return max(self._resting_until_ms.get(process, 0) - now_ms, 0)
 
     def first_free_ms(
@@ -69,8 +92,9 @@
         """Returns the time until the first of some processes is free.
 
         Returns:
-            None if no process is given.
+            None if no process is given, or all of them are leaving.
         """
+        staying = [p for p in processes if p not in self._leaving]
         return min(
-            (self.remaining_ms(p, now_ms) for p in processes), default=None
+            (self.remaining_ms(p, now_ms) for p in staying), default=None
         )
--- a/lagooncrank/core/holds/_types.py
+++ b/lagooncrank/core/holds/_types.py
@@ -16,6 +16,8 @@
     #: Time for which the server wants no requests from this entry; None if it
     #: does not say so.
     rest_ms: int | None = None
+    #: Whether the server is leaving and wants no requests any more.
+    is_leaving: bool = False
 
 
 #: A response that says nothing of it.
--- a/lagooncrank/core/holds/tests/test_holds.py
+++ b/lagooncrank/core/holds/tests/test_holds.py
@@ -49,6 +49,17 @@
     assert table.first_free_ms([], 1) is None
 
 
+def test_leaving_is_for_good_and_of_one_process() -> None:
+    table = holds.ServerHolds()
+    leaving = holds.StatedAvailability(is_leaving=True)
+    assert table.record(PROCESS, leaving, 0)
+    assert not table.record(PROCESS, leaving, 1)
+    table.record(PROCESS, holds.NOTHING_STATED, 2)
+    assert table.is_held(PROCESS, 10**9)
+    assert not table.is_held(RESTARTED, 3)
+    assert table.first_free_ms([PROCESS], 3) is None
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -117,6 +117,12 @@
         "born_ms",
         "rest_ms",
     )
+    SERVER_LEAVING = (
+        "server_leaving",
+        "A backend server said in a response that it leaves.",
+        "server",
+        "born_ms",
+    )
     SERVICE_UNREACHED = (
         "service_unreached",
         "This entry has no path to a service; others serve its requests.",
--- a/lagooncrank/server/seeded/_delegated_request.py
+++ b/lagooncrank/server/seeded/_delegated_request.py
@@ -17,6 +17,7 @@
 
 from lagooncrank import model
 from lagooncrank import results
+from lagooncrank.core import holds
 from lagooncrank.server.seeded import _adapter
 
 #: Name of the header of a delegated request.
@@ -72,6 +73,8 @@
     code: results.ResultCode = results.ResultCode.OK
     ran: results.ExecutionStatus = results.ExecutionStatus.RAN
     retry_after_ms: int | None = None
+    #: Process that the response comes from, if it says that it is leaving.
+    leaving_server: holds.Process | None = None
 
     @classmethod
     def of_refusal(
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -181,6 +181,7 @@
         self._metrics.count_delegated(outcome.code.name)
         if outcome.code is results.ResultCode.OK:
             exchange.delegated_runs = outcome.possible_runs
+            exchange.leaving_server = outcome.leaving_server
             return
         if outcome.code is results.ResultCode.DELEGATION_REFUSED:
             raise _attempt.AttemptFailedError(
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -8,6 +8,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank.core import dispatch
+from lagooncrank.core import holds
 from lagooncrank.server.seeded import _adapter
 
 CONTENT_DIGEST_BYTES: Final = 8
@@ -54,6 +55,8 @@
     #: Attempts in which a backend server may have run the request, according
     #: to the entry that it was delegated to last.
     delegated_runs: int = 0
+    #: Process whose response to the delegated request says that it leaves.
+    leaving_server: holds.Process | None = None
     #: Time that the request waited for a slot of a group.
     queued_ms: int = 0
 
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -15,6 +15,7 @@
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import dispatch
+from lagooncrank.core import holds
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _crash_guard
@@ -428,6 +429,11 @@
             async with asyncio.timeout(wait_ms / clocks.MS_PER_S):
                 backend_response = await self._delegator.open(exchange, target)
             is_open = True
+            if (leaving := exchange.leaving_server) is not None:
+                # The caller gets the response of that server from this entry.
+                self._record_availability(
+                    leaving, holds.StatedAvailability(is_leaving=True)
+                )
         except TimeoutError as error:
             failure = _attempt.AttemptFailedError(
                 _attempt.FailureKind.TIMED_OUT,
@@ -503,15 +509,32 @@
             sent_ms: When the request was sent.
         """
         self._limits.record_response(target, head.limit, sent_ms)
-        if self._target_selector.holds.record(
-            target.process, head.availability, self._clock.now_ms()
-        ):
+        self._record_availability(target.process, head.availability)
+
+    def _record_availability(
+        self, process: holds.Process, stated: holds.StatedAvailability
+    ) -> None:
+        """Records whether a server takes new requests, by its own word."""
+        is_new = self._target_selector.holds.record(
+            process, stated, self._clock.now_ms()
+        )
+        if not is_new:
+            return
+        server_id, born_ms = process
+        if stated.is_leaving:
+            self._metrics.count_hold("leaving")
+            self._log.write(
+                decisions.Event.SERVER_LEAVING,
+                server=server_id,
+                born_ms=born_ms,
+            )
+        if stated.rest_ms:
             self._metrics.count_hold("rest")
             self._log.write(
                 decisions.Event.SERVER_RESTING,
-                server=target.server_id,
-                born_ms=target.born_ms,
-                rest_ms=head.availability.rest_ms,
+                server=server_id,
+                born_ms=born_ms,
+                rest_ms=stated.rest_ms,
             )
 
     def _response_timeout_ms(self, exchange: _exchange.Exchange) -> int:
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -77,7 +77,7 @@
         if is_success and backend_response.is_framed:
             self._forwarder.record_complete(exchange, target)
         response = web.Response(status=backend_response.head.status, body=body)
-        _set_headers(response, backend_response, exchange)
+        _set_headers(response, backend_response, exchange, target)
         self._record_response(exchange, backend_response.head.status)
         return response
 
@@ -127,7 +127,7 @@
         close_connection: bool,
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=backend_response.head.status)
-        _set_headers(response, backend_response, exchange)
+        _set_headers(response, backend_response, exchange, target)
         if close_connection:
             response.force_close()
         # A length would not hold for the events of another run after a resume.
@@ -384,9 +384,14 @@
     response: web.StreamResponse,
     backend_response: _attempt.BackendResponse,
     exchange: _exchange.Exchange,
+    target: dispatch.Target,
 ) -> None:
     for name, value in backend_response.head.forwarded_headers:
         response.headers.add(name, value)
     if exchange.delegated_by is not None:
-        outcome = _delegated_request.Outcome(exchange.possible_runs + 1)
+        is_leaving = backend_response.head.availability.is_leaving
+        outcome = _delegated_request.Outcome(
+            exchange.possible_runs + 1,
+            leaving_server=target.process if is_leaving else None,
+        )
         outcome.add_to(response.headers)
