Soak: cut single entries off from all backend servers

The soak's proxies now cut off one client by its address: connections reset, only new ones refused, or all silenced; once or every two seconds, several entries at once, while other faults run or alone. In runs with these faults only it also checks that cut-off entries, from three seconds after their cut, serve at least two thirds as often as the others.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,11 +17,20 @@
     ),
     entries: int = typer.Option(2, help="Number of entries."),
     engines: int = typer.Option(6, help="Number of engines."),
+    kinds: str = typer.Option(
+        "", help="Kinds of faults, separated by commas; all if empty."
+    ),
     at_once: int = typer.Option(1, help="Number of seeds to run in parallel."),
 ) -> None:
     """Runs seeds; exits with status 1 if any guarantee was violated."""
     configs = [
-        _run.SeedConfig(seed, duration_s, entries, engines)
+        _run.SeedConfig(
+            seed,
+            duration_s,
+            entries,
+            engines,
+            tuple(k for k in kinds.split(",") if k),
+        )
         for seed in range(first, first + seeds)
     ]
     if not asyncio.run(_run_all(configs, at_once)):
@@ -41,6 +50,7 @@
             f"{report.acknowledged}, statuses {report.statuses}, "
             f"logs in {folder}"
         )
+        typer.echo(f"  while entries were cut off: {report.cuts}")
         typer.echo(f"  faults: {' '.join(report.faults)}")
         for violation in report.violations:
             typer.echo(f"  {violation}")
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -9,6 +9,7 @@
 from lagooncrank_platform.tests import fake_server
 from lagooncrank_platform.tests import provider_protocol
 
+from soak import _cuts
 from soak import _history
 from soak import _nodes
 
@@ -33,10 +34,12 @@
         entries: list[_nodes.Node],
         history: _history.RequestHistory,
         random_: random.Random,
+        cuts: _cuts.EntryCuts,
     ) -> None:
         self._entries = entries
         self._history = history
         self._random = random_
+        self._cuts = cuts
         self._attempt_numbers = itertools.count(1)
         #: Number of requests with a complete response of status 200.
         self.served = 0
@@ -59,6 +62,7 @@
         self._history.record_request(
             _history.SentRequest(attempt_id, is_retry_safe)
         )
+        group = self._cuts.group_of(entry.ip)
         url = f"http://{entry.public_proxy.listen_address}{path}"
         try:
             async with session.post(
@@ -69,8 +73,11 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             # A broken connection guarantees nothing about the request.
             self._history.statuses[NO_STATUS] += 1
+            self._cuts.record(group, is_served=False)
             return
-        if response.status == _history.OK:
+        is_served = response.status == _history.OK
+        self._cuts.record(group, is_served=is_served)
+        if is_served:
             self.served += 1
             self._check_body(attempt_id, path, body)
 
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -9,6 +9,7 @@
 from lagooncrank_platform.tests import local_cluster
 
 from soak import _callers
+from soak import _cuts
 from soak import _disk_loss_lock
 from soak import _history
 from soak import _nodes
@@ -62,7 +63,10 @@
         #: Time at which the start began, on the event loop's clock.
         self.started_s = 0.0
         self.disk_loss_lock = _disk_loss_lock.DiskLossLock()
-        self.callers = _callers.Callers(self.entries, self.history, self.random)
+        self.cuts = _cuts.EntryCuts(self._server_proxies)
+        self.callers = _callers.Callers(
+            self.entries, self.history, self.random, self.cuts
+        )
         self.operator = _operator.Operator(
             self.controls, self.history, self.random
         )
@@ -115,6 +119,7 @@
         listen_address = f"127.0.0.1:{local_cluster.free_port('127.0.0.1')}"
         proxy = _proxy.Proxy(listen_address, server.address)
         await proxy.start()
+        await self.cuts.apply_to(proxy)
         server.address = listen_address
         self.servers[server.server_id] = server
         self._server_proxies[server.server_id] = proxy
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -22,6 +22,12 @@
 #: Every kind of fault by name.
 FAULTS: Final[registry.Registry[Fault]] = registry.Registry("fault")
 
+#: Cuts last longer than other faults by this factor.
+CUT_DURATION_FACTOR: Final = 4
+FLAP_INTERVAL_S: Final = 2.0
+
+#: Kinds that cut entries off from backend servers, and nothing else.
+CUT_FAULTS: Final = ("cut-entries", "flap-entry")
 #: Kinds that erase a disk.
 DISK_LOSS_FAULTS: Final = frozenset({"lose-disk"})
 #: Kinds that affect backend servers only.
@@ -146,6 +152,38 @@
     await _impair_some(deployment, random_, duration_s, impairment)
 
 
+@FAULTS.register("cut-entries")
+async def cut_entries(
+    deployment: _deployment.Deployment,
+    random_: random.Random,
+    duration_s: float,
+) -> None:
+    """Cuts some entries off from all backend servers, in one of the ways."""
+    count = random_.randint(1, max(len(deployment.entries) - 1, 1))
+    entries = random_.sample(deployment.entries, k=count)
+    kind = random_.choice(list(_proxy.CutKind))
+    cut = [e for e in entries if await deployment.cuts.cut(e.ip, kind)]
+    await asyncio.sleep(duration_s * CUT_DURATION_FACTOR)
+    for entry in cut:
+        await deployment.cuts.join(entry.ip)
+
+
+@FAULTS.register("flap-entry")
+async def flap_entry(
+    deployment: _deployment.Deployment,
+    random_: random.Random,
+    duration_s: float,
+) -> None:
+    """Cuts one entry off again and again, for two seconds each."""
+    entry = random_.choice(deployment.entries)
+    for _ in range(3):
+        kind = random_.choice(list(_proxy.CutKind))
+        if await deployment.cuts.cut(entry.ip, kind):
+            await asyncio.sleep(FLAP_INTERVAL_S)
+            await deployment.cuts.join(entry.ip)
+        await asyncio.sleep(FLAP_INTERVAL_S)
+
+
 @FAULTS.register("refuse")
 async def refuse_connections(
     deployment: _deployment.Deployment,
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -61,6 +61,8 @@
             f"{ip}:{local_cluster.free_port(ip)}"
         )
 
+        self._delegation_address = f"{ip}:{local_cluster.free_port(ip)}"
+
     @property
     def proxies(self) -> tuple[_proxy.Proxy, ...]:
         """All proxies of this node."""
@@ -174,6 +176,7 @@
             self.public_proxy.target_address
         )
         if not is_control:
+            listen["delegations"] = self._delegation_address
             listen["readiness"] = (
                 f"{self.ip}:{local_cluster.free_port(self.ip)}"
             )
@@ -190,6 +193,7 @@
             "shared_key": "soak",
             "is_first_start": self._is_first_start,
             "data_folder": str(self._data_folder) if is_control else "",
+            "source_ip": "" if is_control else self.ip,
             "listen": listen,
             "timing": {"report_interval_ms": 500, "stop_grace_ms": 2_000},
         }
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import enum
 from typing import Final
 
 CHUNK_BYTES: Final = 65_536
@@ -11,6 +12,17 @@
 STOP_POLL_S: Final = 0.1
 
 
+class CutKind(enum.Enum):
+    """How one client of a proxy is cut off."""
+
+    #: Connections are reset, and new ones refused.
+    RESET = enum.auto()
+    #: Open connections live on, new ones are refused.
+    REFUSE_NEW = enum.auto()
+    #: Connections hang, new ones as well.
+    SILENCE = enum.auto()
+
+
 @dataclasses.dataclass(slots=True)
 class Impairment:
     """How a proxy impairs its connections."""
@@ -39,10 +51,15 @@
         self.listen_address = listen_address
         self.target_address = target_address
         self.impairment = Impairment()
+        #: Clients, by address, whose new connections are reset.
+        self._refused_clients: set[str] = set()
+        #: Clients whose data, and that for them, is held back.
+        self._silenced_clients: set[str] = set()
         self._impairment_changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._writers: set[asyncio.StreamWriter] = set()
+        #: Both ends of each connection, with the address of its client.
+        self._writers: dict[asyncio.StreamWriter, str] = {}
 
     async def start(self) -> None:
         """Starts listening."""
@@ -68,10 +85,27 @@
         async with self._impairment_changed:
             self._impairment_changed.notify_all()
 
-    def reset(self) -> None:
-        """Resets every connection."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+    async def cut(self, client: str, kind: CutKind) -> None:
+        """Cuts one client off; its other paths are not affected."""
+        if kind is not CutKind.SILENCE:
+            self._refused_clients.add(client)
+        if kind is CutKind.RESET:
+            self.reset(client)
+        if kind is CutKind.SILENCE:
+            self._silenced_clients.add(client)
+
+    async def join(self, client: str) -> None:
+        """Reverts `cut`; data that was held back is forwarded."""
+        self._refused_clients.discard(client)
+        self._silenced_clients.discard(client)
+        async with self._impairment_changed:
+            self._impairment_changed.notify_all()
+
+    def reset(self, client: str | None = None) -> None:
+        """Resets every connection, or those of one client."""
+        for writer, writer_client in list(self._writers.items()):
+            if client in (None, writer_client):
+                writer.transport.abort()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -90,35 +124,43 @@
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.impairment.resets_new_connections:
+        client: str = writer.get_extra_info("peername")[0]
+        if (
+            self.impairment.resets_new_connections
+            or client in self._refused_clients
+        ):
             writer.transport.abort()
             return
         host, _, port = self.target_address.rpartition(":")
         with contextlib.ExitStack() as stack:
-            self._track(stack, writer)
+            self._track(stack, writer, client)
             target_reader, target_writer = await asyncio.open_connection(
                 host, int(port)
             )
-            self._track(stack, target_writer)
+            self._track(stack, target_writer, client)
             async with asyncio.TaskGroup() as group:
                 group.create_task(
-                    self._copy(reader, target_writer, is_request=True)
+                    self._copy(reader, target_writer, client, is_request=True)
                 )
                 group.create_task(
-                    self._copy(target_reader, writer, is_request=False)
+                    self._copy(target_reader, writer, client, is_request=False)
                 )
 
     def _track(
-        self, stack: contextlib.ExitStack, writer: asyncio.StreamWriter
+        self,
+        stack: contextlib.ExitStack,
+        writer: asyncio.StreamWriter,
+        client: str,
     ) -> None:
-        self._writers.add(writer)
-        stack.callback(self._writers.discard, writer)
+        self._writers[writer] = client
+        stack.callback(self._writers.pop, writer, None)
         stack.callback(writer.transport.abort)
 
     async def _copy(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        client: str,
         *,
         is_request: bool,
     ) -> None:
@@ -126,7 +168,7 @@
         # Any socket error here means that one side has disconnected.
         with contextlib.suppress(OSError):
             while chunk := await reader.read(CHUNK_BYTES):
-                await self._wait_while_blocked(is_request=is_request)
+                await self._wait_while_blocked(client, is_request=is_request)
                 if self.impairment.delay_s:
                     await asyncio.sleep(self.impairment.delay_s)
                 writer.write(chunk)
@@ -136,7 +178,9 @@
             return
         writer.transport.abort()
 
-    async def _wait_while_blocked(self, *, is_request: bool) -> None:
+    async def _wait_while_blocked(
+        self, client: str, *, is_request: bool
+    ) -> None:
         def is_unblocked() -> bool:
             impairment = self.impairment
             is_blocked = (
@@ -144,7 +188,7 @@
                 if is_request
                 else impairment.blocks_responses
             )
-            return not is_blocked
+            return not is_blocked and client not in self._silenced_clients
 
         async with self._impairment_changed:
             await self._impairment_changed.wait_for(is_unblocked)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -37,6 +37,8 @@
     duration_s: float = 15.0
     entries: int = 2
     engines: int = 6
+    #: Kinds of faults; none for all.
+    kinds: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +56,8 @@
     acknowledged: int
     #: Number of requests by HTTP status.
     statuses: dict[int, int]
+    #: What entries served while they were cut off, and the others meanwhile.
+    cuts: str
 
 
 async def run_seed(config: SeedConfig, folder: pathlib.Path) -> SeedReport:
@@ -79,6 +83,10 @@
             deployment.history.record_violation(str(error))
     finally:
         await deployment.stop()
+    if set(config.kinds).issubset(_faults.CUT_FAULTS) and config.kinds:
+        # Other faults fail requests at any entry.
+        for violation in deployment.cuts.violations():
+            deployment.history.record_violation(violation)
     return SeedReport(
         config.seed,
         tuple(deployment.history.finish()),
@@ -86,6 +94,7 @@
         deployment.callers.served,
         deployment.operator.acknowledged,
         dict(deployment.history.statuses),
+        deployment.cuts.summary(),
     )
 
 
@@ -109,7 +118,7 @@
     end_s = asyncio.get_running_loop().time() + config.duration_s
     async with asyncio.TaskGroup() as group:
         while asyncio.get_running_loop().time() < end_s:
-            name = random_.choice(_faults.FAULTS.names())
+            name = random_.choice(config.kinds or _faults.FAULTS.names())
             duration_s = random_.uniform(*FAULT_DURATION_S)
             # Each fault has a generator of its own, so that its choices do not
             # depend on the order in which overlapping faults draw.
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from soak import _faults
 from soak import _run
 
 #: Seeds; the id names what a seed covers.
@@ -16,6 +17,9 @@
 DURATION_S = 3.0
 
 
+CUT_DURATION_S = 15.0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_guarantees_hold_under_faults(
     seed: int, tmp_path: pathlib.Path
@@ -23,3 +27,16 @@
     report = await _run.run_seed(_run.SeedConfig(seed, DURATION_S), tmp_path)
     assert not report.violations
     assert report.served
+
+
+# Guards against: an entry that is cut off from all backend servers serves its
+# callers far worse than the others do.
+async def test_cut_off_entries_serve_like_the_others(
+    tmp_path: pathlib.Path,
+) -> None:
+    config = _run.SeedConfig(
+        1, CUT_DURATION_S, entries=3, kinds=_faults.CUT_FAULTS
+    )
+    report = await _run.run_seed(config, tmp_path)
+    assert not report.violations
+    assert report.served
