Wait for the document of a delegated request

It now waits up to 500 ms for the document; entries get it within that time of each other, or have lost the control nodes.

test_entry_waits_for_the_document_of_a_delegated_request failed before.

--- /dev/null
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -0,0 +1,220 @@
+"""Chooses where the next attempt of a request goes, and when."""
+
+import dataclasses
+import random
+
+from lagooncrank import clock as clocks
+from lagooncrank import decisions
+from lagooncrank import results
+from lagooncrank.core import dispatch
+from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _crash_guard
+from lagooncrank.server.seeded import _decision_log
+from lagooncrank.server.seeded import _delegator
+from lagooncrank.server.seeded import _entry_metrics
+from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _refusals
+from lagooncrank.server.seeded import _slot_queue
+from lagooncrank.server.seeded import _startup_wait
+from lagooncrank.server.seeded import _target_selector
+
+
+class AttemptChooser:
+    """Chooses the next target, once the request may be sent."""
+
+    def __init__(
+        self,
+        target_selector: _target_selector.TargetSelector,
+        slot_queue: _slot_queue.SlotQueue,
+        view: _fleet_view.FleetView,
+        retry_budget: dispatch.SharedRetryBudget,
+        crash_guard: _crash_guard.CrashGuard,
+        delegator: _delegator.Delegator,
+        metrics: _entry_metrics.EntryMetrics,
+        clock: clocks.Clock,
+        log: _decision_log.DecisionLog,
+    ) -> None:
+        self._target_selector = target_selector
+        self._slot_queue = slot_queue
+        self._view = view
+        self._retry_budget = retry_budget
+        self._crash_guard = crash_guard
+        self._delegator = delegator
+        self._metrics = metrics
+        self._clock = clock
+        self._log = log
+
+    async def choose(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> dispatch.Target:
+        """Returns the entry or the backend server for the next attempt.
+
+        Raises:
+            ForwardingError: There is none, or the request must not be retried.
+        """
+        entry = self._delegator.choose(exchange)
+        if entry is None:
+            self._check_accusations(exchange, last_error)
+            await self._wait_for_admission(exchange, last_error)
+            # The path to the servers may have been lost during the wait.
+            entry = self._delegator.choose(exchange)
+        if entry is None:
+            return self._next_server(exchange, last_error)
+        if exchange.has_arrived:
+            self._spend_retry(exchange, entry, last_error)
+        return entry
+
+    async def _wait_for_admission(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
+        """Waits until a request may be sent to a backend server."""
+        if not exchange.tried:
+            await self._wait_for_servers(exchange)
+            await self._wait_for_slot(exchange, last_error)
+        elif self._is_limited(exchange):
+            await self._wait_for_slot(exchange, last_error)
+
+    def _next_server(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> dispatch.Target:
+        self._check_accusations(exchange, last_error)
+        target = self._target_selector.choose(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+        if target is None and self._is_limited(exchange):
+            raise _refusals.ForwardingError(
+                self._limit_refusal(exchange, last_error)
+            )
+        if target is None:
+            raise _refusals.ForwardingError(
+                self._no_target_refusal(exchange, last_error)
+            )
+        if exchange.tried:
+            self._spend_retry(exchange, target, last_error)
+        exchange.tried.append(target.server_id)
+        return target
+
+    def _no_target_refusal(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> results.Refusal:
+        rest_ms = self._target_selector.rest_ms(
+            exchange.service, exchange.request_head.model_name
+        )
+        if rest_ms is None:
+            return _refusals.no_target_refusal(exchange, last_error)
+        return _refusals.resting_refusal(
+            exchange, last_error, rest_ms, random.random()
+        )
+
+    def _spend_retry(
+        self,
+        exchange: _exchange.Exchange,
+        target: dispatch.Target,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
+        """Takes a retry from the budget.
+
+        Raises:
+            ForwardingError: The budget is spent.
+        """
+        entry_count = self._view.entry_count
+        now_ms = self._clock.now_ms()
+        if not self._retry_budget.try_acquire(
+            exchange.service, entry_count, now_ms
+        ):
+            code = results.ResultCode.RETRY_BUDGET_SPENT
+            raise _refusals.ForwardingError(
+                _refusals.final_refusal(exchange, code, last_error)
+            )
+        self._metrics.count_retry(
+            last_error.failure if last_error else "resumed"
+        )
+        self._log.write(
+            decisions.Event.SENT_AGAIN,
+            to=target.server_id,
+            failure=last_error.failure if last_error else None,
+            **exchange.log_fields(self._clock),
+        )
+
+    def _check_accusations(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
+        """Checks that a request is not known to crash backend servers.
+
+        Raises:
+            ForwardingError: The request must not run now.
+        """
+        accusation = self._crash_guard.find_accusation(exchange)
+        if accusation is None:
+            return
+        code = results.ResultCode.CRASH_SUSPECTED
+        refusal = _refusals.final_refusal(exchange, code, last_error)
+        if refusal.ran is results.ExecutionStatus.NOT_RUN:
+            retry_after_ms = self._crash_guard.retry_after_ms(accusation)
+            refusal = dataclasses.replace(
+                refusal, retry_after_ms=retry_after_ms
+            )
+        raise _refusals.ForwardingError(refusal)
+
+    async def _wait_for_servers(self, exchange: _exchange.Exchange) -> None:
+        """Waits for the first server reports after a start."""
+        if not self._view.table.is_warmed_up and not self._has_target(exchange):
+            remaining_ms = max(exchange.remaining_ms(self._clock), 0)
+            await _startup_wait.wait_until(
+                lambda: self._has_target(exchange),
+                _startup_wait.wait_limit_ms(remaining_ms),
+            )
+
+    def _is_limited(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether all targets of a request limit their requests."""
+        return self._target_selector.is_limited(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+
+    async def _wait_for_slot(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
+        try:
+            await self._slot_queue.wait(exchange)
+        except _slot_queue.QueueTimeoutError as error:
+            if self._is_limited(exchange):
+                refusal = self._limit_refusal(exchange, last_error)
+                raise _refusals.ForwardingError(refusal) from error
+            code = results.ResultCode.QUEUE_TIMEOUT
+            raise _refusals.ForwardingError(
+                _refusals.final_refusal(exchange, code, last_error)
+            ) from error
+
+    def _limit_refusal(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> results.Refusal:
+        """Returns the refusal of a request that limited servers do not take."""
+        code = results.ResultCode.SERVER_LIMITED
+        refusal = _refusals.final_refusal(exchange, code, last_error)
+        if refusal.ran is not results.ExecutionStatus.NOT_RUN:
+            return refusal
+        wait_ms = self._target_selector.permit_wait_ms(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+        retry_after_ms = max(wait_ms, _refusals.OVERLOAD_RETRY_AFTER_MS)
+        return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
+
+    def _has_target(self, exchange: _exchange.Exchange) -> bool:
+        return self._target_selector.has_untried(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
--- /dev/null
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -0,0 +1,294 @@
+"""Makes one attempt of a request: at a backend server or another entry."""
+
+import asyncio
+import contextlib
+from typing import Final
+
+from lagooncrank import clock as clocks
+from lagooncrank import decisions
+from lagooncrank import model
+from lagooncrank.core import dispatch
+from lagooncrank.core import holds
+from lagooncrank.server.seeded import _adapter
+from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _decision_log
+from lagooncrank.server.seeded import _delegator
+from lagooncrank.server.seeded import _entry_metrics
+from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _reach_monitor
+from lagooncrank.server.seeded import _response_waits
+from lagooncrank.server.seeded import _server_limits
+from lagooncrank.server.seeded import _slot_queue
+from lagooncrank.server.seeded import _target_selector
+
+#: A request that may run again is retried elsewhere if there is no response
+#: within this many times the target latency of its route.
+RESPONSE_TIMEOUT_FACTOR: Final = 4
+MIN_RESPONSE_TIMEOUT_MS: Final = 500
+#: Lowest HTTP status of a server error.
+FIRST_SERVER_ERROR_STATUS: Final = 500
+
+
+class AttemptRunner:
+    """Sends requests, and learns from the heads of the responses."""
+
+    def __init__(
+        self,
+        target_selector: _target_selector.TargetSelector,
+        slot_queue: _slot_queue.SlotQueue,
+        view: _fleet_view.FleetView,
+        client: _attempt.BackendClient,
+        limits: _server_limits.ServerLimits,
+        reach_monitor: _reach_monitor.ReachMonitor,
+        delegator: _delegator.Delegator,
+        metrics: _entry_metrics.EntryMetrics,
+        clock: clocks.Clock,
+        log: _decision_log.DecisionLog,
+    ) -> None:
+        self._target_selector = target_selector
+        self._slot_queue = slot_queue
+        self._view = view
+        self._client = client
+        self._limits = limits
+        self._reach_monitor = reach_monitor
+        self._delegator = delegator
+        self._metrics = metrics
+        self._clock = clock
+        self._log = log
+        self._response_waits = _response_waits.ResponseWaits()
+        view.stall_detector.listeners.append(self._expire_waits)
+        reach_monitor.silence_listeners.append(self._expire_silent_waits)
+
+    async def start(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> _attempt.BackendResponse:
+        """Sends a request to a target and waits for the response's head.
+
+        The caller of this method must call `close` unless it fails.
+
+        Raises:
+            AttemptFailedError: No response for the caller arrived.
+            ForwardingError: Another entry refused the request.
+        """
+        if target.is_entry:
+            return await self._start_delegation(exchange, target)
+        self._view.loads.begin(target.server_id)
+        self._slot_queue.begin(exchange)
+        if target.group:
+            self._view.stall_detector.progress.begin(
+                target.server_id, exchange.number, self._clock.now_ms()
+            )
+        is_open = False
+        try:
+            backend_response = await self._send_request(exchange, target)
+            is_open = True
+        finally:
+            if not is_open:
+                self.close(exchange, target)
+        self._target_selector.backoff.record_success(target.server_id)
+        exchange.begin_run(self._clock.now_ms())
+        if exchange.route.kind is model.RequestKind.STREAM:
+            # The server owes events from now on.
+            self._reach_monitor.silence.begin(exchange.number, target.server_id)
+        return backend_response
+
+    def close(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> None:
+        """Records that a request no longer runs at its target."""
+        if target.is_entry:
+            self._delegator.end(target)
+            return
+        self._reach_monitor.silence.end(exchange.number)
+        self._view.loads.end(target.server_id)
+        self._slot_queue.end(exchange)
+        self._view.stall_detector.progress.end(
+            target.server_id, exchange.number
+        )
+
+    async def _start_delegation(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> _attempt.BackendResponse:
+        """Delegates a request to another entry."""
+        self._delegator.begin(target)
+        wait_ms = self._delegation_timeout_ms(exchange)
+        is_open = False
+        try:
+            async with asyncio.timeout(wait_ms / clocks.MS_PER_S):
+                backend_response = await self._delegator.open(exchange, target)
+            is_open = True
+            if (leaving := exchange.leaving_server) is not None:
+                # The caller gets the response of that server from this entry.
+                self._record_availability(
+                    leaving, holds.StatedAvailability(is_leaving=True)
+                )
+        except TimeoutError as error:
+            failure = _attempt.AttemptFailedError(
+                _attempt.FailureKind.TIMED_OUT,
+                f"no response of an entry within {wait_ms} ms",
+            )
+            self._delegator.record_failure(target, failure)
+            raise failure from error
+        finally:
+            if not is_open:
+                self._delegator.end(target)
+        exchange.begin_run(self._clock.now_ms())
+        return backend_response
+
+    async def _send_request(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> _attempt.BackendResponse:
+        metadata = exchange.forwarding_metadata(target, self._clock)
+        wait_ms = self._response_timeout_ms(exchange)
+        sent_ms = self._clock.now_ms()
+        observer = self._reach_monitor.observe(target.server_id)
+        try:
+            async with asyncio.timeout(wait_ms / clocks.MS_PER_S) as timeout:
+                with self.register_wait(exchange, target, timeout):
+                    backend_response = await self._client.open(
+                        target,
+                        exchange.request_head,
+                        metadata,
+                        exchange.body,
+                        observer=observer,
+                    )
+        except TimeoutError as error:
+            failure = _attempt.AttemptFailedError(
+                _attempt.FailureKind.TIMED_OUT,
+                f"no response within {wait_ms} ms",
+            )
+            self._reach_monitor.record_failure(
+                exchange.service, observer, failure
+            )
+            raise failure from error
+        except _attempt.AttemptFailedError as error:
+            self._reach_monitor.record_failure(
+                exchange.service, observer, error
+            )
+            if error.head is not None and not error.head.is_other_server:
+                self._record_statements(target, error.head, sent_ms)
+            raise
+        finally:
+            observer.end()
+        self._reach_monitor.record_response(exchange.service, observer)
+        self._record_statements(target, backend_response.head, sent_ms)
+        if (
+            backend_response.head.status >= FIRST_SERVER_ERROR_STATUS
+            and self._may_retry(exchange)
+        ):
+            backend_response.close()
+            raise _attempt.AttemptFailedError(
+                _attempt.FailureKind.SERVER_ERROR,
+                str(backend_response.head.status),
+            )
+        return backend_response
+
+    def _record_statements(
+        self,
+        target: dispatch.Target,
+        head: _adapter.ResponseHead,
+        sent_ms: int,
+    ) -> None:
+        """Records what a response says about its server.
+
+        Args:
+            target: The server.
+            head: Head of the response.
+            sent_ms: When the request was sent.
+        """
+        self._limits.record_response(target, head.limit, sent_ms)
+        self._record_availability(target.process, head.availability)
+
+    def _record_availability(
+        self, process: holds.Process, stated: holds.StatedAvailability
+    ) -> None:
+        """Records whether a server takes new requests, by its own word."""
+        is_new = self._target_selector.holds.record(
+            process, stated, self._clock.now_ms()
+        )
+        if not is_new:
+            return
+        server_id, born_ms = process
+        if stated.is_leaving:
+            self._metrics.count_hold("leaving")
+            self._log.write(
+                decisions.Event.SERVER_LEAVING,
+                server=server_id,
+                born_ms=born_ms,
+            )
+        if stated.rest_ms:
+            self._metrics.count_hold("rest")
+            self._log.write(
+                decisions.Event.SERVER_RESTING,
+                server=server_id,
+                born_ms=born_ms,
+                rest_ms=stated.rest_ms,
+            )
+
+    def _response_timeout_ms(self, exchange: _exchange.Exchange) -> int:
+        """Returns how long to wait for the head of a response."""
+        remaining_ms = max(exchange.remaining_ms(self._clock), 0)
+        if not self._may_retry(exchange):
+            return remaining_ms
+        target_ms = exchange.route.target_latency_ms
+        return min(
+            remaining_ms,
+            max(RESPONSE_TIMEOUT_FACTOR * target_ms, MIN_RESPONSE_TIMEOUT_MS),
+        )
+
+    def _delegation_timeout_ms(self, exchange: _exchange.Exchange) -> int:
+        """Returns how long to wait for the head of an entry's response.
+
+        It is long enough for a retry by that entry.
+        """
+        remaining_ms = max(exchange.remaining_ms(self._clock), 0)
+        if not exchange.route.is_retry_safe:
+            return remaining_ms
+        wait_ms = RESPONSE_TIMEOUT_FACTOR * exchange.route.target_latency_ms
+        return min(remaining_ms, 2 * max(wait_ms, MIN_RESPONSE_TIMEOUT_MS))
+
+    def _may_retry(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether a request may run again if this attempt fails."""
+        route = exchange.route
+        if (
+            not route.is_retry_safe
+            or exchange.possible_runs + 1 >= route.max_attempts
+        ):
+            return False
+        return self._target_selector.has_untried(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+
+    def register_wait(
+        self,
+        exchange: _exchange.Exchange,
+        target: dispatch.Target,
+        timeout: asyncio.Timeout,
+    ) -> contextlib.AbstractContextManager[None]:
+        """Returns a context in which the wait expires if its server stalls."""
+        return self._response_waits.register(
+            target.server_id, exchange, timeout
+        )
+
+    def _expire_waits(self, servers: frozenset[str]) -> None:
+        """Expires waits at stalled servers, so that their requests are retried.
+
+        Only overdue requests that may still be retried are affected.
+        """
+        now_ms = self._clock.now_ms()
+        self._response_waits.expire(
+            servers,
+            lambda server_id, exchange: (
+                self._view.stall_detector.progress.is_overdue(
+                    server_id, exchange.number, now_ms
+                )
+                and self._may_retry(exchange)
+            ),
+        )
+
+    def _expire_silent_waits(self, servers: frozenset[str]) -> None:
+        """Expires waits at servers that this entry has lost its path to."""
+        self._response_waits.expire(
+            servers, lambda _server_id, exchange: self._may_retry(exchange)
+        )
--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -1,5 +1,7 @@
 """HTTP server for requests that other entries delegate to this one."""
 
+from typing import Final
+
 from aiohttp import web
 
 from lagooncrank import clock as clocks
@@ -18,6 +20,11 @@
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _reach_metrics
 from lagooncrank.server.seeded import _refusals
+from lagooncrank.server.seeded import _startup_wait
+
+#: Longest wait for a document that the sender has already; entries that can
+#: reach the control nodes have it within this time of each other.
+DOCUMENT_WAIT_MS: Final = 500
 
 
 class DelegationServer:
@@ -64,6 +71,7 @@
             )
             sender = delegated.sender
             body = await self._caller_server.read_body(request)
+            await self._wait_for_document(delegated)
             exchange = self._admit(request_head, delegated, body)
         except _refusals.ForwardingError as error:
             return self._refuse(request_head, sender, error.refusal)
@@ -112,6 +120,22 @@
             delegated_by=delegated.sender,
         )
 
+    async def _wait_for_document(
+        self, delegated: _delegated_request.DelegatedRequest
+    ) -> None:
+        """Waits for the document that the sender admitted the request by.
+
+        It is on its way to all entries at about the same time.
+        """
+        await _startup_wait.wait_until(
+            lambda: self._has_document(delegated.document_version),
+            min(DOCUMENT_WAIT_MS, delegated.remaining_ms),
+        )
+
+    def _has_document(self, version: int) -> bool:
+        catalog = self._documents.catalog
+        return catalog is not None and catalog.config.version >= version
+
     def _check_ready(
         self, delegated: _delegated_request.DelegatedRequest
     ) -> catalogs.Catalog:
@@ -122,9 +146,8 @@
                 no path to the service either.
         """
         catalog = self._documents.catalog
-        if (
-            catalog is None
-            or catalog.config.version < delegated.document_version
+        if catalog is None or not self._has_document(
+            delegated.document_version
         ):
             raise _refusals.ForwardingError(
                 _refusal("this entry's document is older")
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -83,10 +83,13 @@
         node_proxies = [p for n in self.nodes for p in n.proxies]
         return [*node_proxies, *self._server_proxies.values()]
 
-    async def start(self) -> None:
+    async def start(self, callers: int = CALLER_COUNT) -> None:
         """Starts everything.
 
         Callers and the operator start before the system serves requests.
+
+        Args:
+            callers: Number of callers.
         """
         self.started_s = asyncio.get_running_loop().time()
         await asyncio.gather(*(node.start() for node in self.nodes))
@@ -94,7 +97,7 @@
             await self.add_server("writers", "d1")
         for _ in range(2):
             await self.add_server("desk", "")
-        clients = [self.callers.run() for _ in range(CALLER_COUNT)]
+        clients = [self.callers.run() for _ in range(callers)]
         clients.append(self.operator.run())
         self._tasks = [asyncio.create_task(c) for c in clients]
 
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -133,6 +133,12 @@
         lines = self._log_file.read_text(errors="replace").splitlines()
         return lines[-1] if lines else ""
 
+    @property
+    def process_id(self) -> int:
+        """Id of the process, which has been started."""
+        assert self._process is not None
+        return self._process.pid
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
         if self.is_running and self._process is not None:
