Send no booking over a path that is known to fail

A booking that no other entry accepted was sent to a server all the same, through an entry whose probes of the service fail; it ended with 502 and an unknown outcome although it need not have been sent.

While a service is confirmed as unreached, requests that may run once, and those that other entries did not serve, are refused as not run. Others may try the direct way: if the servers were down, that costs no outcome. So that a busy server does not confirm it, a health check that times out counts only if no server was heard meanwhile.

--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -55,6 +55,16 @@
     TOO_LARGE = "response_too_large"
 
 
+class ProbeOutcome(enum.StrEnum):
+    """Outcome of a health check."""
+
+    RESPONSE = "response"
+    #: The connection was refused or lost.
+    FAILURE = "failure"
+    #: Nothing arrived in time; the server may only be busy.
+    TIMEOUT = "timeout"
+
+
 class AttemptFailedError(Exception):
     """An attempt yielded no response for the caller."""
 
@@ -185,8 +195,10 @@
         if self._connector is not None:
             self._connector.close_idle()
 
-    async def probe(self, address: str, path: str, timeout_ms: int) -> bool:
-        """Returns whether a server responds on a new connection.
+    async def probe(
+        self, address: str, path: str, timeout_ms: int
+    ) -> ProbeOutcome:
+        """Returns how a server responds to a request on a new connection.
 
         Args:
             address: Address of the server, "ip:port".
@@ -200,10 +212,12 @@
                 asyncio.timeout(timeout_ms / clocks.MS_PER_S),
                 self._probe_session.get(url, allow_redirects=False),
             ):
-                return True
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+                return ProbeOutcome.RESPONSE
+        except TimeoutError:
+            return ProbeOutcome.TIMEOUT
+        except (aiohttp.ClientError, OSError, ValueError):
             # The caller counts and logs what the outcome means.
-            return False
+            return ProbeOutcome.FAILURE
 
     def _create_socket(self, address_info: tuple[Any, ...]) -> socket.socket:
         return _sockets.client_socket(address_info, self.source_ip)
--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -56,6 +56,11 @@
             ForwardingError: There is none, or the request must not be retried.
         """
         entry = self._delegator.choose(exchange)
+        if entry is None and self._delegator.must_refuse(exchange):
+            code = results.ResultCode.NO_BACKEND_SERVER
+            raise _refusals.ForwardingError(
+                _refusals.final_refusal(exchange, code, last_error)
+            )
         if entry is None:
             self._check_accusations(exchange, last_error)
             await self._wait_for_admission(exchange, last_error)
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -79,6 +79,16 @@
             is_entry=True,
         )
 
+    def must_refuse(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether a request that is not delegated must be refused.
+
+        It must not use a path that is known to fail if other entries did not
+        serve it either, or if its outcome would be unknown for good.
+        """
+        if exchange.service not in self._detector.confirmed_unreached():
+            return False
+        return bool(exchange.delegates) or not exchange.route.is_retry_safe
+
     def _choose_entry(
         self, exchange: _exchange.Exchange
     ) -> fleet.OpenEntry | None:
--- a/lagooncrank/server/seeded/_reach_metrics.py
+++ b/lagooncrank/server/seeded/_reach_metrics.py
@@ -33,9 +33,9 @@
             registry=registry,
         )
 
-    def count_probe(self, *, is_alive: bool) -> None:
+    def count_probe(self, outcome: str) -> None:
         """Counts a probe."""
-        self._probes.labels("response" if is_alive else "failure").inc()
+        self._probes.labels(outcome).inc()
 
     def count_change(self, *, is_reached: bool) -> None:
         """Counts a confirmed change of a service."""
--- a/lagooncrank/server/seeded/_reach_monitor.py
+++ b/lagooncrank/server/seeded/_reach_monitor.py
@@ -121,15 +121,20 @@
             self.detector.record_connected(service, self._clock.now_ms())
             return
         server = random.choice(untested or servers)
-        is_alive = await self._client.probe(
+        outcome = await self._client.probe(
             server.address, self._health_path(service), PROBE_TIMEOUT_MS
         )
-        self._metrics.count_probe(is_alive=is_alive)
+        self._metrics.count_probe(outcome)
         now_ms = self._clock.now_ms()
-        if is_alive:
+        if outcome is _attempt.ProbeOutcome.RESPONSE:
             self.silence.record_heard()
             self.detector.record_connected(service, now_ms)
-        else:
+        elif (
+            outcome is _attempt.ProbeOutcome.FAILURE
+            or self.silence.heard_ago_ms >= PROBE_TIMEOUT_MS
+        ):
+            # A timeout while servers are heard may only mean that this one is
+            # busy.
             self.detector.record_probe_failed(service, server.server_id, now_ms)
 
     def _health_path(self, service: model.ServiceName) -> str:
