Soak: compare cut-off entries with others that work at the same time

The traces show spans in which all three entries were cut off by overlapping faults: there was nobody to serve their requests, nor anybody to compare with, as the rule does. The check now counts requests only while an entry has been cut off, and another one not, for three seconds each; its bounds are the same. One entry is spared more often, so that there are such spans.

--- a/soak/_cuts.py
+++ b/soak/_cuts.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Final
 
 from soak import _proxy
@@ -22,13 +23,20 @@
 
     Args:
         server_proxies: Proxies of the backend servers, as they are now.
+        entry_ips: Addresses of all entries.
     """
 
-    def __init__(self, server_proxies: Mapping[str, _proxy.Proxy]) -> None:
+    def __init__(
+        self,
+        server_proxies: Mapping[str, _proxy.Proxy],
+        entry_ips: Sequence[str],
+    ) -> None:
         self._server_proxies = server_proxies
+        self._entry_ips = entry_ips
         self._cuts: dict[str, _proxy.CutKind] = {}
-        #: When each cut began, on the event loop's clock.
-        self._began_s: dict[str, float] = {}
+        #: When each entry was cut off or joined last, on the event loop's
+        #: clock.
+        self._changed_s: dict[str, float] = {}
         #: Requests by whether their entry is cut off, and whether served.
         self._outcomes: collections.Counter[tuple[bool, bool]] = (
             collections.Counter()
@@ -39,7 +47,7 @@
         if ip in self._cuts:
             return False
         self._cuts[ip] = kind
-        self._began_s[ip] = asyncio.get_running_loop().time()
+        self._changed_s[ip] = asyncio.get_running_loop().time()
         for proxy in list(self._server_proxies.values()):
             await proxy.cut(ip, kind)
         return True
@@ -47,7 +55,7 @@
     async def join(self, ip: str) -> None:
         """Ends a cut."""
         del self._cuts[ip]
-        del self._began_s[ip]
+        self._changed_s[ip] = asyncio.get_running_loop().time()
         for proxy in list(self._server_proxies.values()):
             await proxy.join(ip)
 
@@ -59,15 +67,20 @@
     def group_of(self, ip: str) -> bool | None:
         """Returns whether an entry is cut off; None while that is new.
 
-        Requests count only while some entries are cut off and others are not.
+        Requests count only while some entries are cut off and others are not,
+        each for long enough.
         """
-        if not self._cuts:
+        settled = {
+            e: e in self._cuts for e in self._entry_ips if self._is_settled(e)
+        }
+        if len(set(settled.values())) < 2:
             return None
-        began_s = self._began_s.get(ip)
-        if began_s is None:
-            return False
-        passed_s = asyncio.get_running_loop().time() - began_s
-        return True if passed_s >= SETTLING_S else None
+        return settled.get(ip)
+
+    def _is_settled(self, ip: str) -> bool:
+        changed_s = self._changed_s.get(ip)
+        now_s = asyncio.get_running_loop().time()
+        return changed_s is None or now_s - changed_s >= SETTLING_S
 
     def record(self, group: bool | None, *, is_served: bool) -> None:
         """Records a request, sent while its entry was in a group."""
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -63,7 +63,9 @@
         #: Time at which the start began, on the event loop's clock.
         self.started_s = 0.0
         self.disk_loss_lock = _disk_loss_lock.DiskLossLock()
-        self.cuts = _cuts.EntryCuts(self._server_proxies)
+        self.cuts = _cuts.EntryCuts(
+            self._server_proxies, [e.ip for e in self.entries]
+        )
         self.callers = _callers.Callers(
             self.entries, self.history, self.random, self.cuts
         )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -25,6 +25,7 @@
 #: Cuts last longer than other faults by this factor.
 CUT_DURATION_FACTOR: Final = 4
 FLAP_INTERVAL_S: Final = 2.0
+CUT_ALL_PROBABILITY: Final = 0.1
 
 #: Kinds that cut entries off from backend servers, and nothing else.
 CUT_FAULTS: Final = ("cut-entries", "flap-entry")
@@ -152,6 +153,15 @@
     await _impair_some(deployment, random_, duration_s, impairment)
 
 
+def _entries_to_cut(
+    deployment: _deployment.Deployment, random_: random.Random
+) -> list[_nodes.Node]:
+    """Returns all entries, or more often all but one that serves on."""
+    if random_.random() < CUT_ALL_PROBABILITY:
+        return deployment.entries
+    return deployment.entries[1:]
+
+
 @FAULTS.register("cut-entries")
 async def cut_entries(
     deployment: _deployment.Deployment,
@@ -159,8 +169,9 @@
     duration_s: float,
 ) -> None:
     """Cuts some entries off from all backend servers, in one of the ways."""
-    count = random_.randint(1, max(len(deployment.entries) - 1, 1))
-    entries = random_.sample(deployment.entries, k=count)
+    candidates = _entries_to_cut(deployment, random_)
+    count = random_.randint(1, len(candidates))
+    entries = random_.sample(candidates, k=count)
     kind = random_.choice(list(_proxy.CutKind))
     cut = [e for e in entries if await deployment.cuts.cut(e.ip, kind)]
     await asyncio.sleep(duration_s * CUT_DURATION_FACTOR)
@@ -175,7 +186,7 @@
     duration_s: float,
 ) -> None:
     """Cuts one entry off again and again, for two seconds each."""
-    entry = random_.choice(deployment.entries)
+    entry = random_.choice(_entries_to_cut(deployment, random_))
     for _ in range(3):
         kind = random_.choice(list(_proxy.CutKind))
         if await deployment.cuts.cut(entry.ip, kind):
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -18,6 +18,17 @@
 PROGRAM: Final = pathlib.Path("platform") / "run.py"
 STOP_TIMEOUT_S: Final = 20.0
 START_POLL_S: Final = 0.1
+#: What a node or its proxies listen on at ports of their own; "proxy" is for
+#: callers or operators, and "public" is what it forwards to.
+ADDRESS_NAMES: Final = (
+    "peers",
+    "proxy",
+    "public",
+    "delegations",
+    "readiness",
+    "directory",
+    "metrics",
+)
 
 
 class StartError(Exception):
@@ -56,12 +67,20 @@
         self._process: asyncio.subprocess.Process | None = None
         self._start_lock = asyncio.Lock()
         #: Proxies for peers, and for callers or operators.
-        self.peer_proxy = self._proxy_at(f"{ip}:{shared.peer_port}")
-        self.public_proxy = self._proxy_at(
-            f"{ip}:{local_cluster.free_port(ip)}"
+        self._addresses = {
+            name: f"{ip}:{port}"
+            for name, port in zip(
+                ADDRESS_NAMES,
+                local_cluster.free_ports(len(ADDRESS_NAMES)),
+                strict=True,
+            )
+        }
+        self.peer_proxy = _proxy.Proxy(
+            f"{ip}:{shared.peer_port}", self._addresses["peers"]
+        )
+        self.public_proxy = _proxy.Proxy(
+            self._addresses["proxy"], self._addresses["public"]
         )
-
-        self._delegation_address = f"{ip}:{local_cluster.free_port(ip)}"
 
     @property
     def proxies(self) -> tuple[_proxy.Proxy, ...]:
@@ -171,10 +190,6 @@
         """Rewrites the settings file, as an operator's tool does."""
         self._write_settings()
 
-    def _proxy_at(self, listen_address: str) -> _proxy.Proxy:
-        target_address = f"{self.ip}:{local_cluster.free_port(self.ip)}"
-        return _proxy.Proxy(listen_address, target_address)
-
     def _write_settings(self) -> None:
         is_control = self.role == "control"
         listen = {"peers": self.peer_proxy.target_address}
@@ -182,14 +197,9 @@
             self.public_proxy.target_address
         )
         if not is_control:
-            listen["delegations"] = self._delegation_address
-            listen["readiness"] = (
-                f"{self.ip}:{local_cluster.free_port(self.ip)}"
-            )
-            listen["directory"] = (
-                f"{self.ip}:{local_cluster.free_port(self.ip)}"
-            )
-        listen["metrics"] = f"{self.ip}:{local_cluster.free_port(self.ip)}"
+            for name in ("delegations", "readiness", "directory"):
+                listen[name] = self._addresses[name]
+        listen["metrics"] = self._addresses["metrics"]
         content = {
             "role": self.role,
             "ip": self.ip,
