Take no retry from the budget after failed connections

A request whose first server refused the connection was refused with RETRY_BUDGET_SPENT once the budget was used up, although no server had received it.

The budget bounds what arrives at servers beyond the first attempt of each request. It was charged whenever another server had been chosen before. Now it is charged once a server may have received the request.

test_retry_budget.py failed before (503 for the first of six requests).

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -69,7 +69,7 @@
         if entry is None:
             return self._next_server(exchange, last_error)
         if exchange.has_arrived:
-            self._spend_retry(exchange, entry, last_error)
+            self._record_retry(exchange, entry, last_error)
         return entry
 
     async def _wait_for_admission(
@@ -102,7 +102,7 @@
                 self._no_target_refusal(exchange, last_error)
             )
         if exchange.tried:
-            self._spend_retry(exchange, target, last_error)
+            self._record_retry(exchange, target, last_error)
         exchange.tried.append(target.server_id)
         return target
 
@@ -120,21 +120,22 @@
             exchange, last_error, rest_ms, random.random()
         )
 
-    def _spend_retry(
+    def _record_retry(
         self,
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         last_error: _attempt.AttemptFailedError | None,
     ) -> None:
-        """Takes a retry from the budget.
+        """Counts a retry, and takes it from the budget.
+
+        The budget limits what arrives at servers beyond the first attempt, so
+        an attempt after failed connections takes nothing from it.
 
         Raises:
             ForwardingError: The budget is spent.
         """
-        entry_count = self._view.entry_count
-        now_ms = self._clock.now_ms()
-        if not self._retry_budget.try_acquire(
-            exchange.service, entry_count, now_ms
+        if exchange.has_arrived and not self._retry_budget.try_acquire(
+            exchange.service, self._view.entry_count, self._clock.now_ms()
         ):
             code = results.ResultCode.RETRY_BUDGET_SPENT
             raise _refusals.ForwardingError(
