Keep the fleet summary small: delegate to one port on every entry

The summary goes to every entry with each round of notices. With an address for delegations, the unreached services and a flag for each entry it had 103 bytes an entry, twice as many as before (83 entries: 8.5 KB every 0.7 s, against a budget of 6 KB/s for all control traffic of a node). Entries now listen for delegated requests at the same port everywhere, like nodes for peer links, and the summary names only the entries that lack a path.

An entry of an older version does not listen there: the connection is refused and another entry is asked.

--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -7,6 +7,7 @@
 from lagooncrank.core.fleet._nodes import NodeNotices
 from lagooncrank.core.fleet._nodes import NodeTable
 from lagooncrank.core.fleet._nodes import OpenEntry
+from lagooncrank.core.fleet._nodes import without_cut_off
 from lagooncrank.core.fleet._servers import AgedReport
 from lagooncrank.core.fleet._servers import Renewal
 from lagooncrank.core.fleet._servers import ReportBatch
@@ -28,4 +29,5 @@
     "ServerRecord",
     "ServerTable",
     "choose_entries",
+    "without_cut_off",
 ]
--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -1,5 +1,6 @@
 """Live nodes, derived from the notices that they send and renew."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -40,9 +41,6 @@
     working: tuple[str, ...] = ()
     #: Servers at which a request has just timed out before its first event.
     suspected: tuple[str, ...] = ()
-    #: Address for requests that other entries delegate; empty if the node does
-    #: not accept them.
-    delegation_address: str = ""
     #: Services that the node has no path to.
     unreached: tuple[model.ServiceName, ...] = ()
     #: Whether the node has a path to no service at all.
@@ -65,13 +63,11 @@
     #: Address for callers, "ip:port".
     address: str
     failure_domain: model.FailureDomainId
-    #: Address for requests that other entries delegate; empty if the entry does
-    #: not accept them.
-    delegation_address: str = ""
-    #: Services that the entry has no path to.
-    unreached: tuple[model.ServiceName, ...] = ()
-    #: Whether the entry has a path to no service at all.
-    is_cut_off: bool = False
+
+    @property
+    def ip(self) -> str:
+        """IP address of the entry."""
+        return self.address.rpartition(":")[0]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +80,13 @@
     in_flight: dict[str, int]
     #: Servers whose response streams have stalled at any entry.
     stalled: tuple[str, ...] = ()
+    #: Services that an entry has no path to, by its address for callers. Most
+    #: of the time there are none: the summary goes to every entry often.
+    unreached: dict[str, tuple[model.ServiceName, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    #: Addresses of entries that have a path to no service at all.
+    cut_off: tuple[str, ...] = ()
 
 
 class NodeTable:
@@ -135,13 +138,7 @@
     def open_entries(self, now_ms: int) -> tuple[OpenEntry, ...]:
         """Returns the entries that accept new requests, ordered by address."""
         found = [
-            OpenEntry(
-                n.address,
-                n.failure_domain,
-                n.delegation_address,
-                n.unreached,
-                n.is_cut_off,
-            )
+            OpenEntry(n.address, n.failure_domain)
             for n in self.live(now_ms)
             if n.role is model.NodeRole.ENTRY and n.is_open
         ]
@@ -170,8 +167,14 @@
             self.open_entries(now_ms),
             in_flight,
             tuple(sorted(self.stalled(now_ms))),
+            {n.address: n.unreached for n in live if n.unreached},
+            self.cut_off(now_ms),
         )
 
+    def cut_off(self, now_ms: int) -> tuple[str, ...]:
+        """Returns the addresses of entries without a path to any service."""
+        return tuple(n.address for n in self.live(now_ms) if n.is_cut_off)
+
     def stalled(self, now_ms: int) -> set[str]:
         """Returns the servers whose streams have stalled at any entry."""
         return {s for n in self.live(now_ms) for s in n.stalled}
@@ -185,6 +188,13 @@
         return {s for n in self.live(now_ms) for s in n.working}
 
 
+def without_cut_off(
+    entries: Sequence[OpenEntry], cut_off: Collection[str]
+) -> Sequence[OpenEntry]:
+    """Returns the entries with a path to any service, or all if none has."""
+    return [e for e in entries if e.address not in cut_off] or entries
+
+
 def choose_entries(
     entries: Sequence[OpenEntry],
     max_entries: int,
@@ -193,10 +203,9 @@
 ) -> Sequence[OpenEntry]:
     """Returns the entries to report to one caller.
 
-    Entries that have no path to any backend server are left out, unless all
-    are such. If the caller's failure domain has enough entries, only these are
-    returned, as they are close and traffic between domains is paid for. Over
-    many callers each entry is returned equally often.
+    If the caller's failure domain has enough entries, only these are returned,
+    as they are close and traffic between domains is paid for. Over many
+    callers each entry is returned equally often.
 
     Args:
         entries: Entries that accept new requests.
@@ -204,7 +213,6 @@
         caller_domain: Failure domain of the caller.
         draw: Random number, 0.0 to 1.0, that selects the first entry.
     """
-    entries = [e for e in entries if not e.is_cut_off] or entries
     local = [e for e in entries if e.failure_domain == caller_domain]
     found = local if len(local) >= ENOUGH_LOCAL_ENTRIES else entries
     if len(found) <= max_entries:
--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -44,7 +44,7 @@
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
     ) -> None:
-        self._address = node_settings.listen.delegations
+        self._address = node_settings.delegation_address(node_settings.ip)
         self._codec = _delegated_request.DelegationCodec(
             node_settings.shared_key.encode()
         )
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -11,7 +11,6 @@
 from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.core import dispatch
-from lagooncrank.core import fleet
 from lagooncrank.core import reach
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
@@ -24,6 +23,7 @@
 
 #: Entries that one request is delegated to at most, one after the other.
 MAX_DELEGATIONS: Final = 3
+UNKNOWN_DOMAIN: Final = model.FailureDomainId("")
 
 
 class Delegator:
@@ -67,14 +67,14 @@
             or self._detector.is_reached(exchange.service)
         ):
             return None
-        entry = self._choose_entry(exchange)
-        if entry is None:
+        address = self._choose_address(exchange)
+        if address is None:
             return None
         return dispatch.Target(
-            model.BackendServerId(entry.delegation_address),
-            entry.delegation_address,
+            model.BackendServerId(address),
+            address,
             exchange.service,
-            entry.failure_domain,
+            UNKNOWN_DOMAIN,
             slots=0,
             is_entry=True,
         )
@@ -89,15 +89,18 @@
             return False
         return bool(exchange.delegates) or not exchange.route.is_retry_safe
 
-    def _choose_entry(
-        self, exchange: _exchange.Exchange
-    ) -> fleet.OpenEntry | None:
+    def _choose_address(self, exchange: _exchange.Exchange) -> str | None:
+        if not self._settings.delegation_port:
+            return None
         now_ms = self._clock.now_ms()
+        avoided = self._backoff.avoided(now_ms).union(exchange.delegates)
+        addresses = (
+            self._settings.delegation_address(entry.ip)
+            for entry in self._view.entries_that_reach(exchange.service, now_ms)
+        )
         return reach.choose_delegate(
-            self._view.known_entries(now_ms),
-            self._settings.listen.callers,
-            exchange.service,
-            self._backoff.avoided(now_ms).union(exchange.delegates),
+            (a for a in addresses if a not in avoided),
+            self._settings.delegation_address(self._settings.ip),
             self._in_flight,
             (random.random(), random.random()),
         )
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -5,6 +5,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Final
 
 import mode
@@ -82,6 +85,12 @@
         self.entry_count = 1
         #: Services that this entry has no path to.
         self.unreached: tuple[model.ServiceName, ...] = ()
+        #: The same of all entries, by their addresses for callers.
+        self._unreached_elsewhere: Mapping[
+            str, tuple[model.ServiceName, ...]
+        ] = {}
+        #: Entries that have a path to no service, by the same addresses.
+        self._cut_off_entries: tuple[str, ...] = ()
         self._first_summary_ms: int | None = None
         self._cached_entries = fleet.CachedEntryList()
         #: Called after backend servers or stalled servers may have changed.
@@ -150,18 +159,27 @@
         first_ms = self._first_summary_ms
         return first_ms is not None and now_ms - first_ms >= LOADS_SETTLING_MS
 
-    def open_entries(self, now_ms: int) -> tuple[fleet.OpenEntry, ...]:
+    def open_entries(self, now_ms: int) -> Sequence[fleet.OpenEntry]:
         """Returns the entries that callers may be directed to."""
         if self.is_control:
-            return self.nodes.open_entries(now_ms)
+            entries = self.nodes.open_entries(now_ms)
+            return fleet.without_cut_off(entries, self.nodes.cut_off(now_ms))
         own_address = self._settings.listen.callers
-        return self._cached_entries.entries_for_callers(
+        entries = self._cached_entries.entries_for_callers(
             now_ms, "" if self.is_open else own_address
         )
+        return fleet.without_cut_off(entries, self._cut_off_entries)
 
-    def known_entries(self, now_ms: int) -> tuple[fleet.OpenEntry, ...]:
-        """Returns all open entries, also those that callers are not sent to."""
-        return self._cached_entries.entries_for_callers(now_ms)
+    def entries_that_reach(
+        self, service: model.ServiceName, now_ms: int
+    ) -> Iterator[fleet.OpenEntry]:
+        """Yields the other open entries that have a path to a service."""
+        own_address = self._settings.listen.callers
+        for entry in self._cached_entries.entries_for_callers(
+            now_ms, own_address
+        ):
+            if service not in self._unreached_elsewhere.get(entry.address, ()):
+                yield entry
 
     def publish_reach(self, unreached: tuple[model.ServiceName, ...]) -> None:
         """Publishes which services this entry has no path to."""
@@ -216,7 +234,6 @@
             tuple(self.stall_detector.stalled_locally),
             tuple(self.stall_detector.progress.working(now_ms)),
             tuple(self.stall_detector.suspected(now_ms)),
-            self._settings.listen.delegations,
             self.unreached,
             bool(self.unreached)
             and self.table.ready_services().issubset(self.unreached),
@@ -331,6 +348,8 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         self._cached_entries.update(summary.open_entries, now_ms)
+        self._unreached_elsewhere = summary.unreached
+        self._cut_off_entries = summary.cut_off
         self.entry_count = len(summary.open_entries)
         self.loads.set_fleet_totals(summary.in_flight)
         if self._first_summary_ms is None:
--- a/lagooncrank/settings/_seeded.py
+++ b/lagooncrank/settings/_seeded.py
@@ -18,8 +18,6 @@
     #: behind network address translation.
     peers: str = ""
     metrics: str = ""
-    #: Address for requests that other entries delegate to this one.
-    delegations: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +65,9 @@
         default_factory=model.RetryBudgetRules
     )
     loads: LoadSettings = LoadSettings()
+    #: Port for requests that entries delegate to each other, the same on every
+    #: entry; 0 if they do not.
+    delegation_port: int = 0
     #: Local IP address of connections to backend servers; empty for the
     #: kernel's choice.
     source_ip: str = ""
@@ -86,3 +87,7 @@
     def peer_address(self, node_id: model.NodeId) -> str:
         """Returns the address for peer links of another node."""
         return f"{node_id}:{self.peer_port}"
+
+    def delegation_address(self, ip: str) -> str:
+        """Returns an entry's address for delegated requests; empty if none."""
+        return f"{ip}:{self.delegation_port}" if self.delegation_port else ""
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -44,9 +44,11 @@
         ips = [
             f"{network}.{n}" for n in range(1, CONTROL_NODE_COUNT + entries + 1)
         ]
+        peer_port, delegation_port = local_cluster.free_ports(2)
         shared = _nodes.SharedSettings(
             folder,
-            local_cluster.free_port(ips[0]),
+            peer_port,
+            delegation_port,
             tuple(f"{ip}:1" for ip in ips[:CONTROL_NODE_COUNT]),
         )
         self.controls = [
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -24,7 +24,6 @@
     "peers",
     "proxy",
     "public",
-    "delegations",
     "readiness",
     "directory",
     "metrics",
@@ -50,6 +49,7 @@
     #: Folder for the nodes' data, settings and logs.
     folder: pathlib.Path
     peer_port: int
+    delegation_port: int
     seeds: tuple[str, ...]
 
 
@@ -197,7 +197,7 @@
             self.public_proxy.target_address
         )
         if not is_control:
-            for name in ("delegations", "readiness", "directory"):
+            for name in ("readiness", "directory"):
                 listen[name] = self._addresses[name]
         listen["metrics"] = self._addresses["metrics"]
         content = {
@@ -205,6 +205,7 @@
             "ip": self.ip,
             "failure_domain_id": "a",
             "peer_port": self._shared.peer_port,
+            "delegation_port": self._shared.delegation_port,
             "seeds": list(self._shared.seeds),
             "shared_key": "soak",
             "is_first_start": self._is_first_start,
