Refuse with a code and time of its own while no entry has a path

A booking that nobody could serve was refused as NO_BACKEND_SERVER with the time in which a group forms, 1.5 s, which most callers of bookings do not have. SERVICE_UNREACHED names the reason in counters and logs, and 0.5 s is what probes need to notice that the path is back. A request that was waiting for a permit when the path was lost is checked again as well.

Log lines name delegations only where there are some.

--- a/lagooncrank/results.py
+++ b/lagooncrank/results.py
@@ -74,6 +74,7 @@
     SERVER_LIMITED = 312, 503, "The backend servers limit their requests."
     DELEGATION_REFUSED = 313, 503, "The other entry cannot serve it either."
     BACKEND_RESTING = 314, 503, "The backend servers asked for a pause."
+    SERVICE_UNREACHED = 315, 503, "No entry has a path to the backend servers."
 
     KEY_REQUIRED = 400, 400, "The service requires an Idempotency-Key."
     KEY_REUSED = 401, 422, "The key was used with another request body."
--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -55,20 +55,32 @@
         Raises:
             ForwardingError: There is none, or the request must not be retried.
         """
-        entry = self._delegator.choose(exchange)
-        if entry is None and self._delegator.must_refuse(exchange):
-            code = results.ResultCode.NO_BACKEND_SERVER
-            raise _refusals.ForwardingError(
-                _refusals.final_refusal(exchange, code, last_error)
-            )
+        entry = self._choose_entry(exchange, last_error)
         if entry is None:
             self._check_accusations(exchange, last_error)
             await self._wait_for_admission(exchange, last_error)
             # The path to the servers may have been lost during the wait.
-            entry = self._delegator.choose(exchange)
+            entry = self._choose_entry(exchange, last_error)
         if entry is None:
             return self._next_server(exchange, last_error)
-        if exchange.has_arrived:
+        return entry
+
+    def _choose_entry(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> dispatch.Target | None:
+        """Returns the entry to delegate to; None to send to a server.
+
+        Raises:
+            ForwardingError: The request must not go either way.
+        """
+        entry = self._delegator.choose(exchange)
+        if entry is None and self._delegator.must_refuse(exchange):
+            raise _refusals.ForwardingError(
+                _refusals.unreached_refusal(exchange, last_error)
+            )
+        if entry is not None and exchange.has_arrived:
             self._record_retry(exchange, entry, last_error)
         return entry
 
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -20,10 +20,10 @@
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _reach_metrics
 from lagooncrank.server.seeded import _refusals
+from lagooncrank.server.seeded import _target_selector
 
 #: Entries that one request is delegated to at most, one after the other.
 MAX_DELEGATIONS: Final = 3
-UNKNOWN_DOMAIN: Final = model.FailureDomainId("")
 
 
 class Delegator:
@@ -74,7 +74,7 @@
             model.BackendServerId(address),
             address,
             exchange.service,
-            UNKNOWN_DOMAIN,
+            _target_selector.UNKNOWN_DOMAIN,
             slots=0,
             is_entry=True,
         )
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -123,7 +123,7 @@
 
     def log_fields(self, clock: clocks.Clock) -> dict[str, Any]:
         """Returns the fields common to all log lines about this request."""
-        return {
+        fields: dict[str, Any] = {
             "request": self.request_head.attempt_id,
             "route": self.route.name,
             "account": self.account.account if self.account else None,
@@ -132,6 +132,9 @@
             "age_ms": clock.now_ms() - self.arrived_ms,
             "queued_ms": self.queued_ms,
             "tried": self.tried,
-            "delegates": self.delegates,
-            "delegated_by": self.delegated_by,
         }
+        if self.delegates:
+            fields["delegates"] = self.delegates
+        if self.delegated_by is not None:
+            fields["delegated_by"] = self.delegated_by
+        return fields
--- a/lagooncrank/server/seeded/_refusals.py
+++ b/lagooncrank/server/seeded/_refusals.py
@@ -11,6 +11,8 @@
 #: second or two.
 NO_TARGET_RETRY_AFTER_MS: Final = 1_500
 OVERLOAD_RETRY_AFTER_MS: Final = 250
+#: Probes find out about a path that is back within this time.
+UNREACHED_RETRY_AFTER_MS: Final = 500
 #: Fraction of the wait for a server at rest over which callers are spread, so
 #: that not all of them return in the same moment.
 REST_SPREAD_FRACTION: Final = 0.25
@@ -35,6 +37,17 @@
     return final_refusal(exchange, code, last_error)
 
 
+def unreached_refusal(
+    exchange: _exchange.Exchange, last_error: _attempt.AttemptFailedError | None
+) -> results.Refusal:
+    """Returns the refusal of a request that no entry has a path for."""
+    code = results.ResultCode.SERVICE_UNREACHED
+    refusal = final_refusal(exchange, code, last_error)
+    if refusal.ran is not results.ExecutionStatus.NOT_RUN:
+        return refusal
+    return dataclasses.replace(refusal, retry_after_ms=UNREACHED_RETRY_AFTER_MS)
+
+
 def resting_refusal(
     exchange: _exchange.Exchange,
     last_error: _attempt.AttemptFailedError | None,
