--- a/lagooncrank/cli/_explain.py
+++ b/lagooncrank/cli/_explain.py
@@ -20,6 +20,10 @@
     decisions.Event.LOST,
     decisions.Event.REGAINED,
     decisions.Event.DOCUMENT,
+    decisions.Event.SERVICE_UNREACHED,
+    decisions.Event.SERVICE_REACHED,
+    decisions.Event.SERVER_RESTING,
+    decisions.Event.SERVER_LEAVING,
 )
 
 LogLine = dict[str, Any]
