--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -70,6 +70,8 @@
         """Stops listening and closes all connections."""
         if self._server is not None:
             self._server.close()
+        # Data that is held back would keep its connection from ending.
+        self._silenced_clients.clear()
         await self.impair(Impairment(resets_new_connections=True))
         while self._tasks:
             self.reset()
--- /dev/null
+++ b/soak/tests/test_proxy.py
@@ -0,0 +1,93 @@
+"""The soak's proxy, which cuts single clients off."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from lagooncrank_platform.tests import local_cluster
+import pytest
+
+from soak import _proxy
+
+CLIENT = "127.0.9.7"
+OTHER_CLIENT = "127.0.9.8"
+TIMEOUT_S = 30.0
+#: Long enough for an answer over the loopback interface.
+SILENCE_S = 0.3
+
+
+@contextlib.asynccontextmanager
+async def running_proxy() -> AsyncIterator[_proxy.Proxy]:
+    """A proxy before a server that returns what it receives."""
+
+    async def echo(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while chunk := await reader.read(100):
+                writer.write(chunk)
+        writer.close()
+
+    ports = local_cluster.free_ports(2)
+    listen_address, target_address = (f"127.0.0.1:{p}" for p in ports)
+    server = await asyncio.start_server(echo, "127.0.0.1", ports[1])
+    proxy = _proxy.Proxy(listen_address, target_address)
+    await proxy.start()
+    try:
+        yield proxy
+    finally:
+        async with asyncio.timeout(TIMEOUT_S):
+            await proxy.stop()
+        server.close()
+
+
+async def connect(
+    proxy: _proxy.Proxy, client: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = proxy.listen_address.rpartition(":")
+    return await asyncio.open_connection(
+        host, int(port), local_addr=(client, 0)
+    )
+
+
+async def ask(
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+) -> bytes:
+    reader, writer = connection
+    writer.write(b"x")
+    return await reader.read(1)
+
+
+@pytest.mark.parametrize("kind", list(_proxy.CutKind))
+async def test_cut_affects_one_client(kind: _proxy.CutKind) -> None:
+    async with running_proxy() as proxy:
+        kept = await connect(proxy, OTHER_CLIENT)
+        assert await ask(kept) == b"x"
+        await proxy.cut(CLIENT, kind)
+        assert await ask(kept) == b"x"
+        assert await ask(await connect(proxy, OTHER_CLIENT)) == b"x"
+        await proxy.join(CLIENT)
+        assert await ask(await connect(proxy, CLIENT)) == b"x"
+
+
+async def test_open_connection_lives_on_while_new_ones_are_refused() -> None:
+    async with running_proxy() as proxy:
+        kept = await connect(proxy, CLIENT)
+        assert await ask(kept) == b"x"
+        await proxy.cut(CLIENT, _proxy.CutKind.REFUSE_NEW)
+        assert await ask(kept) == b"x"
+        with contextlib.suppress(ConnectionError):
+            assert await ask(await connect(proxy, CLIENT)) == b""
+
+
+# Guards against: a server that was replaced while one of its clients was
+# silenced made the soak wait for ever.
+async def test_proxy_stops_while_a_client_is_silenced() -> None:
+    async with running_proxy() as proxy:
+        _, writer = connection = await connect(proxy, CLIENT)
+        assert await ask(connection) == b"x"
+        await proxy.cut(CLIENT, _proxy.CutKind.SILENCE)
+        writer.write(b"y")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(SILENCE_S):
+                await connection[0].read(1)
