Close callers' connections as soon as a stopping entry has drained

Cause: after the drain, the process first ended its other listeners and components, up to a third of a second each, while open connections of callers were still served; their requests were cut off at the end. Class of fault: a check (nothing is in flight) whose result is used later.

--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -141,8 +141,9 @@
     async def stop(self) -> None:
         """Closes the listening sockets and every connection."""
         self.stop_accepting()
-        for server in self._servers:
-            await server.shutdown(SHUTDOWN_TIMEOUT_S)
+        await asyncio.gather(
+            *(server.shutdown(SHUTDOWN_TIMEOUT_S) for server in self._servers)
+        )
 
     async def _track(
         self, request: web.BaseRequest, handler: RequestHandler
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -156,6 +156,8 @@
         self._caller_server.stop_accepting()
         remaining_ms = started_ms + drain_deadline_ms - self.clock.now_ms()
         await self._caller_server.drain(max(remaining_ms, 0) / clocks.MS_PER_S)
+        # Nothing may arrive on open connections while the rest stops.
+        await self._caller_server.stop()
 
     async def _publish_readiness(self) -> None:
         while not self.should_stop:
