--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Independent review: cases and what they share."""
--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""What the cases share: the deployment and its stand-ins."""
