--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -197,6 +197,10 @@
         self.group: dict[str, Any] | None = None
         self.staged: list[str] = []
         self.model = ""
+        #: Members of the newest group, the head first.
+        self.members: list[str] = []
+        #: Called before this engine takes a join, with the order.
+        self.on_join: Callable[[dict[str, Any]], None] = lambda _order: None
         self.runs: list[Run] = []
         #: Answers one request; the default sends a whole answer at once.
         self.answer: Callable[[web.Request], Awaitable[web.StreamResponse]] = (
@@ -332,6 +336,8 @@
             self.group["epoch"] == group["epoch"]
         )
         if not is_known:
+            self.on_join(order)
+            self.members = members
             self._set_group(group)
             self.spawn(self._become_ready(order["model"], group["epoch"]))
         return web.Response(status=202)
