--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -59,6 +59,7 @@
     process: asyncio.subprocess.Process | None = None
     #: Exits that nobody asked for.
     own_ends: int = 0
+    starts: int = 0
     is_wanted: bool = True
     keeper: asyncio.Task[None] | None = None
 
@@ -159,6 +160,7 @@
                 stderr=log,
                 stdin=asyncio.subprocess.DEVNULL,
             )
+        daemon.starts += 1
 
     async def _keep(self, daemon: Daemon) -> None:
         while True:
@@ -168,7 +170,7 @@
                 return
             daemon.own_ends += 1
             self.record.write(
-                f"{daemon.role} {daemon.ip} ended by itself, exit code {code}"
+                f"{daemon.role} {daemon.ip} ended with exit code {code}"
             )
             await asyncio.sleep(RESTART_DELAY_S)
             if not daemon.is_wanted:
@@ -187,6 +189,11 @@
         self.record.write(f"{number.name} to {daemon.role} {daemon.ip}")
         daemon.process.send_signal(number)
 
+    def kill(self, daemon: Daemon) -> None:
+        """Kills a process, which is then restarted."""
+        daemon.own_ends -= 1
+        self.send_signal(daemon, signal.SIGKILL)
+
     def last_error(self, daemon: Daemon) -> str:
         """Returns the exception that a process last ended with, if any."""
         for line in reversed(daemon.log_file.read_text().splitlines()):
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -193,6 +193,7 @@
         self.zone = "a"
         self.address = ""
         self.state = "ready"
+        self.is_reporting = True
         self.born = int(time.time() * 1_000)
         self.group: dict[str, Any] | None = None
         self.staged: list[str] = []
@@ -268,11 +269,24 @@
             }
         return content
 
-    async def send_report(self) -> bool:
-        """Sends a report to the first node that acknowledges it."""
-        content = self.report()
+    async def send_report(self, content: dict[str, Any] | None = None) -> bool:
+        """Sends a report to the first node that acknowledges it.
+
+        Args:
+            content: The report; None for a new one.
+        """
+        return await self._call("heartbeat", content or self.report())
+
+    async def deregister(self) -> bool:
+        """Says that this server leaves, and sends no reports any more."""
+        self.is_reporting = False
+        self._sequence += 1
+        content = {"born": self.born, "sequence": self._sequence}
+        return await self._call("deregister", content)
+
+    async def _call(self, name: str, content: dict[str, Any]) -> bool:
         for address in self.system.operator_addresses:
-            url = f"http://{address}/-/instances/{self.server_id}/heartbeat"
+            url = f"http://{address}/-/instances/{self.server_id}/{name}"
             with contextlib.suppress(
                 aiohttp.ClientError, OSError, TimeoutError
             ):
@@ -284,7 +298,7 @@
         return False
 
     async def _report_periodically(self) -> None:
-        while True:
+        while self.is_reporting:
             self._changed.clear()
             await self.send_report()
             with contextlib.suppress(TimeoutError):
