--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -101,6 +101,10 @@
         """Returns an entry's address for callers."""
         return f"{entry.ip}:{self.caller_port}"
 
+    def directory_address(self, entry: Daemon) -> str:
+        """Returns the address at which an entry answers look-ups."""
+        return f"{entry.ip}:{self._directory_port}"
+
     def _prepare(self, role: str, ip: str, zone: str) -> Daemon:
         listen = {"metrics": f"{ip}:{self._metrics_port}"}
         settings: dict[str, Any] = {
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -448,7 +448,12 @@
         deadline_ms: int = 1_500,
         headers: dict[str, str] | None = None,
     ) -> Answer:
-        """Sends one attempt; a status of None means no whole answer."""
+        """Sends one attempt.
+
+        Returns:
+            The answer; its body is empty if it broke off, and its status None
+            if there was none.
+        """
         attempt_id = f"{next(self._numbers):016x}"
         all_headers = {
             "Host": HOST,
@@ -471,9 +476,9 @@
                     headers=all_headers,
                     data=b"x" if method == "POST" else None,
                 ) as response:
-                    body = await response.read()
-                    signature = response.headers.get("Server-Signature", "")
                     status = response.status
+                    signature = response.headers.get("Server-Signature", "")
+                    body = await response.read()
         return Answer(
             attempt_id, status, signature, body, loop.time() - began_s
         )
