--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -39,13 +39,17 @@
         self._file = path.open("w", encoding="utf-8")
         self._started_s = asyncio.get_running_loop().time()
 
-    def write(self, text: str) -> None:
-        """Writes one line, and prints it."""
+    def note(self, text: str) -> str:
+        """Writes one line; returns it."""
         passed_s = asyncio.get_running_loop().time() - self._started_s
         line = f"{passed_s:8.3f} {text}"
         self._file.write(line + "\n")
         self._file.flush()
-        print(line, flush=True)
+        return line
+
+    def write(self, text: str) -> None:
+        """Writes one line, and prints it."""
+        print(self.note(text), flush=True)
 
 
 @dataclasses.dataclass
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -209,6 +209,7 @@
         )
         self._sequence = 0
         self._fence = 0
+        self._newest_epoch = 0
         self._runner: web.AppRunner | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._changed = asyncio.Event()
@@ -349,6 +350,9 @@
         is_known = self.group is not None and (
             self.group["epoch"] == group["epoch"]
         )
+        if group["epoch"] < self._newest_epoch:
+            return web.Response(status=412)
+        self._newest_epoch = group["epoch"]
         if not is_known:
             self.on_join(order)
             self.members = members
@@ -395,6 +399,7 @@
         await request.read()
         at_s = asyncio.get_running_loop().time()
         self.runs.append(Run(attempt_id, self.server_id, at_s))
+        self.system.record.note(f"{self.server_id} runs {attempt_id}")
         return await self.answer(request)
 
     def headers(self, request: web.Request) -> dict[str, str]:
@@ -464,6 +469,8 @@
             **(headers or {}),
         }
         url = f"http://{self._system.caller_address(entry)}{path}"
+        record = self._system.record
+        record.note(f"caller sends {attempt_id} {method} {path} to {entry.ip}")
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         status: int | None = None
@@ -479,6 +486,10 @@
                     status = response.status
                     signature = response.headers.get("Server-Signature", "")
                     body = await response.read()
+        record.note(
+            f"caller got {attempt_id} status {status}, {len(body)} bytes, "
+            f"signature {signature!r}"
+        )
         return Answer(
             attempt_id, status, signature, body, loop.time() - began_s
         )
