--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -74,6 +74,8 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self._stack = contextlib.ExitStack()
+        #: Held while a process is started, so that none is missed at the end.
+        self._spawning = asyncio.Lock()
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         self.folder = pathlib.Path(folder)
         ports = free_ports(7)
@@ -152,6 +154,11 @@
             daemon.keeper = asyncio.create_task(self._keep(daemon))
 
     async def _spawn(self, daemon: Daemon) -> None:
+        async with self._spawning:
+            if daemon.is_wanted:
+                await self._spawn_now(daemon)
+
+    async def _spawn_now(self, daemon: Daemon) -> None:
         env = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -215,22 +222,30 @@
         """Ends all processes, and removes their files."""
         for daemon in self.daemons:
             daemon.is_wanted = False
-            process = daemon.process
-            if process is not None and process.returncode is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
+        async with self._spawning:
+            for daemon in self.daemons:
+                self._terminate(daemon)
         for daemon in self.daemons:
-            if daemon.keeper is None or daemon.process is None:
-                continue
-            try:
-                async with asyncio.timeout(STOP_TIMEOUT_S):
-                    await daemon.process.wait()
-            except TimeoutError:
-                daemon.process.kill()
-                await daemon.process.wait()
-            daemon.keeper.cancel()
+            await self._wait_for_end(daemon)
         self._stack.close()
 
+    def _terminate(self, daemon: Daemon) -> None:
+        process = daemon.process
+        if process is not None and process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+
+    async def _wait_for_end(self, daemon: Daemon) -> None:
+        if daemon.keeper is None or daemon.process is None:
+            return
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await daemon.process.wait()
+        except TimeoutError:
+            daemon.process.kill()
+            await daemon.process.wait()
+        daemon.keeper.cancel()
+
 
 def is_troubled() -> bool:
     """Returns whether the run includes the disruption."""
