--- a/review/common/case.py
+++ b/review/common/case.py
@@ -79,7 +79,11 @@
         play_case: Plays the case and returns the exit status.
     """
     record_file = pathlib.Path(script).with_name("record.txt")
-    status = asyncio.run(_run(record_file, play_case))
+    try:
+        status = asyncio.run(_run(record_file, play_case))
+    except Exception:
+        traceback.print_exc()
+        status = COULD_NOT_RUN
     sys.stdout.flush()
     sys.exit(status)
 
@@ -95,6 +99,7 @@
             async with asyncio.timeout(TIMEOUT_S):
                 status = await play_case(play)
         except Exception:
+            # A case that failed to run shows nothing about the rule.
             traceback.print_exc()
         finally:
             await play.stop()
