Log who ends a request, the document of a refusal, the entries of a budget

The hypotheses on LOST, CONFIG and BUDGET could not be told apart by the logs: a request that a planned stop cut off was logged as "caller_left", a refused route or key did not name the document that refused it, and no line said by how many entries the retry budget was divided.

Nothing that is decided changes.

--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -55,6 +55,7 @@
         "request",
         "to",
         "failure",
+        "entries",
         "queued_ms",
         "tried",
         "age_ms",
--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -160,6 +160,7 @@
             decisions.Event.SENT_AGAIN,
             to=target.server_id,
             failure=last_error.failure if last_error else None,
+            entries=self._view.entry_count,
             **exchange.log_fields(self._clock),
         )
 
--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -70,6 +70,8 @@
         self._log = log
         #: Whether each connection is closed after its next response.
         self.is_closing = False
+        #: Whether the connections are closed, whatever is in flight.
+        self._is_stopped = False
         self._in_flight = 0
         #: Number of requests since the start.
         self._served = 0
@@ -140,6 +142,7 @@
 
     async def stop(self) -> None:
         """Closes the listening sockets and every connection."""
+        self._is_stopped = True
         self.stop_accepting()
         await asyncio.gather(
             *(server.shutdown(SHUTDOWN_TIMEOUT_S) for server in self._servers)
@@ -186,10 +189,7 @@
         except _refusals.ForwardingError as error:
             return self.refuse(exchange.request_head, error.refusal, exchange)
         except asyncio.CancelledError:
-            self._log.write(
-                decisions.Event.CALLER_LEFT,
-                **exchange.log_fields(self._clock),
-            )
+            self._log_cancelled(exchange)
             raise
 
     def read_head(self, request: web.BaseRequest) -> _adapter.RequestHead:
@@ -236,7 +236,8 @@
             code = results.ResultCode.UNKNOWN_RESOURCE
             raise _refusal_error(
                 code,
-                f"no route for {request_head.host!r} {request_head.path!r}",
+                f"no route for {request_head.host!r} {request_head.path!r} "
+                f"in document {catalog.config.version}",
             )
         account = self._authenticate(catalog, route, request_head)
         service = self._target_selector.choose_service(route)
@@ -263,7 +264,10 @@
         account = catalog.find_account(request_head.key)
         if account is None and catalog.requires_keys and not route.is_public:
             code = results.ResultCode.UNAUTHENTICATED
-            raise _refusal_error(code, "the key is missing or unknown")
+            version = catalog.config.version
+            raise _refusal_error(
+                code, f"the key is missing, or unknown in document {version}"
+            )
         return account
 
     async def read_body(self, request: web.BaseRequest) -> bytes:
@@ -314,6 +318,22 @@
             ).add_to(response.headers)
         return response
 
+    def _log_cancelled(self, exchange: _exchange.Exchange) -> None:
+        """Logs who ended a request: its caller, or the stop of this entry."""
+        fields = exchange.log_fields(self._clock)
+        if not self._is_stopped:
+            self._log.write(decisions.Event.CALLER_LEFT, **fields)
+            return
+        code = results.ResultCode.STOPPING
+        self._metrics.count_refusal(code)
+        self._log.write(
+            decisions.Event.CUT,
+            code=code.name,
+            reason="the stop of this entry did not wait any longer",
+            last_event_id=exchange.last_event_id,
+            **fields,
+        )
+
     def _log_refusal(
         self,
         request_head: _adapter.RequestHead | None,
