Pass the components of attempts as one object

The forwarder, the attempt chooser and the attempt runner repeated the same nine to twelve constructor parameters. No behaviour changes; the tests of the entry pass.

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -3,47 +3,30 @@
 import dataclasses
 import random
 
-from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import results
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt
-from lagooncrank.server.seeded import _crash_guard
-from lagooncrank.server.seeded import _decision_log
-from lagooncrank.server.seeded import _delegator
-from lagooncrank.server.seeded import _entry_metrics
+from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _exchange
-from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _slot_queue
 from lagooncrank.server.seeded import _startup_wait
-from lagooncrank.server.seeded import _target_selector
 
 
 class AttemptChooser:
     """Chooses the next target, once the request may be sent."""
 
-    def __init__(
-        self,
-        target_selector: _target_selector.TargetSelector,
-        slot_queue: _slot_queue.SlotQueue,
-        view: _fleet_view.FleetView,
-        retry_budget: dispatch.SharedRetryBudget,
-        crash_guard: _crash_guard.CrashGuard,
-        delegator: _delegator.Delegator,
-        metrics: _entry_metrics.EntryMetrics,
-        clock: clocks.Clock,
-        log: _decision_log.DecisionLog,
-    ) -> None:
-        self._target_selector = target_selector
-        self._slot_queue = slot_queue
-        self._view = view
-        self._retry_budget = retry_budget
-        self._crash_guard = crash_guard
-        self._delegator = delegator
-        self._metrics = metrics
-        self._clock = clock
-        self._log = log
+    def __init__(self, parts: _attempt_parts.AttemptParts) -> None:
+        self._target_selector = parts.target_selector
+        self._slot_queue = parts.slot_queue
+        self._view = parts.view
+        self._retry_budget = parts.retry_budget
+        self._crash_guard = parts.crash_guard
+        self._delegator = parts.delegator
+        self._metrics = parts.metrics
+        self._clock = parts.clock
+        self._log = parts.log
 
     async def choose(
         self,
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -11,16 +11,9 @@
 from lagooncrank.core import holds
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
-from lagooncrank.server.seeded import _decision_log
-from lagooncrank.server.seeded import _delegator
-from lagooncrank.server.seeded import _entry_metrics
+from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _exchange
-from lagooncrank.server.seeded import _fleet_view
-from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _response_waits
-from lagooncrank.server.seeded import _server_limits
-from lagooncrank.server.seeded import _slot_queue
-from lagooncrank.server.seeded import _target_selector
 
 #: A request that may run again is retried elsewhere if there is no response
 #: within this many times the target latency of its route.
@@ -33,32 +26,20 @@
 class AttemptRunner:
     """Sends requests, and learns from the heads of the responses."""
 
-    def __init__(
-        self,
-        target_selector: _target_selector.TargetSelector,
-        slot_queue: _slot_queue.SlotQueue,
-        view: _fleet_view.FleetView,
-        client: _attempt.BackendClient,
-        limits: _server_limits.ServerLimits,
-        reach_monitor: _reach_monitor.ReachMonitor,
-        delegator: _delegator.Delegator,
-        metrics: _entry_metrics.EntryMetrics,
-        clock: clocks.Clock,
-        log: _decision_log.DecisionLog,
-    ) -> None:
-        self._target_selector = target_selector
-        self._slot_queue = slot_queue
-        self._view = view
-        self._client = client
-        self._limits = limits
-        self._reach_monitor = reach_monitor
-        self._delegator = delegator
-        self._metrics = metrics
-        self._clock = clock
-        self._log = log
+    def __init__(self, parts: _attempt_parts.AttemptParts) -> None:
+        self._target_selector = parts.target_selector
+        self._slot_queue = parts.slot_queue
+        self._view = parts.view
+        self._client = parts.client
+        self._limits = parts.limits
+        self._reach_monitor = parts.reach_monitor
+        self._delegator = parts.delegator
+        self._metrics = parts.metrics
+        self._clock = parts.clock
+        self._log = parts.log
         self._response_waits = _response_waits.ResponseWaits()
-        view.stall_detector.listeners.append(self._expire_waits)
-        reach_monitor.silence_listeners.append(self._expire_silent_waits)
+        parts.view.stall_detector.listeners.append(self._expire_waits)
+        parts.reach_monitor.silence_listeners.append(self._expire_silent_waits)
 
     async def start(
         self, exchange: _exchange.Exchange, target: dispatch.Target
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -9,6 +9,7 @@
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _caller_server
 from lagooncrank.server.seeded import _crash_guard
 from lagooncrank.server.seeded import _delegation_server
@@ -18,6 +19,7 @@
 from lagooncrank.server.seeded import _node
 from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _response_relay
+from lagooncrank.server.seeded import _slot_queue
 from lagooncrank.server.seeded import _target_selector
 
 #: Time for which callers may cache a list of addresses.
@@ -76,8 +78,11 @@
             clock,
             self.decision_log,
         )
-        forwarder = _forwarding.Forwarder(
+        parts = _attempt_parts.AttemptParts(
             target_selector,
+            _slot_queue.SlotQueue(
+                target_selector, self.view, self.metrics, clock
+            ),
             self.view,
             self._client,
             retry_budget,
@@ -89,6 +94,7 @@
             clock,
             self.decision_log,
         )
+        forwarder = _forwarding.Forwarder(parts)
         response_relay = _response_relay.ResponseRelay(
             forwarder, self.metrics, clock, self.decision_log
         )
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -7,79 +7,35 @@
 import asyncio
 import contextlib
 
-from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_chooser
+from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _attempt_runner
-from lagooncrank.server.seeded import _crash_guard
-from lagooncrank.server.seeded import _decision_log
-from lagooncrank.server.seeded import _delegator
-from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
-from lagooncrank.server.seeded import _fleet_view
-from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _retry_rules
-from lagooncrank.server.seeded import _server_limits
-from lagooncrank.server.seeded import _slot_queue
-from lagooncrank.server.seeded import _target_selector
 
 
 class Forwarder:
     """Makes the attempts of all requests of one entry."""
 
-    def __init__(
-        self,
-        target_selector: _target_selector.TargetSelector,
-        view: _fleet_view.FleetView,
-        client: _attempt.BackendClient,
-        retry_budget: dispatch.SharedRetryBudget,
-        crash_guard: _crash_guard.CrashGuard,
-        limits: _server_limits.ServerLimits,
-        reach_monitor: _reach_monitor.ReachMonitor,
-        delegator: _delegator.Delegator,
-        metrics: _entry_metrics.EntryMetrics,
-        clock: clocks.Clock,
-        log: _decision_log.DecisionLog,
-    ) -> None:
-        self._target_selector = target_selector
-        self._view = view
-        self._crash_guard = crash_guard
-        self._retry_rules = _retry_rules.RetryRules(crash_guard, clock)
-        self._reach_monitor = reach_monitor
-        self._delegator = delegator
-        self._metrics = metrics
-        self._clock = clock
-        self._log = log
-        slot_queue = _slot_queue.SlotQueue(
-            target_selector, view, metrics, clock
-        )
-        limits.listeners.append(slot_queue.grant_slots)
-        self._chooser = _attempt_chooser.AttemptChooser(
-            target_selector,
-            slot_queue,
-            view,
-            retry_budget,
-            crash_guard,
-            delegator,
-            metrics,
-            clock,
-            log,
-        )
-        self._runner = _attempt_runner.AttemptRunner(
-            target_selector,
-            slot_queue,
-            view,
-            client,
-            limits,
-            reach_monitor,
-            delegator,
-            metrics,
-            clock,
-            log,
+    def __init__(self, parts: _attempt_parts.AttemptParts) -> None:
+        self._target_selector = parts.target_selector
+        self._view = parts.view
+        self._crash_guard = parts.crash_guard
+        self._retry_rules = _retry_rules.RetryRules(
+            parts.crash_guard, parts.clock
         )
+        self._reach_monitor = parts.reach_monitor
+        self._delegator = parts.delegator
+        self._metrics = parts.metrics
+        self._clock = parts.clock
+        self._log = parts.log
+        self._chooser = _attempt_chooser.AttemptChooser(parts)
+        self._runner = _attempt_runner.AttemptRunner(parts)
+        parts.limits.listeners.append(parts.slot_queue.grant_slots)
 
     async def open(
         self, exchange: _exchange.Exchange
