--- a/lagooncrank/core/catalog/_validation.py
+++ b/lagooncrank/core/catalog/_validation.py
@@ -42,9 +42,11 @@
 
 
 def _key_problems(config: model.ServingConfig) -> Iterator[str]:
-    holders: dict[str, str] = {}
-    for account in config.accounts:
+    # Two accounts may have one name, so a holder is known by its position.
+    holders: dict[str, int] = {}
+    for position, account in enumerate(config.accounts):
         for key in account.keys:
-            holder = holders.setdefault(key, account.account)
-            if holder != account.account:
-                yield f"accounts {holder!r} and {account.account!r} share a key"
+            holder = holders.setdefault(key, position)
+            if holder != position:
+                first = config.accounts[holder].account
+                yield f"accounts {first!r} and {account.account!r} share a key"
--- a/lagooncrank/server/seeded/_adapter.py
+++ b/lagooncrank/server/seeded/_adapter.py
@@ -139,6 +139,13 @@
 class DocumentCodec(Protocol):
     """Decodes operators' documents."""
 
+    def check(self, content: bytes) -> None:
+        """Checks that a whole document can be read, also unused parts.
+
+        Raises:
+            InvalidDocumentError: The document cannot be read in full.
+        """
+
     def decode(self, content: bytes) -> model.ServingConfig:
         """Decodes a document.
 
--- a/lagooncrank/server/seeded/_documents.py
+++ b/lagooncrank/server/seeded/_documents.py
@@ -44,6 +44,7 @@
             InvalidDocumentError: The document is invalid.
         """
         try:
+            self._codec.check(content)
             config = self._codec.decode(content)
             problems = list(catalogs.find_problems(config))
             if problems:
