Do not go on with an older document if the newest cannot be read

What callers could see (CONFIG): an entry that cannot decode the newest committed document (another version of the software accepted it) obeyed the one before for as long as the newest was in force, while other entries obeyed the newest.

Cause: `DocumentStore._apply` kept the previous catalog. Now such a node has none: it is not ready and refuses requests as not run, until a document that it can read follows.

--- a/lagooncrank/server/seeded/_documents.py
+++ b/lagooncrank/server/seeded/_documents.py
@@ -92,8 +92,9 @@
         try:
             config: model.ServingConfig = self._codec.decode(document.content)
         except _adapter.InvalidDocumentError as error:
-            # Another version of this software accepted the document. The
-            # previous one stays in use.
+            # Another version of this software accepted the document. Other
+            # nodes obey it, so the previous one must not stay in use here.
+            self._catalog = None
             self._rejected_version = document.version
             self._log.write(
                 decisions.Event.DOCUMENT_REFUSED,
