Let groups follow the models of the newest document

Cause: nothing compared groups with the newest document. The planner took for granted that each group's model is declared (KeyError in `fill_ratio`), that there is a model (IndexError) and that sums of shares are finite.

Fix: the leader dissolves groups whose model was withdrawn or has another size now; their heads finish their requests (close mode waiting, as for any planned dissolution). Groups of a service that is withdrawn as a whole remain: no route leads to them. Entries send nothing to a group of another size than their document declares. The planner sees only models that a group can be formed of, with bounded shares and rates. Weights of models that are no longer declared do not count as held: otherwise an engine that holds a retired model and another one never loaded the successor.

Not solved: a model that is added while every engine holds two others, and no engine is free, is not loaded anywhere.

--- a/lagooncrank/core/groups/_donors.py
+++ b/lagooncrank/core/groups/_donors.py
@@ -23,7 +23,10 @@
     by_domain_and_model: dict[tuple[str, str], list[model.Group]] = {}
     for group in groups:
         record = table.get(group.head.server_id)
-        is_donor = group.model_name != neediest.name
+        is_donor = (
+            group.model_name != neediest.name
+            and group.model_name in inventory.target_counts
+        )
         if is_donor and group.phase is model.GroupPhase.SERVING and record:
             key = (record.report.fabric_domain, group.model_name)
             by_domain_and_model.setdefault(key, []).append(group)
--- a/lagooncrank/core/groups/_inventory.py
+++ b/lagooncrank/core/groups/_inventory.py
@@ -43,6 +43,10 @@
         """
         return (self.group_counts[name] + change) / self.target_counts[name]
 
+    def declared(self, names: Iterable[str]) -> list[str]:
+        """Returns those of some models that the document declares."""
+        return [name for name in names if name in self.target_counts]
+
     def models_by_need(self) -> list[model.ModelProfile]:
         """Returns the models, the one furthest below its target first."""
         return sorted(
--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -18,6 +18,7 @@
 from lagooncrank.core.groups import _actions
 from lagooncrank.core.groups import _donors
 from lagooncrank.core.groups import _inventory
+from lagooncrank.core.groups import _profiles
 
 #: How long engines of dissolved groups are reserved for the model for which
 #: the groups were dissolved. Their heads finish requests during that time.
@@ -79,11 +80,10 @@
                 report interval, so that more are expected. Before the first
                 request groups then wait for them, within limits.
         """
-        if service.engine is None:
+        engine = _profiles.plannable_engine(service)
+        if engine is None:
             return
-        inventory = _inventory.inventory_of(
-            service, service.engine, table, groups
-        )
+        inventory = _inventory.inventory_of(service, engine, table, groups)
         self._reservations = {
             domain: reservation
             for domain, reservation in self._reservations.items()
@@ -227,11 +227,12 @@
     """
     for reports in inventory.free.values():
         for report in reports:
-            if report.loaded or not report.staged:
+            staged = inventory.declared(report.staged)
+            if inventory.declared(report.loaded) or not staged:
                 continue
             member = _inventory.to_group_member(report)
             yield _actions.PlannedGroup(
-                service.name, report.staged[0], (member,), 0, is_preload=True
+                service.name, staged[0], (member,), 0, is_preload=True
             )
 
 
--- a/lagooncrank/core/groups/_runtime_loads.py
+++ b/lagooncrank/core/groups/_runtime_loads.py
@@ -115,7 +115,8 @@
     neediest = inventory.models_by_need()[0]
     for reports in inventory.free.values():
         for report in reports:
-            is_empty = not report.staged and not report.loaded
+            held_models = (*report.staged, *report.loaded)
+            is_empty = not inventory.declared(held_models)
             if is_empty and report.server_id not in loads_in_progress:
                 yield PlannedLoad(report, neediest)
 
@@ -127,7 +128,10 @@
 ) -> Iterator[PlannedLoad]:
     """Yields loads of a second model for members that hold only one."""
     for report in members:
-        held_models = {*report.staged, *report.loaded}
+        held_models = {
+            *inventory.declared(report.staged),
+            *inventory.declared(report.loaded),
+        }
         if len(held_models) > 1 or report.server_id in loads_in_progress:
             continue
         missing_model = next(
--- a/lagooncrank/core/groups/_staging.py
+++ b/lagooncrank/core/groups/_staging.py
@@ -17,6 +17,7 @@
 from lagooncrank.core.groups import _actions
 from lagooncrank.core.groups import _inventory
 from lagooncrank.core.groups import _load_rate
+from lagooncrank.core.groups import _profiles
 from lagooncrank.core.groups import _runtime_loads
 from lagooncrank.core.groups import _startup_loads
 
@@ -81,7 +82,7 @@
                 engines may then become members of groups, whose model a load
                 of another one would only delay.
         """
-        engine = service.engine
+        engine = _profiles.plannable_engine(service)
         if engine is None:
             return
         loads_in_progress = self.loads_in_progress(table, now_ms)
@@ -108,7 +109,7 @@
         now_ms: int,
     ) -> Iterator[_actions.StageOrder]:
         """Yields as many loads as may start while requests are served."""
-        engine = service.engine
+        engine = _profiles.plannable_engine(service)
         if engine is None:
             return
         loads_in_progress = self.loads_in_progress(table, now_ms)
--- a/lagooncrank/core/groups/_startup_loads.py
+++ b/lagooncrank/core/groups/_startup_loads.py
@@ -33,9 +33,11 @@
         for report in reports:
             if report.server_id in loads_in_progress:
                 continue
-            if not report.staged and not report.loaded:
+            staged = inventory.declared(report.staged)
+            loaded = inventory.declared(report.loaded)
+            if not staged and not loaded:
                 yield _runtime_loads.PlannedLoad(report, profile)
-            elif report.loaded and set(report.staged) <= set(report.loaded):
+            elif loaded and set(staged) <= set(loaded):
                 yield from _second_model_load(report, inventory)
 
 
--- a/lagooncrank/core/groups/tests/emulated_fleet.py
+++ b/lagooncrank/core/groups/tests/emulated_fleet.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import heapq
 import itertools
 import random
@@ -33,8 +34,24 @@
 class EmulatedFleet:
     """Engines, control nodes and the troubles between them."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        changed_services: Sequence[model.ServiceConfig] = (),
+        calm_ms: int = CALM_MS,
+    ) -> None:
+        """Prepares the engines and control nodes.
+
+        Args:
+            seed: Seed of all choices.
+            changed_services: Declarations of the service that troubles change
+                to.
+            calm_ms: Time without troubles in which the first groups form.
+        """
         self._random = random.Random(seed)
+        self._service = builders.SERVICE_CONFIG
+        self._changed_services = changed_services
+        self._calm_ms = calm_ms
         self._now_ms = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -70,7 +87,8 @@
             self._schedule_heartbeat(engine)
         while self._now_ms < length_ms and not self.breaches:
             self._now_ms += STEP_MS
-            if self._now_ms > CALM_MS and self._random.random() < TROUBLE_SHARE:
+            is_calm = self._now_ms <= self._calm_ms
+            if not is_calm and self._random.random() < TROUBLE_SHARE:
                 self._random.choice(self._troubles())()
             self._run_events()
             for engine in self._engines.values():
@@ -82,6 +100,26 @@
             if self._leader not in self._down:
                 self._lead()
 
+    @property
+    def open_groups(self) -> list[tuple[str, int]]:
+        """Models and sizes of the groups whose head is open, sorted."""
+        return sorted(
+            (group.model_name, len(group.members))
+            for group in self._machine.groups.values()
+            if group.phase is model.GroupPhase.SERVING
+            and self._engines[group.head.server_id].is_serving_head
+        )
+
+    def change_service(
+        self, service: model.ServiceConfig, after_ms: int
+    ) -> None:
+        """Changes the declaration of the service after some time."""
+
+        def change() -> None:
+            self._service = service
+
+        self._after(after_ms, change)
+
     def _record_breach(self, breach: str) -> None:
         self.breaches.append(f"at {self._now_ms} ms: {breach}")
 
@@ -96,7 +134,9 @@
     # Troubles.
 
     def _troubles(self) -> tuple[Callable[[], None], ...]:
+        changes = (self._change_service,) if self._changed_services else ()
         return (
+            *changes,
             self._stop_an_engine,
             self._stop_an_engine,
             self._cut_engines,
@@ -106,6 +146,9 @@
             self._lose_power,
         )
 
+    def _change_service(self) -> None:
+        self._service = self._random.choice(self._changed_services)
+
     def _stop_an_engine(self) -> None:
         engine = self._random.choice(list(self._engines.values()))
         if engine.is_running:
@@ -243,7 +286,15 @@
                 )
             ):
                 self._execute(action)
-        service = builders.SERVICE_CONFIG
+        service = self._service
+        unchanging = [
+            group
+            for group in self._machine.groups.values()
+            if group.name not in self._changing
+        ]
+        changes = groups.obsolete_changes(unchanging, {service.name: service})
+        for change in list(changes):
+            self._execute(change)
         stray_orders = self._lifecycle.stray_orders(
             service.name,
             table,
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -88,9 +88,22 @@
             )
             for action in actions:
                 self._execute(action)
+        self._dissolve_obsolete()
         self._order_strays(now_ms)
         self._plan_groups(now_ms)
 
+    def _dissolve_obsolete(self) -> None:
+        catalog = self._documents.catalog
+        if catalog is None:
+            return
+        unchanging = [
+            group
+            for group in self._shared.view.groups.values()
+            if group.name not in self._changing
+        ]
+        for change in groups.obsolete_changes(unchanging, catalog.services):
+            self._execute(change)
+
     def _order_strays(self, now_ms: int) -> None:
         catalog = self._documents.catalog
         if catalog is None:
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -251,7 +251,12 @@
         serving = groups.serving_groups(
             service, model_name, self._shared.view.groups, self._view.table
         )
+        catalog = self._documents.catalog
+        size = catalog.replica_size(service, model_name) if catalog else None
         for group in serving:
+            if size not in (None, len(group.members)):
+                # A newer document has changed the model's size.
+                continue
             head = group.head
             record = self._view.table.get(head.server_id)
             if record is not None and record.report.born_ms == head.born_ms:
