Keep a fault in one part of the leader's work from ending every leader

Cause: the group driver ran all groups and services in one step, and any error left it. A crashed component stops the process, and the state that caused the error is replicated.

Fix: each group, and the plan and strays of each service, run apart. An error is logged as `step_failed` with its place, once as long as it stays the same, and the part runs again with the next step.

Orders and probes run outside of the step and are not covered.

--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -243,6 +243,12 @@
         "server",
         "status",
     )
+    STEP_FAILED = (
+        "step_failed",
+        "A part of the leader's work on groups failed; it is tried again.",
+        "part",
+        "problem",
+    )
     LEADER = (
         "leader_changed",
         "The node became the leader or lost leadership.",
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -1,6 +1,8 @@
 """Forms and repairs groups while this node is the leader."""
 
 import asyncio
+from collections.abc import Collection
+import functools
 from typing import Any
 from typing import Final
 
@@ -18,6 +20,7 @@
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _step_guard
 
 STEP_INTERVAL_S: Final = 0.1
 PROPOSAL_TIMEOUT_MS: Final = 2_000
@@ -47,6 +50,7 @@
         self._engines = engines
         self._clock = clock
         self._log = log
+        self._guard = _step_guard.StepGuard(log)
         self._lifecycle = groups.GroupLifecycle()
         #: Time of the last probe of a group's members, by epoch.
         self._probed_ms: dict[int, int] = {}
@@ -70,7 +74,7 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            self.step()
+            self._guard.run("step", self.step)
 
     def step(self) -> None:
         """Executes all actions that are due, if this node is the leader."""
@@ -81,17 +85,26 @@
         self._probe_stalled(now_ms)
         working = self._view.nodes.working(now_ms)
         for group in list(current_groups.values()):
-            if group.name in self._changing:
-                continue
-            actions = self._lifecycle.next_actions(
-                group, self._view.table, working, now_ms
-            )
-            for action in actions:
-                self._execute(action)
-        self._dissolve_obsolete()
+            if group.name not in self._changing:
+                self._guard.run(
+                    f"group {group.name}",
+                    functools.partial(
+                        self._advance_group, group, working, now_ms
+                    ),
+                )
+        self._guard.run("obsolete groups", self._dissolve_obsolete)
         self._order_strays(now_ms)
         self._plan_groups(now_ms)
 
+    def _advance_group(
+        self, group: model.Group, working: Collection[str], now_ms: int
+    ) -> None:
+        actions = self._lifecycle.next_actions(
+            group, self._view.table, working, now_ms
+        )
+        for action in actions:
+            self._execute(action)
+
     def _dissolve_obsolete(self) -> None:
         catalog = self._documents.catalog
         if catalog is None:
@@ -108,17 +121,23 @@
         catalog = self._documents.catalog
         if catalog is None:
             return
-        state_view = self._shared.view
         for service in catalog.services.values():
-            stray_orders = self._lifecycle.stray_orders(
-                service.name,
-                self._view.table,
-                state_view.groups,
-                state_view.last_epoch,
-                now_ms,
+            self._guard.run(
+                f"strays of {service.name}",
+                functools.partial(self._order_strays_of, service.name, now_ms),
             )
-            for order in stray_orders:
-                self._execute(order)
+
+    def _order_strays_of(self, service: model.ServiceName, now_ms: int) -> None:
+        state_view = self._shared.view
+        stray_orders = self._lifecycle.stray_orders(
+            service,
+            self._view.table,
+            state_view.groups,
+            state_view.last_epoch,
+            now_ms,
+        )
+        for order in stray_orders:
+            self._execute(order)
 
     def _check_leadership(self) -> bool:
         is_leader = self._shared.is_leader and self._shared.lease_holds()
@@ -174,36 +193,46 @@
         if catalog is None or self._changing:
             return
         is_startup = not self._has_served_requests(now_ms)
+        for service in catalog.services.values():
+            self._guard.run(
+                f"plan of {service.name}",
+                functools.partial(
+                    self._plan_service, service, now_ms, is_startup=is_startup
+                ),
+            )
+
+    def _plan_service(
+        self, service: model.ServiceConfig, now_ms: int, *, is_startup: bool
+    ) -> None:
         table = self._view.table
         current_groups = self._shared.view.groups
         expects_more_engines = (
             now_ms - table.newest_start_ms < self._report_interval_ms
         )
-        for service in catalog.services.values():
-            actions = self._planner.plan(
+        actions = self._planner.plan(
+            service,
+            table,
+            current_groups,
+            now_ms=now_ms,
+            allow_cold_members=is_startup,
+            expects_more_engines=expects_more_engines,
+        )
+        for action in actions:
+            self._execute(action)
+        if is_startup:
+            loads = self._staging.startup_loads(
                 service,
                 table,
                 current_groups,
-                now_ms=now_ms,
-                allow_cold_members=is_startup,
+                now_ms,
                 expects_more_engines=expects_more_engines,
             )
-            for action in actions:
-                self._execute(action)
-            if is_startup:
-                loads = self._staging.startup_loads(
-                    service,
-                    table,
-                    current_groups,
-                    now_ms,
-                    expects_more_engines=expects_more_engines,
-                )
-            else:
-                loads = self._staging.runtime_loads(
-                    service, table, current_groups, now_ms
-                )
-            for stage_order in loads:
-                self._execute(stage_order)
+        else:
+            loads = self._staging.runtime_loads(
+                service, table, current_groups, now_ms
+            )
+        for stage_order in loads:
+            self._execute(stage_order)
 
     def _has_served_requests(self, now_ms: int) -> bool:
         """Returns whether any entry has received a request since its start."""
--- a/lagooncrank/server/seeded/tests/driver_builder.py
+++ b/lagooncrank/server/seeded/tests/driver_builder.py
@@ -17,6 +17,8 @@
     engines: object,
     table: fleet.ServerTable | None = None,
     write: object = lambda *_, **__: None,
+    documents: object = None,
+    nodes: object = None,
 ) -> _group_driver.GroupDriver:
     """Returns a driver that is not started.
 
@@ -25,9 +27,11 @@
         engines: Client for orders.
         table: Reports of engines; by default there are none.
         write: Receives the lines of the decision log.
+        documents: Store of the document in force.
+        nodes: Live nodes, as the leader sees them.
     """
     view = types.SimpleNamespace(
-        listeners=[], table=table or builders.server_table()
+        listeners=[], table=table or builders.server_table(), nodes=nodes
     )
     return _group_driver.GroupDriver(
         settings.SeededSettings(
@@ -40,7 +44,7 @@
         ),
         cast(Any, shared),
         cast(Any, view),
-        cast(Any, None),
+        cast(Any, documents),
         cast(Any, engines),
         clocks.ManualClock(),
         cast(Any, types.SimpleNamespace(write=write)),
