Soak: runs that start on an earlier build and upgrade it

The soak could not have found a fault between two builds: all its nodes ran the code at hand. A commit that the history lacks is an error, so that a shallow clone fails instead of passing without an upgrade.

The list of first kinds is now spelled out, with the same kinds as before, so that new kinds don't change the seeds that were found with it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,9 @@
     kinds: str = typer.Option(
         "", help="Kinds of faults, separated by commas; all if empty."
     ),
+    production: str = typer.Option(
+        "", help="Commit that all nodes start on, with upgrades from it."
+    ),
     at_once: int = typer.Option(1, help="Number of seeds to run in parallel."),
 ) -> None:
     """Runs seeds; exits with status 1 if any guarantee was violated."""
@@ -30,6 +33,7 @@
             entries,
             engines,
             tuple(k for k in kinds.split(",") if k),
+            production,
         )
         for seed in range(first, first + seeds)
     ]
@@ -51,6 +55,7 @@
             f"logs in {folder}"
         )
         typer.echo(f"  while entries were cut off: {report.cuts}")
+        typer.echo(f"  builds at the end: {report.builds}")
         typer.echo(f"  faults: {' '.join(report.faults)}")
         for violation in report.violations:
             typer.echo(f"  {violation}")
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -8,6 +8,7 @@
 
 from lagooncrank_platform.tests import local_cluster
 
+from soak import _builds
 from soak import _callers
 from soak import _cuts
 from soak import _disk_loss_lock
@@ -33,12 +34,22 @@
             selects the loopback addresses.
         entries: Number of entries.
         engines: Number of engines.
+        production: Build that all nodes start on; the one at hand if None.
     """
 
     def __init__(
-        self, folder: pathlib.Path, seed: int, entries: int, engines: int
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        entries: int,
+        engines: int,
+        production: _builds.Build | None = None,
     ) -> None:
         self.random = random.Random(seed)
+        #: Build at hand, to which upgrades lead.
+        self.current_build = _builds.Build.current()
+        #: Build that all nodes start on.
+        self.production_build = production or self.current_build
         self.history = _history.RequestHistory()
         network = f"127.1.{THIRD_BYTES[seed % len(THIRD_BYTES)]}"
         ips = [
@@ -52,11 +63,12 @@
             tuple(f"{ip}:1" for ip in ips[:CONTROL_NODE_COUNT]),
         )
         self.controls = [
-            _nodes.Node(shared, ip, "control")
+            _nodes.Node(shared, ip, "control", self.production_build)
             for ip in ips[:CONTROL_NODE_COUNT]
         ]
         self.entries = [
-            _nodes.Node(shared, ip, "entry") for ip in ips[CONTROL_NODE_COUNT:]
+            _nodes.Node(shared, ip, "entry", self.production_build)
+            for ip in ips[CONTROL_NODE_COUNT:]
         ]
         self.servers: dict[str, _servers.CheckingServer] = {}
         self._server_proxies: dict[str, _proxy.Proxy] = {}
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -13,9 +13,9 @@
 from lagooncrank_platform.tests import provider_protocol
 import yaml
 
+from soak import _builds
 from soak import _proxy
 
-PROGRAM: Final = pathlib.Path("platform") / "run.py"
 STOP_TIMEOUT_S: Final = 20.0
 START_POLL_S: Final = 0.1
 #: What a node or its proxies listen on at ports of their own; "proxy" is for
@@ -54,11 +54,28 @@
 
 
 class Node:
-    """One process and the proxies in front of it."""
-
-    def __init__(self, shared: SharedSettings, ip: str, role: str) -> None:
+    """One process and the proxies in front of it.
+
+    Args:
+        shared: Settings of the deployment.
+        ip: Address, which is also the node's id.
+        role: Role of the process.
+        build: Build that it starts on; the one at hand if None.
+    """
+
+    def __init__(
+        self,
+        shared: SharedSettings,
+        ip: str,
+        role: str,
+        build: _builds.Build | None = None,
+    ) -> None:
         self.ip = ip
         self.role = role
+        #: Build that the next start runs.
+        self.build = build or _builds.Build.current()
+        #: Build that the last start ran.
+        self.started_build = self.build
         self._shared = shared
         self._data_folder = shared.folder / f"data-{ip}"
         self._log_file = shared.folder / f"{ip}.log"
@@ -113,14 +130,17 @@
             self._data_folder.mkdir()
         self._write_settings()
         self._is_first_start = False
+        self.started_build = self.build
         environment = {
             **os.environ,
             provider_protocol.SETTINGS_VARIABLE: str(self._settings_file),
         }
+        # A build finds its own modules only.
+        environment.pop("PYTHONPATH", None)
         with self._log_file.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(PROGRAM),
+                str(self.build.program),
                 stdout=log,
                 stderr=log,
                 env=environment,
@@ -215,5 +235,5 @@
             "timing": {"report_interval_ms": 500, "stop_grace_ms": 2_000},
         }
         temporary = self._settings_file.with_suffix(".new")
-        temporary.write_text(yaml.safe_dump(content))
+        temporary.write_text(yaml.safe_dump(self.build.settings(content)))
         temporary.replace(self._settings_file)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -1,6 +1,7 @@
 """Runs one seed and reports the guarantees that were violated."""
 
 import asyncio
+import collections
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -10,10 +11,12 @@
 
 import aiohttp
 
+from soak import _builds
 from soak import _deployment
 from soak import _faults
 from soak import _nodes
 from soak import _operator
+from soak import _upgrades
 
 #: Longest time from the end of the last fault until the system serves again.
 #: It is far longer than the seconds that recovery takes, as the machine may be
@@ -39,6 +42,19 @@
     engines: int = 6
     #: Kinds of faults; none for all.
     kinds: tuple[str, ...] = ()
+    #: Commit that all nodes start on, and which upgrades replace; empty for
+    #: the build at hand.
+    production: str = ""
+
+    def names(self) -> tuple[str, ...]:
+        """Returns the kinds of faults to choose from."""
+        if self.kinds:
+            return self.kinds
+        if self.production:
+            return _faults.FAULTS.names() + _upgrades.UPGRADE_WEIGHT * (
+                _upgrades.UPGRADES.names()
+            )
+        return _faults.FAULTS.names()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +74,8 @@
     statuses: dict[int, int]
     #: What entries served while they were cut off, and the others meanwhile.
     cuts: str
+    #: Number of nodes by the build that they ran at the end.
+    builds: dict[str, int]
 
 
 async def run_seed(config: SeedConfig, folder: pathlib.Path) -> SeedReport:
@@ -67,8 +85,11 @@
         config: The seed and the size of the deployment.
         folder: Empty folder for the nodes' data, settings and logs.
     """
+    production = None
+    if config.production:
+        production = await _builds.export(config.production, folder)
     deployment = _deployment.Deployment(
-        folder, config.seed, config.entries, config.engines
+        folder, config.seed, config.entries, config.engines, production
     )
     faults: list[str] = []
     try:
@@ -95,6 +116,9 @@
         deployment.operator.acknowledged,
         dict(deployment.history.statuses),
         deployment.cuts.summary(),
+        dict(
+            collections.Counter(n.started_build.name for n in deployment.nodes)
+        ),
     )
 
 
@@ -118,7 +142,7 @@
     end_s = asyncio.get_running_loop().time() + config.duration_s
     async with asyncio.TaskGroup() as group:
         while asyncio.get_running_loop().time() < end_s:
-            name = random_.choice(config.kinds or _faults.FAULTS.names())
+            name = random_.choice(config.names())
             duration_s = random_.uniform(*FAULT_DURATION_S)
             # Each fault has a generator of its own, so that its choices do not
             # depend on the order in which overlapping faults draw.
@@ -147,10 +171,16 @@
                 deployment.disk_loss_lock.hold_shared()
             )
         started_s = _elapsed_s(deployment)
-        await _faults.FAULTS.get(name)(deployment, random_, duration_s)
+        await _fault(name)(deployment, random_, duration_s)
         faults.append(f"{name}@{started_s:.1f}-{_elapsed_s(deployment):.1f}")
 
 
+def _fault(name: str) -> _faults.Fault:
+    if name in _upgrades.UPGRADES.names():
+        return _upgrades.UPGRADES.get(name)
+    return _faults.FAULTS.get(name)
+
+
 def _elapsed_s(deployment: _deployment.Deployment) -> float:
     return asyncio.get_running_loop().time() - deployment.started_s
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,11 +6,24 @@
 
 from soak import _faults
 from soak import _run
+from soak import _upgrades
 
 #: Kinds of faults when the seeds below were found: with others a seed draws
 #: another sequence.
-FIRST_KINDS = tuple(
-    kind for kind in _faults.FAULTS.names() if kind not in _faults.CUT_FAULTS
+FIRST_KINDS = (
+    "bad-answers",
+    "delay",
+    "drain",
+    "kill",
+    "kill-all",
+    "lose-disk",
+    "pause",
+    "refuse",
+    "reload",
+    "replace-servers",
+    "reset",
+    "restart",
+    "silence",
 )
 #: Seeds and the kinds that they draw from; the id names what a seed covers.
 SEEDS = [
@@ -47,3 +60,23 @@
     report = await _run.run_seed(config, tmp_path)
     assert not report.violations
     assert report.served
+
+
+#: Commits that upgrades start from: before the ports between entries, and the
+#: last one before the changes of issue 40.
+PRODUCTION = ("0d0a3c1", "6190c7d")
+UPGRADE_KINDS = (*_upgrades.UPGRADES.names(), "kill", "restart")
+
+
+# Guards against: old and new builds that run side by side break what each of
+# them keeps alone. It fails in a shallow clone, which lacks the old builds.
+@pytest.mark.parametrize("production", PRODUCTION)
+async def test_guarantees_hold_during_upgrades(
+    production: str, tmp_path: pathlib.Path
+) -> None:
+    config = _run.SeedConfig(
+        1, DURATION_S, kinds=UPGRADE_KINDS, production=production
+    )
+    report = await _run.run_seed(config, tmp_path)
+    assert not report.violations
+    assert report.served
