Refuse requests that a planned stop would cut off

Requests on kept connections at the very end were read and got no answer for up to half a second, then a close.

Cause: an entry took every request for 6 s after SIGTERM and cut what was left after 7.44 s, however long such requests take. The close itself waited 0.5 s for the next request of each idle connection, which it no longer passed on, then 0.5 s more for handlers that it had not cancelled yet; so an entry with endless streams outlasted the 8 s and was killed.

Otherwise it answers 503 at once (not run, Retry-After 0.02 s, Connection: close). The limit holds also while a request waits for a slot. Delegated requests are refused so that the sender tries the next entry. Idle connections are closed first, at once; requests in flight have until the cut; then their handlers are cancelled. A stream whose head had left before SIGTERM as keep-alive is not followed by a close. After a crash of a component no new requests are accepted for 6 s more.

Ruled out: a lower ADDRESS_TTL_MS alone; callers that keep addresses longer would still be cut.

--- /dev/null
+++ b/lagooncrank/core/drain/_stop_plan.py
@@ -0,0 +1,67 @@
+"""Stages of a planned stop, and which requests fit into what is left."""
+
+import dataclasses
+from typing import Final
+
+#: Fraction of the grace period after which what still runs is cut. The rest of
+#: it is for the end of the process itself.
+CUT_FRACTION: Final = 0.93
+#: Some callers use a cached list of addresses for this many times its TTL.
+STALE_ADDRESS_FACTOR: Final = 3
+#: Shortest duration that is expected of any request.
+MIN_DURATION_MS: Final = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopPlan:
+    """Times of one planned stop.
+
+    >>> plan = StopPlan.from_grace(0, grace_ms=8_000, address_ttl_ms=2_000)
+    >>> plan.serves_all_until_ms, plan.accepts_until_ms, plan.cut_ms
+    (2000, 6000, 7440)
+    """
+
+    #: Until then each request is served: the lists that its caller may use as
+    #: they state it contain this entry.
+    serves_all_until_ms: int
+    #: Until then new connections are accepted.
+    accepts_until_ms: int
+    #: When the remaining requests are cut.
+    cut_ms: int
+
+    @classmethod
+    def from_grace(
+        cls, started_ms: int, grace_ms: int, address_ttl_ms: int
+    ) -> "StopPlan":
+        """Returns the plan of a stop that starts now.
+
+        Args:
+            started_ms: Current time.
+            grace_ms: Time after which the process is killed.
+            address_ttl_ms: Time for which callers may cache addresses.
+        """
+        cut_ms = started_ms + int(grace_ms * CUT_FRACTION)
+        stale_ms = STALE_ADDRESS_FACTOR * address_ttl_ms
+        return cls(
+            min(started_ms + address_ttl_ms, cut_ms),
+            min(started_ms + stale_ms, cut_ms),
+            cut_ms,
+        )
+
+    def latest_start_ms(self, deadline_ms: int, longest_ms: int | None) -> int:
+        """Returns until when a request may be sent to a backend server.
+
+        A request with an early deadline ends in any case before the cut, if it
+        is sent at once.
+
+        Args:
+            deadline_ms: When its response must be complete.
+            longest_ms: Time that it takes at most, as far as is known.
+        """
+        latest_ms = self.serves_all_until_ms
+        if longest_ms is not None:
+            needed_ms = max(longest_ms, MIN_DURATION_MS)
+            latest_ms = max(latest_ms, self.cut_ms - needed_ms)
+        if deadline_ms <= self.cut_ms:
+            latest_ms = max(latest_ms, self.cut_ms - MIN_DURATION_MS)
+        return latest_ms
--- a/lagooncrank/server/seeded/_attempt_parts.py
+++ b/lagooncrank/server/seeded/_attempt_parts.py
@@ -13,6 +13,7 @@
 from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _server_limits
 from lagooncrank.server.seeded import _slot_queue
+from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _target_selector
 
 
@@ -31,6 +32,7 @@
     reach_monitor: _reach_monitor.ReachMonitor
     #: Sends requests to other entries.
     delegator: _delegator.Delegator
+    stop_gate: _stop_gate.StopGate
     metrics: _entry_metrics.EntryMetrics
     clock: clocks.Clock
     log: _decision_log.DecisionLog
--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 from typing import Final
 
 from aiohttp import web
@@ -34,7 +35,11 @@
 #: Delay before callers should retry while no document is known; a restart of
 #: all nodes takes about this long.
 NO_DOCUMENT_RETRY_AFTER_MS: Final = 2_000
-SHUTDOWN_TIMEOUT_S: Final = 0.5
+#: Time for handlers to end after they are cancelled at the cut.
+CUT_TIMEOUT_S: Final = 0.05
+#: Steps of the event loop after which a request that had arrived on a
+#: connection before it was closed is in progress.
+ARRIVAL_STEPS: Final = 4
 #: Time without any request after which a stopping entry closes its connections;
 #: longer than a request on a new connection takes to arrive.
 QUIET_S: Final = 0.1
@@ -140,12 +145,30 @@
         await asyncio.sleep(QUIET_S)
         return self._idle.is_set() and self._served == served
 
-    async def stop(self) -> None:
-        """Closes the listening sockets and every connection."""
-        self._is_stopped = True
+    async def stop(self, wait_s: float = 0.0) -> None:
+        """Closes the listening sockets and every connection.
+
+        Idle connections are closed at once: what arrives on them later is not
+        read.
+
+        Args:
+            wait_s: Time for the requests in flight to end before they are cut.
+        """
         self.stop_accepting()
+        for server in self._servers:
+            server.pre_shutdown()
+        for _ in range(ARRIVAL_STEPS):
+            await asyncio.sleep(0)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                # Returns once the last response is written.
+                await self._shut_down(wait_s + CUT_TIMEOUT_S)
+        self._is_stopped = True
+        await self._shut_down(CUT_TIMEOUT_S)
+
+    async def _shut_down(self, timeout_s: float) -> None:
         await asyncio.gather(
-            *(server.shutdown(SHUTDOWN_TIMEOUT_S) for server in self._servers)
+            *(server.shutdown(timeout_s) for server in self._servers)
         )
 
     async def _track(
@@ -162,7 +185,8 @@
             self._in_flight -= 1
             if self._in_flight == 0:
                 self._idle.set()
-        if self.is_closing:
+        if self.is_closing and not response.prepared:
+            # A head that was sent has told the caller whether it may go on.
             response.force_close()
         return response
 
--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -21,6 +21,7 @@
 from lagooncrank.server.seeded import _reach_metrics
 from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _startup_wait
+from lagooncrank.server.seeded import _stop_gate
 
 #: Longest wait for a document that the sender has already; entries that can
 #: reach the control nodes have it within this time of each other.
@@ -40,6 +41,7 @@
         caller_server: _caller_server.CallerServer,
         documents: _documents.DocumentStore,
         detector: reach.ReachDetector,
+        stop_gate: _stop_gate.StopGate,
         metrics: _reach_metrics.ReachMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
@@ -51,6 +53,7 @@
         self._caller_server = caller_server
         self._documents = documents
         self._detector = detector
+        self._stop_gate = stop_gate
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -107,7 +110,7 @@
         timeout_ms = _forwarding.route_timeout_ms(
             route, delegated.elapsed_ms + delegated.remaining_ms
         )
-        return _exchange.Exchange(
+        exchange = _exchange.Exchange(
             _without_delegation(request_head),
             route,
             delegated.service,
@@ -119,6 +122,9 @@
             possible_runs=delegated.possible_runs,
             delegated_by=delegated.sender,
         )
+        if not self._stop_gate.is_open(exchange):
+            raise _refusals.ForwardingError(_refusal("this entry is stopping"))
+        return exchange
 
     async def _wait_for_document(
         self, delegated: _delegated_request.DelegatedRequest
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -24,6 +24,11 @@
 
 #: Entries that one request is delegated to at most, one after the other.
 MAX_DELEGATIONS: Final = 3
+#: Refusals of requests that another entry may serve at once.
+_NOT_ACCEPTED: Final = (
+    results.ResultCode.DELEGATION_REFUSED,
+    results.ResultCode.STOPPING,
+)
 
 
 class Delegator:
@@ -196,7 +201,7 @@
             exchange.delegated_runs = outcome.possible_runs
             exchange.leaving_server = outcome.leaving_server
             return
-        if outcome.code is results.ResultCode.DELEGATION_REFUSED:
+        if outcome.code in _NOT_ACCEPTED:
             raise _attempt.AttemptFailedError(
                 _attempt.FailureKind.NOT_RUN, outcome.code.meaning
             )
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -7,6 +7,7 @@
 from lagooncrank import decisions
 from lagooncrank import settings
 from lagooncrank.core import dispatch
+from lagooncrank.core import drain
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
@@ -20,15 +21,11 @@
 from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _response_relay
 from lagooncrank.server.seeded import _slot_queue
+from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _target_selector
 
 #: Time for which callers may cache a list of addresses.
 ADDRESS_TTL_MS: Final = 2_000
-#: Some callers use a cached list for this many times its TTL.
-STALE_ADDRESS_FACTOR: Final = 3
-#: Fraction of the stop grace period after which the remaining requests are
-#: aborted.
-DRAIN_FRACTION: Final = 0.93
 READINESS_POLL_S: Final = 0.1
 
 
@@ -78,6 +75,7 @@
             clock,
             self.decision_log,
         )
+        self._stop_gate = _stop_gate.StopGate(clock)
         parts = _attempt_parts.AttemptParts(
             target_selector,
             _slot_queue.SlotQueue(
@@ -90,13 +88,14 @@
             self.server_limits,
             reach_monitor,
             delegator,
+            self._stop_gate,
             self.metrics,
             clock,
             self.decision_log,
         )
         forwarder = _forwarding.Forwarder(parts)
         response_relay = _response_relay.ResponseRelay(
-            forwarder, self.metrics, clock, self.decision_log
+            forwarder, self._stop_gate, self.metrics, clock, self.decision_log
         )
         self._caller_server = _caller_server.CallerServer(
             node_settings,
@@ -115,6 +114,7 @@
             self._caller_server,
             self.documents,
             reach_monitor.detector,
+            self._stop_gate,
             self.metrics.reach,
             clock,
             self.decision_log,
@@ -145,25 +145,29 @@
     async def prepare_stop(self) -> None:
         """Withdraws from the directory, then drains the requests in flight.
 
-        Callers with a cached address are served until their cache expires.
+        Callers with a cached address are served until their cache expires, as
+        long as their requests end before the cut. After a crash of a component
+        no new ones are accepted.
         """
         grace_ms = self.settings.timing.stop_grace_ms
-        started_ms = self.clock.now_ms()
+        plan = drain.StopPlan.from_grace(
+            self.clock.now_ms(), grace_ms, ADDRESS_TTL_MS
+        )
         self._is_stopping = True
         self.view.is_open = False
         self.view.publish_notice()
         self._caller_server.is_closing = True
+        self._stop_gate.begin(plan)
         self.decision_log.write(decisions.Event.STOPPING, grace_ms=grace_ms)
-        address_use_ms = STALE_ADDRESS_FACTOR * ADDRESS_TTL_MS
-        drain_deadline_ms = int(grace_ms * DRAIN_FRACTION)
-        await asyncio.sleep(
-            min(address_use_ms, drain_deadline_ms) / clocks.MS_PER_S
-        )
+        if not self.crashed:
+            await asyncio.sleep(self._seconds_until(plan.accepts_until_ms))
         self._caller_server.stop_accepting()
-        remaining_ms = started_ms + drain_deadline_ms - self.clock.now_ms()
-        await self._caller_server.drain(max(remaining_ms, 0) / clocks.MS_PER_S)
+        await self._caller_server.drain(self._seconds_until(plan.cut_ms))
         # Nothing may arrive on open connections while the rest stops.
-        await self._caller_server.stop()
+        await self._caller_server.stop(self._seconds_until(plan.cut_ms))
+
+    def _seconds_until(self, time_ms: int) -> float:
+        return max(time_ms - self.clock.now_ms(), 0) / clocks.MS_PER_S
 
     async def _publish_readiness(self) -> None:
         while not self.should_stop:
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -72,6 +72,13 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def streamed_ms(self) -> int:
+        """Time between the first and the newest event; 0 without any."""
+        if self.first_event_ms is None or self.newest_event_ms is None:
+            return 0
+        return self.newest_event_ms - self.first_event_ms
+
     def begin_run(self, now_ms: int) -> None:
         """Records that a backend server began to respond."""
         self.run_began_ms = now_ms
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -15,6 +15,7 @@
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _attempt_runner
 from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _retry_rules
 
 
@@ -30,6 +31,7 @@
         )
         self._reach_monitor = parts.reach_monitor
         self._delegator = parts.delegator
+        self._stop_gate = parts.stop_gate
         self._metrics = parts.metrics
         self._clock = parts.clock
         self._log = parts.log
@@ -53,7 +55,7 @@
         rejections = 0
         last_error: _attempt.AttemptFailedError | None = None
         while True:
-            target = await self._chooser.choose(exchange, last_error)
+            target = await self._choose(exchange, last_error)
             try:
                 return target, await self._runner.start(exchange, target)
             except _attempt.AttemptFailedError as error:
@@ -66,6 +68,26 @@
                 rejections += 1
             self._retry_rules.check(exchange, last_error, rejections)
 
+    async def _choose(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> dispatch.Target:
+        """Chooses the next target; a planned stop limits the wait for it.
+
+        Raises:
+            ForwardingError: There is none, or the request must not be sent.
+        """
+        self._stop_gate.check(exchange, last_error)
+        try:
+            async with asyncio.timeout(None) as timeout:
+                with self._stop_gate.register_wait(exchange, timeout):
+                    return await self._chooser.choose(exchange, last_error)
+        except TimeoutError as error:
+            raise _refusals.ForwardingError(
+                _refusals.stopping_refusal(exchange, last_error)
+            ) from error
+
     def close(
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> None:
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -24,6 +24,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _refusals
+from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _stream_quota
 
 #: A resumable stream is resumed elsewhere after a pause of this many times the
@@ -38,11 +39,13 @@
     def __init__(
         self,
         forwarder: _forwarding.Forwarder,
+        stop_gate: _stop_gate.StopGate,
         metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
     ) -> None:
         self._forwarder = forwarder
+        self._stop_gate = stop_gate
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -320,6 +323,8 @@
         self, exchange: _exchange.Exchange, status: int
     ) -> None:
         first_ms = exchange.first_event_ms or self._clock.now_ms()
+        if status < _adapter.FIRST_ERROR_STATUS:
+            self._stop_gate.record_answered(exchange, first_ms)
         self._metrics.observe_response(
             exchange.service, first_ms - exchange.arrived_ms
         )
--- a/lagooncrank/server/seeded/_runner.py
+++ b/lagooncrank/server/seeded/_runner.py
@@ -53,8 +53,7 @@
     watcher.cancel()
     _log_crash(node)
     await node.prepare_stop()
-    for runner in runners:
-        await runner.cleanup()
+    await asyncio.gather(*(runner.cleanup() for runner in runners))
     node.decision_log.write(decisions.Event.STOPPED)
     await node.stop()
 
--- /dev/null
+++ b/lagooncrank/server/seeded/_stop_gate.py
@@ -0,0 +1,115 @@
+"""Refuses requests that would not end before the cut of a planned stop."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+
+from lagooncrank import clock as clocks
+from lagooncrank.core import drain
+from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _refusals
+
+_Wait = tuple[_exchange.Exchange, asyncio.Timeout]
+
+
+class StopGate:
+    """Learns how long requests take, and applies the plan of a stop."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._durations = drain.RecentDurations()
+        #: Plan of the stop; None while this entry does not stop.
+        self._plan: drain.StopPlan | None = None
+        #: Requests that have not been sent yet.
+        self._waits: dict[int, _Wait] = {}
+
+    def begin(self, plan: drain.StopPlan) -> None:
+        """Starts to apply a plan, also to the requests that wait already."""
+        self._plan = plan
+        for exchange, timeout in self._waits.values():
+            self._limit(exchange, timeout, plan)
+
+    def record_answered(
+        self, exchange: _exchange.Exchange, first_ms: int
+    ) -> None:
+        """Records a request whose response is complete.
+
+        Args:
+            exchange: The request.
+            first_ms: When its first event arrived, or its whole response.
+        """
+        now_ms = self._clock.now_ms()
+        self._durations.record(
+            exchange.route.name,
+            exchange.request_head.max_output_tokens,
+            first_ms - exchange.arrived_ms,
+            now_ms - exchange.arrived_ms,
+            now_ms,
+        )
+
+    def is_open(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether a request may be sent now."""
+        if self._plan is None:
+            return True
+        latest_ms = self._latest_start_ms(exchange, self._plan)
+        return self._clock.now_ms() < latest_ms
+
+    def check(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> None:
+        """Checks that a request may be sent now.
+
+        Raises:
+            ForwardingError: It might not end before the cut.
+        """
+        if not self.is_open(exchange):
+            raise _refusals.ForwardingError(
+                _refusals.stopping_refusal(exchange, last_error)
+            )
+
+    @contextlib.contextmanager
+    def register_wait(
+        self, exchange: _exchange.Exchange, timeout: asyncio.Timeout
+    ) -> Iterator[None]:
+        """Registers the wait of a request that has not been sent yet.
+
+        Args:
+            exchange: The request.
+            timeout: Timeout around the wait; expires when the request may not
+                be sent any more.
+        """
+        self._waits[exchange.number] = (exchange, timeout)
+        try:
+            if self._plan is not None:
+                self._limit(exchange, timeout, self._plan)
+            yield
+        finally:
+            del self._waits[exchange.number]
+
+    def _limit(
+        self,
+        exchange: _exchange.Exchange,
+        timeout: asyncio.Timeout,
+        plan: drain.StopPlan,
+    ) -> None:
+        if timeout.expired():
+            return
+        wait_ms = self._latest_start_ms(exchange, plan) - self._clock.now_ms()
+        now_s = asyncio.get_running_loop().time()
+        timeout.reschedule(now_s + max(wait_ms, 0) / clocks.MS_PER_S)
+
+    def _latest_start_ms(
+        self, exchange: _exchange.Exchange, plan: drain.StopPlan
+    ) -> int:
+        longest_ms = self._durations.longest_ms(
+            exchange.route.name,
+            exchange.request_head.max_output_tokens,
+            self._clock.now_ms(),
+        )
+        if longest_ms is not None:
+            # A stream that is resumed has only its rest left.
+            longest_ms -= exchange.streamed_ms
+        return plan.latest_start_ms(exchange.deadline_ms, longest_ms)
