Stand-ins: repeated refusals, errors after breaks, stops in heads

Operators of like systems report three faults of backend servers: an earlier refusal that comes once more on a kept connection, an error as the answer to a request that resumes a stream, and an answer that stops in its head.

The soak was not run with the new switches yet.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -246,7 +246,15 @@
     """Makes a backend server refuse requests or send faulty responses."""
     server = random_.choice(deployment.running_servers())
     name = random_.choice(
-        ["loses_answers", "is_full", "is_unsigned", "truncates"]
+        [
+            "loses_answers",
+            "is_full",
+            "is_unsigned",
+            "truncates",
+            "repeats_refusals",
+            "errors_after_breaks",
+            "stops_in_heads",
+        ]
     )
     setattr(server, name, True)
     await asyncio.sleep(duration_s)
