--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -1,6 +1,7 @@
 """Control node: takes part in consensus, tracks the fleet, forms groups."""
 
 from lagooncrank import clock as clocks
+from lagooncrank import model
 from lagooncrank import settings
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _control_metrics
@@ -48,3 +49,31 @@
         Without one, reports that this node accepted would not reach others.
         """
         return self.shared.has_quorum
+
+    def record_report(self, report: model.ServerReport) -> bool:
+        """Records a report, unless it cannot be of the server that it names.
+
+        Returns:
+            Whether the report counts.
+        """
+        known = self.view.table.get(report.server_id)
+        if known is not None and self._contradicts(report, known.report):
+            return False
+        self.view.record_report(report)
+        return True
+
+    def _contradicts(
+        self, report: model.ServerReport, known: model.ServerReport
+    ) -> bool:
+        """Returns whether a report is of another writer than its server.
+
+        An engine does not turn into a plain server of its service, nor does a
+        server of a declared service turn into one of a service that nobody
+        declared.
+        """
+        if report.service == known.service:
+            return bool(known.fabric_domain) and not report.fabric_domain
+        catalog = self.documents.catalog
+        if catalog is None or report.service in catalog.services:
+            return False
+        return known.service in catalog.services
