Start with no state of a control node that is cut off from the others

What callers could see (CONFIG): an entry that starts while the control node that it follows first is cut off from the others used that node's document, though newer ones had been confirmed, until it had changed over to another control node (0.8 s and more).

Cause: a node counted as caught up with the state at the last quorum contact of its upstream, however old that contact was, and this is looked at once.

Fix: the contact must be recent (under 1 s). If none is found within 3 s of the start, the last one counts as before: without any quorum nothing newer can have been confirmed that this node could learn.

--- a/lagooncrank/core/consensus/__init__.py
+++ b/lagooncrank/core/consensus/__init__.py
@@ -29,6 +29,7 @@
 from lagooncrank.core.consensus._participant_types import ParticipantConfig
 from lagooncrank.core.consensus._participant_types import PendingOutput
 from lagooncrank.core.consensus._participant_types import ReleasedOutput
+from lagooncrank.core.consensus._polling import STALE_START_WAIT_MS
 from lagooncrank.core.consensus._proposals import ForwardedProposal
 from lagooncrank.core.consensus._proposals import ProposalRefusal
 from lagooncrank.core.consensus._proposals import SettledProposal
@@ -41,6 +42,7 @@
 
 __all__ = [
     "NODE_MESSAGES",
+    "STALE_START_WAIT_MS",
     "AppendReply",
     "AppendRequest",
     "Applier",
--- a/lagooncrank/core/consensus/_participant.py
+++ b/lagooncrank/core/consensus/_participant.py
@@ -40,6 +40,8 @@
         self._applier = applier
         self.applied_index = 0
         self._applied_term = 0
+        #: Time of the first tick.
+        self._started_ms: int | None = None
         self._outbox: list[_participant_types.OutgoingMessage] = []
         self._settled: list[_proposals.SettledProposal] = []
         self._contact = _relay.QuorumContact()
@@ -75,12 +77,21 @@
         """Voter set in this node's log; None on a node without a disk."""
         return self._node.status.voters if self._node else None
 
-    @property
-    def has_caught_up(self) -> bool:
-        """Whether all entries committed at the last contact are applied."""
-        contact = self._contact
-        is_known = contact.contact_ms is not None
-        return is_known and self.applied_index >= contact.commit_index
+    def has_caught_up(self, now_ms: int) -> bool:
+        """Whether all entries committed at the last contact are applied.
+
+        The contact must be recent: the upstream may be cut off from the
+        quorum. If none is to be had for some time, the last one counts.
+        """
+        age_ms = self._contact.age_ms(now_ms)
+        if age_ms is None or self.applied_index < self._contact.commit_index:
+            return False
+        if age_ms < _polling.STALE_CONTACT_AGE_MS:
+            return True
+        started_ms = self._started_ms
+        if started_ms is None:
+            return False
+        return now_ms - started_ms >= _polling.STALE_START_WAIT_MS
 
     @property
     def upstream(self) -> model.NodeId | None:
@@ -114,6 +125,8 @@
 
     def tick(self, now_ms: int) -> None:
         """Runs due timers; call it about every 50 ms."""
+        if self._started_ms is None:
+            self._started_ms = now_ms
         if self._voter_membership is not None:
             self._voter_membership.tick(now_ms)
         self._poll(now_ms)
--- a/lagooncrank/core/consensus/_polling.py
+++ b/lagooncrank/core/consensus/_polling.py
@@ -15,6 +15,9 @@
 UPSTREAM_TIMEOUT_MS: Final = 800
 #: Quorum contact older than this does not count as recent.
 STALE_CONTACT_AGE_MS: Final = 1_000
+#: Time after the start in which a node looks for an upstream with recent quorum
+#: contact. It is enough to try a few of them.
+STALE_START_WAIT_MS: Final = 3_000
 #: A follower that has not polled for this long is sent no more entries.
 FOLLOWER_TIMEOUT_MS: Final = 2_000
 
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -151,8 +151,11 @@
 
     @property
     def has_caught_up(self) -> bool:
-        """Whether all entries committed at the last contact are applied."""
-        return self._participant.has_caught_up
+        """Whether all changes confirmed before a recent contact are applied.
+
+        See `Participant.has_caught_up`.
+        """
+        return self._participant.has_caught_up(self._clock.now_ms())
 
     @property
     def voters(self) -> consensus.VoterSet | None:
