Keep a connection to a server only while every byte on it is accounted for

Now a response is split at its own end: the parser gets the head and the body and nothing else, and a connection with any further byte carries no request. Before a pooled connection is used, it is checked for unread bytes and for an end (one poll of the socket), and for the idle time that its server stated, less 0.25 s. An answer that is not the request's aborts the connection, also if it is in the pool again. A request that has no id, or that was refused at an address under the same id, gets a connection of its own there: so a refusal can only be believed where no earlier one of the same id was on that connection.

A refusal alone keeps its connection: new connections cost servers something, and a copy of it carries an id that no later request on it has.

Ruled out: an answer's head that is cut off.

--- a/lagooncrank/server/_bounded_http.py
+++ b/lagooncrank/server/_bounded_http.py
@@ -1,14 +1,17 @@
-"""HTTP client connections that close when a server sends without end.
+"""HTTP client connections that close when a server sends more than a response.
 
 The HTTP library limits the length of a line and pauses a body that is not
 read. It does not limit interim responses, chunk extensions, trailers and the
-bytes after a response, which a faulty server may send without end.
+bytes after a response, which a faulty server may send without end. It keeps a
+connection whose last read also brought the start of something else; here, a
+connection with any byte that belongs to no request carries no other request.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import functools
+import re
 from typing import Any
 from typing import Final
 
@@ -18,6 +21,7 @@
 from aiohttp import streams
 
 from lagooncrank.server import _connection_end
+from lagooncrank.server import _idle_connections
 
 #: Limit of all bytes before the body, with interim responses.
 MAX_HEAD_BYTES: Final = 65_536
@@ -37,6 +41,14 @@
 TURN_BYTES: Final = 8_192
 _FIRST_FINAL_STATUS: Final = 200
 _SWITCHING_PROTOCOLS: Final = 101
+#: End of a head; the library also accepts lines that end without CR.
+_BLANK_LINE: Final = re.compile(rb"\r?\n\r?\n")
+#: Bytes of a head that may be the start of its end.
+_HEAD_TAIL_BYTES: Final = 3
+#: End of a chunked body, with or without trailers, and the same with an empty
+#: line that follows the body.
+_CHUNKED_END: Final = b"\r\n\r\n"
+_CHUNKED_END_AND_MORE: Final = b"\r\n\r\n\r\n"
 
 _Message = tuple[http_parser.RawResponseMessage, streams.StreamReader]
 
@@ -139,7 +151,7 @@
 
 
 class _BoundedProtocol(client_proto.ResponseHandler):
-    """Counts the bytes that are not content of a body."""
+    """Tells the bytes of each response from those around them."""
 
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
@@ -148,7 +160,32 @@
         self._interim_responses = 0
         #: Bytes received since the head, with chunk sizes and trailers.
         self._body_bytes = 0
+        #: Stated length of the body; None if it has chunks or no length.
+        self._body_length: int | None = None
+        self._is_chunked = False
+        #: Last bytes of the head, or of a chunked body, as received so far.
+        self._tail_bytes = b""
         self._limit_error: ResponseTooLargeError | None = None
+        self._heard_s = loop.time()
+        #: Longest idle time by the server's word; None if not stated.
+        self._max_idle_s: float | None = None
+
+    def is_connected(self) -> bool:
+        """Returns whether the connection may carry another request."""
+        if not super().is_connected():
+            return False
+        return not self._is_idle or self._is_usable()
+
+    @property
+    def _is_idle(self) -> bool:
+        payload = self._payload
+        return not self._awaits_head and (payload is None or payload.is_eof())
+
+    def _is_usable(self) -> bool:
+        idle_s = self._loop.time() - self._heard_s
+        if self._max_idle_s is not None and idle_s >= self._max_idle_s:
+            return False
+        return not _idle_connections.has_unread_input(self.transport)
 
     def set_response_params(self, **params: Any) -> None:
         """Prepares for the response to the next request."""
@@ -156,6 +193,7 @@
         self._head_bytes = 0
         self._interim_responses = 0
         self._body_bytes = 0
+        self._tail_bytes = b""
         super().set_response_params(**params)
 
     def feed_data(self, data: _Message, size: int = 0) -> None:
@@ -166,23 +204,55 @@
         status = data[0].code
         if status >= _FIRST_FINAL_STATUS or status == _SWITCHING_PROTOCOLS:
             self._awaits_head = False
+            self._read_framing(data[0])
         else:
             self._interim_responses += 1
         super().feed_data(data, size)
 
+    def _read_framing(self, message: http_parser.RawResponseMessage) -> None:
+        """Notes where the body ends, and how long the connection is kept."""
+        headers = message.headers
+        self._is_chunked = message.chunked
+        self._body_length = None
+        if not message.chunked and "Content-Length" in headers:
+            self._body_length = int(headers["Content-Length"])
+        if "Transfer-Encoding" in headers and (
+            "Content-Length" in headers
+            or message.version < aiohttp.HttpVersion11
+        ):
+            # The server may mean another end of the body (RFC 9112, 6.1).
+            self.force_close()
+        self._max_idle_s = _idle_connections.max_idle_s(headers)
+
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser within the limits."""
         if self._limit_error is not None:
             return
+        self._heard_s = self._loop.time()
         if not self._awaits_head:
             self._receive_body(data)
             return
         while data and self._awaits_head and self.exception() is None:
-            part, data = data[:HEAD_PART_BYTES], data[HEAD_PART_BYTES:]
+            part, is_whole = self._cut_head(data)
+            data = data[len(part) :]
             self._receive_head(part)
+            if not self._awaits_head and not is_whole:
+                # The parser has seen another end, and bytes after it.
+                self.force_close()
         if data and self.exception() is None:
             self._receive_body(data)
 
+    def _cut_head(self, data: bytes) -> tuple[bytes, bool]:
+        """Returns the bytes to parse next, and whether a head ends there."""
+        earlier = self._tail_bytes
+        part = data[:HEAD_PART_BYTES]
+        found = _BLANK_LINE.search(earlier + part)
+        if found is None:
+            self._tail_bytes = (earlier + part)[-_HEAD_TAIL_BYTES:]
+            return part, False
+        self._tail_bytes = b""
+        return part[: found.end() - len(earlier)], True
+
     def _receive_head(self, part: bytes) -> None:
         self._head_bytes += len(part)
         super().data_received(part)
@@ -209,14 +279,34 @@
             if data:
                 self._fail("bytes follow the response")
             return
+        data = self._cut_body(data)
         self._body_bytes += len(data)
         super().data_received(data)
         self._end_malformed(payload)
+        if self._is_chunked and payload.is_eof() and not self._ends_in_order():
+            self._fail("bytes follow the response")
+            return
         framing_bytes = self._body_bytes - payload.total_raw_bytes
         allowed = payload.total_raw_bytes // BODY_BYTES_PER_FRAMING_BYTE
         if framing_bytes > MAX_FRAMING_BYTES + allowed:
             self._fail("the chunk sizes and trailers exceed their limit")
 
+    def _cut_body(self, data: bytes) -> bytes:
+        """Returns the bytes that belong to the body, as far as that shows."""
+        if self._body_length is None:
+            kept_bytes = len(_CHUNKED_END_AND_MORE)
+            self._tail_bytes = (self._tail_bytes + data)[-kept_bytes:]
+            return data
+        missing_bytes = self._body_length - self._body_bytes
+        if len(data) > missing_bytes:
+            self.force_close()
+        return data[:missing_bytes]
+
+    def _ends_in_order(self) -> bool:
+        """Returns whether a complete chunked body ends the bytes so far."""
+        tail = self._tail_bytes
+        return tail.endswith(_CHUNKED_END) and tail != _CHUNKED_END_AND_MORE
+
     def _end_malformed(self, payload: streams.StreamReader) -> None:
         """Ends a body that the parser gave up.
 
--- a/lagooncrank/server/_connection_end.py
+++ b/lagooncrank/server/_connection_end.py
@@ -22,11 +22,13 @@
     #: Done when the connection has ended, with an exception if it was lost.
     #: None if it ended before the response was awaited.
     _connection_closed: asyncio.Future[None] | None = None
+    _transport: asyncio.Transport | None = None
 
     async def start(
         self, connection: connectors.Connection
     ) -> aiohttp.ClientResponse:
         """Waits for the head of the response."""
+        self._transport = connection.transport
         if connection.protocol is not None:
             closed = connection.protocol.closed
             if closed is not None:
@@ -36,6 +38,12 @@
             self._connection_closed = closed
         return await super().start(connection)
 
+    def abort(self) -> None:
+        """Aborts the connection, also if it is in the pool again."""
+        self.close()
+        if self._transport is not None:
+            self._transport.abort()
+
     @property
     def has_ended_in_order(self) -> bool:
         """Whether the connection has ended without being reset or lost."""
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -1,14 +1,13 @@
 """One attempt: sends a request to one backend server over HTTP."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import dataclasses
 import enum
 import socket
-import types
 from typing import Any
 from typing import Final
-from typing import Protocol
 
 import aiohttp
 import yarl
@@ -20,6 +19,7 @@
 from lagooncrank.server import _library_retries
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
+from lagooncrank.server.seeded import _connection_traces
 
 #: Shorter than the usual keep-alive timeout of backend servers, so that no
 #: request is sent on a connection that the server is closing.
@@ -29,6 +29,9 @@
 #: Errors of the HTTP library quote what the server sent.
 MAX_DETAIL_CHARS: Final = 300
 
+#: Refusals that are remembered; the oldest are forgotten beyond it.
+MAX_REFUSALS: Final = 4_096
+
 #: Headers that the client library would add by default.
 _NO_AUTO_HEADERS: Final = (
     "Accept",
@@ -137,21 +140,16 @@
         """Closes the connection unless the whole body was read."""
         self.response.close()
 
+    def abort(self) -> None:
+        """Aborts the connection, even if the whole body was read."""
+        assert isinstance(self.response, _connection_end.ClientResponse)
+        self.response.abort()
+
     def release(self) -> None:
         """Returns the connection to the pool."""
         self.response.release()
 
 
-class ConnectionObserver(Protocol):
-    """Is told how the connection for one attempt comes about."""
-
-    def on_connecting(self) -> None:
-        """Called when a connection is being opened."""
-
-    def on_connected(self) -> None:
-        """Called when the connection is open."""
-
-
 class BackendClient:
     """HTTP client with a pool of connections to backend servers."""
 
@@ -160,7 +158,12 @@
         #: Local address of new connections; empty for the kernel's choice.
         self.source_ip = source_ip
         self._session: aiohttp.ClientSession | None = None
-        self._probe_session: aiohttp.ClientSession | None = None
+        #: Session without a pool: each request has a connection of its own.
+        self._single_session: aiohttp.ClientSession | None = None
+        #: Address and attempt id of the last requests that were refused.
+        self._refused: collections.OrderedDict[tuple[str, str], None] = (
+            collections.OrderedDict()
+        )
         self._connector: _bounded_http.BoundedConnector | None = None
 
     async def start(self) -> None:
@@ -171,10 +174,10 @@
             socket_factory=self._create_socket,
         )
         self._session = self._open_session(self._connector)
-        probe_connector = _bounded_http.BoundedConnector(
-            force_close=True, socket_factory=self._create_socket
+        single_connector = _bounded_http.BoundedConnector(
+            limit=0, force_close=True, socket_factory=self._create_socket
         )
-        self._probe_session = self._open_session(probe_connector)
+        self._single_session = self._open_session(single_connector)
 
     def _open_session(
         self, connector: _bounded_http.BoundedConnector
@@ -187,7 +190,7 @@
             timeout,
             skip_auto_headers=_NO_AUTO_HEADERS,
             middlewares=(_library_retries.send_once,),
-            trace_configs=(_connection_traces(),),
+            trace_configs=(_connection_traces.trace_config(),),
         )
 
     def close_idle_connections(self) -> None:
@@ -205,12 +208,12 @@
             path: Path of the server's health check.
             timeout_ms: Time limit of the whole probe.
         """
-        assert self._probe_session is not None
+        assert self._single_session is not None
         url = yarl.URL(f"http://{address}{path}", encoded=True)
         try:
             async with (
                 asyncio.timeout(timeout_ms / clocks.MS_PER_S),
-                self._probe_session.get(url, allow_redirects=False),
+                self._single_session.get(url, allow_redirects=False),
             ):
                 return ProbeOutcome.RESPONSE
         except TimeoutError:
@@ -224,7 +227,7 @@
 
     async def stop(self) -> None:
         """Closes all connections."""
-        for session in (self._session, self._probe_session):
+        for session in (self._session, self._single_session):
             if session is not None:
                 await session.close()
 
@@ -236,7 +239,7 @@
         body: bytes,
         *,
         added_headers: _adapter.Headers = (),
-        observer: ConnectionObserver | None = None,
+        observer: _connection_traces.ConnectionObserver | None = None,
     ) -> BackendResponse:
         """Sends a request and waits for the head of its response.
 
@@ -251,9 +254,9 @@
         Raises:
             AttemptFailedError: No valid response to this request arrived.
         """
-        assert self._session is not None
+        session = self._choose_session(target, request_head)
         try:
-            response = await self._session.request(
+            response = await session.request(
                 request_head.method,
                 yarl.URL(
                     f"http://{target.address}{request_head.target}",
@@ -284,60 +287,66 @@
             ) from error
         headers = tuple((n, v) for n, v in response.headers.items())
         head = self._codec.decode_response(response.status, headers)
-        backend_response = BackendResponse(head, response, self._session)
+        backend_response = BackendResponse(head, response, session)
         try:
-            self._check(head, request_head)
-        except AttemptFailedError:
+            _check(head, request_head)
+        except AttemptFailedError as error:
+            if error.failure is FailureKind.RESPONSE_LOST:
+                # The responses to later requests would be taken for others.
+                backend_response.abort()
             backend_response.close()
+            if error.failure is FailureKind.NOT_RUN:
+                self._record_refusal(target, request_head)
             raise
         return backend_response
 
-    def _check(
-        self, head: _adapter.ResponseHead, request_head: _adapter.RequestHead
-    ) -> None:
-        """Checks that a response belongs to its request and may be relayed."""
-        if (
-            request_head.attempt_id
-            and head.attempt_id != request_head.attempt_id
-        ):
-            raise AttemptFailedError(
-                FailureKind.RESPONSE_LOST,
-                f"the response is for attempt {head.attempt_id!r}",
-            )
-        if head.is_not_run:
-            error = AttemptFailedError(FailureKind.NOT_RUN, str(head.status))
-            error.head = head
-            raise error
-        if head.status < _adapter.FIRST_ERROR_STATUS and not head.is_signed:
-            raise AttemptFailedError(
-                FailureKind.RESPONSE_LOST, "the response has no signature"
-            )
-        if head.is_encoded:
-            raise AttemptFailedError(
-                FailureKind.RESPONSE_LOST, "the body is encoded"
-            )
-
-
-def _connection_traces() -> aiohttp.TraceConfig:
-    """Returns hooks that tell the observer of a request about connections."""
-    config = aiohttp.TraceConfig()
-
-    async def on_connecting(
-        _session: aiohttp.ClientSession,
-        context: types.SimpleNamespace,
-        _params: aiohttp.TraceConnectionCreateStartParams,
-    ) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx.on_connecting()
+    def _choose_session(
+        self, target: dispatch.Target, request_head: _adapter.RequestHead
+    ) -> aiohttp.ClientSession:
+        """Returns the session for a request.
 
-    async def on_connected(
-        _session: aiohttp.ClientSession,
-        context: types.SimpleNamespace,
-        _params: aiohttp.TraceConnectionCreateEndParams,
+        A faulty server may send an earlier response once more. On a kept
+        connection only the attempt id tells which request a response is for, so
+        a request that has none, or that was refused there before under the same
+        id, has a connection of its own.
+        """
+        assert self._session is not None
+        assert self._single_session is not None
+        key = (target.address, request_head.attempt_id)
+        if not request_head.attempt_id or key in self._refused:
+            return self._single_session
+        return self._session
+
+    def _record_refusal(
+        self, target: dispatch.Target, request_head: _adapter.RequestHead
     ) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx.on_connected()
-
-    config.on_connection_create_start.append(on_connecting)
-    config.on_connection_create_end.append(on_connected)
-    return config
+        self._refused[target.address, request_head.attempt_id] = None
+        while len(self._refused) > MAX_REFUSALS:
+            self._refused.popitem(last=False)
+
+
+def _check(
+    head: _adapter.ResponseHead, request_head: _adapter.RequestHead
+) -> None:
+    """Checks that a response belongs to its request and may be relayed.
+
+    Raises:
+        AttemptFailedError: It does not, or states that nothing was run.
+    """
+    if request_head.attempt_id and head.attempt_id != request_head.attempt_id:
+        raise AttemptFailedError(
+            FailureKind.RESPONSE_LOST,
+            f"the response is for attempt {head.attempt_id!r}",
+        )
+    if head.is_not_run:
+        error = AttemptFailedError(FailureKind.NOT_RUN, str(head.status))
+        error.head = head
+        raise error
+    if head.status < _adapter.FIRST_ERROR_STATUS and not head.is_signed:
+        raise AttemptFailedError(
+            FailureKind.RESPONSE_LOST, "the response has no signature"
+        )
+    if head.is_encoded:
+        raise AttemptFailedError(
+            FailureKind.RESPONSE_LOST, "the body is encoded"
+        )
