Pass on a promise of a server only if the server states that nothing was run

Callers saw 'not run, try again' (503, 429, 408) for a booking that a runner had run: the status of a server that did not add the statement of not having run it was returned as it was. Such a status is a promise to the caller.

Evidence: test_promise_of_a_server_that_ran_a_booking_is_not_passed_on got 503 for a run booking on the code before, and gets 502 now. The rows 503-, 429- and 408-alone returned the status, and 200-, 500- and 504-not-run (a statement beside a status of requests that ran) were believed, so that the request was sent to a second server.

A promise without the statement is an error of the server now: the request may have run.

--- a/lagooncrank/server/seeded/_adapter.py
+++ b/lagooncrank/server/seeded/_adapter.py
@@ -90,6 +90,9 @@
     is_encoded: bool
     #: Headers to return to the caller.
     forwarded_headers: Headers
+    #: Whether it states that the server did not run the request, beside a
+    #: status of requests that were run.
+    is_contradictory: bool = False
     #: Whether another server than the expected one responded.
     is_other_server: bool = False
     #: Limit of the server's requests from all entries together.
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -31,6 +31,9 @@
 
 #: Refusals that are remembered; the oldest are forgotten beyond it.
 MAX_REFUSALS: Final = 4_096
+#: Statuses that promise callers that the request was not run. A server that
+#: responds with one and does not state that as well may have run the request.
+PROMISE_STATUSES: Final = frozenset({408, 421, 429, 503})
 
 #: Headers that the client library would add by default.
 _NO_AUTO_HEADERS: Final = (
@@ -290,6 +293,8 @@
         backend_response = BackendResponse(head, response, session)
         try:
             _check(head, request_head)
+            if not target.is_entry:
+                check_promise(head)
         except AttemptFailedError as error:
             if error.failure is FailureKind.RESPONSE_LOST:
                 # The responses to later requests would be taken for others.
@@ -342,6 +347,11 @@
         error = AttemptFailedError(FailureKind.NOT_RUN, str(head.status))
         error.head = head
         raise error
+    if head.is_contradictory:
+        raise AttemptFailedError(
+            FailureKind.RESPONSE_LOST,
+            f"{head.status} with the statement that nothing was run",
+        )
     if head.status < _adapter.FIRST_ERROR_STATUS and not head.is_signed:
         raise AttemptFailedError(
             FailureKind.RESPONSE_LOST, "the response has no signature"
@@ -350,3 +360,17 @@
         raise AttemptFailedError(
             FailureKind.RESPONSE_LOST, "the body is encoded"
         )
+
+
+def check_promise(head: _adapter.ResponseHead) -> None:
+    """Checks that a server's response promises callers nothing that is unknown.
+
+    Raises:
+        AttemptFailedError: Its status says that the request was not run, and
+            the server does not state this.
+    """
+    if head.status in PROMISE_STATUSES:
+        raise AttemptFailedError(
+            FailureKind.SERVER_ERROR,
+            f"{head.status} without the statement that nothing was run",
+        )
