--- a/lagooncrank/server/_at_most_once_client.py
+++ b/lagooncrank/server/_at_most_once_client.py
@@ -10,13 +10,13 @@
 
 import aiohttp
 import multidict
-import yarl
 
 from lagooncrank.core import retry
 from lagooncrank.server import _attempts
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _plain_client
 from lagooncrank.server import _pools
+from lagooncrank.server import _request_targets
 from lagooncrank.server import _sockets
 
 CONNECT_TIMEOUT_S: Final = _pools.CONNECT_TIMEOUT_S
@@ -137,7 +137,7 @@
     address: str,
     request: _plain_client.PlainRequest,
 ) -> _plain_client.PlainResponse:
-    url = yarl.URL(f"http://{address}{request.path_qs}", encoded=True)
+    url = _request_targets.url(address, request.path_qs)
     async with session.request(
         request.method,
         url,
--- a/lagooncrank/server/_plain_client.py
+++ b/lagooncrank/server/_plain_client.py
@@ -5,13 +5,13 @@
 
 import aiohttp
 import multidict
-import yarl
 
 from lagooncrank.core import retry
 from lagooncrank.server import _attempts
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _connection_end
 from lagooncrank.server import _pools
+from lagooncrank.server import _request_targets
 from lagooncrank.server import _response_buffers
 
 #: Maximum body size of a response that an entry forwards.
@@ -95,7 +95,7 @@
     request: PlainRequest,
     timeout_ms: int,
 ) -> PlainResponse:
-    url = yarl.URL(f"http://{address}{request.path_qs}", encoded=True)
+    url = _request_targets.url(address, request.path_qs)
     try:
         async with (
             asyncio.timeout(timeout_ms / 1_000),
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -10,13 +10,13 @@
 from typing import Final
 
 import aiohttp
-import yarl
 
 from lagooncrank import clock as clocks
 from lagooncrank.core import dispatch
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _connection_end
 from lagooncrank.server import _library_retries
+from lagooncrank.server import _request_targets
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _connection_traces
@@ -212,7 +212,7 @@
             timeout_ms: Time limit of the whole probe.
         """
         assert self._single_session is not None
-        url = yarl.URL(f"http://{address}{path}", encoded=True)
+        url = _request_targets.url(address, path)
         try:
             async with (
                 asyncio.timeout(timeout_ms / clocks.MS_PER_S),
@@ -261,10 +261,7 @@
         try:
             response = await session.request(
                 request_head.method,
-                yarl.URL(
-                    f"http://{target.address}{request_head.target}",
-                    encoded=True,
-                ),
+                _request_targets.url(target.address, request_head.target),
                 headers=(
                     *self._codec.backend_request_headers(
                         request_head, metadata
