Keep the retry budget over restarts and unknown numbers of entries

Cause: an entry divided the fixed number of the budget by the entries in the newest summary. That is 1 before the first summary, and 0 to 4 of 9 just after a start; entries that stop serve on for 7.4 s but are not counted. Besides, each restart within a window gave an entry its whole share again.

The change: a share refills with time and is empty after a start, except the first start of all; the highest number of open entries of ten minutes counts; until it is known only the requests pay. A control node passes the number that it remembers on in summaries, so that an entry that starts during a cut knows it; older builds ignore the field. What is saved up and what refills in a window are 0.45 of the share each, and so is the usable part of what requests allow, as retries of one window may be based on the requests of two.

Tests: the two tests of the budget in test_dispatch.py create it with its start. The one for the window now checks all windows of 3 s, not two moments; the first burst is 4 of 10 instead of 6.

Not shown: a control node and an entry that start in the same cut, for the first time on that disk, still take what they see after 2.5 s for all entries.

--- a/lagooncrank/core/dispatch/tests/test_dispatch.py
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -70,7 +70,10 @@
 def test_retries_of_all_entries_stay_within_the_shared_budget() -> None:
     """Every request fails, and each entry tries to retry all of its own."""
     rules = model.RetryBudgetRules(window_ms=10_000, ratio=0.2, extra=130)
-    entries = [dispatch.SharedRetryBudget(rules) for _ in range(9)]
+    entries = [
+        dispatch.SharedRetryBudget(rules, 0, is_first_start=True)
+        for _ in range(9)
+    ]
     requests = retries = 0
     for now_ms in range(0, 10_000, 10):
         entry = entries[now_ms // 10 % 9]
@@ -82,10 +85,20 @@
 
 def test_retry_budget_recovers_with_the_window() -> None:
     rules = model.RetryBudgetRules(window_ms=1_000, ratio=0.0, extra=10)
-    budget = dispatch.SharedRetryBudget(rules)
-    assert sum(budget.try_acquire(SERVICE, 1, 0) for _ in range(20)) == 6
-    assert not budget.try_acquire(SERVICE, 1, 999)
-    assert budget.try_acquire(SERVICE, 1, 1_001)
+    budget = dispatch.SharedRetryBudget(rules, 0, is_first_start=True)
+    assert sum(budget.try_acquire(SERVICE, 1, 0) for _ in range(20)) == 4
+    assert not budget.try_acquire(SERVICE, 1, 100)
+    assert sum(budget.try_acquire(SERVICE, 1, 1_000) for _ in range(20)) == 4
+    assert not budget.try_acquire(SERVICE, 1, 1_000)
+    # Less than the whole budget in any window, however it is spent.
+    times_ms = [
+        t for t in range(2_001, 5_000) if budget.try_acquire(SERVICE, 1, t)
+    ]
+    assert all(
+        sum(start <= t <= start + 1_000 for t in times_ms) <= 10
+        for start in range(1_000, 4_000)
+    )
+    assert len(times_ms) >= 12
 
 
 def test_head_is_stalled_when_all_its_streams_are() -> None:
--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -1,5 +1,8 @@
 """State of backend servers and nodes, as derived from their reports."""
 
+from lagooncrank.core.fleet._entry_count import MEMORY_MS
+from lagooncrank.core.fleet._entry_count import SETTLING_MS
+from lagooncrank.core.fleet._entry_count import SharingEntries
 from lagooncrank.core.fleet._entry_list import CachedEntryList
 from lagooncrank.core.fleet._nodes import choose_entries
 from lagooncrank.core.fleet._nodes import FleetSummary
@@ -16,6 +19,8 @@
 from lagooncrank.core.fleet._servers import ServerTable
 
 __all__ = [
+    "MEMORY_MS",
+    "SETTLING_MS",
     "AgedReport",
     "CachedEntryList",
     "FleetSummary",
@@ -28,6 +33,7 @@
     "ReportsWanted",
     "ServerRecord",
     "ServerTable",
+    "SharingEntries",
     "choose_entries",
     "without_cut_off",
 ]
--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -87,6 +87,9 @@
     )
     #: Addresses of entries that have a path to no service at all.
     cut_off: tuple[str, ...] = ()
+    #: Number of entries that share what the system may use, as the sender
+    #: remembers it; 0 if it does not know it.
+    sharing_entries: int = 0
 
 
 class NodeTable:
--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -129,8 +129,10 @@
         Raises:
             ForwardingError: The budget is spent.
         """
+        now_ms = self._clock.now_ms()
+        entry_count = self._view.sharing_entries.count(now_ms)
         if exchange.has_arrived and not self._retry_budget.try_acquire(
-            exchange.service, self._view.entry_count, self._clock.now_ms()
+            exchange.service, entry_count, now_ms
         ):
             code = results.ResultCode.RETRY_BUDGET_SPENT
             raise _refusals.ForwardingError(
@@ -143,7 +145,7 @@
             decisions.Event.SENT_AGAIN,
             to=target.server_id,
             failure=last_error.failure if last_error else None,
-            entries=self._view.entry_count,
+            entries=entry_count,
             **exchange.log_fields(self._clock),
         )
 
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -56,7 +56,11 @@
             self.server_limits,
             clock,
         )
-        retry_budget = dispatch.SharedRetryBudget(node_settings.retry)
+        retry_budget = dispatch.SharedRetryBudget(
+            node_settings.retry,
+            clock.now_ms(),
+            is_first_start=node_settings.is_first_start,
+        )
         reach_monitor = _reach_monitor.ReachMonitor(
             self.view,
             self._client,
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 from typing import Final
 
 import mode
@@ -81,8 +82,10 @@
         self.is_open = False
         #: Whether this entry has received a request since its start.
         self.has_served = False
-        #: Number of entries that share the slots and the retry budget.
+        #: Number of open entries in the newest summary.
         self.entry_count = 1
+        #: Number of entries that share what the system may use in all.
+        self.sharing_entries = fleet.SharingEntries()
         #: Services that this entry has no path to.
         self.unreached: tuple[model.ServiceName, ...] = ()
         #: The same of all entries, by their addresses for callers.
@@ -251,7 +254,10 @@
         self._pending_notices.clear()
         self._links.send_all(self._control_nodes.others(), _NOTICES, batch)
         summary = self.nodes.summary(now_ms, self._control_nodes.voters())
-        self.entry_count = len(summary.open_entries)
+        self._record_entry_count(summary, now_ms)
+        summary = dataclasses.replace(
+            summary, sharing_entries=self.sharing_entries.count(now_ms) or 0
+        )
         self._control_nodes.replace(summary.control_nodes)
         self._links.send_all(self._shared.followers, _SUMMARY, summary)
 
@@ -350,7 +356,8 @@
         self._cached_entries.update(summary.open_entries, now_ms)
         self._unreached_elsewhere = summary.unreached
         self._cut_off_entries = summary.cut_off
-        self.entry_count = len(summary.open_entries)
+        self.sharing_entries.remember(summary.sharing_entries, now_ms)
+        self._record_entry_count(summary, now_ms)
         self.loads.set_fleet_totals(summary.in_flight)
         if self._first_summary_ms is None:
             self._first_summary_ms = now_ms
@@ -360,6 +367,12 @@
         if summary.control_nodes:
             self._control_nodes.replace(summary.control_nodes)
 
+    def _record_entry_count(
+        self, summary: fleet.FleetSummary, now_ms: int
+    ) -> None:
+        self.entry_count = len(summary.open_entries)
+        self.sharing_entries.record(self.entry_count, now_ms)
+
     def _log_report(self, report: model.ServerReport) -> None:
         self._log.write(
             decisions.Event.SERVER,
