Remember departures and crash evidence over a restart of all processes

Cause: both were known to every node, but only in memory. The first report that a node sees after its start, however late, made its process ready.

The change: each control node has a small file beside its log, written in a thread of its own and replaced as a whole: at most 512 departures, the evidence (at most 64 records), and the number of entries that share the retry budget. A report or a deregistration by which a process leaves is acknowledged once the file is synced; if that fails or takes 0.7 s the answer is 503 and the server asks the next node. Every control node saves what it learns from others too. Departures hold no times, as a process never returns, so no step of a clock matters. Evidence keeps its age; 0 to 30 s count for the time between, so that a wall clock that was set neither ends it nor makes it last: after each start it is saved again every 10 s as it ages. A file that is torn, or of another version, counts as absent, with a line in the log. Nothing new is replicated or sent: restored departures go out as the state of reports, and older builds leave the file alone.

A deregistration that comes before the first report since a restart is remembered as well; it was acknowledged and dropped.

--- a/lagooncrank/core/crashes/__init__.py
+++ b/lagooncrank/core/crashes/__init__.py
@@ -13,6 +13,7 @@
 from lagooncrank.core.crashes._trials import is_trial_due
 from lagooncrank.core.crashes._trials import trial_at_ms
 from lagooncrank.core.crashes._trials import TURN_MS
+from lagooncrank.core.crashes._types import aged
 from lagooncrank.core.crashes._types import CrashRecord
 from lagooncrank.core.crashes._types import EvidenceBatch
 from lagooncrank.core.crashes._types import SoundFeature
@@ -29,6 +30,7 @@
     "CrashRecord",
     "EvidenceBatch",
     "SoundFeature",
+    "aged",
     "find_accusations",
     "is_trial_due",
     "is_whole_request",
--- a/lagooncrank/core/crashes/_evidence.py
+++ b/lagooncrank/core/crashes/_evidence.py
@@ -62,6 +62,8 @@
         #: Features of all records, with the times of their crashes.
         self._crashes_ms: dict[str, list[int]] = {}
         self._accusations: tuple[_accusations.Accusation, ...] = ()
+        #: Increases when what follows from the evidence may have changed.
+        self.version = 0
 
     @property
     def accusations(self) -> tuple[_accusations.Accusation, ...]:
@@ -92,6 +94,7 @@
         )
         self._add(record, now_ms)
         self._derive()
+        self.version += 1
 
     def record_sound(self, features: Iterable[str], began_ms: int) -> None:
         """Records a run that made progress.
@@ -103,6 +106,7 @@
         clears = [self._add_sound(f, began_ms) for f in features]
         if any(clears):
             self._derive()
+            self.version += 1
 
     def find(self, features: Iterable[str]) -> _accusations.Accusation | None:
         """Returns the accusation that a request matches, if any."""
@@ -142,6 +146,7 @@
             del self._records[key]
         if expired:
             self._derive()
+            self.version += 1
 
     def merge(
         self, batch: _types.EvidenceBatch, now_ms: int, *, is_relay: bool
@@ -153,8 +158,10 @@
             now_ms: Monotonic time in milliseconds.
             is_relay: Whether what is new is to be passed on.
         """
+        has_news = False
         for record in batch.records:
             is_new = self._add(record, now_ms)
+            has_news |= is_new
             known = self._records.get(_key(record))
             if known is not None and not (is_new and is_relay):
                 known.sent_used_ms = max(
@@ -162,11 +169,12 @@
                 )
         for sound in batch.sound:
             began_ms = now_ms - sound.age_ms
-            self._add_sound(sound.feature, began_ms)
+            has_news |= self._add_sound(sound.feature, began_ms)
             if not is_relay:
                 self._record_sent_sound(sound.feature, began_ms)
         if batch.records or batch.sound:
             self._derive()
+        self.version += has_news
 
     def batch(self, now_ms: int) -> _types.EvidenceBatch:
         """Returns all records, and what is known about their features."""
--- a/lagooncrank/core/crashes/_types.py
+++ b/lagooncrank/core/crashes/_types.py
@@ -46,3 +46,21 @@
 
     records: tuple[CrashRecord, ...] = ()
     sound: tuple[SoundFeature, ...] = ()
+
+
+def aged(batch: EvidenceBatch, passed_ms: int) -> EvidenceBatch:
+    """Returns evidence that was noted some time ago, with its present ages."""
+    return EvidenceBatch(
+        tuple(
+            dataclasses.replace(
+                record,
+                age_ms=record.age_ms + passed_ms,
+                unused_ms=record.unused_ms + passed_ms,
+            )
+            for record in batch.records
+        ),
+        tuple(
+            dataclasses.replace(sound, age_ms=sound.age_ms + passed_ms)
+            for sound in batch.sound
+        ),
+    )
--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -1,5 +1,8 @@
 """State of backend servers and nodes, as derived from their reports."""
 
+from lagooncrank.core.fleet._departures import Departure
+from lagooncrank.core.fleet._departures import Departures
+from lagooncrank.core.fleet._departures import MAX_DEPARTURES
 from lagooncrank.core.fleet._entry_count import MEMORY_MS
 from lagooncrank.core.fleet._entry_count import SETTLING_MS
 from lagooncrank.core.fleet._entry_count import SharingEntries
@@ -19,10 +22,13 @@
 from lagooncrank.core.fleet._servers import ServerTable
 
 __all__ = [
+    "MAX_DEPARTURES",
     "MEMORY_MS",
     "SETTLING_MS",
     "AgedReport",
     "CachedEntryList",
+    "Departure",
+    "Departures",
     "FleetSummary",
     "NodeNotice",
     "NodeNotices",
--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from lagooncrank import model
+from lagooncrank.core.fleet import _departures
 
 #: Time for which the record of an unreachable or stopped server is retained, so
 #: that late reports of it are recognized.
@@ -21,12 +22,6 @@
 #: two calls means that this node's own process was paused.
 MAX_ADVANCE_MS: Final = 250
 
-_LEAVING_RANKS: Final = {
-    model.ServerState.READY: 0,
-    model.ServerState.DRAINING: 1,
-    model.ServerState.GONE: 2,
-}
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgedReport:
@@ -102,6 +97,8 @@
         self._unreachable_after_ms = unreachable_after_ms
         self._servers: dict[model.BackendServerId, ServerRecord] = {}
         self._by_address: dict[str, model.BackendServerId] = {}
+        #: Processes that leave; their reports may come late.
+        self.departures = _departures.Departures()
         self._connected_ms = 0
         #: When the newest process of any server was first reported.
         self.newest_start_ms = 0
@@ -127,6 +124,7 @@
         Returns:
             Whether the content of the report is new.
         """
+        report = self.departures.apply(report)
         record = self._servers.get(report.server_id)
         if self._is_outdated(report):
             if record is None or not _announces_leaving(record.report, report):
@@ -151,6 +149,7 @@
             content_sequence = report.sequence
             if is_renewed and record is not None:
                 content_sequence = record.content_sequence
+        self.departures.record_report(report)
         age_ms = self._age_ms(received_ms)
         self._release_address(report.server_id)
         self._servers[report.server_id] = ServerRecord(
@@ -215,6 +214,13 @@
         Returns:
             Whether such a process was known.
         """
+        if born_ms is not None:
+            # Its first report since a restart of this node may come later.
+            self.departures.record(
+                _departures.Departure(
+                    server_id, born_ms, model.ServerState.GONE
+                )
+            )
         record = self._servers.get(server_id)
         if record is None:
             return False
@@ -389,7 +395,8 @@
     """Returns whether a report is the first to say that a process leaves."""
     if previous.incarnation_id != report.incarnation_id:
         return False
-    return _LEAVING_RANKS[report.state] > _LEAVING_RANKS[previous.state]
+    rank = _departures.leaving_rank(report.state)
+    return rank > _departures.leaving_rank(previous.state)
 
 
 def _retain_leaving_state(
@@ -399,7 +406,8 @@
 
     A process that reported that it leaves must not become ready again.
     """
-    if _LEAVING_RANKS[previous.state] <= _LEAVING_RANKS[report.state]:
+    rank = _departures.leaving_rank(report.state)
+    if _departures.leaving_rank(previous.state) <= rank:
         return report
     return dataclasses.replace(report, state=previous.state)
 
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -84,6 +84,11 @@
         "tried",
         "age_ms",
     )
+    RETAINED_FAILED = (
+        "retained_state_failed",
+        "What should outlast a restart could not be read or saved.",
+        "problem",
+    )
     CRASH_CAUSE_FOUND = (
         "crash_cause_found",
         "Requests with all of these features are refused from now on.",
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -25,6 +25,7 @@
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _retained_state
 from lagooncrank.server.seeded import _server_limits
 
 #: Voters beyond twice the tolerated disk losses: 2f + 1 voters still have a
@@ -80,9 +81,12 @@
             accepts_unknown_peers=True,
         )
         store = None
+        #: Keeps what a control node remembers beside the replicated log.
+        self.side_file: storage.SideFile | None = None
         if node_settings.role is settings.Role.CONTROL:
             folder = pathlib.Path(node_settings.data_folder)
             store = storage.Storage.open(folder, node_settings.node_id)
+            self.side_file = store.side_file(_retained_state.FILE_NAME)
         self.shared = _shared_state.ReplicatedState(
             _participant_config(node_settings, self.incarnation),
             self.links,
--- /dev/null
+++ b/lagooncrank/server/seeded/tests/test_retained_state.py
@@ -0,0 +1,193 @@
+"""What a control node remembers over a restart, and disks that fail."""
+
+import pathlib
+import threading
+import types
+from typing import Any
+from typing import cast
+
+import pytest
+
+from lagooncrank import clock as clocks
+from lagooncrank import decisions
+from lagooncrank import model
+from lagooncrank.core import crashes
+from lagooncrank.core import fleet
+from lagooncrank.core.fleet.tests import test_servers
+from lagooncrank.server import storage
+from lagooncrank.server.seeded import _retained_state
+
+NODE = model.NodeId("c1")
+FEATURES = ("5c1e07a2",)
+HOUR_MS = 3_600_000
+DAY_MS = 24 * HOUR_MS
+
+
+class Log:
+    """Keeps the events that are written."""
+
+    def __init__(self) -> None:
+        self.events: list[decisions.Event] = []
+
+    def write(self, event: decisions.Event, **_fields: Any) -> None:
+        """Keeps one event."""
+        self.events.append(event)
+
+
+class Node:
+    """The parts of one process of a control node."""
+
+    def __init__(self, file: Any, clock: clocks.ManualClock) -> None:
+        self.clock = clock
+        self.table = fleet.ServerTable(test_servers.UNREACHABLE_AFTER_MS)
+        self.sharing_entries = fleet.SharingEntries()
+        self.evidence = crashes.CrashEvidence(f"c1@{clock.wall_ms()}")
+        self.log = Log()
+        view: Any = types.SimpleNamespace(
+            table=self.table, sharing_entries=self.sharing_entries
+        )
+        exchange: Any = types.SimpleNamespace(evidence=self.evidence)
+        self.retained = _retained_state.RetainedState(
+            file, view, exchange, clock, cast(Any, self.log)
+        )
+
+    def crash_engines(self) -> None:
+        """Records crashes of three engines by one part of their prompts."""
+        for number in range(crashes.MIN_CRASHES):
+            self.evidence.record_crash(
+                model.BackendServerId(f"e{number}"),
+                1,
+                FEATURES,
+                0,
+                self.clock.now_ms(),
+            )
+            self.clock.advance(crashes.MIN_CRASH_INTERVAL_MS)
+
+
+@pytest.fixture
+def file(tmp_path: pathlib.Path) -> storage.SideFile:
+    store = storage.Storage.open(tmp_path / "data", NODE)
+    return store.side_file(_retained_state.FILE_NAME)
+
+
+# Guards against: a restart of all processes lost which servers had left, and
+# how many entries share the retry budget.
+async def test_departures_and_number_of_entries_outlast_a_restart(
+    file: storage.SideFile,
+) -> None:
+    clock = clocks.ManualClock()
+    node = Node(file, clock)
+    node.table.deregister(test_servers.SERVER, 100, 0)
+    node.sharing_entries.remember(9, 0)
+    assert await node.retained.save()
+    node = Node(file, clock)
+    node.table.put(test_servers.report(sequence=5), 0)
+    record = node.table.get(test_servers.SERVER)
+    assert record is not None
+    assert record.report.state is model.ServerState.GONE
+    assert node.sharing_entries.count(0) == 9
+
+
+# Guards against: a restart of all processes lost the evidence about requests
+# that crash servers, and they ran again; or a step of the wall clock did.
+@pytest.mark.parametrize("step_ms", [0, 2_000, -HOUR_MS, DAY_MS])
+async def test_accusations_outlast_a_restart(
+    file: storage.SideFile, step_ms: int
+) -> None:
+    clock = clocks.ManualClock()
+    node = Node(file, clock)
+    node.crash_engines()
+    assert await node.retained.save()
+    wall_ms = clock.wall_ms() + step_ms
+    # The machine has started again, too: its monotonic clock begins anew.
+    clock = clocks.ManualClock(start_ms=5, wall_offset_ms=wall_ms - 5)
+    node = Node(file, clock)
+    assert node.evidence.find(FEATURES) is not None
+    batch = node.evidence.pop_unsent(clock.now_ms())
+    assert len(batch.records) == crashes.MIN_CRASHES
+
+
+# Guards against: evidence that restarts made young again lasted for ever.
+async def test_evidence_ages_over_restarts(file: storage.SideFile) -> None:
+    clock = clocks.ManualClock()
+    node = Node(file, clock)
+    node.crash_engines()
+    restarts = 0
+    while node.evidence.find(FEATURES) is not None:
+        assert await node.retained.save()
+        clock.advance(20_000)
+        node = Node(file, clock)
+        node.evidence.evict_expired(clock.now_ms())
+        # As the periodic save does.
+        await node.retained._start_write()
+        restarts += 1
+        assert restarts <= crashes.RECORD_TTL_MS // 20_000
+
+
+# Guards against: a torn file, or one of another version, ended the process.
+@pytest.mark.parametrize(
+    "content",
+    [b"", b"torn", bytes(16), bytes(range(256)) * 4],
+    ids=["empty", "torn", "salt", "noise"],
+)
+async def test_damaged_file_counts_as_absent(
+    tmp_path: pathlib.Path, content: bytes
+) -> None:
+    store = storage.Storage.open(tmp_path / "data", NODE)
+    (tmp_path / "data" / _retained_state.FILE_NAME).write_bytes(content)
+    file = store.side_file(_retained_state.FILE_NAME)
+    node = Node(file, clocks.ManualClock())
+    assert node.table.departures.all() == ()
+    node.table.deregister(test_servers.SERVER, 100, 0)
+    assert await node.retained.save()
+
+
+async def test_file_of_another_version_is_logged(
+    file: storage.SideFile,
+) -> None:
+    file.write(model.to_cbor({"saved_wall_ms": "late"}))
+    node = Node(file, clocks.ManualClock())
+    assert node.log.events == [decisions.Event.RETAINED_FAILED]
+
+
+# Guards against: a full disk ended the control node.
+async def test_full_disk_is_logged_and_not_acknowledged() -> None:
+    class FullDisk:
+        def read(self) -> None:
+            """Finds nothing."""
+
+        def write(self, _content: bytes) -> None:
+            path = pathlib.Path("retained")
+            raise storage.WriteError(path, OSError(28, "no space"))
+
+    node = Node(FullDisk(), clocks.ManualClock())
+    assert await node.retained.save()
+    node.table.deregister(test_servers.SERVER, 100, 0)
+    assert not await node.retained.save()
+    assert node.log.events == [decisions.Event.RETAINED_FAILED]
+
+
+# Guards against: a disk that hangs held up the whole control node.
+async def test_hanging_disk_does_not_block_the_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_retained_state, "MAX_SAVE_S", 0.01)
+    released = threading.Event()
+    written: list[bytes] = []
+
+    class HangingDisk:
+        def read(self) -> None:
+            """Finds nothing."""
+
+        def write(self, content: bytes) -> None:
+            released.wait()
+            written.append(content)
+
+    node = Node(HangingDisk(), clocks.ManualClock())
+    node.table.deregister(test_servers.SERVER, 100, 0)
+    assert not await node.retained.save()
+    released.set()
+    monkeypatch.setattr(_retained_state, "MAX_SAVE_S", 60.0)
+    assert await node.retained.save()
+    # The write went on: nothing was written twice.
+    assert len(written) == 1
--- a/lagooncrank/server/storage/_storage.py
+++ b/lagooncrank/server/storage/_storage.py
@@ -16,6 +16,7 @@
 from lagooncrank.server.storage import _folder
 from lagooncrank.server.storage import _frames
 from lagooncrank.server.storage import _records
+from lagooncrank.server.storage import _side_file
 
 _LOG_PREFIX = "log-"
 _SNAPSHOT_PREFIX = "snapshot-"
@@ -123,6 +124,10 @@
             )
         )
 
+    def side_file(self, name: str) -> _side_file.SideFile:
+        """Returns a file of its own in the data folder."""
+        return _side_file.SideFile(self._folder, name)
+
     def close(self) -> None:
         """Closes the files and releases the lock."""
         if self._log_fd >= 0:
