Believe a server's rest beyond the first minute

Cause: a rest was believed for 60 s at most, and a server was expected to ask again; with many requests at once more than two arrive before it has.

Evidence: the new test failed for 61 s, 180 s and 900 s, and passes now. The limit is an hour, for a value that cannot be meant; a new process of the server is free at once. Callers whose servers all rest are sent away for 60 s at most, as before.

--- a/lagooncrank/core/holds/_holds.py
+++ b/lagooncrank/core/holds/_holds.py
@@ -10,8 +10,9 @@
 
 from lagooncrank.core.holds import _types
 
-#: Longest rest that is believed: a server that needs more asks again.
-MAX_REST_MS: Final = 60_000
+#: Longest rest that is believed. It is long enough for any real one, as a
+#: server counts what arrives before its end; a new process is free at once.
+MAX_REST_MS: Final = 3_600_000
 #: Processes that are remembered; the oldest are forgotten beyond it.
 MAX_PROCESSES: Final = 4_096
 
--- a/lagooncrank/core/holds/tests/test_holds.py
+++ b/lagooncrank/core/holds/tests/test_holds.py
@@ -85,3 +85,13 @@
         for known in (PROCESS, RESTARTED, OTHER):
             held = any(p == known and now_ms < until for p, until in kept)
             assert table.is_held(known, now_ms) is held
+
+
+# Guards against: a server that asked for a rest of minutes got requests again
+# after the first of them.
+@pytest.mark.parametrize("rest_ms", [61_000, 180_000, 900_000])
+def test_long_rest_is_kept_until_its_end(rest_ms: int) -> None:
+    table = holds.ServerHolds()
+    table.record(PROCESS, resting(rest_ms), 0)
+    assert table.is_held(PROCESS, rest_ms - 1)
+    assert not table.is_held(PROCESS, rest_ms)
--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import Final
 
 from lagooncrank import decisions
 from lagooncrank import results
@@ -13,6 +14,10 @@
 from lagooncrank.server.seeded import _slot_queue
 from lagooncrank.server.seeded import _startup_wait
 
+#: Longest time for which callers are sent away while all servers rest: others
+#: may start meanwhile.
+MAX_CALLER_WAIT_MS: Final = 60_000
+
 
 class AttemptChooser:
     """Chooses the next target, once the request may be sent."""
@@ -111,8 +116,9 @@
         )
         if rest_ms is None:
             return _refusals.no_target_refusal(exchange, last_error)
+        wait_ms = min(rest_ms, MAX_CALLER_WAIT_MS)
         return _refusals.resting_refusal(
-            exchange, last_error, rest_ms, random.random()
+            exchange, last_error, wait_ms, random.random()
         )
 
     def _record_retry(
