Give a silent run up only if another attempt is reserved

What callers saw: a stream was cut off, or a request failed, because its server was silent for a moment (1.2 s, or five times the route's gap; four times the target before the first byte), although nothing could be attempted instead: the retry budget was spent, the other servers were full, or the stream's last allowed run was the silent one. The server might have gone on.

Cause: the run was ended first, and only then was it checked whether the request may be attempted again. For pauses in a stream nothing was checked before; for the first byte the budget, free slots and accusations were not. The same for a server's own 5xx: it was closed before the budget refused the retry, so its caller got the entry's failure in its place.

Now the next attempt is reserved first: attempts left, time left, not accused, a planned stop permits it, an untried sound server with a free slot (or another entry), and a retry of the budget, which is charged once. The same holds for stalled groups, for a lost path, and for the wait for another entry. Time that a caller takes to read is no longer counted as silence of its server.

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -9,6 +9,7 @@
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _next_attempt
 from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _slot_queue
 from lagooncrank.server.seeded import _startup_wait
@@ -17,11 +18,15 @@
 class AttemptChooser:
     """Chooses the next target, once the request may be sent."""
 
-    def __init__(self, parts: _attempt_parts.AttemptParts) -> None:
+    def __init__(
+        self,
+        parts: _attempt_parts.AttemptParts,
+        next_attempts: _next_attempt.NextAttempts,
+    ) -> None:
         self._target_selector = parts.target_selector
         self._slot_queue = parts.slot_queue
         self._view = parts.view
-        self._retry_budget = parts.retry_budget
+        self._next_attempts = next_attempts
         self._crash_guard = parts.crash_guard
         self._delegator = parts.delegator
         self._metrics = parts.metrics
@@ -129,9 +134,7 @@
         Raises:
             ForwardingError: The budget is spent.
         """
-        if exchange.has_arrived and not self._retry_budget.try_acquire(
-            exchange.service, self._view.entry_count, self._clock.now_ms()
-        ):
+        if exchange.has_arrived and not self._next_attempts.acquire(exchange):
             code = results.ResultCode.RETRY_BUDGET_SPENT
             raise _refusals.ForwardingError(
                 _refusals.final_refusal(exchange, code, last_error)
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -1,6 +1,7 @@
 """Makes one attempt of a request: at a backend server or another entry."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 from typing import Final
 
@@ -13,12 +14,16 @@
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _next_attempt
 from lagooncrank.server.seeded import _response_waits
+from lagooncrank.server.seeded import _silence_limit
 
 #: A request that may run again is retried elsewhere if there is no response
 #: within this many times the target latency of its route.
 RESPONSE_TIMEOUT_FACTOR: Final = 4
 MIN_RESPONSE_TIMEOUT_MS: Final = 500
+#: Multiple of that for the response of another entry, which may retry, too.
+DELEGATION_PATIENCE_FACTOR: Final = 2
 #: Lowest HTTP status of a server error.
 FIRST_SERVER_ERROR_STATUS: Final = 500
 
@@ -26,7 +31,11 @@
 class AttemptRunner:
     """Sends requests, and learns from the heads of the responses."""
 
-    def __init__(self, parts: _attempt_parts.AttemptParts) -> None:
+    def __init__(
+        self,
+        parts: _attempt_parts.AttemptParts,
+        next_attempts: _next_attempt.NextAttempts,
+    ) -> None:
         self._target_selector = parts.target_selector
         self._slot_queue = parts.slot_queue
         self._view = parts.view
@@ -34,6 +43,7 @@
         self._limits = parts.limits
         self._reach_monitor = parts.reach_monitor
         self._delegator = parts.delegator
+        self._next_attempts = next_attempts
         self._metrics = parts.metrics
         self._clock = parts.clock
         self._log = parts.log
@@ -93,10 +103,10 @@
     ) -> _attempt.BackendResponse:
         """Delegates a request to another entry."""
         self._delegator.begin(target)
-        wait_ms = self._delegation_timeout_ms(exchange)
         is_open = False
         try:
-            async with asyncio.timeout(wait_ms / clocks.MS_PER_S):
+            # Long enough for a retry by the other entry.
+            async with self._limit_wait(exchange, DELEGATION_PATIENCE_FACTOR):
                 backend_response = await self._delegator.open(exchange, target)
             is_open = True
             if (leaving := exchange.leaving_server) is not None:
@@ -106,8 +116,7 @@
                 )
         except TimeoutError as error:
             failure = _attempt.AttemptFailedError(
-                _attempt.FailureKind.TIMED_OUT,
-                f"no response of an entry within {wait_ms} ms",
+                _attempt.FailureKind.TIMED_OUT, "no response of an entry"
             )
             self._delegator.record_failure(target, failure)
             raise failure from error
@@ -121,11 +130,10 @@
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> _attempt.BackendResponse:
         metadata = exchange.forwarding_metadata(target, self._clock)
-        wait_ms = self._response_timeout_ms(exchange)
         sent_ms = self._clock.now_ms()
         observer = self._reach_monitor.observe(target.server_id)
         try:
-            async with asyncio.timeout(wait_ms / clocks.MS_PER_S) as timeout:
+            async with self._limit_wait(exchange) as timeout:
                 with self.register_wait(exchange, target, timeout):
                     backend_response = await self._client.open(
                         target,
@@ -137,7 +145,7 @@
         except TimeoutError as error:
             failure = _attempt.AttemptFailedError(
                 _attempt.FailureKind.TIMED_OUT,
-                f"no response within {wait_ms} ms",
+                f"no response within {self._clock.now_ms() - sent_ms} ms",
             )
             self._reach_monitor.record_failure(
                 exchange.service, observer, failure
@@ -156,7 +164,7 @@
         self._record_statements(target, backend_response.head, sent_ms)
         if (
             backend_response.head.status >= FIRST_SERVER_ERROR_STATUS
-            and self._may_retry(exchange)
+            and self._next_attempts.try_reserve(exchange)
         ):
             backend_response.close()
             raise _attempt.AttemptFailedError(
@@ -207,38 +215,45 @@
                 rest_ms=stated.rest_ms,
             )
 
-    def _response_timeout_ms(self, exchange: _exchange.Exchange) -> int:
-        """Returns how long to wait for the head of a response."""
-        remaining_ms = max(exchange.remaining_ms(self._clock), 0)
-        if not self._may_retry(exchange):
-            return remaining_ms
-        target_ms = exchange.route.target_latency_ms
-        return min(
-            remaining_ms,
-            max(RESPONSE_TIMEOUT_FACTOR * target_ms, MIN_RESPONSE_TIMEOUT_MS),
-        )
+    @contextlib.asynccontextmanager
+    async def _limit_wait(
+        self, exchange: _exchange.Exchange, patience_factor: int = 1
+    ) -> AsyncIterator[asyncio.Timeout]:
+        """Limits the wait for the head of a response.
 
-    def _delegation_timeout_ms(self, exchange: _exchange.Exchange) -> int:
-        """Returns how long to wait for the head of an entry's response.
+        Args:
+            exchange: The request.
+            patience_factor: Multiple of the usual patience with a server.
 
-        It is long enough for a retry by that entry.
+        Raises:
+            TimeoutError: The deadline has passed, or the request is to be
+                attempted elsewhere.
         """
         remaining_ms = max(exchange.remaining_ms(self._clock), 0)
-        if not exchange.route.is_retry_safe:
-            return remaining_ms
-        wait_ms = RESPONSE_TIMEOUT_FACTOR * exchange.route.target_latency_ms
-        return min(remaining_ms, 2 * max(wait_ms, MIN_RESPONSE_TIMEOUT_MS))
+        silence_limit = self.silence_limit(
+            exchange, patience_factor * _patience_ms(exchange)
+        )
+        try:
+            async with asyncio.timeout(
+                remaining_ms / clocks.MS_PER_S
+            ) as timeout:
+                with silence_limit.watch(timeout):
+                    yield timeout
+        finally:
+            silence_limit.close()
 
-    def _may_retry(self, exchange: _exchange.Exchange) -> bool:
-        """Returns whether a request may run again if this attempt fails."""
-        route = exchange.route
-        if (
-            not route.is_retry_safe
-            or exchange.possible_runs + 1 >= route.max_attempts
-        ):
-            return False
-        return self._target_selector.has_untried(
-            exchange.service, exchange.request_head.model_name, exchange.tried
+    def silence_limit(
+        self, exchange: _exchange.Exchange, patience_ms: int
+    ) -> _silence_limit.SilenceLimit:
+        """Returns a limit on the silence of the server of a request.
+
+        Args:
+            exchange: The request; without a limit if it must not run twice.
+            patience_ms: Longest silence while there are other servers.
+        """
+        return _silence_limit.SilenceLimit(
+            patience_ms if exchange.route.is_retry_safe else None,
+            lambda: self._next_attempts.try_reserve(exchange),
         )
 
     def register_wait(
@@ -264,12 +279,23 @@
                 self._view.stall_detector.progress.is_overdue(
                     server_id, exchange.number, now_ms
                 )
-                and self._may_retry(exchange)
+                and self._next_attempts.try_reserve(exchange)
             ),
         )
 
     def _expire_silent_waits(self, servers: frozenset[str]) -> None:
         """Expires waits at servers that this entry has lost its path to."""
         self._response_waits.expire(
-            servers, lambda _server_id, exchange: self._may_retry(exchange)
+            servers,
+            lambda _server_id, exchange: self._next_attempts.try_reserve(
+                exchange
+            ),
         )
+
+
+def _patience_ms(exchange: _exchange.Exchange) -> int:
+    """Returns how long a request waits for a response before it is retried."""
+    return max(
+        RESPONSE_TIMEOUT_FACTOR * exchange.route.target_latency_ms,
+        MIN_RESPONSE_TIMEOUT_MS,
+    )
--- a/lagooncrank/server/seeded/_crash_guard.py
+++ b/lagooncrank/server/seeded/_crash_guard.py
@@ -51,6 +51,12 @@
         self._evidence.record_use(accusation, now_ms)
         return accusation
 
+    def is_accused(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether requests like this one crash backend servers."""
+        return bool(self._evidence.accusations) and (
+            self._evidence.find(_features(exchange)) is not None
+        )
+
     def retry_after_ms(self, accusation: crashes.Accusation) -> int:
         """Returns the time until a request may run if the cause is gone."""
         trial_in_ms = crashes.trial_at_ms(accusation) - self._clock.now_ms()
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -93,9 +93,13 @@
             clock,
             self.decision_log,
         )
-        forwarder = _forwarding.Forwarder(parts)
+        self._forwarder = _forwarding.Forwarder(parts)
         response_relay = _response_relay.ResponseRelay(
-            forwarder, self._stop_gate, self.metrics, clock, self.decision_log
+            self._forwarder,
+            self._stop_gate,
+            self.metrics,
+            clock,
+            self.decision_log,
         )
         self._caller_server = _caller_server.CallerServer(
             node_settings,
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -46,6 +46,8 @@
     is_run_sound: bool = False
     #: Whether this is a trial run of a request that may crash its server.
     is_trial: bool = False
+    #: Whether the retry budget has been charged for the next attempt.
+    has_reserved_retry: bool = False
     #: Whether a backend server may have received the request.
     has_arrived: bool = False
     #: Entry that delegated the request to this one; None for a caller's own.
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -15,8 +15,10 @@
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _attempt_runner
 from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _next_attempt
 from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _retry_rules
+from lagooncrank.server.seeded import _silence_limit
 
 
 class Forwarder:
@@ -35,8 +37,11 @@
         self._metrics = parts.metrics
         self._clock = parts.clock
         self._log = parts.log
-        self._chooser = _attempt_chooser.AttemptChooser(parts)
-        self._runner = _attempt_runner.AttemptRunner(parts)
+        self._next_attempts = _next_attempt.NextAttempts(parts)
+        self._chooser = _attempt_chooser.AttemptChooser(
+            parts, self._next_attempts
+        )
+        self._runner = _attempt_runner.AttemptRunner(parts, self._next_attempts)
         parts.limits.listeners.append(parts.slot_queue.grant_slots)
 
     async def open(
@@ -103,6 +108,12 @@
         """Returns a context in which the wait expires if its server stalls."""
         return self._runner.register_wait(exchange, target, timeout)
 
+    def silence_limit(
+        self, exchange: _exchange.Exchange, patience_ms: int
+    ) -> _silence_limit.SilenceLimit:
+        """Returns a limit on the silence of the server of a request."""
+        return self._runner.silence_limit(exchange, patience_ms)
+
     def record_event(
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> None:
--- /dev/null
+++ b/lagooncrank/server/seeded/_next_attempt.py
@@ -0,0 +1,74 @@
+"""Whether another attempt of a request is possible before one is given up."""
+
+from lagooncrank.server.seeded import _attempt_parts
+from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _retry_rules
+
+
+class NextAttempts:
+    """Reserves next attempts, so that no run is given up for nothing.
+
+    A server that is silent may go on, and an error that it reports is at least
+    an answer: both are better than the end of a request that cannot run again.
+    """
+
+    def __init__(self, parts: _attempt_parts.AttemptParts) -> None:
+        self._target_selector = parts.target_selector
+        self._view = parts.view
+        self._retry_budget = parts.retry_budget
+        self._crash_guard = parts.crash_guard
+        self._delegator = parts.delegator
+        self._stop_gate = parts.stop_gate
+        self._clock = parts.clock
+
+    def try_reserve(self, exchange: _exchange.Exchange) -> bool:
+        """Reserves the next attempt of a request whose current one may run.
+
+        Returns:
+            Whether the request may be attempted again at once.
+        """
+        if not self._is_possible(exchange):
+            return False
+        if not exchange.has_reserved_retry:
+            exchange.has_reserved_retry = self._spend_retry(exchange)
+        return exchange.has_reserved_retry
+
+    def acquire(self, exchange: _exchange.Exchange) -> bool:
+        """Takes a retry from the budget, unless one is reserved.
+
+        Returns:
+            Whether the budget allows the retry.
+        """
+        if exchange.has_reserved_retry:
+            exchange.has_reserved_retry = False
+            return True
+        return self._spend_retry(exchange)
+
+    def _spend_retry(self, exchange: _exchange.Exchange) -> bool:
+        return self._retry_budget.try_acquire(
+            exchange.service, self._view.entry_count, self._clock.now_ms()
+        )
+
+    def _is_possible(self, exchange: _exchange.Exchange) -> bool:
+        route = exchange.route
+        if (
+            not route.is_retry_safe
+            or exchange.possible_runs + 1 >= route.max_attempts
+        ):
+            return False
+        remaining_ms = exchange.remaining_ms(self._clock)
+        return (
+            remaining_ms >= _retry_rules.MIN_REMAINING_MS
+            and self._stop_gate.is_open(exchange)
+            and not self._crash_guard.is_accused(exchange)
+            and self._has_target(exchange)
+        )
+
+    def _has_target(self, exchange: _exchange.Exchange) -> bool:
+        if self._delegator.choose(exchange) is not None:
+            return True
+        return not self._delegator.must_refuse(
+            exchange
+        ) and self._target_selector.has_free(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -24,6 +24,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _refusals
+from lagooncrank.server.seeded import _silence_limit
 from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _stream_quota
 
@@ -227,20 +228,24 @@
     ) -> AsyncIterator[bytes]:
         splitter = _events.EventSplitter()
         quota = _stream_quota.StreamQuota(buffer)
-        time_limit = self._stream_time_limit(exchange, target)
-        async for chunk in self._read_chunks(
-            exchange, target, backend_response, time_limit
-        ):
-            ready = []
-            for event in splitter.feed(chunk):
-                exchange.record_event(self._clock.now_ms())
-                if event.event_id is not None:
-                    exchange.last_event_id = event.event_id
-                ready.append(event.raw)
-            if ready:
-                time_limit.restart_pause()
-                yield b"".join(ready)
-            quota.record(len(chunk), len(ready), splitter.partial_bytes)
+        silence_limit = self._stream_silence_limit(exchange, target)
+        try:
+            async for chunk in self._read_chunks(
+                exchange, target, backend_response, silence_limit
+            ):
+                ready = []
+                for event in splitter.feed(chunk):
+                    exchange.record_event(self._clock.now_ms())
+                    if event.event_id is not None:
+                        exchange.last_event_id = event.event_id
+                    ready.append(event.raw)
+                if ready:
+                    yield b"".join(ready)
+                    # The time that the caller took is not the server's.
+                    silence_limit.restart()
+                quota.record(len(chunk), len(ready), splitter.partial_bytes)
+        finally:
+            silence_limit.close()
         if splitter.has_partial_event:
             raise _attempt.AttemptFailedError(
                 _attempt.FailureKind.RESPONSE_LOST,
@@ -260,15 +265,21 @@
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         backend_response: _attempt.BackendResponse,
-        time_limit: "_StreamTimeLimit",
+        silence_limit: _silence_limit.SilenceLimit,
     ) -> AsyncIterator[bytes]:
-        """Yields the body, and fails the attempt at the time limit."""
+        """Yields the body, and fails the attempt at a limit."""
         chunks = backend_response.body()
+        loop = asyncio.get_running_loop()
+        remaining_ms = exchange.remaining_ms(self._clock)
+        deadline_s = loop.time() + remaining_ms / clocks.MS_PER_S
         while True:
             try:
-                async with asyncio.timeout_at(time_limit.at_s) as timeout:
-                    with self._forwarder.register_wait(
-                        exchange, target, timeout
+                async with asyncio.timeout_at(deadline_s) as timeout:
+                    with (
+                        self._forwarder.register_wait(
+                            exchange, target, timeout
+                        ),
+                        silence_limit.watch(timeout),
                     ):
                         chunk = await anext(chunks, None)
             except TimeoutError as error:
@@ -279,24 +290,22 @@
                 return
             yield chunk
 
-    def _stream_time_limit(
+    def _stream_silence_limit(
         self, exchange: _exchange.Exchange, target: dispatch.Target
-    ) -> "_StreamTimeLimit":
-        """Returns the time limit of one attempt of a stream.
+    ) -> _silence_limit.SilenceLimit:
+        """Returns the limit on pauses between the events of an attempt.
 
-        Only requests that may run again have a limit on pauses; the deadline
-        applies to all.
+        A part of an event does not extend it: a server that sends a byte now
+        and then has stalled.
         """
-        pause_ms: int | None = None
-        if exchange.route.is_retry_safe:
-            pause_ms = max(
-                STREAM_PAUSE_FACTOR * exchange.route.max_event_gap_ms,
-                MIN_STREAM_PAUSE_MS,
-            )
-            if target.is_entry:
-                # The other entry resumes the stream first.
-                pause_ms *= 2
-        return _StreamTimeLimit(exchange.remaining_ms(self._clock), pause_ms)
+        pause_ms = max(
+            STREAM_PAUSE_FACTOR * exchange.route.max_event_gap_ms,
+            MIN_STREAM_PAUSE_MS,
+        )
+        if target.is_entry:
+            # The other entry resumes the stream first.
+            pause_ms *= 2
+        return self._forwarder.silence_limit(exchange, pause_ms)
 
     def _abort(
         self,
@@ -339,34 +348,6 @@
         )
 
 
-class _StreamTimeLimit:
-    """Time by which the next complete event of a stream must arrive.
-
-    A part of an event does not extend it: a server that sends a byte now and
-    then has stalled.
-    """
-
-    def __init__(self, remaining_ms: int, pause_ms: int | None) -> None:
-        """Starts the limit of an attempt.
-
-        Args:
-            remaining_ms: Time until the deadline of the request.
-            pause_ms: Longest pause between two events; None for no limit.
-        """
-        self._loop = asyncio.get_running_loop()
-        self._deadline_s = self._loop.time() + remaining_ms / clocks.MS_PER_S
-        self._pause_ms = pause_ms
-        #: Time on the clock of the event loop.
-        self.at_s = self._deadline_s
-        self.restart_pause()
-
-    def restart_pause(self) -> None:
-        """Restarts the limit on pauses after a complete event."""
-        if self._pause_ms is not None:
-            pause_s = self._pause_ms / clocks.MS_PER_S
-            self.at_s = min(self._deadline_s, self._loop.time() + pause_s)
-
-
 def _is_stream(
     exchange: _exchange.Exchange, backend_response: _attempt.BackendResponse
 ) -> bool:
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -155,6 +155,27 @@
         """Returns whether there is a target that was not tried yet."""
         return bool(self._untried(service, model_name, tried))
 
+    def has_free(
+        self,
+        service: model.ServiceName,
+        model_name: str,
+        tried: Collection[str],
+    ) -> bool:
+        """Returns whether an untried target is sound and has a free slot."""
+        avoided = self._avoided()
+        return any(
+            target.server_id not in avoided and self._has_free_slot(target)
+            for target in self._untried(service, model_name, tried)
+        )
+
+    def _has_free_slot(self, target: dispatch.Target) -> bool:
+        if self._limits.has_limits and self._limits.is_limited(target):
+            return bool(self._limits.permits(target))
+        if not dispatch.has_accurate_loads(self._view.entry_count):
+            return True
+        in_flight = self._view.loads.in_flight(target.server_id)
+        return not target.slots or in_flight < target.slots
+
     def slot_budget(
         self, service: model.ServiceName, model_name: str
     ) -> dispatch.SlotBudget | None:
