Let a stopping entry refuse less, and be back sooner

Cause: it accepted connections for 6 s although few requests fit by then, so it was also back later; the first 2 s in which everything is served were shorter than streams need; nothing was expected of a route with few requests; and Retry-After sent callers back at once.

--- a/lagooncrank/core/drain/_durations.py
+++ b/lagooncrank/core/drain/_durations.py
@@ -7,9 +7,8 @@
 PERIOD_MS: Final = 30_000
 #: Requests of a route without which nothing is expected of it.
 MIN_SAMPLES: Final = 16
-#: The longest expected duration in terms of the longest recent one: with full
-#: batches an engine takes up to this much longer for each token.
-SAFETY_FACTOR: Final = 1.5
+#: The longest expected duration in terms of the longest recent one.
+SAFETY_FACTOR: Final = 1.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,7 +46,7 @@
     >>> for _ in range(MIN_SAMPLES):
     ...     durations.record("drafts", 100, 200, 1_200, now_ms=0)
     >>> durations.longest_ms("drafts", 300, now_ms=0)
-    4800
+    4000
     """
 
     def __init__(self) -> None:
--- a/lagooncrank/core/drain/_stop_plan.py
+++ b/lagooncrank/core/drain/_stop_plan.py
@@ -6,8 +6,12 @@
 #: Fraction of the grace period after which what still runs is cut. The rest of
 #: it is for the end of the process itself.
 CUT_FRACTION: Final = 0.93
-#: Some callers use a cached list of addresses for this many times its TTL.
-STALE_ADDRESS_FACTOR: Final = 3
+#: Fraction for which each request is served; streams that began then mostly end
+#: before the cut.
+SERVE_ALL_FRACTION: Final = 0.35
+#: Fraction for which new connections are accepted: few requests fit later, and
+#: the entry is back sooner if it ends.
+ACCEPT_FRACTION: Final = 0.5
 #: Shortest duration that is expected of any request.
 MIN_DURATION_MS: Final = 300
 
@@ -16,13 +20,12 @@
 class StopPlan:
     """Times of one planned stop.
 
-    >>> plan = StopPlan.from_grace(0, grace_ms=8_000, address_ttl_ms=2_000)
+    >>> plan = StopPlan.from_grace(0, grace_ms=8_000)
     >>> plan.serves_all_until_ms, plan.accepts_until_ms, plan.cut_ms
-    (2000, 6000, 7440)
+    (2800, 4000, 7440)
     """
 
-    #: Until then each request is served: the lists that its caller may use as
-    #: they state it contain this entry.
+    #: Until then each request is served.
     serves_all_until_ms: int
     #: Until then new connections are accepted.
     accepts_until_ms: int
@@ -30,22 +33,17 @@
     cut_ms: int
 
     @classmethod
-    def from_grace(
-        cls, started_ms: int, grace_ms: int, address_ttl_ms: int
-    ) -> "StopPlan":
+    def from_grace(cls, started_ms: int, grace_ms: int) -> "StopPlan":
         """Returns the plan of a stop that starts now.
 
         Args:
             started_ms: Current time.
             grace_ms: Time after which the process is killed.
-            address_ttl_ms: Time for which callers may cache addresses.
         """
-        cut_ms = started_ms + int(grace_ms * CUT_FRACTION)
-        stale_ms = STALE_ADDRESS_FACTOR * address_ttl_ms
         return cls(
-            min(started_ms + address_ttl_ms, cut_ms),
-            min(started_ms + stale_ms, cut_ms),
-            cut_ms,
+            started_ms + int(grace_ms * SERVE_ALL_FRACTION),
+            started_ms + int(grace_ms * ACCEPT_FRACTION),
+            started_ms + int(grace_ms * CUT_FRACTION),
         )
 
     def latest_start_ms(self, deadline_ms: int, longest_ms: int | None) -> int:
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -75,7 +75,7 @@
             clock,
             self.decision_log,
         )
-        self._stop_gate = _stop_gate.StopGate(clock)
+        self._stop_gate = _stop_gate.StopGate(self.view, clock)
         parts = _attempt_parts.AttemptParts(
             target_selector,
             _slot_queue.SlotQueue(
@@ -149,14 +149,12 @@
     async def prepare_stop(self) -> None:
         """Withdraws from the directory, then drains the requests in flight.
 
-        Callers with a cached address are served until their cache expires, as
-        long as their requests end before the cut. After a crash of a component
+        Callers with a cached address are served on, as long as their requests
+        end before the cut. After a crash of a component
         no new ones are accepted.
         """
         grace_ms = self.settings.timing.stop_grace_ms
-        plan = drain.StopPlan.from_grace(
-            self.clock.now_ms(), grace_ms, ADDRESS_TTL_MS
-        )
+        plan = drain.StopPlan.from_grace(self.clock.now_ms(), grace_ms)
         self._is_stopping = True
         self.view.is_open = False
         self.view.publish_notice()
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -16,7 +16,6 @@
 from lagooncrank.server.seeded import _attempt_runner
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _next_attempt
-from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _retry_rules
 from lagooncrank.server.seeded import _silence_limit
 
@@ -89,9 +88,7 @@
                 with self._stop_gate.register_wait(exchange, timeout):
                     return await self._chooser.choose(exchange, last_error)
         except TimeoutError as error:
-            raise _refusals.ForwardingError(
-                _refusals.stopping_refusal(exchange, last_error)
-            ) from error
+            raise self._stop_gate.refuse(exchange, last_error) from error
 
     def close(
         self, exchange: _exchange.Exchange, target: dispatch.Target
--- a/lagooncrank/server/seeded/_refusals.py
+++ b/lagooncrank/server/seeded/_refusals.py
@@ -13,8 +13,6 @@
 OVERLOAD_RETRY_AFTER_MS: Final = 250
 #: Probes find out about a path that is back within this time.
 UNREACHED_RETRY_AFTER_MS: Final = 500
-#: The other entries serve already.
-STOPPING_RETRY_AFTER_MS: Final = 20
 #: Fraction of the wait for a server at rest over which callers are spread, so
 #: that not all of them return in the same moment.
 REST_SPREAD_FRACTION: Final = 0.25
@@ -74,14 +72,22 @@
 
 
 def stopping_refusal(
-    exchange: _exchange.Exchange, last_error: _attempt.AttemptFailedError | None
+    exchange: _exchange.Exchange,
+    last_error: _attempt.AttemptFailedError | None,
+    retry_after_ms: int,
 ) -> results.Refusal:
-    """Returns the refusal of a request that a planned stop might cut."""
+    """Returns the refusal of a request that a planned stop might cut.
+
+    Args:
+        exchange: The request.
+        last_error: Failure of its last attempt, if any.
+        retry_after_ms: Time until another entry takes requests.
+    """
     code = results.ResultCode.STOPPING
     refusal = final_refusal(exchange, code, last_error)
     if refusal.ran is not results.ExecutionStatus.NOT_RUN:
         return refusal
-    return dataclasses.replace(refusal, retry_after_ms=STOPPING_RETRY_AFTER_MS)
+    return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
 
 
 def final_refusal(
--- a/lagooncrank/server/seeded/_stop_gate.py
+++ b/lagooncrank/server/seeded/_stop_gate.py
@@ -3,22 +3,34 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+from typing import Final
 
 from lagooncrank import clock as clocks
 from lagooncrank.core import drain
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _exchange
+from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _refusals
 
+#: Delay before callers should retry while other entries are open.
+RETRY_AFTER_MS: Final = 20
+#: The same while there are none; the first one may be back by then.
+ALONE_RETRY_AFTER_MS: Final = 1_000
+
 _Wait = tuple[_exchange.Exchange, asyncio.Timeout]
 
 
 class StopGate:
     """Learns how long requests take, and applies the plan of a stop."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, view: _fleet_view.FleetView, clock: clocks.Clock
+    ) -> None:
+        self._view = view
         self._clock = clock
-        self._durations = drain.RecentDurations()
+        self._by_route = drain.RecentDurations()
+        #: For routes of which too little is known.
+        self._by_service = drain.RecentDurations()
         #: Plan of the stop; None while this entry does not stop.
         self._plan: drain.StopPlan | None = None
         #: Requests that have not been sent yet.
@@ -40,13 +52,17 @@
             first_ms: When its first event arrived, or its whole response.
         """
         now_ms = self._clock.now_ms()
-        self._durations.record(
-            exchange.route.name,
-            exchange.request_head.max_output_tokens,
-            first_ms - exchange.arrived_ms,
-            now_ms - exchange.arrived_ms,
-            now_ms,
-        )
+        for durations, name in (
+            (self._by_route, exchange.route.name),
+            (self._by_service, exchange.service),
+        ):
+            durations.record(
+                name,
+                exchange.request_head.max_output_tokens,
+                first_ms - exchange.arrived_ms,
+                now_ms - exchange.arrived_ms,
+                now_ms,
+            )
 
     def is_open(self, exchange: _exchange.Exchange) -> bool:
         """Returns whether a request may be sent now."""
@@ -66,9 +82,25 @@
             ForwardingError: It might not end before the cut.
         """
         if not self.is_open(exchange):
-            raise _refusals.ForwardingError(
-                _refusals.stopping_refusal(exchange, last_error)
+            raise self.refuse(exchange, last_error)
+
+    def refuse(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> _refusals.ForwardingError:
+        """Returns the end of a request that does not fit before the cut."""
+        others = self._view.entries_that_reach(
+            exchange.service, self._clock.now_ms()
+        )
+        has_others = next(iter(others), None) is not None
+        return _refusals.ForwardingError(
+            _refusals.stopping_refusal(
+                exchange,
+                last_error,
+                RETRY_AFTER_MS if has_others else ALONE_RETRY_AFTER_MS,
             )
+        )
 
     @contextlib.contextmanager
     def register_wait(
@@ -104,12 +136,18 @@
     def _latest_start_ms(
         self, exchange: _exchange.Exchange, plan: drain.StopPlan
     ) -> int:
-        longest_ms = self._durations.longest_ms(
-            exchange.route.name,
-            exchange.request_head.max_output_tokens,
-            self._clock.now_ms(),
-        )
+        longest_ms = self._longest_ms(exchange)
         if longest_ms is not None:
             # A stream that is resumed has only its rest left.
             longest_ms -= exchange.streamed_ms
         return plan.latest_start_ms(exchange.deadline_ms, longest_ms)
+
+    def _longest_ms(self, exchange: _exchange.Exchange) -> int | None:
+        tokens = exchange.request_head.max_output_tokens
+        now_ms = self._clock.now_ms()
+        longest_ms = self._by_route.longest_ms(
+            exchange.route.name, tokens, now_ms
+        )
+        if longest_ms is not None:
+            return longest_ms
+        return self._by_service.longest_ms(exchange.service, tokens, now_ms)
