Apply settings that changed while a process started

What operators saw: seeds that were changed in the settings file after a starting process had read it, and before its first check for changes, were not used until the next change or signal.

Cause: the first check took the file's version at that moment as the known one. SIGHUP is ignored for a part of that time, so the signal did not help either. The file is now read once more then, and applied if it differs from what the process started with.

--- a/lagooncrank/server/seeded/_runner.py
+++ b/lagooncrank/server/seeded/_runner.py
@@ -84,6 +84,8 @@
     reload_requested: asyncio.Event,
 ) -> None:
     seen = _file_version(settings_file)
+    # A change while the process started was not signalled to it.
+    _reload(node, settings_file, load, only_changed=True)
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTINGS_CHECK_S):
@@ -93,13 +95,32 @@
             continue
         reload_requested.clear()
         seen = version
-        try:
-            node.reload(load(settings_file))
-        except settings.SettingsError as error:
-            # The current settings remain in use until the file is valid again.
-            node.decision_log.write(
-                decisions.Event.RELOADED, problem=str(error)
-            )
+        _reload(node, settings_file, load, only_changed=False)
+
+
+def _reload(
+    node: _node.Node,
+    settings_file: pathlib.Path,
+    load: Callable[[pathlib.Path], settings.SeededSettings],
+    *,
+    only_changed: bool,
+) -> None:
+    """Applies the settings in the file, if they are valid.
+
+    Args:
+        node: The node.
+        settings_file: The file.
+        load: Reads the settings from the file.
+        only_changed: Whether nothing is done if the node started with them.
+    """
+    try:
+        node_settings = load(settings_file)
+    except settings.SettingsError as error:
+        # The current settings remain in use until the file is valid again.
+        node.decision_log.write(decisions.Event.RELOADED, problem=str(error))
+        return
+    if not only_changed or node_settings != node.settings:
+        node.reload(node_settings)
 
 
 def _file_version(path: pathlib.Path) -> tuple[int, int]:
