Send requests that name a model to plain services as well

Cause: the choice between heads of groups and ready servers was made by whether the request names a model, not by whether the service has engines.

Fix: the document in force decides; a service that it does not declare is treated as before. Slots are counted for services of engines only.

Evidence: the row `large` of the new test fails before (it asks for groups). So this is suspected only.

In two tests doubles follow the signature, and the double for documents holds no document instead of being None; what they assert is unchanged.

--- a/lagooncrank/server/seeded/_slot_queue.py
+++ b/lagooncrank/server/seeded/_slot_queue.py
@@ -58,10 +58,9 @@
         Raises:
             QueueTimeoutError: No slot became available in time.
         """
-        model_name = exchange.request_head.model_name
-        pool = (exchange.service, model_name)
+        pool = (exchange.service, exchange.request_head.model_name)
         is_limited = self._target_selector.is_limited(*pool, exchange.tried)
-        if not is_limited and not self._target_selector.has_slots(model_name):
+        if not is_limited and not self._target_selector.has_slots(*pool):
             return
         is_contended = self._queue.length(pool) or self._granted[pool]
         if not is_contended and self._available_slots(pool).slots > 0:
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -172,22 +172,23 @@
         permits = sum(self._limits.permits(t) for t in limited)
         if limited and len(limited) == len(targets):
             return dispatch.SlotBudget(permits, 0)
-        if not targets or not self.has_slots(model_name):
+        if not targets or not self.has_slots(service, model_name):
             return None
         if limited:
             targets = [t for t in targets if not self._limits.is_limited(t)]
         budget = self._unlimited_budget(targets)
         return dispatch.SlotBudget(budget.slots + permits, budget.reserved)
 
-    def has_slots(self, model_name: str) -> bool:
+    def has_slots(self, service: model.ServiceName, model_name: str) -> bool:
         """Returns whether the slots of targets without a limit are known.
 
         Args:
-            model_name: Model of a request; empty for one to a plain service.
+            service: Service of a request.
+            model_name: Its model; empty if it names none.
         """
-        return bool(model_name) and dispatch.has_accurate_loads(
-            self._view.entry_count
-        )
+        return self._is_for_engines(
+            service, model_name
+        ) and dispatch.has_accurate_loads(self._view.entry_count)
 
     def _unlimited_budget(
         self, heads: Sequence[dispatch.Target]
@@ -241,10 +242,23 @@
     def _serving_targets(
         self, service: model.ServiceName, model_name: str
     ) -> Iterator[dispatch.Target]:
-        if model_name:
+        if self._is_for_engines(service, model_name):
             return self._group_heads(service, model_name)
         return self._ready_servers(service)
 
+    def _is_for_engines(
+        self, service: model.ServiceName, model_name: str
+    ) -> bool:
+        """Returns whether the engines of a model serve a request.
+
+        A route may also send requests that name a model to a plain service.
+        """
+        if not model_name:
+            return False
+        catalog = self._documents.catalog
+        config = None if catalog is None else catalog.services.get(service)
+        return config is None or config.engine is not None
+
     def _group_heads(
         self, service: model.ServiceName, model_name: str
     ) -> Iterator[dispatch.Target]:
--- a/lagooncrank/server/seeded/tests/test_slot_budget_after_start.py
+++ b/lagooncrank/server/seeded/tests/test_slot_budget_after_start.py
@@ -34,7 +34,7 @@
         failure_domain,
         cast(Any, None),
         view,
-        cast(Any, None),
+        cast(Any, types.SimpleNamespace(catalog=None)),
         cast(Any, types.SimpleNamespace(has_limits=False)),
         clocks.ManualClock(),
     )
--- a/lagooncrank/server/seeded/tests/test_slot_queue.py
+++ b/lagooncrank/server/seeded/tests/test_slot_queue.py
@@ -33,7 +33,7 @@
                     is_limited=lambda *_: self.permit_wait_ms is not None,
                     permit_wait_ms=lambda *_: self.permit_wait_ms,
                     request_permits=lambda *_: None,
-                    has_slots=lambda model: (
+                    has_slots=lambda _service, model: (
                         bool(model) and dispatch.has_accurate_loads(entries)
                     ),
                 ),
--- a/lagooncrank/server/seeded/tests/test_heads_of_another_size.py
+++ b/lagooncrank/server/seeded/tests/test_targets_of_a_document.py
@@ -1,4 +1,4 @@
-"""Groups of a size that the newest document no longer declares."""
+"""Targets, as the newest document declares services and models."""
 
 import dataclasses
 import types
@@ -63,3 +63,26 @@
     )
     targets = list(selector._group_heads(builders.SERVICE, "large"))
     assert bool(targets) is is_used
+
+
+# Guards against: a route that also sends streams to a plain service (which no
+# group serves) was refused there for want of a replica.
+@pytest.mark.parametrize("model_name", ["", "large"])
+def test_plain_service_serves_requests_that_name_a_model(
+    model_name: str,
+) -> None:
+    plain = dataclasses.replace(builders.SERVICE_CONFIG, engine=None)
+    config = model.ServingConfig(1, (), (plain,))
+    table = builders.server_table(builders.engine_report(1, domain=""))
+    view: Any = types.SimpleNamespace(table=table, entry_count=1)
+    selector = _target_selector.TargetSelector(
+        model.FailureDomainId("a"),
+        cast(Any, types.SimpleNamespace()),
+        view,
+        cast(Any, types.SimpleNamespace(catalog=catalog.Catalog(config))),
+        cast(Any, types.SimpleNamespace(has_limits=False)),
+        clocks.ManualClock(),
+    )
+    targets = selector._serving_targets(builders.SERVICE, model_name)
+    assert [t.server_id for t in targets] == ["s1"]
+    assert not selector.has_slots(builders.SERVICE, model_name)
