Bring a control node back once its disk takes writes again

Two of three, one after the other, left no quorum for ever: added routes were not served, and the document could not be read back.

Cause: after a failed write the voter stops until its process is restarted, as it is not known which bytes are on disk.

Elsewhere: a disk that stalls blocks the write and goes on, it fails nothing.

--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -101,6 +101,9 @@
         self._flush_is_due = False
         #: Why the voter stopped; None while it runs.
         self.failure: results.Refusal | None = None
+        #: Whether it stopped because the disk did not take a write. What is on
+        #: disk is sound, so a restart can go on from there.
+        self.has_failed_to_write = False
         for kind, body in _state_messages.KINDS:
             links.on_message(kind, body, self._receive)
 
@@ -347,6 +350,7 @@
             self._fail(error)
 
     def _fail(self, error: Exception) -> None:
+        self.has_failed_to_write = isinstance(error, storage.WriteError)
         self.failure = results.Refusal(
             results.ResultCode.STORAGE_FAILED, str(error)
         )
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -5,6 +5,7 @@
 from lagooncrank import settings
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _control_metrics
+from lagooncrank.server.seeded import _disk_watch
 from lagooncrank.server.seeded import _group_driver
 from lagooncrank.server.seeded import _node
 
@@ -26,6 +27,9 @@
         super().__init__(node_settings, document_codec, clock, started_ms)
         self.metrics = _control_metrics.ControlMetrics()
         self.server_limits.count_permits = self.metrics.permits.count
+        self._disk_watch = _disk_watch.DiskWatch(
+            self.shared, node_settings.data_folder
+        )
         self._driver = _group_driver.GroupDriver(
             node_settings,
             self.shared,
@@ -38,9 +42,10 @@
         )
 
     async def on_start(self) -> None:
-        """Starts the common components and the group driver."""
+        """Starts the common components and those of a control node."""
         await super().on_start()
         await self.add_runtime_dependency(self._driver)
+        await self.add_runtime_dependency(self._disk_watch)
 
     @property
     def has_quorum(self) -> bool:
--- a/lagooncrank/server/storage/__init__.py
+++ b/lagooncrank/server/storage/__init__.py
@@ -5,6 +5,7 @@
 from lagooncrank.server.storage._errors import FormatVersionError
 from lagooncrank.server.storage._errors import StorageError
 from lagooncrank.server.storage._errors import WriteError
+from lagooncrank.server.storage._folder import takes_writes
 from lagooncrank.server.storage._storage import Storage
 
 __all__ = [
@@ -14,4 +15,5 @@
     "Storage",
     "StorageError",
     "WriteError",
+    "takes_writes",
 ]
--- a/lagooncrank/server/storage/_folder.py
+++ b/lagooncrank/server/storage/_folder.py
@@ -10,6 +10,9 @@
 _FORMAT_NAME = "format"
 _LOCK_NAME = "lock"
 _TEMPORARY_SUFFIX = ".tmp"
+_PROBE_NAME = "probe" + _TEMPORARY_SUFFIX
+#: As much as a voter writes in a moment.
+_PROBE_BYTES = 65_536
 
 
 class DataFolder:
@@ -114,6 +117,24 @@
             os.close(directory_fd)
 
 
+def takes_writes(path: pathlib.Path) -> bool:
+    """Returns whether a file can be written durably in a data folder."""
+    probe = path / _PROBE_NAME
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+    try:
+        fd = os.open(probe, flags, 0o600)
+        try:
+            write_all(fd, bytes(_PROBE_BYTES))
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+            probe.unlink()
+    except OSError:
+        # The answer to the question; the failed write was logged.
+        return False
+    return True
+
+
 def write_all(fd: int, content: bytes) -> None:
     """Writes every byte of `content`.
 
--- a/lagooncrank/server/tests/test_shared_state.py
+++ b/lagooncrank/server/tests/test_shared_state.py
@@ -320,6 +320,7 @@
         assert outcome.code is results.ResultCode.PROPOSAL_LOST
         assert leader.failure is not None
         assert "No space left" in leader.failure.reason
+        assert leader.has_failed_to_write
         assert not leader.view.history()
 
 
