Pass on an event only where its stream goes on

An error status was handled: the stream is cut. But any body with status 2xx was joined to the stream, whatever it held.

Now the events of a stream are a sequence: ids increase, along one run and from one run to the next, and no event without an id follows one that has one (a comment may). The events before the first that does not fit are passed on, and the run counts as lost there: the stream is resumed elsewhere or cut. A next run must have the status and the media type of the response whose head the caller has. If the caller has events without ids, no run can go on after them, and the stream is not resumed.

Gaps in ids are allowed: an event may stand for several tokens. An empty 200 of the same type that states its length ends the stream, as before: a stream may break off after its last event.

--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -139,6 +139,13 @@
         headers = self.response.headers
         return "Content-Length" in headers or "Transfer-Encoding" in headers
 
+    def continues(self, first: "BackendResponse") -> bool:
+        """Returns whether this may go on with the body of another response."""
+        return (
+            self.head.status == first.head.status
+            and self.response.content_type == first.response.content_type
+        )
+
     def close(self) -> None:
         """Closes the connection unless the whole body was read."""
         self.response.close()
--- a/lagooncrank/server/seeded/_events.py
+++ b/lagooncrank/server/seeded/_events.py
@@ -20,6 +20,13 @@
     #: None if the event has no numeric id.
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no fields."""
+        return all(
+            not line or line.startswith(b":") for line in self.raw.splitlines()
+        )
+
 
 class EventSplitter:
     r"""Buffers the bytes of an event until it is complete.
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -72,6 +72,14 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether another run can go on after the events passed to the caller.
+
+        A run that is told of no event starts with the first one again.
+        """
+        return self.first_event_ms is None or self.last_event_id is not None
+
     def begin_run(self, now_ms: int) -> None:
         """Records that a backend server began to respond."""
         self.run_began_ms = now_ms
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -20,6 +20,7 @@
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
 from lagooncrank.server.seeded import _entry_metrics
+from lagooncrank.server.seeded import _event_sequence
 from lagooncrank.server.seeded import _events
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _forwarding
@@ -169,6 +170,7 @@
         Raises:
             ForwardingError: The stream cannot be resumed.
         """
+        first = backend_response
         while True:
             try:
                 with self._buffers.open() as buffer:
@@ -193,18 +195,18 @@
             finally:
                 backend_response.close()
                 self._forwarder.close(exchange, target)
-            target, backend_response = await self._resume(exchange)
+            target, backend_response = await self._resume(exchange, first)
 
     async def _resume(
-        self, exchange: _exchange.Exchange
+        self, exchange: _exchange.Exchange, first: _attempt.BackendResponse
     ) -> tuple[dispatch.Target, _attempt.BackendResponse]:
-        """Resumes a stream at another backend server.
+        """Resumes a stream, whose head is `first`, at another backend server.
 
         Raises:
             ForwardingError: No server resumes it.
         """
         target, backend_response = await self._forwarder.open(exchange)
-        if backend_response.head.status < _adapter.FIRST_ERROR_STATUS:
+        if backend_response.continues(first):
             return target, backend_response
         backend_response.close()
         self._forwarder.close(exchange, target)
@@ -223,13 +225,14 @@
         buffer: _response_buffers.ResponseBuffer,
     ) -> AsyncIterator[bytes]:
         splitter = _events.EventSplitter()
+        sequence = _event_sequence.EventSequence.of_next_run(exchange)
         quota = _stream_quota.StreamQuota(buffer)
         time_limit = self._stream_time_limit(exchange, target)
         async for chunk in self._read_chunks(
             exchange, target, backend_response, time_limit
         ):
             ready = []
-            for event in splitter.feed(chunk):
+            for event in sequence.take(splitter.feed(chunk)):
                 exchange.record_event(self._clock.now_ms())
                 if event.event_id is not None:
                     exchange.last_event_id = event.event_id
@@ -237,6 +240,7 @@
             if ready:
                 time_limit.restart_pause()
                 yield b"".join(ready)
+            sequence.check()
             quota.record(len(chunk), len(ready), splitter.partial_bytes)
         if splitter.has_partial_event:
             raise _attempt.AttemptFailedError(
--- a/lagooncrank/server/seeded/_retry_rules.py
+++ b/lagooncrank/server/seeded/_retry_rules.py
@@ -54,7 +54,7 @@
         if exchange.possible_runs == 0:
             return
         route = exchange.route
-        if not route.is_retry_safe:
+        if not route.is_retry_safe or not exchange.is_resumable:
             code = results.ResultCode.OUTCOME_UNKNOWN
             raise _refusals.ForwardingError(
                 _refusals.final_refusal(exchange, code, error)
