Close the connections that test servers and tests leave open

Five tests were listed as red on Python 3.11.6: 'Event loop is closed' in StreamWriter.__del__, in whichever test ran when an open connection of an earlier one was collected. (It moved: a run of a part of the suite hit parts7, parts16, HEAD-parts18 and chunk_extension instead.)

Cause: RawServer, the echo server of the soak's proxy test and the one of test_orders left their connections open when their handlers were cancelled at the end of the loop; the clients of test_proxy and of the harness were never closed when a test failed, and in test_proxy not at all. All now use stream_servers.py, which ends handlers and connections with the server or the test. The stand-ins that run on the HTTP library close theirs by themselves.

--- a/lagooncrank/server/tests/harness.py
+++ b/lagooncrank/server/tests/harness.py
@@ -20,6 +20,7 @@
 from lagooncrank.server import _sockets
 from lagooncrank.server import _targets
 from lagooncrank.server.tests import single_node
+from lagooncrank.server.tests import stream_servers
 from standins import _announcer
 from standins import _process
 from standins import engine
@@ -78,6 +79,10 @@
     engine_closers: list[_process.Closer]
     services: list[mode.Service]
     closers: list[_process.Closer]
+    #: Connections that tests opened.
+    connections: stream_servers.OpenConnections = dataclasses.field(
+        default_factory=stream_servers.OpenConnections
+    )
     #: Plain service that was started last.
     booking: plain_service.PlainServiceStandIn = dataclasses.field(init=False)
 
@@ -120,6 +125,7 @@
     async def stop(self) -> None:
         """Stops everything."""
         await self.session.close()
+        await self.connections.close()
         for service in self.services:
             await service.stop()
         await self.daemon.stop()
@@ -160,9 +166,11 @@
     async def open_connection(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Opens a TCP connection to the entry."""
+        """Opens a TCP connection to the entry, which ends with the harness."""
         host, _, port = self.address.rpartition(":")
-        return await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.connections.add(writer)
+        return reader, writer
 
     async def counter_value(self, name: str, reason: str) -> float:
         """Returns the value of a daemon's counter, by its `reason` label."""
--- a/lagooncrank/server/tests/raw_server.py
+++ b/lagooncrank/server/tests/raw_server.py
@@ -5,6 +5,7 @@
 import contextlib
 
 from lagooncrank.server import _sockets
+from lagooncrank.server.tests import stream_servers
 
 PAUSE_S = 0.01
 
@@ -28,10 +29,8 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[str]:
         """Yields the address of the server."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        async with server:
-            yield f"{host}:{port}"
+        async with stream_servers.running(self._serve) as address:
+            yield address
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/lagooncrank/server/tests/scripted_server.py
+++ b/lagooncrank/server/tests/scripted_server.py
@@ -10,6 +10,7 @@
 import re
 
 from lagooncrank.server import _sockets
+from lagooncrank.server.tests import stream_servers
 
 #: Longer than a loopback connection takes to deliver bytes.
 PAUSE_S = 0.02
@@ -46,21 +47,13 @@
         #: Number of the connection of each request, from 0.
         self.connections: list[int] = []
         self._opened = 0
-        self._handlers: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[str]:
-        """Yields the address of the server; ends every connection."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        try:
-            yield f"{host}:{port}"
-        finally:
-            server.close()
-            for writer in self._writers:
-                writer.transport.abort()
-            await asyncio.gather(*self._handlers, return_exceptions=True)
+        """Yields the address of the server."""
+        async with stream_servers.running(self._serve) as address:
+            yield address
 
     def write_unread(self, data: bytes) -> None:
         """Writes to all open connections before any client can read."""
@@ -71,9 +64,6 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._handlers.add(task)
         self._writers.add(writer)
         number = self._opened
         self._opened += 1
@@ -88,7 +78,6 @@
                 _sockets.reset_on_close(writer.transport)
             writer.close()
             self._writers.discard(writer)
-            self._handlers.discard(task)
 
     async def _answer_requests(
         self,
--- a/lagooncrank/server/tests/test_orders.py
+++ b/lagooncrank/server/tests/test_orders.py
@@ -8,6 +8,7 @@
 from lagooncrank import model
 from lagooncrank.core import placement
 from lagooncrank.server import _orders
+from lagooncrank.server.tests import stream_servers
 from standins import _orders as engine_orders
 
 State = placement.OrderState
@@ -98,10 +99,8 @@
         await reader.readline()
         writer.close()
 
-    server = await asyncio.start_server(close, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()[:2]
-    async with server:
-        assert await send_order(f"{host}:{port}", 1) is State.UNANSWERED
+    async with stream_servers.running(close) as address:
+        assert await send_order(address, 1) is State.UNANSWERED
 
 
 async def test_order_is_not_written_without_permission() -> None:
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -7,6 +7,7 @@
 from lagooncrank_platform.tests import local_cluster
 import pytest
 
+from lagooncrank.server.tests import stream_servers
 from soak import _proxy
 
 CLIENT = "127.0.9.7"
@@ -14,6 +15,8 @@
 TIMEOUT_S = 30.0
 #: Long enough for an answer over the loopback interface.
 SILENCE_S = 0.3
+#: Connections of the running test.
+OPENED = stream_servers.OpenConnections()
 
 
 @contextlib.asynccontextmanager
@@ -26,28 +29,29 @@
         with contextlib.suppress(OSError):
             while chunk := await reader.read(100):
                 writer.write(chunk)
-        writer.close()
 
     ports = local_cluster.free_ports(2)
     listen_address, target_address = (f"127.0.0.1:{p}" for p in ports)
-    server = await asyncio.start_server(echo, "127.0.0.1", ports[1])
     proxy = _proxy.Proxy(listen_address, target_address)
-    await proxy.start()
-    try:
-        yield proxy
-    finally:
-        async with asyncio.timeout(TIMEOUT_S):
-            await proxy.stop()
-        server.close()
+    async with stream_servers.running(echo, ports[1]):
+        await proxy.start()
+        try:
+            yield proxy
+        finally:
+            async with asyncio.timeout(TIMEOUT_S):
+                await proxy.stop()
+            await OPENED.close()
 
 
 async def connect(
     proxy: _proxy.Proxy, client: str
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     host, _, port = proxy.listen_address.rpartition(":")
-    return await asyncio.open_connection(
+    reader, writer = await asyncio.open_connection(
         host, int(port), local_addr=(client, 0)
     )
+    OPENED.add(writer)
+    return reader, writer
 
 
 async def ask(
