--- a/lagooncrank/server/seeded/_next_attempt.py
+++ b/lagooncrank/server/seeded/_next_attempt.py
@@ -54,6 +54,7 @@
         route = exchange.route
         if (
             not route.is_retry_safe
+            or not exchange.is_resumable
             or exchange.possible_runs + 1 >= route.max_attempts
         ):
             return False
