Divide limits and budgets by a number of entries that is complete

What callers would see: a server that states Server-Limit gets more than its limit allows (LIMIT) while entries reach no control node.

Cause: an entry without control nodes issues its own share of each limit, divided by the entries in the last summary. With 0 or 1 there, as control nodes that have just started send it, each entry used three quarters of the whole limit.

Until the number is known, 128 entries are assumed.

--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -13,12 +13,14 @@
 from lagooncrank.core.dispatch._request_queue import QUEUE_DISCIPLINES
 from lagooncrank.core.dispatch._request_queue import QueuedRequest
 from lagooncrank.core.dispatch._request_queue import RequestQueue
+from lagooncrank.core.dispatch._retry_budget import ASSUMED_ENTRIES
 from lagooncrank.core.dispatch._retry_budget import SharedRetryBudget
 from lagooncrank.core.dispatch._selection import choose_service
 from lagooncrank.core.dispatch._selection import choose_target
 from lagooncrank.core.dispatch._types import Target
 
 __all__ = [
+    "ASSUMED_ENTRIES",
     "OVERCOMMIT_FACTOR",
     "QUEUE_DISCIPLINES",
     "FailureBackoff",
--- a/lagooncrank/core/fleet/tests/test_sharing_entries.py
+++ b/lagooncrank/core/fleet/tests/test_sharing_entries.py
@@ -9,11 +9,22 @@
     sharing = fleet.SharingEntries()
     assert sharing.count(0) is None
     sharing.record(1, 1_000)
-    sharing.record(9, 1_000 + fleet.SETTLING_MS - 1)
-    assert sharing.count(1_000 + fleet.SETTLING_MS - 1) is None
+    sharing.record(8, 1_000 + fleet.SETTLING_MS - 1)
+    # Time alone does not make a summary complete.
+    assert sharing.count(1_000 + 2 * fleet.SETTLING_MS) is None
+    sharing.record(9, 1_000 + fleet.SETTLING_MS)
     assert sharing.count(1_000 + fleet.SETTLING_MS) == 9
 
 
+# Guards against: an entry that the control nodes did not list yet divided by
+# nothing, and used what all entries share.
+def test_summaries_without_entries_say_nothing() -> None:
+    sharing = fleet.SharingEntries()
+    sharing.record(0, 0)
+    sharing.record(0, fleet.SETTLING_MS)
+    assert sharing.count(fleet.SETTLING_MS) is None
+
+
 def test_number_that_a_control_node_remembers_is_known_at_once() -> None:
     sharing = fleet.SharingEntries()
     sharing.remember(9, 1_000)
@@ -33,7 +44,7 @@
     sharing = fleet.SharingEntries()
     sharing.record(9, 0)
     sharing.record(6, 1_000)
-    sharing.record(3, 2_000)
+    sharing.record(3, 3_000)
     assert sharing.count(fleet.MEMORY_MS) == 9
     assert sharing.count(fleet.MEMORY_MS + 1) == 6
     sharing.record(4, fleet.MEMORY_MS + 1_500)
--- a/lagooncrank/server/seeded/_server_limits.py
+++ b/lagooncrank/server/seeded/_server_limits.py
@@ -131,13 +131,18 @@
         )
         for issuer, batch in batches.items():
             if issuer == self._node_id:
-                self._own_issuer.set_entry_count(self._view.entry_count)
+                self._own_issuer.set_entry_count(self._entry_count())
                 self._issue_to_self(batch)
             else:
                 self._links.send(issuer, _REQUESTS, batch)
         if expired := self._client.pop_expired():
             self.count_permits("expired", expired)
 
+    def _entry_count(self) -> int:
+        """Returns the number of entries that may issue at the same time."""
+        count = self._view.sharing_entries.count(self._clock.now_ms())
+        return dispatch.ASSUMED_ENTRIES if count is None else count
+
     def _on_requests(
         self, sender: model.NodeId, batch: limits.PermitRequests
     ) -> None:
