Let retries of long trouble use more of the budget than a burst

Cause: what an entry may save up and what it gets in a window were 0.45 each.

The change: 0.3 of a window's allowance can be saved up and 0.6 come in its course; together 0.9, as before, for the fixed number and for what requests pay. Where 0.3 of a share is less than one retry (83 entries, 274), one can be saved up, and less comes.

--- a/lagooncrank/core/dispatch/_retry_budget.py
+++ b/lagooncrank/core/dispatch/_retry_budget.py
@@ -7,50 +7,33 @@
 start without any retries saved up.
 """
 
-import collections
 import dataclasses
 from typing import Final
 
 from lagooncrank import model
 from lagooncrank.core import windows
 
-#: Fraction of its share of a window's fixed number that an entry may save up,
-#: and that it gets back within one window. Any window has at most both.
-SAVED_FRACTION: Final = 0.45
-#: Usable fraction of what an entry's requests of the last window allow. Retries
-#: within one window may be based on the requests of two.
-REQUESTS_FRACTION: Final = 0.45
+#: Usable fraction of a window's allowance. The rest covers retries that arrive
+#: late, and entries that others do not know of yet.
+USABLE_FRACTION: Final = 0.9
+#: Part of it that an entry may save up. What is left comes in the course of a
+#: window, so that any window has at most both.
+SAVED_FRACTION: Final = 0.3
+REFILL_FRACTION: Final = USABLE_FRACTION - SAVED_FRACTION
+#: Rounding error of sums of fractions.
+_ROUNDING: Final = 1e-9
 #: Number of entries that is assumed until it is known, when the system starts
 #: for the first time.
 ASSUMED_ENTRIES: Final = 128
 
 
-class _SpentWindow:
-    """Sum of what was spent in the last window, in retries."""
-
-    def __init__(self, window_ms: int) -> None:
-        self._window_ms = window_ms
-        self._spent: collections.deque[tuple[int, float]] = collections.deque()
-
-    def record(self, now_ms: int, retries: float) -> None:
-        """Records that retries, or a part of one, were spent."""
-        self._spent.append((now_ms, retries))
-
-    def sum(self, now_ms: int) -> float:
-        """Returns what was spent within the window."""
-        oldest_ms = now_ms - self._window_ms
-        while self._spent and self._spent[0][0] < oldest_ms:
-            self._spent.popleft()
-        return sum(retries for _, retries in self._spent)
-
-
 @dataclasses.dataclass(slots=True)
 class _Account:
     """What an entry may spend on the retries of one service."""
 
     requests: windows.SlidingWindow
-    #: Retries, or parts of them, that the requests paid for.
-    spent: _SpentWindow
+    #: Retries, or parts of one, that the requests have paid for.
+    paid: float
     #: Part of this entry's share of a window's fixed number that is saved up.
     #: The share itself may change with the number of entries.
     saved: float
@@ -83,7 +66,10 @@
 
     def record_request(self, service: model.ServiceName, now_ms: int) -> None:
         """Counts a request that a caller sent to a service."""
-        self._account(service).requests.record(now_ms)
+        account = self._account(service)
+        account.requests.record(now_ms)
+        account.paid += REFILL_FRACTION * self._rules.ratio
+        self._limit_paid(account, now_ms)
 
     def try_acquire(
         self, service: model.ServiceName, entry_count: int | None, now_ms: int
@@ -100,31 +86,36 @@
             Whether the budget allows the retry.
         """
         account = self._account(service)
-        self._refill(account, now_ms)
-        rules = self._rules
         share = 0.0
         if entry_count is None:
             entry_count = self._assumed_entries
         if entry_count is not None:
-            share = rules.extra / max(entry_count, 1)
-        allowed = (
-            REQUESTS_FRACTION * rules.ratio * account.requests.count(now_ms)
-        )
-        unspent = min(max(allowed - account.spent.sum(now_ms), 0.0), 1.0)
-        missing = 1.0 - unspent
-        if missing > account.saved * share:
+            share = self._rules.extra / max(entry_count, 1)
+        self._refill(account, share, now_ms)
+        self._limit_paid(account, now_ms)
+        # What the requests have paid for is lost with them: it is used first.
+        from_paid = min(account.paid, 1.0)
+        missing = 1.0 - from_paid
+        if missing > account.saved * share + _ROUNDING:
             return False
-        # What the requests allow is lost with them, so it is used first.
-        account.spent.record(now_ms, unspent)
-        if missing:
-            account.saved -= missing / share
+        account.paid -= from_paid
+        if missing and share:
+            account.saved = max(account.saved - missing / share, 0.0)
         return True
 
-    def _refill(self, account: _Account, now_ms: int) -> None:
+    def _limit_paid(self, account: _Account, now_ms: int) -> None:
+        allowance = self._rules.ratio * account.requests.count(now_ms)
+        account.paid = min(account.paid, SAVED_FRACTION * allowance)
+
+    def _refill(self, account: _Account, share: float, now_ms: int) -> None:
+        limit = SAVED_FRACTION
+        if share:
+            # With many entries it takes more to save up a whole retry.
+            limit = min(max(limit, 1.0 / share), USABLE_FRACTION)
         passed_ms = max(now_ms - account.updated_ms, 0)
         account.updated_ms += passed_ms
-        refilled = SAVED_FRACTION * passed_ms / self._rules.window_ms
-        account.saved = min(account.saved + refilled, SAVED_FRACTION)
+        refilled = (USABLE_FRACTION - limit) * passed_ms / self._rules.window_ms
+        account.saved = min(account.saved + refilled, limit)
 
     def _account(self, service: model.ServiceName) -> _Account:
         account = self._accounts.get(service)
@@ -132,7 +123,7 @@
             window_ms = self._rules.window_ms
             account = _Account(
                 windows.SlidingWindow(window_ms),
-                _SpentWindow(window_ms),
+                0.0,
                 self._saved_at_start,
                 self._started_ms,
             )
