Acknowledge no deregistration that names a process nobody knows

What callers would see: a server that leaves without naming its process, just after a restart of all nodes, is acknowledged and gets requests again after its next late report (DRAIN).

Cause: without a record of the server there is nothing to mark as gone, and the answer was 200 all the same.

With 503 the server asks the next node, which may know it, or leaves without an acknowledgement. A deregistration that names its process is remembered and acknowledged.

Ruled out: refusing every deregistration without a process. It is a form that the wire shows, so a late one of an earlier process still removes the next one.

--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -72,6 +72,9 @@
         Returns:
             Whether it may be acknowledged, as for a report.
         """
+        if born_ms is None and self.view.table.get(server_id) is None:
+            # Which process it is may be known to another node, or here soon.
+            return False
         self.view.deregister(server_id, born_ms)
         return await self._retained.save()
 
