Run a delegated request no more often than its route allows

What callers would see: a request of an entry without a path runs three times where its route allows two attempts (BUDGET), while servers are silent.

Cause: an entry that delegates and gets no answer in time counted one run. The other entry gives up its first attempt after half of that time and makes a second one, so the next entry that got the request ran it once more.

Why it works: once half of the wait has passed without an outcome, all attempts of the route count as made. Before that the other entry cannot have given up a silent server, and a server that broke off does not count. A delegate that dies early is still replaced by another.

--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -93,6 +93,7 @@
     ) -> _attempt.BackendResponse:
         """Delegates a request to another entry."""
         self._delegator.begin(target)
+        began_ms = self._clock.now_ms()
         wait_ms = self._delegation_timeout_ms(exchange)
         is_open = False
         try:
@@ -110,13 +111,29 @@
                 f"no response of an entry within {wait_ms} ms",
             )
             self._delegator.record_failure(target, failure)
+            self._count_unseen_runs(exchange, began_ms, wait_ms)
             raise failure from error
+        except _attempt.AttemptFailedError as error:
+            if error.may_have_run:
+                self._count_unseen_runs(exchange, began_ms, wait_ms)
+            raise
         finally:
             if not is_open:
                 self._delegator.end(target)
         exchange.begin_run(self._clock.now_ms())
         return backend_response
 
+    def _count_unseen_runs(
+        self, exchange: _exchange.Exchange, began_ms: int, wait_ms: int
+    ) -> None:
+        """Counts the runs of an entry that did not state any.
+
+        Until half of the wait it does not give up its first attempt. After it
+        the request may have run as often as its route allows.
+        """
+        if self._clock.now_ms() - began_ms >= wait_ms // 2:
+            exchange.delegated_runs = exchange.route.max_attempts
+
     async def _send_request(
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> _attempt.BackendResponse:
