Soak: check planned stops, changes, repeats and leaving servers

New checks, each from what callers, servers and operators see, with the users' bounds and only where nothing that the soak did excuses it (a pure module tells who was in touch): - LOST: a request that was read ends without a whole answer around a stop signal, a reload or a change, or on a kept connection. - CONFIG: two operators add, move and remove routes, keys and services, send invalid documents, confirmed ones again and other content under a known version; probes straight to each entry show which version is in force; reads are compared with what was sent, also at the end. - BUDGET: repeats in sliding windows by service, summed over all entries, with a small budget; servers that one request ran on. - DRAIN: requests that reach a server later than the bound after its leaving was acknowledged. Servers also leave without notice. - Processes that end by themselves are reported and started again. The callers that are new go straight to the entries, keep connections and addresses longer than wished, send streams and bookings of up to 4 s, and some leave. New faults: rolls of entries, several stops at once, stops cut short by a kill, reloads of all nodes and right after a start, all nodes killed, once more after the start, and right after an acknowledgement.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,11 +18,16 @@
     entries: int = typer.Option(2, help="Number of entries."),
     engines: int = typer.Option(6, help="Number of engines."),
     kinds: str = typer.Option(
-        "", help="Kinds of faults, separated by commas; all if empty."
+        "",
+        help="Kinds of faults, separated by commas; all if empty; planned for "
+        "planned work only.",
     ),
     production: str = typer.Option(
         "", help="Commit that all nodes start on, with upgrades from it."
     ),
+    max_interval_s: float = typer.Option(
+        _run.MAX_INTERVAL_S, help="Longest time between two faults."
+    ),
     at_once: int = typer.Option(1, help="Number of seeds to run in parallel."),
 ) -> None:
     """Runs seeds; exits with status 1 if any guarantee was violated."""
@@ -34,6 +39,7 @@
             engines,
             tuple(k for k in kinds.split(",") if k),
             production,
+            max_interval_s,
         )
         for seed in range(first, first + seeds)
     ]
@@ -55,6 +61,7 @@
             f"logs in {folder}"
         )
         typer.echo(f"  while entries were cut off: {report.cuts}")
+        typer.echo(f"  seen: {report.seen}")
         typer.echo(f"  builds at the end: {report.builds}")
         typer.echo(f"  faults: {' '.join(report.faults)}")
         for violation in report.violations:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -9,6 +9,7 @@
 from lagooncrank_platform.tests import fake_server
 from lagooncrank_platform.tests import provider_protocol
 
+from soak import _checks
 from soak import _cuts
 from soak import _history
 from soak import _nodes
@@ -18,11 +19,11 @@
 TIMEOUT: Final = aiohttp.ClientTimeout(total=10.0)
 #: Counted in place of an HTTP status for a request without a response.
 NO_STATUS: Final = 0
-#: Path, and whether the request may run more than once.
+#: Path, whether the request may run more than once, and its service.
 REQUEST_KINDS: Final = (
-    ("/draft/a", True),
-    ("/book/a", False),
-    ("/look/a", True),
+    ("/draft/a", True, "writers"),
+    ("/book/a", False, "desk"),
+    ("/look/a", True, "desk"),
 )
 
 
@@ -32,12 +33,13 @@
     def __init__(
         self,
         entries: list[_nodes.Node],
-        history: _history.RequestHistory,
+        checks: _checks.Checks,
         random_: random.Random,
         cuts: _cuts.EntryCuts,
     ) -> None:
         self._entries = entries
-        self._history = history
+        self._checks = checks
+        self._history = checks.history
         self._random = random_
         self._cuts = cuts
         self._attempt_numbers = itertools.count(1)
@@ -55,12 +57,12 @@
                 await asyncio.sleep(self._random.uniform(*PAUSE_S))
 
     async def _send_request(self, session: aiohttp.ClientSession) -> None:
-        path, is_retry_safe = self._random.choice(REQUEST_KINDS)
+        path, is_retry_safe, service = self._random.choice(REQUEST_KINDS)
         attempt_id = f"a{next(self._attempt_numbers)}"
         entry = self._random.choice(self._entries)
         headers = provider_protocol.request_headers(path, attempt_id)
-        self._history.record_request(
-            _history.SentRequest(attempt_id, is_retry_safe)
+        self._checks.record_request(
+            _history.SentRequest(attempt_id, is_retry_safe, entry.ip, service)
         )
         group = self._cuts.group_of(entry.ip)
         url = f"http://{entry.public_proxy.listen_address}{path}"
--- /dev/null
+++ b/soak/_checks.py
@@ -0,0 +1,135 @@
+"""All that callers, servers and operators saw, and the checks of it."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+from typing import Final
+
+from soak import _budget
+from soak import _config_history
+from soak import _disturbances
+from soak import _drain
+from soak import _history
+from soak import _lost
+
+DRAIN_S: Final = 2.0
+#: Requests that may run on more servers than their route allows.
+ALLOWED_EXCESSES: Final = 3
+MAX_ATTEMPTS: Final = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds that the deployment's settings and checks share."""
+
+    loss: _lost.LossRules
+    config: _config_history.ConfigRules
+    budget: _budget.BudgetRules
+
+    @classmethod
+    def usual(cls) -> "Bounds":
+        """Returns the operators' usual bounds, with a budget that binds."""
+        return cls(
+            _lost.LossRules(),
+            _config_history.ConfigRules(),
+            _budget.BudgetRules(),
+        )
+
+
+class Checks:
+    """Collects what was seen; finds violations in it.
+
+    Args:
+        disturbances: What the soak itself disturbed.
+        bounds: Bounds of the deployment.
+        now_s: Clock.
+    """
+
+    def __init__(
+        self,
+        disturbances: _disturbances.Disturbances,
+        bounds: Bounds,
+        now_s: Callable[[], float],
+    ) -> None:
+        self.disturbances = disturbances
+        self.bounds = bounds
+        self.now_s = now_s
+        self.history = _history.RequestHistory()
+        self.arrivals = _budget.Arrivals()
+        self.planned_work = _lost.PlannedWork(disturbances, bounds.loss)
+        self.config = _config_history.ConfigHistory(bounds.config)
+        self.left_servers = _drain.LeftServers(DRAIN_S)
+        #: Requests whose connections ended without a whole answer.
+        self.cuts: list[_lost.CutRequest] = []
+        #: Probes that showed a document, and those of them in touch.
+        self.probes = 0
+        self.probes_in_touch = 0
+
+    def record_request(self, request: _history.SentRequest) -> None:
+        """Records a request before its caller sends it."""
+        self.history.record_request(request)
+        self.arrivals.record_request(request.service, self.now_s())
+
+    def record_probe(self, probe: _config_history.Probe) -> None:
+        """Records and checks how an entry handled a probe."""
+        self.probes += 1
+        self.probes_in_touch += probe.is_in_touch
+        for violation in self.config.record_probe(probe):
+            self.history.record_violation(violation)
+
+    def record_cut(
+        self, attempt_id: str, sent_s: float, limit_s: float, is_kept: bool
+    ) -> None:
+        """Records that a request ended now without a complete answer."""
+        self.cuts.append(
+            _lost.CutRequest(
+                attempt_id,
+                self.history.request(attempt_id).entry,
+                sent_s,
+                self.now_s(),
+                limit_s,
+                tuple(self.history.runs(attempt_id)),
+                is_kept,
+            )
+        )
+
+    def finish(self) -> list[str]:
+        """Returns all violations; call it once, after the end."""
+        now_s = self.now_s()
+        changes = self.config.changes()
+        for violation in (
+            *self.planned_work.violations(self.cuts, changes, now_s),
+            *self.arrivals.violations(self.bounds.budget),
+            *self.config.rate_violations(),
+            *self.left_servers.violations(self._was_entry_in_touch),
+            *self._excesses(),
+        ):
+            self.history.record_violation(violation)
+        return self.history.finish()
+
+    def summary(self) -> str:
+        """Returns how much there was to judge."""
+        return (
+            f"{len(self.cuts)} cut requests, repeats {self.arrivals.repeats()},"
+            f" {self.probes} probes of which {self.probes_in_touch} in touch"
+        )
+
+    def _was_entry_in_touch(self, attempt_id: str, now_s: float) -> bool:
+        entry = self.history.request(attempt_id).entry
+        return self.disturbances.is_in_touch(entry, now_s, now_s)
+
+    def _excesses(self) -> Iterator[str]:
+        """Yields requests that ran on more servers than their route allows."""
+        ends_s = self.now_s()
+        excesses = []
+        for attempt_id, servers in self.history.all_runs():
+            sound = {
+                s for s in servers if self.disturbances.is_sound(s, 0.0, ends_s)
+            }
+            if len(sound) > MAX_ATTEMPTS:
+                excesses.append(attempt_id)
+        if len(excesses) > ALLOWED_EXCESSES:
+            yield (
+                f"BUDGET: {len(excesses)} requests ran on more than "
+                f"{MAX_ATTEMPTS} servers: {excesses[:10]}"
+            )
--- a/soak/_cuts.py
+++ b/soak/_cuts.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from soak import _disturbances
 from soak import _proxy
 
 #: Time from the beginning of a cut after which requests count.
@@ -24,16 +25,20 @@
     Args:
         server_proxies: Proxies of the backend servers, as they are now.
         entry_ips: Addresses of all entries.
+        disturbances: Where cuts are recorded.
     """
 
     def __init__(
         self,
         server_proxies: Mapping[str, _proxy.Proxy],
         entry_ips: Sequence[str],
+        disturbances: _disturbances.Disturbances,
     ) -> None:
         self._server_proxies = server_proxies
         self._entry_ips = entry_ips
         self._cuts: dict[str, _proxy.CutKind] = {}
+        self._disturbances = disturbances
+        self._spans: dict[str, _disturbances.Span] = {}
         #: When each entry was cut off or joined last, on the event loop's
         #: clock.
         self._changed_s: dict[str, float] = {}
@@ -47,7 +52,11 @@
         if ip in self._cuts:
             return False
         self._cuts[ip] = kind
-        self._changed_s[ip] = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        self._changed_s[ip] = now_s
+        self._spans[ip] = self._disturbances.begin(
+            ip, _disturbances.Cause.ACCIDENT, now_s
+        )
         for proxy in list(self._server_proxies.values()):
             await proxy.cut(ip, kind)
         return True
@@ -55,7 +64,9 @@
     async def join(self, ip: str) -> None:
         """Ends a cut."""
         del self._cuts[ip]
-        self._changed_s[ip] = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        self._changed_s[ip] = now_s
+        self._spans.pop(ip).end_s = now_s
         for proxy in list(self._server_proxies.values()):
             await proxy.join(ip)
 
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -10,16 +10,22 @@
 
 from soak import _builds
 from soak import _callers
+from soak import _checks
 from soak import _cuts
 from soak import _disk_loss_lock
-from soak import _history
+from soak import _disturbances
+from soak import _kept_callers
 from soak import _nodes
 from soak import _operator
+from soak import _prober
 from soak import _proxy
 from soak import _servers
 
 CONTROL_NODE_COUNT: Final = 3
 CALLER_COUNT: Final = 8
+OPERATOR_COUNT: Final = 2
+#: Longest pause between two probes of an entry.
+PROBE_PAUSE_S: Final = 0.4
 #: Third byte of the loopback addresses, so that deployments of different
 #: seeds can run side by side.
 THIRD_BYTES: Final = range(1, 250)
@@ -50,17 +56,24 @@
         self.current_build = _builds.Build.current()
         #: Build that all nodes start on.
         self.production_build = production or self.current_build
-        self.history = _history.RequestHistory()
         network = f"127.1.{THIRD_BYTES[seed % len(THIRD_BYTES)]}"
         ips = [
             f"{network}.{n}" for n in range(1, CONTROL_NODE_COUNT + entries + 1)
         ]
+        self.disturbances = _disturbances.Disturbances(ips[:CONTROL_NODE_COUNT])
+        self.checks = _checks.Checks(
+            self.disturbances,
+            _checks.Bounds.usual(),
+            lambda: asyncio.get_running_loop().time(),
+        )
+        self.history = self.checks.history
         peer_port, delegation_port = local_cluster.free_ports(2)
         shared = _nodes.SharedSettings(
             folder,
             peer_port,
             delegation_port,
             tuple(f"{ip}:1" for ip in ips[:CONTROL_NODE_COUNT]),
+            self.checks,
         )
         self.controls = [
             _nodes.Node(shared, ip, "control", self.production_build)
@@ -78,15 +91,21 @@
         self.started_s = 0.0
         self.disk_loss_lock = _disk_loss_lock.DiskLossLock()
         self.cuts = _cuts.EntryCuts(
-            self._server_proxies, [e.ip for e in self.entries]
+            self._server_proxies,
+            [e.ip for e in self.entries],
+            self.disturbances,
         )
         self.callers = _callers.Callers(
-            self.entries, self.history, self.random, self.cuts
+            self.entries, self.checks, self.random, self.cuts
         )
         self.operator = _operator.Operator(
-            self.controls, self.history, self.random
+            self.controls, self.checks, self.random
+        )
+        self._prober = _prober.Prober(
+            self.checks, self.servers, self.random, PROBE_PAUSE_S
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self._operator_tasks: list[asyncio.Task[None]] = []
 
     @property
     def nodes(self) -> list[_nodes.Node]:
@@ -113,9 +132,28 @@
             await self.add_server("writers", "d1")
         for _ in range(2):
             await self.add_server("desk", "")
+            await self.add_server("annex", "")
         clients = [self.callers.run() for _ in range(callers)]
-        clients.append(self.operator.run())
+        clients += [self._prober.run(entry) for entry in self.entries]
+        clients += [caller.run() for caller in self._kept_callers()]
         self._tasks = [asyncio.create_task(c) for c in clients]
+        self._operator_tasks = [
+            asyncio.create_task(self.operator.run())
+            for _ in range(OPERATOR_COUNT)
+        ]
+
+    def _kept_callers(self) -> list[_kept_callers.KeptCaller]:
+        return [
+            _kept_callers.KeptCaller(
+                f"{kind.name}{number}",
+                kind,
+                self.entries,
+                self.checks,
+                self.random,
+            )
+            for kind in _kept_callers.KINDS
+            for number in range(len(self.entries))
+        ]
 
     async def add_server(self, service: str, domain: str) -> None:
         """Starts a new backend server behind a proxy.
@@ -132,11 +170,12 @@
             domain,
             self.history,
             self.servers,
+            self.checks,
         )
         server.born = self._started_servers
         await server.start()
         listen_address = f"127.0.0.1:{local_cluster.free_port('127.0.0.1')}"
-        proxy = _proxy.Proxy(listen_address, server.address)
+        proxy = _proxy.Proxy(listen_address, server.address, server.watch)
         await proxy.start()
         await self.cuts.apply_to(proxy)
         server.address = listen_address
@@ -148,6 +187,8 @@
         if not server.is_running:
             return
         server.is_running = False
+        if server.watch is not None:
+            server.watch.begin("ended")
         await server.stop()
         await self._server_proxies.pop(server.server_id).stop()
 
@@ -155,13 +196,22 @@
         """Returns the backend servers that are running."""
         return [s for s in self.servers.values() if s.is_running]
 
+    async def stop_operators(self) -> None:
+        """Ends all changes of the document."""
+        await _cancel(self._operator_tasks)
+
     async def stop(self) -> None:
         """Stops everything that it started."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.stop_operators()
+        await _cancel(self._tasks)
         for node in self.nodes:
             await node.stop()
         for server in self.running_servers():
             with contextlib.suppress(OSError):
                 await self.stop_server(server)
+
+
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -32,7 +32,9 @@
 #: Kinds that erase a disk.
 DISK_LOSS_FAULTS: Final = frozenset({"lose-disk"})
 #: Kinds that affect backend servers only.
-SERVER_FAULTS: Final = frozenset({"replace-servers", "bad-answers", "drain"})
+SERVER_FAULTS: Final = frozenset(
+    {"replace-servers", "bad-answers", "drain", "leave"}
+)
 
 
 async def _stop_process(
@@ -248,9 +250,13 @@
     name = random_.choice(
         ["loses_answers", "is_full", "is_unsigned", "truncates"]
     )
+    if server.watch is not None:
+        server.watch.begin(name)
     setattr(server, name, True)
     await asyncio.sleep(duration_s)
     setattr(server, name, False)
+    if server.watch is not None:
+        server.watch.end(name)
 
 
 @FAULTS.register("drain")
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -1,6 +1,7 @@
 """History of requests and runs, checked against the system's guarantees."""
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 
@@ -16,6 +17,9 @@
     attempt_id: str
     #: Whether the request may run more than once.
     is_retry_safe: bool
+    #: Address of the entry that it is sent to.
+    entry: str = ""
+    service: str = ""
 
 
 class RequestHistory:
@@ -62,6 +66,19 @@
                 f"{signing_server!r}, but the request ran on {runs}"
             )
 
+    def request(self, attempt_id: str) -> SentRequest:
+        """Returns a request; one without an entry if no caller sent it."""
+        unknown = SentRequest(attempt_id, is_retry_safe=False)
+        return self._requests.get(attempt_id, unknown)
+
+    def runs(self, attempt_id: str) -> list[str]:
+        """Returns the servers that have started to run a request."""
+        return self._runs.get(attempt_id, [])
+
+    def all_runs(self) -> Iterable[tuple[str, list[str]]]:
+        """Returns the servers that ran each request."""
+        return self._runs.items()
+
     def record_violation(self, description: str) -> None:
         """Records a violated guarantee."""
         self.violations.append(description)
--- /dev/null
+++ b/soak/_lasting_server.py
@@ -0,0 +1,91 @@
+"""Fake backend servers whose work lasts, and which leave as announced."""
+
+import asyncio
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+from lagooncrank_platform.tests import fake_server
+
+#: Headers by which a caller says how long its request takes.
+EVENTS_HEADER: Final = "X-Soak-Events"
+WORK_HEADER: Final = "X-Soak-Work-S"
+EVENT_INTERVAL_S: Final = 0.1
+NOT_RUN: Final = 421
+
+
+class LastingServer(fake_server.FakeServer):
+    """A fake server that works for as long as its callers say."""
+
+    def on_arrival(self, attempt_id: str) -> None:
+        """Called when a request has arrived."""
+
+    def on_passed(self, attempt_id: str, arrived_s: float) -> None:
+        """Called when an arrived request was not rejected with 421."""
+
+    def on_left(self) -> None:
+        """Called when a control node has acknowledged that this one leaves."""
+
+    async def deregister(self) -> None:
+        """Leaves the system without any notice before; serves on."""
+        if self._reporting is not None:
+            self._reporting.cancel()
+        async with aiohttp.ClientSession() as session:
+            while not await self._send_deregistration(session):  # noqa: ASYNC110 - the answer, no event
+                await asyncio.sleep(fake_server.REPORT_INTERVAL_S)
+        self.on_left()
+
+    async def _send_deregistration(
+        self, session: aiohttp.ClientSession
+    ) -> bool:
+        for control in self._control_addresses:
+            url = f"http://{control}/-/instances/{self.server_id}/deregister"
+            timeout = aiohttp.ClientTimeout(total=1.0)
+            body = {"born": self.born, "sequence": self._sequence + 1}
+            try:
+                async with session.post(
+                    url, json=body, timeout=timeout
+                ) as response:
+                    if response.status == web.HTTPOk.status_code:
+                        return True
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                # The next control node is asked.
+                continue
+        return False
+
+    async def _send_report(
+        self, session: aiohttp.ClientSession, control: str
+    ) -> bool:
+        state = self.state
+        is_acknowledged = await super()._send_report(session, control)
+        if is_acknowledged and state == "draining":
+            self.on_left()
+        return is_acknowledged
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        attempt_id = request.headers.get("Attempt-Id", "")
+        arrived_s = asyncio.get_running_loop().time()
+        self.on_arrival(attempt_id)
+        response = await super()._serve(request)
+        if response.status != NOT_RUN:
+            self.on_passed(attempt_id, arrived_s)
+        return response
+
+    async def _respond(self, request: web.Request) -> web.StreamResponse:
+        if not self.is_full:
+            await asyncio.sleep(float(request.headers.get(WORK_HEADER, "0")))
+        return await super()._respond(request)
+
+    async def _respond_with_events(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        if EVENTS_HEADER not in request.headers:
+            return await super()._respond_with_events(request, headers)
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        last = int(request.headers[EVENTS_HEADER])
+        for number in range(first, last + 1):
+            await response.write(f"id: {number}\ndata: x\n\n".encode())
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        return response
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -14,10 +14,13 @@
 import yaml
 
 from soak import _builds
+from soak import _checks
+from soak import _disturbances
 from soak import _proxy
 
 STOP_TIMEOUT_S: Final = 20.0
 START_POLL_S: Final = 0.1
+MS_PER_S: Final = 1_000
 #: What a node or its proxies listen on at ports of their own; "proxy" is for
 #: callers or operators, and "public" is what it forwards to.
 ADDRESS_NAMES: Final = (
@@ -51,6 +54,7 @@
     peer_port: int
     delegation_port: int
     seeds: tuple[str, ...]
+    checks: _checks.Checks
 
 
 class Node:
@@ -81,6 +85,15 @@
         self._log_file = shared.folder / f"{ip}.log"
         self._settings_file = shared.folder / f"{ip}.yaml"
         self._is_first_start = True
+        self._checks = shared.checks
+        self._watch = _disturbances.Watch(
+            shared.checks.disturbances, ip, shared.checks.now_s
+        )
+        #: Number of starts.
+        self.boot = 0
+        #: Whether the soak has ended the process that runs or ran last.
+        self._is_ended = False
+        self._guard: asyncio.Task[None] | None = None
         self._process: asyncio.subprocess.Process | None = None
         self._start_lock = asyncio.Lock()
         #: Proxies for peers, and for callers or operators.
@@ -93,12 +106,17 @@
             )
         }
         self.peer_proxy = _proxy.Proxy(
-            f"{ip}:{shared.peer_port}", self._addresses["peers"]
+            f"{ip}:{shared.peer_port}", self._addresses["peers"], self._watch
         )
         self.public_proxy = _proxy.Proxy(
-            self._addresses["proxy"], self._addresses["public"]
+            self._addresses["proxy"], self._addresses["public"], self._watch
         )
 
+    @property
+    def directory_address(self) -> str:
+        """Address at which callers look entries up."""
+        return self._addresses["directory"]
+
     @property
     def proxies(self) -> tuple[_proxy.Proxy, ...]:
         """All proxies of this node."""
@@ -131,6 +149,10 @@
         self._write_settings()
         self._is_first_start = False
         self.started_build = self.build
+        self.boot += 1
+        self._is_ended = False
+        if self.boot > 1:
+            self._watch.begin("down", _disturbances.Cause.PLANNED)
         environment = {
             **os.environ,
             provider_protocol.SETTINGS_VARIABLE: str(self._settings_file),
@@ -146,6 +168,22 @@
                 env=environment,
             )
         await self._wait_until_listening()
+        self._watch.end("down", "killed", "stopped", "frozen")
+        if self._guard is None:
+            self._guard = asyncio.create_task(self._restart_if_ended())
+
+    async def _restart_if_ended(self) -> None:
+        """Reports a process that ends by itself and starts it again."""
+        while True:
+            await asyncio.sleep(START_POLL_S)
+            if self.is_running or self._is_ended or self._start_lock.locked():
+                continue
+            exit_code = self._process.returncode if self._process else None
+            self._checks.history.record_violation(
+                f"process of {self.ip} ended by itself with status "
+                f"{exit_code}: {self._last_logged_line()}"
+            )
+            await self.start()
 
     async def _wait_until_listening(self) -> None:
         """Waits until the process listens or has exited.
@@ -181,8 +219,25 @@
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
         if self.is_running and self._process is not None:
+            self._record(signal_number)
             self._process.send_signal(signal_number)
 
+    def _record(self, signal_number: signal.Signals) -> None:
+        now_s = self._checks.now_s()
+        if signal_number in (signal.SIGTERM, signal.SIGKILL):
+            self._is_ended = True
+        if signal_number is signal.SIGTERM:
+            self._watch.begin("stopped", _disturbances.Cause.PLANNED)
+            self._checks.planned_work.record_stop(self.ip, now_s)
+        elif signal_number is signal.SIGHUP:
+            self._checks.planned_work.record_reload(self.ip, now_s)
+        elif signal_number is signal.SIGCONT:
+            self._watch.end("frozen")
+        elif signal_number is signal.SIGKILL:
+            self._watch.begin("killed")
+        elif signal_number is signal.SIGSTOP:
+            self._watch.begin("frozen")
+
     async def wait_for_exit(self) -> None:
         """Waits until the process has exited; kills it after a timeout."""
         if self._process is None:
@@ -196,6 +251,8 @@
 
     async def stop(self) -> None:
         """Kills the process and stops the proxies."""
+        if self._guard is not None:
+            self._guard.cancel()
         self.send_signal(signal.SIGKILL)
         await self.wait_for_exit()
         for proxy in self.proxies:
@@ -212,6 +269,7 @@
 
     def _write_settings(self) -> None:
         is_control = self.role == "control"
+        bounds = self._checks.bounds
         listen = {"peers": self.peer_proxy.target_address}
         listen["operators" if is_control else "callers"] = (
             self.public_proxy.target_address
@@ -232,7 +290,15 @@
             "data_folder": str(self._data_folder) if is_control else "",
             "source_ip": "" if is_control else self.ip,
             "listen": listen,
-            "timing": {"report_interval_ms": 500, "stop_grace_ms": 2_000},
+            "timing": {
+                "report_interval_ms": 500,
+                "stop_grace_ms": int(bounds.loss.grace_s * MS_PER_S),
+            },
+            "retry": {
+                "window_ms": int(bounds.budget.window_s * MS_PER_S),
+                "ratio": bounds.budget.ratio,
+                "extra": bounds.budget.extra,
+            },
         }
         temporary = self._settings_file.with_suffix(".new")
         temporary.write_text(yaml.safe_dump(self.build.settings(content)))
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -6,6 +6,8 @@
 import enum
 from typing import Final
 
+from soak import _disturbances
+
 CHUNK_BYTES: Final = 65_536
 #: Interval at which `Proxy.stop` resets connections again. One that is still
 #: being established cannot be reset yet.
@@ -40,17 +42,24 @@
 class Proxy:
     """Forwards connections from one address to another."""
 
-    def __init__(self, listen_address: str, target_address: str) -> None:
+    def __init__(
+        self,
+        listen_address: str,
+        target_address: str,
+        watch: _disturbances.Watch | None = None,
+    ) -> None:
         """Creates a proxy; `start` makes it listen.
 
         Args:
             listen_address: Address "ip:port" that clients connect to.
             target_address: Address "ip:port" that connections are forwarded
                 to.
+            watch: Records what is done to the connections, if given.
         """
         self.listen_address = listen_address
         self.target_address = target_address
         self.impairment = Impairment()
+        self._watch = watch
         #: Clients, by address, whose new connections are reset.
         self._refused_clients: set[str] = set()
         #: Clients whose data, and that for them, is held back.
@@ -84,6 +93,10 @@
         it as well.
         """
         self.impairment = impairment
+        if self._watch is not None and impairment == Impairment():
+            self._watch.end(self.listen_address)
+        elif self._watch is not None:
+            self._watch.begin(self.listen_address)
         async with self._impairment_changed:
             self._impairment_changed.notify_all()
 
@@ -105,6 +118,8 @@
 
     def reset(self, client: str | None = None) -> None:
         """Resets every connection, or those of one client."""
+        if self._watch is not None:
+            self._watch.add()
         for writer, writer_client in list(self._writers.items()):
             if client in (None, writer_client):
                 writer.transport.abort()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,13 +9,11 @@
 import random
 from typing import Final
 
-import aiohttp
-
 from soak import _builds
 from soak import _deployment
 from soak import _faults
 from soak import _nodes
-from soak import _operator
+from soak import _planned_faults
 from soak import _upgrades
 
 #: Longest time from the end of the last fault until the system serves again.
@@ -26,7 +24,10 @@
 #: Shortest and longest duration of a fault.
 FAULT_DURATION_S: Final = (0.3, 3.0)
 #: Shortest and longest time between the starts of two faults.
-FAULT_INTERVAL_S: Final = (0.1, 1.2)
+MIN_INTERVAL_S: Final = 0.1
+MAX_INTERVAL_S: Final = 1.2
+#: Stands for the kinds that are planned work only.
+PLANNED: Final = "planned"
 #: Served requests that prove that the system serves again.
 MIN_SERVED_REQUESTS: Final = 20
 
@@ -45,9 +46,13 @@
     #: Commit that all nodes start on, and which upgrades replace; empty for
     #: the build at hand.
     production: str = ""
+    #: Longest time between the starts of two faults.
+    max_interval_s: float = MAX_INTERVAL_S
 
     def names(self) -> tuple[str, ...]:
         """Returns the kinds of faults to choose from."""
+        if self.kinds == (PLANNED,):
+            return _planned_faults.PLANNED_FAULTS
         if self.kinds:
             return self.kinds
         if self.production:
@@ -76,6 +81,8 @@
     cuts: str
     #: Number of nodes by the build that they ran at the end.
     builds: dict[str, int]
+    #: What the checks had to judge.
+    seen: str
 
 
 async def run_seed(config: SeedConfig, folder: pathlib.Path) -> SeedReport:
@@ -97,7 +104,8 @@
         await _wait_until_serving(deployment, "the start")
         await _inject_faults(deployment, config, faults)
         await _wait_until_serving(deployment, "the last fault")
-        await _check_final_version(deployment)
+        await deployment.stop_operators()
+        await deployment.operator.check_at_the_end()
     except* (RecoveryError, _nodes.StartError) as errors:
         # Faults run in a task group, which wraps the exceptions they raise.
         for error in _flatten(errors):
@@ -110,7 +118,7 @@
             deployment.history.record_violation(violation)
     return SeedReport(
         config.seed,
-        tuple(deployment.history.finish()),
+        tuple(deployment.checks.finish()),
         tuple(faults),
         deployment.callers.served,
         deployment.operator.acknowledged,
@@ -119,6 +127,7 @@
         dict(
             collections.Counter(n.started_build.name for n in deployment.nodes)
         ),
+        deployment.checks.summary(),
     )
 
 
@@ -150,7 +159,9 @@
             group.create_task(
                 _run_fault(deployment, name, fault_random, duration_s, faults)
             )
-            await asyncio.sleep(random_.uniform(*FAULT_INTERVAL_S))
+            await asyncio.sleep(
+                random_.uniform(MIN_INTERVAL_S, config.max_interval_s)
+            )
 
 
 async def _run_fault(
@@ -212,10 +223,3 @@
         f"{deployment.callers.served} requests served, version "
         f"{deployment.operator.acknowledged} acknowledged"
     )
-
-
-async def _check_final_version(deployment: _deployment.Deployment) -> None:
-    timeout = _operator.TIMEOUT
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        for _ in range(10):
-            await deployment.operator.check_version(session)
--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -2,15 +2,16 @@
 
 from collections.abc import Mapping
 
-from lagooncrank_platform.tests import fake_server
-
+from soak import _checks
+from soak import _disturbances
 from soak import _history
+from soak import _lasting_server
 
 _OPEN = "open"
 _SERVING_PHASES = (_OPEN, "closing")
 
 
-class CheckingServer(fake_server.FakeServer):
+class CheckingServer(_lasting_server.LastingServer):
     """A fake engine or plain server that reports invalid orders and runs.
 
     Args:
@@ -21,6 +22,7 @@
         history: Receives the runs of this server and the violations that it
             finds.
         servers: All servers of the deployment by id, as they are now.
+        checks: Receives arrivals and disturbances, if given.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         domain: str,
         history: _history.RequestHistory,
         servers: Mapping[str, "CheckingServer"],
+        checks: _checks.Checks | None = None,
     ) -> None:
         super().__init__(server_id, service, controls, domain)
         self._history = history
@@ -38,6 +41,13 @@
         self._members: list[str] = []
         self._ready_epochs: set[int] = set()
         self.is_running = True
+        self._checks = checks
+        #: Records what the soak does to this server.
+        self.watch: _disturbances.Watch | None = None
+        if checks is not None:
+            self.watch = _disturbances.Watch(
+                checks.disturbances, server_id, checks.now_s
+            )
 
     def was_ready_in_epoch(self, epoch: int) -> bool:
         """Whether this server was ever ready in a group's epoch."""
@@ -79,6 +89,27 @@
                 )
         return True
 
+    def on_arrival(self, attempt_id: str) -> None:
+        """Records an arrival for the retry budget."""
+        if self._checks is not None:
+            self._checks.arrivals.record_arrival(
+                self.service, attempt_id, self._checks.now_s()
+            )
+
+    def on_passed(self, attempt_id: str, arrived_s: float) -> None:
+        """Records a request that may have come too late."""
+        if self._checks is not None:
+            self._checks.left_servers.record_arrival(
+                self.server_id, attempt_id, arrived_s
+            )
+
+    def on_left(self) -> None:
+        """Records that the system knows of the leaving."""
+        if self._checks is not None:
+            self._checks.left_servers.record_left(
+                self.server_id, self._checks.now_s()
+            )
+
     def on_run(self, attempt_id: str) -> None:
         """Records the start of a run."""
         self._history.record_run(attempt_id, self.server_id)
--- /dev/null
+++ b/soak/tests/test_lost.py
@@ -0,0 +1,90 @@
+"""Which requests without an answer planned work has cut."""
+
+import dataclasses
+import math
+
+import pytest
+
+from soak import _disturbances
+from soak import _lost
+
+#: The entry e1 gets its stop signal at 100 s.
+STOP_S = 100.0
+CUT = _lost.CutRequest("a1", "e1", 99.0, 101.0, 20.0, ("s1",))
+
+
+def violations(
+    cut: _lost.CutRequest,
+    *,
+    accident_s: float | None = None,
+    server_end_s: float | None = None,
+    reload_s: float | None = None,
+    change: _lost.Change | None = None,
+) -> list[str]:
+    log = _disturbances.Disturbances(["c1"])
+    if accident_s is not None:
+        log.add("c1", _disturbances.Cause.ACCIDENT, accident_s)
+    if server_end_s is not None:
+        log.begin("s1", _disturbances.Cause.ACCIDENT, server_end_s)
+    work = _lost.PlannedWork(log, _lost.LossRules())
+    work.record_stop("e1", STOP_S)
+    if reload_s is not None:
+        work.record_reload("e1", reload_s)
+    changes = [change] if change else []
+    return list(work.violations([cut], changes, 300.0))
+
+
+# Guards against: the soak passes over requests that a planned stop cuts, or
+# reports those that it may cut.
+@pytest.mark.parametrize(
+    ("fields", "is_violation"),
+    [
+        pytest.param({}, True, id="cut-early"),
+        pytest.param({"servers": ()}, True, id="read-and-not-passed-on"),
+        pytest.param(
+            {"servers": (), "sent_s": 100.9}, False, id="crossed-the-close"
+        ),
+        pytest.param({"ended_s": 107.4}, False, id="long-work-from-before"),
+        pytest.param(
+            {"sent_s": 103.5, "ended_s": 107.4}, True, id="taken-late"
+        ),
+        pytest.param({"ended_s": 99.5}, False, id="before-the-stop"),
+        pytest.param(
+            {"sent_s": 109.5, "ended_s": 110.0}, False, id="after-the-stop"
+        ),
+        pytest.param({"limit_s": 1.5}, False, id="time-limit"),
+        pytest.param({"entry": "e2"}, False, id="other-entry"),
+    ],
+)
+def test_request_that_ended_around_a_stop(
+    fields: dict[str, object], is_violation: bool
+) -> None:
+    cut = dataclasses.replace(CUT, **fields)  # type: ignore[arg-type]
+    assert bool(violations(cut)) is is_violation
+
+
+def test_accident_or_end_of_the_server_excuses() -> None:
+    assert not violations(CUT, accident_s=97.0)
+    assert not violations(CUT, server_end_s=100.5)
+    assert violations(CUT, server_end_s=102.0)
+
+
+def test_requests_beside_a_reload_or_change() -> None:
+    cut = dataclasses.replace(CUT, sent_s=200.0, ended_s=201.0)
+    assert not violations(cut)
+    assert violations(cut, reload_s=200.5)
+    assert not violations(cut, reload_s=201.5)
+    assert violations(cut, change=_lost.Change(200.5, 200.6))
+    assert not violations(cut, change=_lost.Change(150.0, 151.0))
+    assert violations(cut, change=_lost.Change(150.0, math.inf))
+
+
+def test_cuts_as_frequent_without_changes_do_not_count() -> None:
+    work = _lost.PlannedWork(_disturbances.Disturbances([]), _lost.LossRules())
+    cuts = [
+        dataclasses.replace(CUT, sent_s=s, ended_s=s + 1.0)
+        for s in range(100, 200, 2)
+    ]
+    changes = [_lost.Change(100.0, 101.0)]
+    found = list(work.violations(cuts, changes, 200.0))
+    assert not [f for f in found if "change" in f]
--- a/soak/tests/test_nodes.py
+++ b/soak/tests/test_nodes.py
@@ -6,15 +6,23 @@
 from lagooncrank_platform.tests import local_cluster
 import pytest
 
+from soak import _checks
+from soak import _disturbances
 from soak import _nodes
 
 
+def checks() -> _checks.Checks:
+    disturbances = _disturbances.Disturbances([])
+    bounds = _checks.Bounds.usual()
+    return _checks.Checks(disturbances, bounds, lambda: 0.0)
+
+
 async def test_concurrent_starts_of_a_node_start_one_process(
     tmp_path: pathlib.Path,
 ) -> None:
     peer_port, delegation_port = local_cluster.free_ports(2)
     shared = _nodes.SharedSettings(
-        tmp_path, peer_port, delegation_port, ("127.0.9.5:1",)
+        tmp_path, peer_port, delegation_port, ("127.0.9.5:1",), checks()
     )
     node = _nodes.Node(shared, "127.0.9.5", "control")
     started: list[object] = []
@@ -36,7 +44,7 @@
 ) -> None:
     peer_port, delegation_port = local_cluster.free_ports(2)
     shared = _nodes.SharedSettings(
-        tmp_path, peer_port, delegation_port, ("127.0.9.6:1",)
+        tmp_path, peer_port, delegation_port, ("127.0.9.6:1",), checks()
     )
     node = _nodes.Node(shared, "127.0.9.6", "no-such-role")
     try:
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -14,6 +14,8 @@
 TIMEOUT_S = 30.0
 #: Long enough for an answer over the loopback interface.
 SILENCE_S = 0.3
+#: Connections to close before the event loop of their test is closed.
+_opened: list[asyncio.StreamWriter] = []
 
 
 @contextlib.asynccontextmanager
@@ -36,6 +38,8 @@
     try:
         yield proxy
     finally:
+        while _opened:
+            _opened.pop().close()
         async with asyncio.timeout(TIMEOUT_S):
             await proxy.stop()
         server.close()
@@ -45,9 +49,11 @@
     proxy: _proxy.Proxy, client: str
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     host, _, port = proxy.listen_address.rpartition(":")
-    return await asyncio.open_connection(
+    reader, writer = await asyncio.open_connection(
         host, int(port), local_addr=(client, 0)
     )
+    _opened.append(writer)
+    return reader, writer
 
 
 async def ask(
