Soak: sound servers that fall silent, rests of the operators

A sound server may send nothing for a second and go on; with a retry budget that binds (--retry-extra 2) that is played by the kind quiet. Operators rest at times, as what a change cuts is counted against times without one, and with changes all the time there were none. A kept connection counts only if no answer had begun, as the rule says; streams that have begun are judged beside planned work.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from soak import _checks
 from soak import _run
 
 
@@ -28,6 +29,9 @@
     max_interval_s: float = typer.Option(
         _run.MAX_INTERVAL_S, help="Longest time between two faults."
     ),
+    retry_extra: int = typer.Option(
+        _checks.RETRY_EXTRA, help="Repeats allowed beside a part of requests."
+    ),
     at_once: int = typer.Option(1, help="Number of seeds to run in parallel."),
 ) -> None:
     """Runs seeds; exits with status 1 if any guarantee was violated."""
@@ -40,6 +44,7 @@
             tuple(k for k in kinds.split(",") if k),
             production,
             max_interval_s,
+            retry_extra,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_budget.py
+++ b/soak/_budget.py
@@ -12,7 +12,7 @@
 
     window_s: float = 10.0
     ratio: float = 0.2
-    extra: int = 8
+    extra: int = 100
 
 
 class Arrivals:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -13,6 +13,8 @@
 from soak import _lost
 
 DRAIN_S: Final = 2.0
+#: Repeats in a window beside the part of the requests.
+RETRY_EXTRA: Final = 8
 #: Requests that may run on more servers than their route allows.
 ALLOWED_EXCESSES: Final = 3
 MAX_ATTEMPTS: Final = 2
@@ -27,12 +29,12 @@
     budget: _budget.BudgetRules
 
     @classmethod
-    def usual(cls) -> "Bounds":
+    def usual(cls, retry_extra: int = RETRY_EXTRA) -> "Bounds":
         """Returns the operators' usual bounds, with a budget that binds."""
         return cls(
             _lost.LossRules(),
             _config_history.ConfigRules(),
-            _budget.BudgetRules(),
+            _budget.BudgetRules(extra=retry_extra),
         )
 
 
@@ -78,7 +80,13 @@
             self.history.record_violation(violation)
 
     def record_cut(
-        self, attempt_id: str, sent_s: float, limit_s: float, is_kept: bool
+        self,
+        attempt_id: str,
+        sent_s: float,
+        limit_s: float,
+        *,
+        is_kept: bool,
+        has_begun: bool,
     ) -> None:
         """Records that a request ended now without a complete answer."""
         self.cuts.append(
@@ -90,6 +98,7 @@
                 limit_s,
                 tuple(self.history.runs(attempt_id)),
                 is_kept,
+                has_begun,
             )
         )
 
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -41,6 +41,7 @@
         entries: Number of entries.
         engines: Number of engines.
         production: Build that all nodes start on; the one at hand if None.
+        retry_extra: Repeats in a window beside the part of the requests.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         entries: int,
         engines: int,
         production: _builds.Build | None = None,
+        retry_extra: int = _checks.RETRY_EXTRA,
     ) -> None:
         self.random = random.Random(seed)
         #: Build at hand, to which upgrades lead.
@@ -63,7 +65,7 @@
         self.disturbances = _disturbances.Disturbances(ips[:CONTROL_NODE_COUNT])
         self.checks = _checks.Checks(
             self.disturbances,
-            _checks.Bounds.usual(),
+            _checks.Bounds.usual(retry_extra),
             lambda: asyncio.get_running_loop().time(),
         )
         self.history = self.checks.history
--- a/soak/_kept_callers.py
+++ b/soak/_kept_callers.py
@@ -174,7 +174,13 @@
             return
         if not answer.is_complete:
             self._close()
-            self._checks.record_cut(attempt_id, sent_s, LIMIT_S, is_kept)
+            self._checks.record_cut(
+                attempt_id,
+                sent_s,
+                LIMIT_S,
+                is_kept=is_kept,
+                has_begun=bool(answer.status),
+            )
         self._check(request, answer, events)
         if answer.says_close and not self._kind.ignores_close:
             self._close()
--- a/soak/_lasting_server.py
+++ b/soak/_lasting_server.py
@@ -17,6 +17,13 @@
 class LastingServer(fake_server.FakeServer):
     """A fake server that works for as long as its callers say."""
 
+    #: Time, on the event loop's clock, until which it sends nothing.
+    quiet_until_s = 0.0
+
+    async def _wait_while_quiet(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(self.quiet_until_s - now_s, 0.0))
+
     def on_arrival(self, attempt_id: str) -> None:
         """Called when a request has arrived."""
 
@@ -86,6 +93,7 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         last = int(request.headers[EVENTS_HEADER])
         for number in range(first, last + 1):
+            await self._wait_while_quiet()
             await response.write(f"id: {number}\ndata: x\n\n".encode())
             await asyncio.sleep(EVENT_INTERVAL_S)
         return response
--- a/soak/_lost.py
+++ b/soak/_lost.py
@@ -44,6 +44,8 @@
     servers: tuple[str, ...] = ()
     #: Whether its connection had answered a request before.
     is_kept: bool = False
+    #: Whether an answer had begun.
+    has_begun: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +174,7 @@
             for c in cuts
             if c.is_kept
             and c.servers
+            and not c.has_begun
             and self._disturbances.is_in_touch(c.entry, c.sent_s, c.ended_s)
         ]
         if len(kept) > ALLOWED_KEPT:
--- a/soak/_operator.py
+++ b/soak/_operator.py
@@ -25,6 +25,10 @@
 AGAIN_PROBABILITY: Final = 0.2
 INVALID_PROBABILITY: Final = 0.2
 OTHER_CONTENT_PROBABILITY: Final = 0.1
+#: How often operators rest, and for how long: longer than a change may take,
+#: so that there is time without any change to compare with.
+REST_PROBABILITY: Final = 0.1
+REST_S: Final = 6.0
 #: Time at the end in which the document is read back.
 READ_BACK_S: Final = 3.0
 
@@ -55,6 +59,7 @@
         self._random = random_
         self._pause_s = pause_s
         self._changes = _documents.Changes(random_)
+        self._rest_until_s = 0.0
         #: Highest version that was acknowledged.
         self.acknowledged = 0
         #: Set when a change has just been acknowledged.
@@ -67,7 +72,16 @@
                 await self.put_next_version(session)
                 await self._do_something_else(session)
                 await self.check_version(session)
-                await asyncio.sleep(self._random.uniform(*self._pause_s))
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Waits; at times, all operators rest for a while."""
+        loop = asyncio.get_running_loop()
+        if self._random.random() < REST_PROBABILITY:
+            self._rest_until_s = loop.time() + REST_S
+        rest_s = self._rest_until_s - loop.time()
+        pause_s = self._random.uniform(*self._pause_s)
+        await asyncio.sleep(max(rest_s, pause_s))
 
     async def put_next_version(self, session: aiohttp.ClientSession) -> None:
         """Puts a document with the next version until its outcome is clear."""
--- a/soak/_planned_faults.py
+++ b/soak/_planned_faults.py
@@ -11,13 +11,21 @@
 from soak import _nodes
 
 #: Kinds that disturb nothing but by planned work.
-PLANNED_FAULTS: Final = ("roll", "reload-all", "leave", "stop-at-once")
+PLANNED_FAULTS: Final = (
+    "roll",
+    "reload-all",
+    "leave",
+    "stop-at-once",
+    "quiet",
+)
 MAX_PAUSE_S: Final = 1.0
 #: Longest time for which everything is down.
 MAX_DARK_S: Final = 3.0
 #: How long a server that leaves serves on after the bound.
 LEAVE_MARGIN_S: Final = 6.0
 ACK_TIMEOUT_S: Final = 10.0
+#: Shortest and longest time for which a sound server sends nothing.
+QUIET_S: Final = (0.8, 1.5)
 
 
 @_faults.FAULTS.register("roll")
@@ -138,6 +146,19 @@
     await _kill_everything(deployment, random_.uniform(0.0, MAX_DARK_S))
 
 
+@_faults.FAULTS.register("quiet")
+async def fall_silent(
+    deployment: _deployment.Deployment,
+    random_: random.Random,
+    duration_s: float,
+) -> None:
+    """Lets sound servers send nothing for about a second, then go on."""
+    now_s = asyncio.get_running_loop().time()
+    servers = deployment.running_servers()
+    for server in random_.sample(servers, random_.randint(1, len(servers))):
+        server.quiet_until_s = now_s + random_.uniform(*QUIET_S)
+
+
 @_faults.FAULTS.register("leave")
 async def leave(
     deployment: _deployment.Deployment,
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from soak import _builds
+from soak import _checks
 from soak import _deployment
 from soak import _faults
 from soak import _nodes
@@ -48,6 +49,8 @@
     production: str = ""
     #: Longest time between the starts of two faults.
     max_interval_s: float = MAX_INTERVAL_S
+    #: Repeats in a window beside the part of the requests.
+    retry_extra: int = _checks.RETRY_EXTRA
 
     def names(self) -> tuple[str, ...]:
         """Returns the kinds of faults to choose from."""
@@ -96,7 +99,12 @@
     if config.production:
         production = await _builds.export(config.production, folder)
     deployment = _deployment.Deployment(
-        folder, config.seed, config.entries, config.engines, production
+        folder,
+        config.seed,
+        config.entries,
+        config.engines,
+        production,
+        config.retry_extra,
     )
     faults: list[str] = []
     try:
--- a/soak/tests/test_lost.py
+++ b/soak/tests/test_lost.py
@@ -79,6 +79,18 @@
     assert violations(cut, change=_lost.Change(150.0, math.inf))
 
 
+@pytest.mark.parametrize(
+    ("count", "has_begun", "is_violation"),
+    [(3, False, False), (4, False, True), (4, True, False)],
+)
+def test_kept_connections_that_end_without_an_answer(
+    count: int, has_begun: bool, is_violation: bool
+) -> None:
+    work = _lost.PlannedWork(_disturbances.Disturbances([]), _lost.LossRules())
+    cut = dataclasses.replace(CUT, is_kept=True, has_begun=has_begun)
+    assert bool(list(work.violations([cut] * count, [], 300.0))) is is_violation
+
+
 def test_cuts_as_frequent_without_changes_do_not_count() -> None:
     work = _lost.PlannedWork(_disturbances.Disturbances([]), _lost.LossRules())
     cuts = [
