--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -1,11 +1,14 @@
 """Control node: takes part in consensus, tracks the fleet, forms groups."""
 
 from lagooncrank import clock as clocks
+from lagooncrank import model
+from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _control_metrics
 from lagooncrank.server.seeded import _group_driver
 from lagooncrank.server.seeded import _node
+from lagooncrank.server.seeded import _retained_state
 
 
 class ControlNode(_node.Node):
@@ -25,6 +28,14 @@
         super().__init__(node_settings, document_codec, clock, started_ms)
         self.metrics = _control_metrics.ControlMetrics()
         self.server_limits.count_permits = self.metrics.permits.count
+        assert self.side_file is not None, "a control node must have a disk"
+        self._retained = _retained_state.RetainedState(
+            self.side_file,
+            self.view,
+            self.crash_evidence,
+            clock,
+            self.decision_log,
+        )
         self._driver = _group_driver.GroupDriver(
             node_settings,
             self.shared,
@@ -39,8 +50,41 @@
     async def on_start(self) -> None:
         """Starts the common components and the group driver."""
         await super().on_start()
+        await self.add_runtime_dependency(self._retained)
         await self.add_runtime_dependency(self._driver)
 
+    def record_report(self, report: model.ServerReport) -> results.ResultCode:
+        """Records a report that a backend server sent to this node.
+
+        Returns:
+            OK if it counts and may be acknowledged. INVALID_ANNOUNCEMENT if it
+            cannot be of the server that it names. STORAGE_FAILED if it says
+            that a process leaves, which must outlast a restart of all nodes.
+        """
+        known = self.view.table.get(report.server_id)
+        if known is not None and self._contradicts(report, known.report):
+            return results.ResultCode.INVALID_ANNOUNCEMENT
+        self.view.record_report(report)
+        if report.state is model.ServerState.READY:
+            return results.ResultCode.OK
+        return self._save_departures()
+
+    def deregister(
+        self, server_id: model.BackendServerId, born_ms: int | None
+    ) -> results.ResultCode:
+        """Removes a backend server that announced its stop.
+
+        Returns:
+            OK if it may be acknowledged, otherwise STORAGE_FAILED.
+        """
+        self.view.deregister(server_id, born_ms)
+        return self._save_departures()
+
+    def _save_departures(self) -> results.ResultCode:
+        if self._retained.save_departures():
+            return results.ResultCode.OK
+        return results.ResultCode.STORAGE_FAILED
+
     @property
     def has_quorum(self) -> bool:
         """Whether a quorum responded recently.
@@ -48,3 +92,19 @@
         Without one, reports that this node accepted would not reach others.
         """
         return self.shared.has_quorum
+
+    def _contradicts(
+        self, report: model.ServerReport, known: model.ServerReport
+    ) -> bool:
+        """Returns whether a report is of another writer than its server.
+
+        An engine does not turn into a plain server of its service, nor does a
+        server of a declared service turn into one of a service that nobody
+        declared.
+        """
+        if report.service == known.service:
+            return bool(known.fabric_domain) and not report.fabric_domain
+        catalog = self.documents.catalog
+        if catalog is None or report.service in catalog.services:
+            return False
+        return known.service in catalog.services
