Soak: failing test of a reload while a process starts

A process that gets SIGHUP before it has its handler, which is set when its components start, ends with status -1.

--- a/soak/tests/test_nodes.py
+++ b/soak/tests/test_nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 
 from lagooncrank_platform.tests import local_cluster
 import pytest
@@ -52,3 +53,31 @@
             await node.start()
     finally:
         await node.stop()
+
+
+# Guards against: a signal that the settings have changed ends a process that
+# is still starting.
+@pytest.mark.parametrize("role", ["control", "entry"])
+async def test_reload_during_the_start_does_not_end_the_process(
+    role: str, tmp_path: pathlib.Path
+) -> None:
+    peer_port, delegation_port = local_cluster.free_ports(2)
+    shared = _nodes.SharedSettings(
+        tmp_path, peer_port, delegation_port, ("127.0.9.5:1",), checks()
+    )
+    node = _nodes.Node(shared, "127.0.9.5", role)
+    starting = asyncio.create_task(node.start())
+    try:
+        # The program has begun then, and is far from listening.
+        while not (node.is_running and is_importing(node.process_id)):  # noqa: ASYNC110 - no event of a start
+            await asyncio.sleep(0)
+        node.send_signal(signal.SIGHUP)
+        await starting
+        assert node.is_running
+    finally:
+        await node.stop()
+
+
+def is_importing(process_id: int) -> bool:
+    maps = pathlib.Path(f"/proc/{process_id}/maps")
+    return "_asyncio" in maps.read_text()
