Soak: count nothing while the soak's own process got no time; larger runs

All servers, proxies and callers live in one process. The number of control nodes is an option, and the kept callers are at most 6 of each kind, so that large runs don't hold the process up by themselves.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import typer
 
 from soak import _checks
+from soak import _deployment
 from soak import _run
 
 
@@ -32,6 +33,9 @@
     retry_extra: int = typer.Option(
         _checks.RETRY_EXTRA, help="Repeats allowed beside a part of requests."
     ),
+    controls: int = typer.Option(
+        _deployment.DEFAULT_CONTROLS, help="Number of control nodes."
+    ),
     at_once: int = typer.Option(1, help="Number of seeds to run in parallel."),
 ) -> None:
     """Runs seeds; exits with status 1 if any guarantee was violated."""
@@ -45,6 +49,7 @@
             production,
             max_interval_s,
             retry_extra,
+            controls,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -15,14 +15,17 @@
 from soak import _disk_loss_lock
 from soak import _disturbances
 from soak import _kept_callers
+from soak import _lag
 from soak import _nodes
 from soak import _operator
 from soak import _prober
 from soak import _proxy
 from soak import _servers
 
-CONTROL_NODE_COUNT: Final = 3
+DEFAULT_CONTROLS: Final = 3
 CALLER_COUNT: Final = 8
+#: All callers run in this process, which has one processor.
+MAX_CALLERS_OF_KIND: Final = 6
 OPERATOR_COUNT: Final = 2
 #: Longest pause between two probes of an entry.
 PROBE_PAUSE_S: Final = 0.4
@@ -42,6 +45,7 @@
         engines: Number of engines.
         production: Build that all nodes start on; the one at hand if None.
         retry_extra: Repeats in a window beside the part of the requests.
+        controls: Number of control nodes.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         engines: int,
         production: _builds.Build | None = None,
         retry_extra: int = _checks.RETRY_EXTRA,
+        controls: int = DEFAULT_CONTROLS,
     ) -> None:
         self.random = random.Random(seed)
         #: Build at hand, to which upgrades lead.
@@ -59,10 +64,8 @@
         #: Build that all nodes start on.
         self.production_build = production or self.current_build
         network = f"127.1.{THIRD_BYTES[seed % len(THIRD_BYTES)]}"
-        ips = [
-            f"{network}.{n}" for n in range(1, CONTROL_NODE_COUNT + entries + 1)
-        ]
-        self.disturbances = _disturbances.Disturbances(ips[:CONTROL_NODE_COUNT])
+        ips = [f"{network}.{n}" for n in range(1, controls + entries + 1)]
+        self.disturbances = _disturbances.Disturbances(ips[:controls])
         self.checks = _checks.Checks(
             self.disturbances,
             _checks.Bounds.usual(retry_extra),
@@ -74,16 +77,16 @@
             folder,
             peer_port,
             delegation_port,
-            tuple(f"{ip}:1" for ip in ips[:CONTROL_NODE_COUNT]),
+            tuple(f"{ip}:1" for ip in ips[:controls]),
             self.checks,
         )
         self.controls = [
             _nodes.Node(shared, ip, "control", self.production_build)
-            for ip in ips[:CONTROL_NODE_COUNT]
+            for ip in ips[:controls]
         ]
         self.entries = [
             _nodes.Node(shared, ip, "entry", self.production_build)
-            for ip in ips[CONTROL_NODE_COUNT:]
+            for ip in ips[controls:]
         ]
         self.servers: dict[str, _servers.CheckingServer] = {}
         self._server_proxies: dict[str, _proxy.Proxy] = {}
@@ -91,6 +94,7 @@
         self._started_servers = 0
         #: Time at which the start began, on the event loop's clock.
         self.started_s = 0.0
+        self.lag = _lag.LagWatch(self.disturbances, ips[0])
         self.disk_loss_lock = _disk_loss_lock.DiskLossLock()
         self.cuts = _cuts.EntryCuts(
             self._server_proxies,
@@ -137,6 +141,7 @@
             await self.add_server("annex", "")
         clients = [self.callers.run() for _ in range(callers)]
         clients += [self._prober.run(entry) for entry in self.entries]
+        clients.append(self.lag.run())
         clients += [caller.run() for caller in self._kept_callers()]
         self._tasks = [asyncio.create_task(c) for c in clients]
         self._operator_tasks = [
@@ -154,7 +159,7 @@
                 self.random,
             )
             for kind in _kept_callers.KINDS
-            for number in range(len(self.entries))
+            for number in range(min(len(self.entries), MAX_CALLERS_OF_KIND))
         ]
 
     async def add_server(self, service: str, domain: str) -> None:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -51,6 +51,7 @@
     max_interval_s: float = MAX_INTERVAL_S
     #: Repeats in a window beside the part of the requests.
     retry_extra: int = _checks.RETRY_EXTRA
+    controls: int = _deployment.DEFAULT_CONTROLS
 
     def names(self) -> tuple[str, ...]:
         """Returns the kinds of faults to choose from."""
@@ -105,6 +106,7 @@
         config.engines,
         production,
         config.retry_extra,
+        config.controls,
     )
     faults: list[str] = []
     try:
@@ -135,7 +137,8 @@
         dict(
             collections.Counter(n.started_build.name for n in deployment.nodes)
         ),
-        deployment.checks.summary(),
+        f"{deployment.checks.summary()}, {deployment.lag.delays} own delays of "
+        f"up to {deployment.lag.longest_s:.2f} s",
     )
 
 
