--- a/lagooncrank/server/storage/__init__.py
+++ b/lagooncrank/server/storage/__init__.py
@@ -5,6 +5,7 @@
 from lagooncrank.server.storage._errors import FormatVersionError
 from lagooncrank.server.storage._errors import StorageError
 from lagooncrank.server.storage._errors import WriteError
+from lagooncrank.server.storage._folder import takes_writes
 from lagooncrank.server.storage._side_file import SideFile
 from lagooncrank.server.storage._storage import Storage
 
@@ -16,4 +17,5 @@
     "Storage",
     "StorageError",
     "WriteError",
+    "takes_writes",
 ]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import tempfile
 
 import typer
@@ -59,6 +60,13 @@
 
 async def _run_all(configs: list[_run.SeedConfig], at_once: int) -> bool:
     limit = asyncio.Semaphore(at_once)
+    # An early end stops the nodes, too.
+    task = asyncio.current_task()
+    assert task is not None
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(
+            signal_number, task.cancel
+        )
 
     async def run(config: _run.SeedConfig) -> bool:
         async with limit:
