--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import pathlib
+import signal
 import tempfile
 
 import typer
 
+from soak import _checks
+from soak import _deployment
 from soak import _run
 
 
@@ -18,11 +21,22 @@
     entries: int = typer.Option(2, help="Number of entries."),
     engines: int = typer.Option(6, help="Number of engines."),
     kinds: str = typer.Option(
-        "", help="Kinds of faults, separated by commas; all if empty."
+        "",
+        help="Kinds of faults, separated by commas; all if empty; planned for "
+        "planned work only.",
     ),
     production: str = typer.Option(
         "", help="Commit that all nodes start on, with upgrades from it."
     ),
+    max_interval_s: float = typer.Option(
+        _run.MAX_INTERVAL_S, help="Longest time between two faults."
+    ),
+    retry_extra: int = typer.Option(
+        _checks.RETRY_EXTRA, help="Repeats allowed beside a part of requests."
+    ),
+    controls: int = typer.Option(
+        _deployment.DEFAULT_CONTROLS, help="Number of control nodes."
+    ),
     at_once: int = typer.Option(1, help="Number of seeds to run in parallel."),
 ) -> None:
     """Runs seeds; exits with status 1 if any guarantee was violated."""
@@ -34,6 +48,9 @@
             engines,
             tuple(k for k in kinds.split(",") if k),
             production,
+            max_interval_s,
+            retry_extra,
+            controls,
         )
         for seed in range(first, first + seeds)
     ]
@@ -43,6 +60,13 @@
 
 async def _run_all(configs: list[_run.SeedConfig], at_once: int) -> bool:
     limit = asyncio.Semaphore(at_once)
+    # An early end stops the nodes, too.
+    task = asyncio.current_task()
+    assert task is not None
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(
+            signal_number, task.cancel
+        )
 
     async def run(config: _run.SeedConfig) -> bool:
         async with limit:
@@ -55,6 +79,7 @@
             f"logs in {folder}"
         )
         typer.echo(f"  while entries were cut off: {report.cuts}")
+        typer.echo(f"  seen: {report.seen}")
         typer.echo(f"  builds at the end: {report.builds}")
         typer.echo(f"  faults: {' '.join(report.faults)}")
         for violation in report.violations:
