Hear what a server states beside an unclear refusal

What callers saw: a server that answered 503 with Retry-After, or any failure with Server-Leaving, and did not state that nothing was run, got further requests at once (a rule allows two, or none).

Cause: since such a response fails the attempt in the client, before its statements are recorded; the error carried the head only if the server stated that nothing was run.

Why it works: the error carries the head of each response that belongs to the request by its attempt id, and the attempt runner records its statements.

--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -85,8 +85,8 @@
         self.detail = detail[:MAX_DETAIL_CHARS]
         #: Whether the server ended the connection while it ran the request.
         self.is_disconnect = is_disconnect
-        #: Head of the response, if the server stated that it did not run the
-        #: request.
+        #: Head of the response, if it is for this request. What it says of its
+        #: server holds, although the caller does not get it.
         self.head: _adapter.ResponseHead | None = None
         super().__init__(f"{failure}: {self.detail}")
 
@@ -289,9 +289,14 @@
         head = self._codec.decode_response(response.status, headers)
         backend_response = BackendResponse(head, response, session)
         try:
-            _check(head, request_head)
-            if not target.is_entry:
-                check_promise(head)
+            _check_owner(head, request_head)
+            try:
+                _check(head)
+                if not target.is_entry:
+                    check_promise(head)
+            except AttemptFailedError as error:
+                error.head = head
+                raise
         except AttemptFailedError as error:
             if error.failure is FailureKind.RESPONSE_LOST:
                 # The responses to later requests would be taken for others.
@@ -327,23 +332,29 @@
             self._refused.popitem(last=False)
 
 
-def _check(
+def _check_owner(
     head: _adapter.ResponseHead, request_head: _adapter.RequestHead
 ) -> None:
-    """Checks that a response belongs to its request and may be relayed.
+    """Checks that a response belongs to its request.
 
     Raises:
-        AttemptFailedError: It does not, or states that nothing was run.
+        AttemptFailedError: It does not.
     """
     if request_head.attempt_id and head.attempt_id != request_head.attempt_id:
         raise AttemptFailedError(
             FailureKind.RESPONSE_LOST,
             f"the response is for attempt {head.attempt_id!r}",
         )
+
+
+def _check(head: _adapter.ResponseHead) -> None:
+    """Checks that a response may be relayed.
+
+    Raises:
+        AttemptFailedError: It must not, or states that nothing was run.
+    """
     if head.is_not_run:
-        error = AttemptFailedError(FailureKind.NOT_RUN, str(head.status))
-        error.head = head
-        raise error
+        raise AttemptFailedError(FailureKind.NOT_RUN, str(head.status))
     if head.is_contradictory:
         raise AttemptFailedError(
             FailureKind.RESPONSE_LOST,
