Write departures that arrive together in one write

What servers saw: when many of them left at once, a control node with a slow disk acknowledged them one by one, each after a write with two syncs, on the event loop; it held up everything else on that node meanwhile.

Cause: since each report of a departure wrote the retained state before the next one was read.

The new test fails before the change (no such coroutine; 50 writes). The test of contradicting reports awaits the method now and checks the same.

Why it works: a handler lets the others that have read a report record theirs before it writes; the write covers all of them, and none is acknowledged before it is on the disk.

--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -1,5 +1,7 @@
 """Control node: takes part in consensus, tracks the fleet, forms groups."""
 
+import asyncio
+
 from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank import results
@@ -53,7 +55,9 @@
         await self.add_runtime_dependency(self._retained)
         await self.add_runtime_dependency(self._driver)
 
-    def record_report(self, report: model.ServerReport) -> results.ResultCode:
+    async def record_report(
+        self, report: model.ServerReport
+    ) -> results.ResultCode:
         """Records a report that a backend server sent to this node.
 
         Returns:
@@ -67,9 +71,9 @@
         self.view.record_report(report)
         if report.state is model.ServerState.READY:
             return results.ResultCode.OK
-        return self._save_departures()
+        return await self._save_departures()
 
-    def deregister(
+    async def deregister(
         self, server_id: model.BackendServerId, born_ms: int | None
     ) -> results.ResultCode:
         """Removes a backend server that announced its stop.
@@ -78,9 +82,11 @@
             OK if it may be acknowledged, otherwise STORAGE_FAILED.
         """
         self.view.deregister(server_id, born_ms)
-        return self._save_departures()
+        return await self._save_departures()
 
-    def _save_departures(self) -> results.ResultCode:
+    async def _save_departures(self) -> results.ResultCode:
+        # What has arrived together is written together.
+        await asyncio.sleep(0)
         if self._retained.save_departures():
             return results.ResultCode.OK
         return results.ResultCode.STORAGE_FAILED
--- a/lagooncrank/server/seeded/tests/test_contradicting_reports.py
+++ b/lagooncrank/server/seeded/tests/test_contradicting_reports.py
@@ -41,7 +41,7 @@
         ),
     ],
 )
-def test_report_that_contradicts_its_server_is_not_recorded(
+async def test_report_that_contradicts_its_server_is_not_recorded(
     known: model.ServerReport | None,
     service: model.ServiceName,
     domain: str,
@@ -60,7 +60,7 @@
     )
     contradicts = _control.ControlNode._contradicts
     node._contradicts = functools.partial(contradicts, cast(Any, node))
-    code = _control.ControlNode.record_report(cast(Any, node), report)
+    code = await _control.ControlNode.record_report(cast(Any, node), report)
     assert code is (
         results.ResultCode.OK
         if is_recorded
--- a/lagooncrank/server/seeded/tests/test_retained_state.py
+++ b/lagooncrank/server/seeded/tests/test_retained_state.py
@@ -1,5 +1,6 @@
 """What a control node remembers over a restart, and disks that fail."""
 
+import asyncio
 import pathlib
 import types
 from typing import Any
@@ -10,10 +11,12 @@
 from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core import crashes
 from lagooncrank.core import fleet
 from lagooncrank.core.fleet.tests import test_servers
 from lagooncrank.server import storage
+from lagooncrank.server.seeded import _control
 from lagooncrank.server.seeded import _retained_state
 
 NODE = model.NodeId("c1")
@@ -190,6 +193,29 @@
     assert disk.writes == 2
 
 
+# Guards against: servers that left together were acknowledged one by one, each
+# after a write of its own, and a slow disk held up the whole control node.
+async def test_servers_that_leave_together_are_written_once() -> None:
+    disk = CountingDisk()
+    local = Node(disk, clocks.ManualClock())
+
+    def deregister(server_id: model.BackendServerId, born_ms: int) -> None:
+        local.table.deregister(server_id, born_ms, 0)
+
+    node: Any = object.__new__(_control.ControlNode)
+    node.view = types.SimpleNamespace(deregister=deregister)
+    node._retained = local.retained
+    codes = await asyncio.gather(
+        *(
+            node.deregister(model.BackendServerId(f"e{number}"), 100)
+            for number in range(50)
+        )
+    )
+    assert set(codes) == {results.ResultCode.OK}
+    assert len(local.table.departures.all()) == 50
+    assert disk.writes == 1
+
+
 class CountingDisk:
     """Counts what is written."""
 
