Count the runs that an older entry reports beside an unclear refusal

Cause: the check of the promise came before the outcome was taken over.

Evidence: the new test failed (0 runs instead of 3) before the change.

Why it works: the outcome is taken over first.

--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -198,9 +198,10 @@
         response.head = _without_outcome(response.head)
         self._metrics.count_delegated(outcome.code.name)
         if outcome.code is results.ResultCode.OK:
-            _attempt.check_promise(response.head)
             exchange.delegated_runs = outcome.possible_runs
             exchange.leaving_server = outcome.leaving_server
+            # An entry of an older build passes such a response on.
+            _attempt.check_promise(response.head)
             return
         if outcome.code in _NOT_ACCEPTED:
             raise _attempt.AttemptFailedError(
