--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -34,7 +34,6 @@
         self._limits = parts.limits
         self._reach_monitor = parts.reach_monitor
         self._delegator = parts.delegator
-        self._stop_gate = parts.stop_gate
         self._metrics = parts.metrics
         self._clock = parts.clock
         self._log = parts.log
@@ -214,12 +213,10 @@
         if not self._may_retry(exchange):
             return remaining_ms
         target_ms = exchange.route.target_latency_ms
-        wait_ms = max(
-            RESPONSE_TIMEOUT_FACTOR * target_ms, MIN_RESPONSE_TIMEOUT_MS
+        return min(
+            remaining_ms,
+            max(RESPONSE_TIMEOUT_FACTOR * target_ms, MIN_RESPONSE_TIMEOUT_MS),
         )
-        if not self._stop_gate.is_open(exchange, wait_ms):
-            return remaining_ms
-        return min(remaining_ms, wait_ms)
 
     def _delegation_timeout_ms(self, exchange: _exchange.Exchange) -> int:
         """Returns how long to wait for the head of an entry's response.
@@ -238,7 +235,6 @@
         if (
             not route.is_retry_safe
             or exchange.possible_runs + 1 >= route.max_attempts
-            or not self._stop_gate.is_open(exchange)
         ):
             return False
         return self._target_selector.has_untried(
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -26,7 +26,6 @@
 from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _stream_quota
-from lagooncrank.server.seeded import _stream_time_limit
 
 #: A resumable stream is resumed elsewhere after a pause of this many times the
 #: longest gap between events that its route allows.
@@ -261,17 +260,13 @@
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         backend_response: _attempt.BackendResponse,
-        time_limit: _stream_time_limit.StreamTimeLimit,
+        time_limit: "_StreamTimeLimit",
     ) -> AsyncIterator[bytes]:
         """Yields the body, and fails the attempt at the time limit."""
         chunks = backend_response.body()
         while True:
-            at_s = time_limit.at_s
-            if not self._stop_gate.is_open(exchange, time_limit.remaining_ms):
-                # Nothing could resume the stream, so its server may go on.
-                at_s = time_limit.deadline_s
             try:
-                async with asyncio.timeout_at(at_s) as timeout:
+                async with asyncio.timeout_at(time_limit.at_s) as timeout:
                     with self._forwarder.register_wait(
                         exchange, target, timeout
                     ):
@@ -286,7 +281,7 @@
 
     def _stream_time_limit(
         self, exchange: _exchange.Exchange, target: dispatch.Target
-    ) -> _stream_time_limit.StreamTimeLimit:
+    ) -> "_StreamTimeLimit":
         """Returns the time limit of one attempt of a stream.
 
         Only requests that may run again have a limit on pauses; the deadline
@@ -301,9 +296,7 @@
             if target.is_entry:
                 # The other entry resumes the stream first.
                 pause_ms *= 2
-        return _stream_time_limit.StreamTimeLimit(
-            exchange.remaining_ms(self._clock), pause_ms
-        )
+        return _StreamTimeLimit(exchange.remaining_ms(self._clock), pause_ms)
 
     def _abort(
         self,
@@ -346,6 +339,34 @@
         )
 
 
+class _StreamTimeLimit:
+    """Time by which the next complete event of a stream must arrive.
+
+    A part of an event does not extend it: a server that sends a byte now and
+    then has stalled.
+    """
+
+    def __init__(self, remaining_ms: int, pause_ms: int | None) -> None:
+        """Starts the limit of an attempt.
+
+        Args:
+            remaining_ms: Time until the deadline of the request.
+            pause_ms: Longest pause between two events; None for no limit.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._deadline_s = self._loop.time() + remaining_ms / clocks.MS_PER_S
+        self._pause_ms = pause_ms
+        #: Time on the clock of the event loop.
+        self.at_s = self._deadline_s
+        self.restart_pause()
+
+    def restart_pause(self) -> None:
+        """Restarts the limit on pauses after a complete event."""
+        if self._pause_ms is not None:
+            pause_s = self._pause_ms / clocks.MS_PER_S
+            self.at_s = min(self._deadline_s, self._loop.time() + pause_s)
+
+
 def _is_stream(
     exchange: _exchange.Exchange, backend_response: _attempt.BackendResponse
 ) -> bool:
--- a/lagooncrank/server/seeded/_stop_gate.py
+++ b/lagooncrank/server/seeded/_stop_gate.py
@@ -48,12 +48,12 @@
             now_ms,
         )
 
-    def is_open(self, exchange: _exchange.Exchange, after_ms: int = 0) -> bool:
-        """Returns whether a request may be sent after some time."""
+    def is_open(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether a request may be sent now."""
         if self._plan is None:
             return True
         latest_ms = self._latest_start_ms(exchange, self._plan)
-        return self._clock.now_ms() + after_ms < latest_ms
+        return self._clock.now_ms() < latest_ms
 
     def check(
         self,
