--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -8,6 +8,7 @@
 from lagooncrank import settings
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _control_metrics
+from lagooncrank.server.seeded import _disk_watch
 from lagooncrank.server.seeded import _group_driver
 from lagooncrank.server.seeded import _node
 from lagooncrank.server.seeded import _retained_state
@@ -38,6 +39,9 @@
             clock,
             self.decision_log,
         )
+        self._disk_watch = _disk_watch.DiskWatch(
+            self.shared, node_settings.data_folder
+        )
         self._driver = _group_driver.GroupDriver(
             node_settings,
             self.shared,
@@ -50,10 +54,11 @@
         )
 
     async def on_start(self) -> None:
-        """Starts the common components and the group driver."""
+        """Starts the common components and those of a control node."""
         await super().on_start()
         await self.add_runtime_dependency(self._retained)
         await self.add_runtime_dependency(self._driver)
+        await self.add_runtime_dependency(self._disk_watch)
 
     async def record_report(
         self, report: model.ServerReport
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -46,6 +46,8 @@
     is_run_sound: bool = False
     #: Whether this is a trial run of a request that may crash its server.
     is_trial: bool = False
+    #: Whether the retry budget has been charged for the next attempt.
+    has_reserved_retry: bool = False
     #: Whether a backend server may have received the request.
     has_arrived: bool = False
     #: Entry that delegated the request to this one; None for a caller's own.
@@ -79,6 +81,14 @@
             return 0
         return self.newest_event_ms - self.first_event_ms
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether another run can go on after the events passed to the caller.
+
+        A run that is told of no event starts with the first one again.
+        """
+        return self.first_event_ms is None or self.last_event_id is not None
+
     def begin_run(self, now_ms: int) -> None:
         """Records that a backend server began to respond."""
         self.run_began_ms = now_ms
