--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -80,3 +80,39 @@
     report = await _run.run_seed(config, tmp_path)
     assert not report.violations
     assert report.served
+
+
+PLANNED_KINDS = ("leave", "reload-all", "roll", "stop-at-once")
+PLANNED_DURATION_S = 6.0
+MAX_INTERVAL_S = 3.0
+
+
+# Guards against: stops and reloads of entries under load, beside changes, end
+# requests that callers sent on open connections or to cached addresses.
+async def test_planned_work_ends_no_request(tmp_path: pathlib.Path) -> None:
+    config = _run.SeedConfig(
+        1,
+        PLANNED_DURATION_S,
+        entries=3,
+        kinds=PLANNED_KINDS,
+        max_interval_s=MAX_INTERVAL_S,
+    )
+    report = await _run.run_seed(config, tmp_path)
+    assert not report.violations
+    assert report.served
+
+
+# Guards against: a confirmed change is gone, or an older one is in force,
+# after all processes were killed.
+async def test_changes_outlive_the_loss_of_all_processes(
+    tmp_path: pathlib.Path,
+) -> None:
+    config = _run.SeedConfig(
+        1,
+        DURATION_S,
+        kinds=("kill-after-ack", "kill-everything"),
+        max_interval_s=MAX_INTERVAL_S,
+    )
+    report = await _run.run_seed(config, tmp_path)
+    assert not report.violations
+    assert report.served
