--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -84,8 +84,11 @@
         """Removes a backend server that announced its stop.
 
         Returns:
-            OK if it may be acknowledged, otherwise STORAGE_FAILED.
+            OK if it may be acknowledged; UNKNOWN_RESOURCE if this node does not
+            know which process it is, as another may; or STORAGE_FAILED.
         """
+        if born_ms is None and self.view.table.get(server_id) is None:
+            return results.ResultCode.UNKNOWN_RESOURCE
         self.view.deregister(server_id, born_ms)
         return await self._save_departures()
 
