--- a/soak/_lasting_server.py
+++ b/soak/_lasting_server.py
@@ -6,6 +6,7 @@
 import aiohttp
 from aiohttp import web
 from lagooncrank_platform.tests import fake_server
+from lagooncrank_platform.tests import provider_protocol
 
 #: Headers by which a caller says how long its request takes.
 EVENTS_HEADER: Final = "X-Soak-Events"
@@ -70,7 +71,9 @@
         return is_acknowledged
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        attempt_id = request.headers.get("Attempt-Id", "")
+        attempt_id = (
+            provider_protocol.response_attempt_id(request.headers) or ""
+        )
         arrived_s = asyncio.get_running_loop().time()
         self.on_arrival(attempt_id)
         response = await super()._serve(request)
