Soak: say what a process did on the last signal to reload when it ended

Until its first line has run, the signal's default action ends it, and nothing of ours can prevent that; the report now says which it was.

--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -92,6 +92,8 @@
         #: Number of starts.
         self.boot = 0
         #: Whether the soak has ended the process that runs or ran last.
+        #: What the process does on a signal to reload, when the last one came.
+        self._reload_action = "none was sent"
         self._is_ended = False
         self._guard: asyncio.Task[None] | None = None
         self._process: asyncio.subprocess.Process | None = None
@@ -180,7 +182,8 @@
                 continue
             exit_code = self._process.returncode if self._process else None
             self._checks.history.record_violation(
-                f"process of {self.ip} ended by itself with status "
+                f"process of {self.ip} (last signal to reload: "
+                f"{self._reload_action}) ended by itself with status "
                 f"{exit_code}: {self._last_logged_line()}"
             )
             await self.start()
@@ -220,6 +223,8 @@
         """Sends a signal to the process if it is running."""
         if self.is_running and self._process is not None:
             self._record(signal_number)
+            if signal_number is signal.SIGHUP:
+                self._reload_action = _reload_action(self._process.pid)
             self._process.send_signal(signal_number)
 
     def _record(self, signal_number: signal.Signals) -> None:
@@ -303,3 +308,16 @@
         temporary = self._settings_file.with_suffix(".new")
         temporary.write_text(yaml.safe_dump(self.build.settings(content)))
         temporary.replace(self._settings_file)
+
+
+def _reload_action(pid: int) -> str:
+    """Returns what a process does on a signal to reload its settings.
+
+    By default the signal ends it: until the first line of the program has run.
+    """
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    fields = dict(line.split(":\t", 1) for line in status.splitlines())
+    mask = 1 << (signal.SIGHUP - 1)
+    if int(fields["SigCgt"], 16) & mask:
+        return "handled"
+    return "ignored" if int(fields["SigIgn"], 16) & mask else "default"
