--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -315,7 +315,10 @@
 
     By default the signal ends it: until the first line of the program has run.
     """
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except (FileNotFoundError, ProcessLookupError):
+        return "none, it has ended"
     fields = dict(line.split(":\t", 1) for line in status.splitlines())
     mask = 1 << (signal.SIGHUP - 1)
     if int(fields["SigCgt"], 16) & mask:
--- a/soak/tests/test_nodes.py
+++ b/soak/tests/test_nodes.py
@@ -81,3 +81,13 @@
 def is_importing(process_id: int) -> bool:
     maps = pathlib.Path(f"/proc/{process_id}/maps")
     return "_asyncio" in maps.read_text()
+
+
+# Guards against: a soak ended as a process was gone when it was asked what a
+# signal to reload does.
+async def test_action_of_a_signal_to_reload_is_told() -> None:
+    process = await asyncio.create_subprocess_exec("sleep", "60")
+    assert _nodes._reload_action(process.pid) == "default"
+    process.kill()
+    await process.wait()
+    assert _nodes._reload_action(process.pid) == "none, it has ended"
