Keep an error in one part of a node's work from ending the rest

Fix: each repeated part of both roles, and each order, load, probe and proposal, runs under the guard that the leader's plan already had. An error is logged with its part, subject and place, once as long as it stays the same, and counted by part. Handlers of messages are guarded per message. Errors of consensus and of the disk still stop the voter, on purpose.

--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -250,8 +250,9 @@
     )
     STEP_FAILED = (
         "step_failed",
-        "A part of the leader's work on groups failed; it is tried again.",
+        "A part of this node's work failed; what is repeated is tried again.",
         "part",
+        "subject",
         "problem",
     )
     LEADER = (
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -286,9 +286,9 @@
         if previous is not None:
             _metrics.LINKS_CLOSED.labels("replaced").inc()
             previous.abort()
-        for listener in self._on_connected:
-            listener(channel.peer)
         try:
+            for listener in self._on_connected:
+                listener(channel.peer)
             await channel.run(
                 lambda payload: self._receive(channel.peer, payload)
             )
@@ -318,9 +318,17 @@
                 error,
             )
             return
-        result = handler.handle(peer, body)
-        if inspect.isawaitable(result):
-            await result
+        try:
+            result = handler.handle(peer, body)
+            if inspect.isawaitable(result):
+                await result
+        except Exception:
+            # The peer would send it again after each new connection, so that
+            # this node would follow nothing any more.
+            _metrics.MESSAGES_DROPPED.labels("handler_failed").inc()
+            _log.exception(
+                "message of kind {} from peer {} was not handled", kind, peer
+            )
 
     def _remove_channel(self, channel: _channel.Channel) -> None:
         if self._channels.get(channel.peer) is channel:
--- a/lagooncrank/server/links/tests/test_links.py
+++ b/lagooncrank/server/links/tests/test_links.py
@@ -168,3 +168,32 @@
         receiver.open(frame)
     with pytest.raises(links.HandshakeError, match="not authentic"):
         receiver.open(frames[change][-1])
+
+
+# Guards against: a message whose handler failed closed the link. The peer sent
+# it again after each new connection, so that this node followed nothing.
+async def test_failing_handler_closes_no_link() -> None:
+    async with linked_pair() as (a, b, _):
+        await wait_until(lambda: a.service.connected() == {B})
+
+        def fail(_sender: model.NodeId, _text: Text) -> None:
+            raise OverflowError
+
+        b.service.on_message("text", Text, fail)
+        closed = links_closed()
+        a.service.send(B, "text", Text("odd"))
+        a.service.send(B, "ping", Ping(1))
+        await wait_until(lambda: b.received)
+        assert b.received == [(A, 1)]
+        assert links_closed() == closed
+
+
+def links_closed() -> float:
+    reasons = ("closed", "internal_error", "refused", "replaced", "silent")
+    values = [
+        prometheus_client.REGISTRY.get_sample_value(
+            "lagooncrank_peer_links_closed_total", {"reason": reason}
+        )
+        for reason in reasons
+    ]
+    return sum(value or 0.0 for value in values)
--- a/lagooncrank/server/seeded/_crash_evidence.py
+++ b/lagooncrank/server/seeded/_crash_evidence.py
@@ -15,6 +15,7 @@
 from lagooncrank.server import links as peer_links
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _step_guard
 
 CHECK_INTERVAL_S: Final = 0.1
 #: Shortest interval between two messages with new evidence.
@@ -50,6 +51,7 @@
         self._links = links
         self._clock = clock
         self._log = log
+        self._guard = _step_guard.StepGuard(log)
         self.evidence = crashes.CrashEvidence(origin)
         self._published_ms = 0
         self._repeated_ms = 0
@@ -74,6 +76,10 @@
 
     @mode.Service.timer(CHECK_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _check_periodically(self) -> None:
+        self._guard.run("crash evidence", self.check)
+
+    def check(self) -> None:
+        """Evicts what is too old, and sends what is due."""
         if not self.evidence.has_records:
             return
         now_ms = self._clock.now_ms()
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -21,6 +21,7 @@
 from lagooncrank.server.seeded import _reach_monitor
 from lagooncrank.server.seeded import _response_relay
 from lagooncrank.server.seeded import _slot_queue
+from lagooncrank.server.seeded import _step_guard
 from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _target_selector
 
@@ -176,9 +177,13 @@
         return max(time_ms - self.clock.now_ms(), 0) / clocks.MS_PER_S
 
     async def _publish_readiness(self) -> None:
+        guard = _step_guard.StepGuard(self.decision_log)
         while not self.should_stop:
-            is_open = self.is_ready
-            if is_open is not self.view.is_open:
-                self.view.is_open = is_open
-                self.view.publish_notice()
+            guard.run("readiness", self._publish_changed_readiness)
             await self.sleep(READINESS_POLL_S)
+
+    def _publish_changed_readiness(self) -> None:
+        is_open = self.is_ready
+        if is_open is not self.view.is_open:
+            self.view.is_open = is_open
+            self.view.publish_notice()
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import functools
 from typing import Final
 
 import mode
@@ -24,6 +25,7 @@
 from lagooncrank.server.seeded import _control_nodes
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _stall_detector
+from lagooncrank.server.seeded import _step_guard
 
 FORWARD_INTERVAL_S: Final = 0.05
 #: Interval between two notices of a node, for each entry: control nodes process
@@ -70,6 +72,7 @@
         self._shared = shared
         self._clock = clock
         self._log = log
+        self._guard = _step_guard.StepGuard(log)
         unreachable_after_ms = int(
             node_settings.timing.report_interval_ms
             * UNREACHABLE_AFTER_INTERVALS
@@ -143,11 +146,21 @@
 
     @mode.Service.timer(FORWARD_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _refresh_periodically(self) -> None:
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Does what is due by now; parts that fail stop no other."""
         now_ms = self._clock.now_ms()
-        self._update_connectivity(now_ms)
-        self.table.evict_expired(now_ms)
-        self._check_stalls(now_ms)
-        self._forward_updates()
+        for part, action in (
+            ("connectivity", self._update_connectivity),
+            ("expired reports", self.table.evict_expired),
+            ("stalls", self._check_stalls),
+            ("reports", self._forward_updates),
+            ("notice", self._publish_due_notice),
+        ):
+            self._guard.run(part, functools.partial(action, now_ms))
+
+    def _publish_due_notice(self, now_ms: int) -> None:
         interval_ms = notice_interval_ms(self.entry_count)
         if now_ms - self._notice_sent_ms >= interval_ms:
             self._notice_sent_ms = now_ms
@@ -285,12 +298,11 @@
         self.table.advance_clock(now_ms, is_connected=is_connected)
 
     def _publish_changes(self) -> None:
-        self._forward_updates()
+        self._forward_updates(self._clock.now_ms())
         for listener in self.listeners:
             listener()
 
-    def _forward_updates(self) -> None:
-        now_ms = self._clock.now_ms()
+    def _forward_updates(self, now_ms: int) -> None:
         updates = self.table.pop_updates(now_ms)
         if not self.is_control:
             return
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Collection
+from collections.abc import Coroutine
 import functools
 from typing import Any
 from typing import Final
@@ -87,10 +88,11 @@
         for group in list(current_groups.values()):
             if group.name not in self._changing:
                 self._guard.run(
-                    f"group {group.name}",
+                    "group",
                     functools.partial(
                         self._advance_group, group, working, now_ms
                     ),
+                    group.name,
                 )
         self._guard.run("obsolete groups", self._dissolve_obsolete)
         self._order_strays(now_ms)
@@ -123,8 +125,9 @@
             return
         for service in catalog.services.values():
             self._guard.run(
-                f"strays of {service.name}",
+                "strays",
                 functools.partial(self._order_strays_of, service.name, now_ms),
+                service.name,
             )
 
     def _order_strays_of(self, service: model.ServiceName, now_ms: int) -> None:
@@ -171,7 +174,7 @@
             if group.head.server_id in stalled and is_due:
                 self._probed_ms[group.epoch] = now_ms
                 for member in group.members:
-                    self.add_future(self._probe(group, member))
+                    self._spawn("probe", self._probe(group, member))
 
     async def _probe(
         self, group: model.Group, member: model.GroupMember
@@ -195,10 +198,11 @@
         is_startup = not self._has_served_requests(now_ms)
         for service in catalog.services.values():
             self._guard.run(
-                f"plan of {service.name}",
+                "plan",
                 functools.partial(
                     self._plan_service, service, now_ms, is_startup=is_startup
                 ),
+                service.name,
             )
 
     def _plan_service(
@@ -234,6 +238,10 @@
         for stage_order in loads:
             self._execute(stage_order)
 
+    def _spawn(self, part: str, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work of its own task; an error in it ends nothing else."""
+        self.add_future(self._guard.watch(part, work))
+
     def _has_served_requests(self, now_ms: int) -> bool:
         """Returns whether any entry has received a request since its start."""
         if not self._has_served:
@@ -246,10 +254,10 @@
         match action:
             case groups.Order():
                 token = self._token_for(action.member)
-                self.add_future(self._send(action, token))
+                self._spawn("order", self._send(action, token))
             case groups.StageOrder():
                 token = self._token_for(action.member)
-                self.add_future(self._stage(action, token))
+                self._spawn("load", self._stage(action, token))
             case groups.PhaseChange(group=group):
                 command = state.SetGroupPhase(
                     group.name,
@@ -335,7 +343,7 @@
     ) -> None:
         """Proposes a change, and blocks other changes to the same subjects."""
         self._changing.update(subjects)
-        self.add_future(self._propose(command, change, subjects, fields))
+        self._spawn("change", self._propose(command, change, subjects, fields))
 
     async def _propose(
         self,
--- a/lagooncrank/server/seeded/_reach_monitor.py
+++ b/lagooncrank/server/seeded/_reach_monitor.py
@@ -16,6 +16,7 @@
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _reach_metrics
+from lagooncrank.server.seeded import _step_guard
 
 CHECK_INTERVAL_S: Final = 0.05
 PROBE_TIMEOUT_MS: Final = 400
@@ -42,6 +43,7 @@
         self._metrics = metrics
         self._clock = clock
         self._log = log
+        self._guard = _step_guard.StepGuard(log)
         self.detector = reach.ReachDetector()
         self.silence = reach.SilenceWatch(clock.now_ms())
         #: Called with the servers of services that became unreached while no
@@ -95,12 +97,18 @@
 
     @mode.Service.timer(CHECK_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _check_periodically(self) -> None:
+        self._guard.run("reach", self.check)
+
+    def check(self) -> None:
+        """Decides which services are reached, and starts the due probes."""
         now_ms = self._clock.now_ms()
         self.silence.advance(now_ms)
         if self.silence.is_silent():
             self._assume_all_unreached(now_ms)
         for service in self.detector.take_due_probes(now_ms):
-            probe = asyncio.create_task(self._probe(service))
+            probe = asyncio.create_task(
+                self._guard.watch("health probe", self._probe(service))
+            )
             self._probes.add(probe)
             probe.add_done_callback(self._probes.discard)
 
--- a/lagooncrank/server/seeded/_retained_state.py
+++ b/lagooncrank/server/seeded/_retained_state.py
@@ -25,6 +25,7 @@
 from lagooncrank.server.seeded import _crash_evidence
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _step_guard
 
 FILE_NAME: Final = "retained"
 CHECK_INTERVAL_S: Final = 0.1
@@ -82,6 +83,7 @@
         self._evidence = crash_evidence.evidence
         self._clock = clock
         self._log = log
+        self._guard = _step_guard.StepGuard(log)
         self._restore()
         self._saved = self._version()
         #: When the last write ended.
@@ -115,7 +117,7 @@
 
     @mode.Service.timer(CHECK_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _save_periodically(self) -> None:
-        self.save_if_due()
+        self._guard.run("retained state", self.save_if_due)
 
     def _version(self) -> _Version:
         return _Version(
--- a/lagooncrank/server/seeded/_runner.py
+++ b/lagooncrank/server/seeded/_runner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
+import functools
 import pathlib
 import signal
 import traceback
@@ -15,6 +16,7 @@
 from lagooncrank import settings
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _node
+from lagooncrank.server.seeded import _step_guard
 
 #: Interval of checks for a settings file that changed without a signal.
 SETTINGS_CHECK_S: Final = 1.0
@@ -83,9 +85,11 @@
     load: Callable[[pathlib.Path], settings.SeededSettings],
     reload_requested: asyncio.Event,
 ) -> None:
+    guard = _step_guard.StepGuard(node.decision_log)
+    reload = functools.partial(_reload, node, settings_file, load)
     seen = _file_version(settings_file)
     # A change while the process started was not signalled to it.
-    _reload(node, settings_file, load, only_changed=True)
+    guard.run("settings", functools.partial(reload, only_changed=True))
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTINGS_CHECK_S):
@@ -95,7 +99,7 @@
             continue
         reload_requested.clear()
         seen = version
-        _reload(node, settings_file, load, only_changed=False)
+        guard.run("settings", functools.partial(reload, only_changed=False))
 
 
 def _reload(
--- a/lagooncrank/server/seeded/_server_limits.py
+++ b/lagooncrank/server/seeded/_server_limits.py
@@ -20,6 +20,7 @@
 from lagooncrank.server import links as peer_links
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _step_guard
 
 #: Interval at which permits go to entries that wait for them.
 ISSUE_INTERVAL_S: Final = 0.02
@@ -47,6 +48,7 @@
         self._links = links
         self._clock = clock
         self._log = log
+        self._guard = _step_guard.StepGuard(log)
         self.table = limits.LimitTable()
         self._issuer = limits.PermitIssuer()
         #: Issues to this entry only, while no control node does.
@@ -194,12 +196,15 @@
 
     def _issue(self) -> None:
         self._next_issue = None
+        self._guard.run("permits", self._issue_due)
+        self._schedule_issue()
+
+    def _issue_due(self) -> None:
         now_ms = self._clock.now_ms()
         self._send_permits(self._issuer.collect(self.table.limited, now_ms))
         self._add_own_permits(
             self._own_issuer.collect(self.table.limited, now_ms)
         )
-        self._schedule_issue()
 
     def _on_grants(
         self, sender: model.NodeId, batch: limits.PermitGrants
@@ -267,6 +272,10 @@
 
     @mode.Service.timer(EVICTION_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _evict_periodically(self) -> None:
+        self._guard.run("expired limits", self.evict_expired)
+
+    def evict_expired(self) -> None:
+        """Forgets limits that nobody has confirmed for long."""
         now_ms = self._clock.now_ms()
         for process in self.table.evict_expired(now_ms):
             self._client.forget(process)
--- a/lagooncrank/server/seeded/_slot_queue.py
+++ b/lagooncrank/server/seeded/_slot_queue.py
@@ -197,9 +197,12 @@
 
     def _on_recheck(self) -> None:
         self._recheck = None
-        self.grant_slots()
-        if self._queue.pools():
-            self._schedule_recheck()
+        try:
+            self.grant_slots()
+        finally:
+            # An error in one round must not end the later ones.
+            if self._queue.pools():
+                self._schedule_recheck()
 
 
 def _account_name(exchange: _exchange.Exchange) -> str:
--- a/lagooncrank/server/seeded/tests/test_failing_step.py
+++ b/lagooncrank/server/seeded/tests/test_failing_step.py
@@ -1,9 +1,11 @@
 """Faults in one part of the leader's work on groups."""
 
+import asyncio
 import dataclasses
 import types
 from typing import Any
 
+import prometheus_client
 import pytest
 
 from lagooncrank import model
@@ -67,5 +69,57 @@
     assert planner.planned == [FIRST, SECOND] * 2
     failures = [fields for event, fields in lines if event == "step_failed"]
     assert len(failures) == 1, "logged once, as long as it is the same"
-    assert failures[0]["part"] == "plan of first"
+    assert failures[0]["part"] == "plan"
+    assert failures[0]["subject"] == FIRST
     assert "KeyError('large')" in failures[0]["problem"]
+
+
+class FailingEngines:
+    """Meets an error that no client of engines expects."""
+
+    async def send(self, *_: Any) -> Any:
+        raise UnicodeError("label too long")
+
+    stage = send
+    is_alive = send
+
+
+GROUP = builders.group(1, 2)
+
+
+# Guards against: an unexpected error of one order, load or probe ended the
+# process of the leader, and of each leader after it that sent it again.
+@pytest.mark.parametrize("part", ["order", "load", "probe"])
+async def test_failing_order_ends_no_process(part: str) -> None:
+    shared = types.SimpleNamespace(
+        term=1,
+        on_applied=lambda _: None,
+        view=types.SimpleNamespace(groups={}, last_epoch=0),
+    )
+    lines: list[tuple[str, dict[str, Any]]] = []
+    driver = driver_builder.build_driver(
+        shared,
+        FailingEngines(),
+        write=lambda event, **fields: lines.append((event.value, fields)),
+    )
+    before = failures_of(part)
+    match part:
+        case "order":
+            driver._execute(
+                groups.Order(groups.OrderKind.LEAVE, GROUP, GROUP.head)
+            )
+        case "load":
+            driver._execute(groups.StageOrder(GROUP.head, "large"))
+        case _:
+            driver._spawn("probe", driver._probe(GROUP, GROUP.head))
+    await asyncio.gather(*driver._futures)
+    assert not driver.crashed
+    assert [fields["part"] for _, fields in lines] == [part]
+    assert failures_of(part) == before + 1
+
+
+def failures_of(part: str) -> float:
+    value = prometheus_client.REGISTRY.get_sample_value(
+        "lagooncrank_step_failures_total", {"part": part}
+    )
+    return value or 0.0
--- a/lagooncrank/server/seeded/tests/test_settings_changed_during_start.py
+++ b/lagooncrank/server/seeded/tests/test_settings_changed_during_start.py
@@ -55,3 +55,34 @@
     await node.has_applied.wait()
     assert node.applied == [*applied, content]
     watcher.cancel()
+
+
+# Guards against: an error while changed settings were applied ended the task
+# that watches the file, so that no later change was followed.
+async def test_settings_that_cannot_be_applied_do_not_end_the_watch(
+    tmp_path: pathlib.Path,
+) -> None:
+    file = tmp_path / "settings"
+    file.write_text(STARTED_WITH)
+    node = FakeNode()
+    requested = asyncio.Event()
+    has_failed = asyncio.Event()
+
+    def load(path: pathlib.Path) -> str:
+        if not has_failed.is_set():
+            has_failed.set()
+            raise RecursionError
+        return path.read_text()
+
+    watcher = asyncio.create_task(
+        _runner._reload_on_change(
+            cast(Any, node), file, cast(Any, load), requested
+        )
+    )
+    await has_failed.wait()
+    requested.set()
+    applied = asyncio.create_task(node.has_applied.wait())
+    await asyncio.wait({watcher, applied}, return_when="FIRST_COMPLETED")
+    assert not watcher.done()
+    assert node.applied == [STARTED_WITH]
+    watcher.cancel()
