--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -14,6 +14,10 @@
 from lagooncrank.core.fleet._nodes import NodeTable
 from lagooncrank.core.fleet._nodes import OpenEntry
 from lagooncrank.core.fleet._nodes import without_cut_off
+from lagooncrank.core.fleet._plausibility import find_problem
+from lagooncrank.core.fleet._plausibility import is_in_future
+from lagooncrank.core.fleet._plausibility import MAX_START_AHEAD_MS
+from lagooncrank.core.fleet._plausibility import ReportProblem
 from lagooncrank.core.fleet._servers import AgedReport
 from lagooncrank.core.fleet._servers import Renewal
 from lagooncrank.core.fleet._servers import ReportBatch
@@ -23,6 +27,7 @@
 
 __all__ = [
     "MAX_DEPARTURES",
+    "MAX_START_AHEAD_MS",
     "MEMORY_MS",
     "SETTLING_MS",
     "AgedReport",
@@ -36,10 +41,13 @@
     "OpenEntry",
     "Renewal",
     "ReportBatch",
+    "ReportProblem",
     "ReportsWanted",
     "ServerRecord",
     "ServerTable",
     "SharingEntries",
     "choose_entries",
+    "find_problem",
+    "is_in_future",
     "without_cut_off",
 ]
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -225,6 +225,13 @@
         "loaded",
         "sequence",
     )
+    REPORT_REFUSED = (
+        "report_refused",
+        "A report or deregistration is not of the server that it names.",
+        "server",
+        "reason",
+        "detail",
+    )
     GROUP = (
         "group_moved",
         "The leader changed a group.",
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from lagooncrank import clock as clocks
+from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank import settings
+from lagooncrank.core import fleet
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _control_metrics
 from lagooncrank.server.seeded import _disk_watch
@@ -70,8 +72,9 @@
             cannot be of the server that it names. STORAGE_FAILED if it says
             that a process leaves, which must outlast a restart of all nodes.
         """
-        known = self.view.table.get(report.server_id)
-        if known is not None and self._contradicts(report, known.report):
+        problem = self._find_problem(report)
+        if problem is not None:
+            self.log_refused_report(report.server_id, problem)
             return results.ResultCode.INVALID_ANNOUNCEMENT
         self.view.record_report(report)
         if report.state is model.ServerState.READY:
@@ -85,10 +88,17 @@
 
         Returns:
             OK if it may be acknowledged; UNKNOWN_RESOURCE if this node does not
-            know which process it is, as another may; or STORAGE_FAILED.
+            know which process it is, as another may; INVALID_ANNOUNCEMENT if
+            there can be no such process; or STORAGE_FAILED.
         """
         if born_ms is None and self.view.table.get(server_id) is None:
             return results.ResultCode.UNKNOWN_RESOURCE
+        if born_ms is not None and fleet.is_in_future(
+            born_ms, self.clock.wall_ms()
+        ):
+            problem = fleet.ReportProblem.START_IN_FUTURE
+            self.log_refused_report(server_id, problem)
+            return results.ResultCode.INVALID_ANNOUNCEMENT
         self.view.deregister(server_id, born_ms)
         return await self._save_departures()
 
@@ -107,18 +117,29 @@
         """
         return self.shared.has_quorum
 
-    def _contradicts(
-        self, report: model.ServerReport, known: model.ServerReport
-    ) -> bool:
-        """Returns whether a report is of another writer than its server.
+    def log_refused_report(
+        self,
+        server_id: str,
+        problem: fleet.ReportProblem,
+        detail: str = "",
+    ) -> None:
+        """Logs and counts a report that is not of the server it names."""
+        self.metrics.count_refused_report(problem)
+        self.decision_log.write(
+            decisions.Event.REPORT_REFUSED,
+            server=server_id,
+            reason=problem,
+            detail=detail,
+        )
 
-        An engine does not turn into a plain server of its service, nor does a
-        server of a declared service turn into one of a service that nobody
-        declared.
-        """
-        if report.service == known.service:
-            return bool(known.fabric_domain) and not report.fabric_domain
+    def _find_problem(
+        self, report: model.ServerReport
+    ) -> fleet.ReportProblem | None:
+        known = self.view.table.get(report.server_id)
         catalog = self.documents.catalog
-        if catalog is None or report.service in catalog.services:
-            return False
-        return known.service in catalog.services
+        return fleet.find_problem(
+            report,
+            None if known is None else known.report,
+            None if catalog is None else catalog.services,
+            self.clock.wall_ms(),
+        )
--- a/lagooncrank/server/seeded/_control_metrics.py
+++ b/lagooncrank/server/seeded/_control_metrics.py
@@ -27,7 +27,12 @@
             ("change", "outcome"),
             registry=self.registry,
         )
-
+        self._refused_reports = prometheus_client.Counter(
+            "lagooncrank_refused_reports",
+            "Reports that are not of the server that they name, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
         self.permits = _permit_metrics.PermitMetrics(self.registry)
 
     def observe_order(
@@ -41,6 +46,10 @@
         """Counts a proposed change to a group."""
         self._group_changes.labels(change, outcome).inc()
 
+    def count_refused_report(self, reason: str) -> None:
+        """Counts a report that is not of the server that it names."""
+        self._refused_reports.labels(reason).inc()
+
     def exposition(self) -> bytes:
         """Returns these and the process-wide metrics in Prometheus format."""
         shared = prometheus_client.generate_latest(prometheus_client.REGISTRY)
--- a/lagooncrank/server/seeded/tests/test_contradicting_reports.py
+++ b/lagooncrank/server/seeded/tests/test_contradicting_reports.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank import results
 from lagooncrank.core import catalog
@@ -54,12 +55,14 @@
     node = types.SimpleNamespace(
         view=types.SimpleNamespace(table=table, record_report=recorded.append),
         documents=types.SimpleNamespace(catalog=index),
+        clock=clocks.ManualClock(),
+        log_refused_report=lambda *_: None,
     )
     report = dataclasses.replace(
         builders.engine_report(1, sequence=2, domain=domain), service=service
     )
-    contradicts = _control.ControlNode._contradicts
-    node._contradicts = functools.partial(contradicts, cast(Any, node))
+    find_problem = _control.ControlNode._find_problem
+    node._find_problem = functools.partial(find_problem, cast(Any, node))
     code = await _control.ControlNode.record_report(cast(Any, node), report)
     assert code is (
         results.ResultCode.OK
--- a/lagooncrank/server/seeded/tests/test_retained_state.py
+++ b/lagooncrank/server/seeded/tests/test_retained_state.py
@@ -204,6 +204,7 @@
 
     node: Any = object.__new__(_control.ControlNode)
     node.view = types.SimpleNamespace(deregister=deregister)
+    node.clock = local.clock
     node._retained = local.retained
     codes = await asyncio.gather(
         *(
