Find servers again that another writer's report hides

Cause: reports are ordered by start and number, and a record could not be taken back, whatever came after it.

Fix: a table notes older reports that come straight from the server. If only they come, each newer than the one before it, the record was of another writer and the server's own report takes its place, within two report intervals when the number is more than 64 ahead (before the server counts as lost), else once the record is unreachable. Nodes pass this on with the report, so that a node which still holds the other one drops it and does not bring it back.

--- a/lagooncrank/core/fleet/__init__.py
+++ b/lagooncrank/core/fleet/__init__.py
@@ -1,5 +1,7 @@
 """State of backend servers and nodes, as derived from their reports."""
 
+from lagooncrank.core.fleet._challenges import MAX_LATE_REPORTS
+from lagooncrank.core.fleet._challenges import ReportVersion
 from lagooncrank.core.fleet._departures import Departure
 from lagooncrank.core.fleet._departures import Departures
 from lagooncrank.core.fleet._departures import MAX_DEPARTURES
@@ -18,15 +20,16 @@
 from lagooncrank.core.fleet._plausibility import is_in_future
 from lagooncrank.core.fleet._plausibility import MAX_START_AHEAD_MS
 from lagooncrank.core.fleet._plausibility import ReportProblem
-from lagooncrank.core.fleet._servers import AgedReport
-from lagooncrank.core.fleet._servers import Renewal
-from lagooncrank.core.fleet._servers import ReportBatch
-from lagooncrank.core.fleet._servers import ReportsWanted
+from lagooncrank.core.fleet._report_batches import AgedReport
+from lagooncrank.core.fleet._report_batches import Renewal
+from lagooncrank.core.fleet._report_batches import ReportBatch
+from lagooncrank.core.fleet._report_batches import ReportsWanted
 from lagooncrank.core.fleet._servers import ServerRecord
 from lagooncrank.core.fleet._servers import ServerTable
 
 __all__ = [
     "MAX_DEPARTURES",
+    "MAX_LATE_REPORTS",
     "MAX_START_AHEAD_MS",
     "MEMORY_MS",
     "SETTLING_MS",
@@ -42,6 +45,7 @@
     "Renewal",
     "ReportBatch",
     "ReportProblem",
+    "ReportVersion",
     "ReportsWanted",
     "ServerRecord",
     "ServerTable",
--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -12,7 +12,9 @@
 from typing import Final
 
 from lagooncrank import model
+from lagooncrank.core.fleet import _challenges
 from lagooncrank.core.fleet import _departures
+from lagooncrank.core.fleet import _report_batches
 
 #: Time for which the record of an unreachable or stopped server is retained, so
 #: that late reports of it are recognized.
@@ -23,47 +25,6 @@
 MAX_ADVANCE_MS: Final = 250
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AgedReport:
-    """A report and the time since the system received it."""
-
-    report: model.ServerReport
-    age_ms: int
-    #: Sequence number of the first report with this content, as the sender
-    #: knows it.
-    content_sequence: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Renewal:
-    """A report that differs from the previous one only by its sequence number.
-
-    It is sent without its content.
-    """
-
-    server_id: model.BackendServerId
-    born_ms: int
-    sequence: int
-    age_ms: int
-    #: Sequence number of the first report with the renewed content.
-    content_sequence: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportsWanted:
-    """Request for reports, sent after renewals of unknown content."""
-
-    server_ids: tuple[model.BackendServerId, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportBatch:
-    """Batch of reports that nodes pass on to each other."""
-
-    reports: tuple[AgedReport, ...]
-    renewals: tuple[Renewal, ...] = ()
-
-
 @dataclasses.dataclass(slots=True)
 class ServerRecord:
     """Newest report of one backend server, with the times of its receipt."""
@@ -99,6 +60,7 @@
         self._by_address: dict[str, model.BackendServerId] = {}
         #: Processes that leave; their reports may come late.
         self.departures = _departures.Departures()
+        self._hidden = _challenges.HiddenServers(unreachable_after_ms)
         self._connected_ms = 0
         #: When the newest process of any server was first reported.
         self.newest_start_ms = 0
@@ -112,6 +74,7 @@
         report: model.ServerReport,
         received_ms: int,
         content_sequence: int | None = None,
+        supersedes: _challenges.ReportVersion | None = None,
     ) -> bool:
         """Stores a report, unless a newer one is known.
 
@@ -120,13 +83,19 @@
             received_ms: When the system received it, on this node's clock.
             content_sequence: Sequence number of the first report with the same
                 content; None if the report came from the server itself.
+            supersedes: Version of another writer that it takes the place of.
 
         Returns:
             Whether the content of the report is new.
         """
         report = self.departures.apply(report)
         record = self._servers.get(report.server_id)
-        if self._is_outdated(report):
+        if self._hidden.is_of_another_writer(report):
+            return False
+        if content_sequence is None and record is not None:
+            supersedes = self._find_superseded(record, report)
+        was_hidden = self._supersede(record, report, supersedes)
+        if not was_hidden and self._is_outdated(report):
             if record is None or not _announces_leaving(record.report, report):
                 return False
             # The node that received the deregistration had no newer report.
@@ -150,19 +119,20 @@
             if is_renewed and record is not None:
                 content_sequence = record.content_sequence
         self.departures.record_report(report)
+        self._hidden.end_challenge(report.server_id)
         age_ms = self._age_ms(received_ms)
         self._release_address(report.server_id)
         self._servers[report.server_id] = ServerRecord(
             report, received_ms, self._connected_ms - age_ms, content_sequence
         )
         self._assign_address(report)
-        if is_renewed:
+        if is_renewed and not was_hidden:
             self._renewed.add(report.server_id)
             return False
         self._changed.add(report.server_id)
         return True
 
-    def renew(self, renewal: Renewal, received_ms: int) -> None:
+    def renew(self, renewal: _report_batches.Renewal, received_ms: int) -> None:
         """Applies a report that was sent without its content.
 
         If this node missed the content, the renewal is not applied, as it would
@@ -180,24 +150,30 @@
         report = dataclasses.replace(record.report, sequence=renewal.sequence)
         self.put(report, received_ms, renewal.content_sequence)
 
-    def pop_wanted(self) -> ReportsWanted | None:
+    def pop_wanted(self) -> _report_batches.ReportsWanted | None:
         """Removes and returns the request for content that renewals lacked."""
         if not self._wanted:
             return None
-        wanted = ReportsWanted(tuple(sorted(self._wanted)))
+        wanted = _report_batches.ReportsWanted(tuple(sorted(self._wanted)))
         self._wanted.clear()
         return wanted
 
-    def reports_for(self, wanted: ReportsWanted, now_ms: int) -> ReportBatch:
+    def reports_for(
+        self, wanted: _report_batches.ReportsWanted, now_ms: int
+    ) -> _report_batches.ReportBatch:
         """Returns the reports that another node requested."""
         found = [self._servers.get(s) for s in wanted.server_ids]
-        return ReportBatch(tuple(_aged(r, now_ms) for r in found if r))
+        return _report_batches.ReportBatch(
+            tuple(self._aged(r, now_ms) for r in found if r)
+        )
 
-    def merge(self, batch: ReportBatch, now_ms: int) -> None:
+    def merge(self, batch: _report_batches.ReportBatch, now_ms: int) -> None:
         """Applies a batch that another node passed on."""
         for aged in batch.reports:
             received_ms = now_ms - aged.age_ms
-            self.put(aged.report, received_ms, aged.content_sequence)
+            self.put(
+                aged.report, received_ms, aged.content_sequence, aged.supersedes
+            )
         for renewal in batch.renewals:
             self.renew(renewal, now_ms - renewal.age_ms)
 
@@ -319,22 +295,25 @@
         """Returns the records of all servers."""
         return self._servers.values()
 
-    def snapshot(self, now_ms: int) -> ReportBatch:
+    def snapshot(self, now_ms: int) -> _report_batches.ReportBatch:
         """Returns all reports, for a node that has none yet."""
-        return ReportBatch(
-            tuple(_aged(r, now_ms) for r in self._servers.values())
+        return _report_batches.ReportBatch(
+            tuple(self._aged(r, now_ms) for r in self._servers.values())
         )
 
-    def pop_updates(self, now_ms: int) -> ReportBatch | None:
+    def pop_updates(self, now_ms: int) -> _report_batches.ReportBatch | None:
         """Returns the changes since the last call, to be passed on."""
         if not self._changed and not self._renewed:
             return None
+        # A node that holds the report of another writer needs more than the
+        # number of the server's own.
+        self._changed.update(i for i in self._renewed if self.superseded(i))
         changed = [self._servers[i] for i in self._changed]
         renewed = [self._servers[i] for i in self._renewed - self._changed]
         self._changed.clear()
         self._renewed.clear()
-        return ReportBatch(
-            tuple(_aged(r, now_ms) for r in changed),
+        return _report_batches.ReportBatch(
+            tuple(self._aged(r, now_ms) for r in changed),
             tuple(_renewal(r, now_ms) for r in renewed),
         )
 
@@ -348,15 +327,62 @@
         ]
         for server_id in expired:
             self._release_address(server_id)
+            self._hidden.forget(server_id)
             del self._servers[server_id]
             self._changed.discard(server_id)
             self._renewed.discard(server_id)
 
+    def _aged(
+        self, record: ServerRecord, now_ms: int
+    ) -> _report_batches.AgedReport:
+        return _report_batches.AgedReport(
+            record.report,
+            now_ms - record.last_seen_ms,
+            record.content_sequence,
+            self.superseded(record.report.server_id),
+        )
+
     def _age_ms(self, received_ms: int) -> int:
         if self._advanced_ms is None:
             return 0
         return max(self._advanced_ms - received_ms, 0)
 
+    def superseded(
+        self, server_id: model.BackendServerId
+    ) -> _challenges.ReportVersion | None:
+        """Returns the version of another writer that hid a server, if any."""
+        return self._hidden.superseded(server_id)
+
+    def _find_superseded(
+        self, record: ServerRecord, report: model.ServerReport
+    ) -> _challenges.ReportVersion | None:
+        """Returns the version of the record if it hides the server's report."""
+        recorded = _challenges.ReportVersion.of(record.report)
+        if _challenges.ReportVersion.of(report) >= recorded:
+            return None
+        is_hidden = self._hidden.is_hidden(
+            report,
+            record.report,
+            self._connected_ms,
+            is_unreachable=self.is_unreachable(record),
+        )
+        return recorded if is_hidden else None
+
+    def _supersede(
+        self,
+        record: ServerRecord | None,
+        report: model.ServerReport,
+        supersedes: _challenges.ReportVersion | None,
+    ) -> bool:
+        """Notes a version of another writer; returns whether it is recorded."""
+        if supersedes is None:
+            return False
+        self._hidden.supersede(report.server_id, supersedes)
+        return (
+            record is not None
+            and _challenges.ReportVersion.of(record.report) == supersedes
+        )
+
     def _is_outdated(self, report: model.ServerReport) -> bool:
         record = self._servers.get(report.server_id)
         if record is not None:
@@ -431,15 +457,9 @@
     return dataclasses.replace(previous, sequence=report.sequence) == report
 
 
-def _aged(record: ServerRecord, now_ms: int) -> AgedReport:
-    return AgedReport(
-        record.report, now_ms - record.last_seen_ms, record.content_sequence
-    )
-
-
-def _renewal(record: ServerRecord, now_ms: int) -> Renewal:
+def _renewal(record: ServerRecord, now_ms: int) -> _report_batches.Renewal:
     report = record.report
-    return Renewal(
+    return _report_batches.Renewal(
         report.server_id,
         report.born_ms,
         report.sequence,
--- a/lagooncrank/core/groups/_evidence.py
+++ b/lagooncrank/core/groups/_evidence.py
@@ -15,8 +15,9 @@
     """Returns the record of a member, or None if it is unknown or too old.
 
     A report is too old if it is of an earlier start of the engine, or older
-    than the one that the membership is based on. A report that the engine
-    leaves is never too old, as it does not become ready again.
+    than the one that the membership is based on, unless that one turned out to
+    be of another writer. A report that the engine leaves is never too old, as
+    it does not become ready again.
 
     Args:
         member: Member of a group, as the replicated state has it.
@@ -25,11 +26,14 @@
     record = table.get(member.server_id)
     if record is None:
         return None
-    version = (record.report.born_ms, record.report.sequence)
+    version = fleet.ReportVersion.of(record.report)
     is_leaving = record.report.state is not model.ServerState.READY
     if is_leaving and record.report.born_ms == member.born_ms:
         return record
-    if version < (member.born_ms, member.report_sequence):
+    based_on = fleet.ReportVersion(member.born_ms, member.report_sequence)
+    if based_on == table.superseded(member.server_id):
+        return record
+    if version < based_on:
         return None
     return record
 
