Refuse requests with slow bodies that a planned stop would cut

What callers saw (LOST): a request whose body arrived slowly through a planned stop, a booking too, got no answer; its connection was closed at the cut.

Cause: a stop refuses what does not fit any more, but asked only once the body was complete. Nothing limited the wait for it.

Fix: the limit that held for waits for a slot holds from the head on. It has one place now (StopGate.limit_wait). A request that cannot fit is refused as soon as its head is read.

--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -27,6 +27,7 @@
 from lagooncrank.server.seeded import _refusals
 from lagooncrank.server.seeded import _response_relay
 from lagooncrank.server.seeded import _startup_wait
+from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _target_selector
 
 KEEPALIVE_S: Final = 30.0
@@ -59,6 +60,7 @@
         target_selector: _target_selector.TargetSelector,
         retry_budget: dispatch.SharedRetryBudget,
         response_relay: _response_relay.ResponseRelay,
+        stop_gate: _stop_gate.StopGate,
         metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
@@ -70,6 +72,7 @@
         self._target_selector = target_selector
         self._retry_budget = retry_budget
         self._response_relay = response_relay
+        self._stop_gate = stop_gate
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -197,7 +200,8 @@
             request_head = self.read_head(request)
             await self._wait_for_document(request_head)
             exchange = self._admit(request_head, arrived_ms)
-            exchange.body = await self.read_body(request)
+            async with self._stop_gate.limit_wait(exchange, None):
+                exchange.body = await self.read_body(request)
         except _refusals.ForwardingError as error:
             return self.refuse(request_head, error.refusal)
         return await self.serve_exchange(request, exchange)
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -114,6 +114,7 @@
             target_selector,
             retry_budget,
             response_relay,
+            self._stop_gate,
             self.metrics,
             clock,
             self.decision_log,
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -82,13 +82,8 @@
         Raises:
             ForwardingError: There is none, or the request must not be sent.
         """
-        self._stop_gate.check(exchange, last_error)
-        try:
-            async with asyncio.timeout(None) as timeout:
-                with self._stop_gate.register_wait(exchange, timeout):
-                    return await self._chooser.choose(exchange, last_error)
-        except TimeoutError as error:
-            raise self._stop_gate.refuse(exchange, last_error) from error
+        async with self._stop_gate.limit_wait(exchange, last_error):
+            return await self._chooser.choose(exchange, last_error)
 
     def close(
         self, exchange: _exchange.Exchange, target: dispatch.Target
--- a/lagooncrank/server/seeded/_stop_gate.py
+++ b/lagooncrank/server/seeded/_stop_gate.py
@@ -1,6 +1,7 @@
 """Refuses requests that would not end before the cut of a planned stop."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
 from typing import Final
@@ -103,17 +104,30 @@
             )
         )
 
+    @contextlib.asynccontextmanager
+    async def limit_wait(
+        self,
+        exchange: _exchange.Exchange,
+        last_error: _attempt.AttemptFailedError | None,
+    ) -> AsyncIterator[None]:
+        """Limits a wait of a request that has not been sent yet.
+
+        Raises:
+            ForwardingError: The request may not be sent any more; the wait is
+                cancelled.
+        """
+        self.check(exchange, last_error)
+        try:
+            async with asyncio.timeout(None) as timeout:
+                with self._register_wait(exchange, timeout):
+                    yield
+        except TimeoutError as error:
+            raise self.refuse(exchange, last_error) from error
+
     @contextlib.contextmanager
-    def register_wait(
+    def _register_wait(
         self, exchange: _exchange.Exchange, timeout: asyncio.Timeout
     ) -> Iterator[None]:
-        """Registers the wait of a request that has not been sent yet.
-
-        Args:
-            exchange: The request.
-            timeout: Timeout around the wait; expires when the request may not
-                be sent any more.
-        """
         self._waits[exchange.number] = (exchange, timeout)
         try:
             if self._plan is not None:
