Form a group of each declared model while engines suffice

Cause: groups were given up for the neediest model only if the giver stayed closer to its target (4 of 6) than the taker would come (1 of 1).

Fix: if nothing serves the neediest model, another one may give up groups as long as it keeps one. It cannot swing back: the taker's only group is never given up for a model that has groups.

--- a/lagooncrank/core/groups/_donors.py
+++ b/lagooncrank/core/groups/_donors.py
@@ -17,8 +17,7 @@
 ) -> Iterator[tuple[model.Group, ...]]:
     """Yields sets of groups whose engines suffice for the neediest model.
 
-    The groups of a set serve one model in one fabric domain. Their model must
-    remain closer to its target than the neediest one.
+    The groups of a set serve one model in one fabric domain.
     """
     by_domain_and_model: dict[tuple[str, str], list[model.Group]] = {}
     for group in groups:
@@ -41,13 +40,28 @@
             warm += _inventory.count_warm([r for r in reports if r], neediest)
             if warm >= neediest.engines_per_replica:
                 break
-        keeps_balance = inventory.fill_ratio(
-            donor, -len(chosen)
-        ) > inventory.fill_ratio(neediest.name, +1)
-        if warm >= neediest.engines_per_replica and keeps_balance:
+        may_give = _may_give(donor, len(chosen), neediest.name, inventory)
+        if warm >= neediest.engines_per_replica and may_give:
             yield tuple(chosen)
 
 
+def _may_give(
+    donor: str,
+    count: int,
+    neediest: str,
+    inventory: _inventory.EngineInventory,
+) -> bool:
+    """Returns whether a model may give up groups for one of the neediest.
+
+    It must remain closer to its target, or, if nothing serves the neediest
+    model at all, keep a group.
+    """
+    if not inventory.group_counts[neediest]:
+        return inventory.group_counts[donor] > count
+    remaining = inventory.fill_ratio(donor, -count)
+    return remaining > inventory.fill_ratio(neediest, +1)
+
+
 def is_finishing_work(group: model.Group, table: fleet.ServerTable) -> bool:
     """Returns whether a dissolving group is still finishing its requests."""
     if group.phase is model.GroupPhase.SERVING or not group.waits_for_work:
