Reserve no engines for a model that was withdrawn

What callers saw: engines that were freed for a model idled for up to 5 s when the next document withdrew it, while the other model had too few groups.

Cause: a reservation of a fabric domain's engines outlived the document that it was made under.

Fix: a plan drops reservations for models that its document does not declare.

Evidence: the new test fails before (no group is formed of the freed engines).

--- a/lagooncrank/core/groups/_planning.py
+++ b/lagooncrank/core/groups/_planning.py
@@ -88,6 +88,7 @@
             domain: reservation
             for domain, reservation in self._reservations.items()
             if now_ms < reservation[1]
+            and not _is_withdrawn(inventory, domain, reservation[0])
         }
         if allow_cold_members and self._awaits_engines(
             service.name, inventory, now_ms, expects_more_engines
@@ -198,6 +199,18 @@
             )
 
 
+def _is_withdrawn(
+    inventory: _inventory.EngineInventory, domain: str, model_name: str
+) -> bool:
+    """Returns whether a domain's engines no longer serve a model.
+
+    Other services have other domains.
+    """
+    return (
+        domain in inventory.free and model_name not in inventory.target_counts
+    )
+
+
 def _is_held_back(
     profile: model.ModelProfile,
     members: Iterable[model.ServerReport],
--- a/lagooncrank/core/groups/tests/test_plans_of_older_documents.py
+++ b/lagooncrank/core/groups/tests/test_plans_of_older_documents.py
@@ -124,3 +124,50 @@
     assert all(expected.get(name) == size for name, size in open_groups)
     served = {"large", "small"} & declared(DOCUMENTS[second])
     assert {name for name, _ in open_groups} == served
+
+
+# Guards against: engines that were freed for a model stayed reserved for it
+# when the next document withdrew it.
+def test_engines_reserved_for_a_withdrawn_model_serve_another() -> None:
+    small_only = documents.service([builders.SMALL])
+    pairs = [
+        builders.group(2 * n, 2 * n + 1, model_name="small", epoch=n + 1)
+        for n in range(6)
+    ]
+    table = builders.server_table(
+        *(
+            builders.engine_report(
+                number, f"d{number // 4}", staged=("large", "small")
+            )
+            for number in range(12)
+        )
+    )
+    planner = groups.Planner()
+
+    def plan(
+        service: model.ServiceConfig, existing: list[model.Group]
+    ) -> list[groups.Action]:
+        return list(
+            planner.plan(
+                service,
+                table,
+                {group.name: group for group in existing},
+                now_ms=NOW_MS,
+                allow_cold_members=False,
+                expects_more_engines=False,
+            )
+        )
+
+    dissolved = [
+        action.group
+        for action in plan(builders.SERVICE_CONFIG, pairs)
+        if isinstance(action, groups.PhaseChange)
+    ]
+    assert dissolved
+    remaining = [group for group in pairs if group not in dissolved]
+    formed = [
+        action.model_name
+        for action in plan(small_only, remaining)
+        if isinstance(action, groups.PlannedGroup)
+    ]
+    assert formed == ["small"] * len(dissolved)
