--- a/soak/_lost.py
+++ b/soak/_lost.py
@@ -66,6 +66,14 @@
         self._rules = rules
         self._stops_s: dict[str, list[float]] = collections.defaultdict(list)
         self._reloads_s: dict[str, list[float]] = collections.defaultdict(list)
+        #: Starts of each entry, with the build that was started.
+        self._starts: dict[str, list[tuple[float, str]]] = (
+            collections.defaultdict(list)
+        )
+
+    def record_start(self, entry: str, build: str, now_s: float) -> None:
+        """Records the start of a process."""
+        self._starts[entry].append((now_s, build))
 
     def record_stop(self, entry: str, now_s: float) -> None:
         """Records a stop signal."""
@@ -181,10 +189,17 @@
             for cut in kept:
                 yield self._describe(cut, "kept connection")
 
+    def _build_at(self, entry: str, now_s: float) -> str:
+        """Returns the build that an entry ran at some moment."""
+        builds = [b for start_s, b in self._starts[entry] if start_s <= now_s]
+        return builds[-1] if builds else "unknown"
+
     def _describe(self, cut: CutRequest, work: str) -> str:
         return (
-            f"LOST: {cut.attempt_id} at {cut.entry}, sent {cut.sent_s:.2f}, "
-            f"cut {cut.ended_s:.2f}, ran on {list(cut.servers)}, beside {work}"
+            f"LOST: {cut.attempt_id} at {cut.entry} "
+            f"(build {self._build_at(cut.entry, cut.ended_s)}), "
+            f"sent {cut.sent_s:.2f}, cut {cut.ended_s:.2f}, "
+            f"ran on {list(cut.servers)}, beside {work}"
         )
 
 
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -169,6 +169,9 @@
                 stderr=log,
                 env=environment,
             )
+        self._checks.planned_work.record_start(
+            self.ip, self.build.name, self._checks.now_s()
+        )
         await self._wait_until_listening()
         self._watch.end("down", "killed", "stopped", "frozen")
         if self._guard is None:
@@ -182,9 +185,9 @@
                 continue
             exit_code = self._process.returncode if self._process else None
             self._checks.history.record_violation(
-                f"process of {self.ip} (last signal to reload: "
-                f"{self._reload_action}) ended by itself with status "
-                f"{exit_code}: {self._last_logged_line()}"
+                f"process of {self.ip} (build {self.build.name}, last signal "
+                f"to reload: {self._reload_action}) ended by itself with "
+                f"status {exit_code}: {self._last_logged_line()}"
             )
             await self.start()
 
--- a/soak/tests/test_lost.py
+++ b/soak/tests/test_lost.py
@@ -100,3 +100,17 @@
     changes = [_lost.Change(100.0, 101.0)]
     found = list(work.violations(cuts, changes, 200.0))
     assert not [f for f in found if "change" in f]
+
+
+# Guards against: a report that does not tell whether an earlier build, with
+# faults that are mended since, cut the request.
+def test_lost_request_is_reported_with_the_build_of_its_entry() -> None:
+    work = _lost.PlannedWork(
+        _disturbances.Disturbances(["c1"]), _lost.LossRules()
+    )
+    work.record_start("e1", "older", 10.0)
+    work.record_start("e1", "newer", 90.0)
+    work.record_start("e1", "newest", 110.0)
+    work.record_stop("e1", 95.0)
+    (found,) = work.violations([CUT], [], 120.0)
+    assert "at e1 (build newer), sent 99.00" in found
