Split the connections of callers from the server of their requests

The caller server did two jobs: it accepted, tracked and ended connections, and it validated requests. Connections, with the stages of a planned stop, are a module of their own now (_caller_connections); the delegation server listens through it.

--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -12,6 +12,7 @@
 from lagooncrank.core import catalog as catalogs
 from lagooncrank.core import reach
 from lagooncrank.server.seeded import _adapter
+from lagooncrank.server.seeded import _caller_connections
 from lagooncrank.server.seeded import _caller_server
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
@@ -39,6 +40,7 @@
         self,
         node_settings: settings.SeededSettings,
         caller_server: _caller_server.CallerServer,
+        connections: _caller_connections.CallerConnections,
         documents: _documents.DocumentStore,
         detector: reach.ReachDetector,
         stop_gate: _stop_gate.StopGate,
@@ -51,6 +53,7 @@
             node_settings.shared_key.encode()
         )
         self._caller_server = caller_server
+        self._connections = connections
         self._documents = documents
         self._detector = detector
         self._stop_gate = stop_gate
@@ -61,7 +64,7 @@
     async def start(self) -> None:
         """Starts to listen, unless the settings name no address."""
         if self._address:
-            await self._caller_server.listen(self._address, self._serve)
+            await self._connections.listen(self._address, self._serve)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request_head: _adapter.RequestHead | None = None
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -11,6 +11,7 @@
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
+from lagooncrank.server.seeded import _caller_connections
 from lagooncrank.server.seeded import _caller_server
 from lagooncrank.server.seeded import _crash_guard
 from lagooncrank.server.seeded import _delegation_server
@@ -106,11 +107,14 @@
             clock,
             self.decision_log,
         )
+        self._caller_connections = _caller_connections.CallerConnections(
+            self.view
+        )
         self._caller_server = _caller_server.CallerServer(
             node_settings,
             http_codec,
             self.documents,
-            self.view,
+            self._caller_connections,
             target_selector,
             retry_budget,
             response_relay,
@@ -122,6 +126,7 @@
         self._delegation_server = _delegation_server.DelegationServer(
             node_settings,
             self._caller_server,
+            self._caller_connections,
             self.documents,
             reach_monitor.detector,
             self._stop_gate,
@@ -148,7 +153,7 @@
 
     async def on_stop(self) -> None:
         """Closes the connections to callers and to backend servers."""
-        await self._caller_server.stop()
+        await self._caller_connections.stop()
         await self._client.stop()
         await self._entry_client.stop()
 
@@ -164,15 +169,15 @@
         self._is_stopping = True
         self.view.is_open = False
         self.view.publish_notice()
-        self._caller_server.is_closing = True
+        self._caller_connections.is_closing = True
         self._stop_gate.begin(plan)
         self.decision_log.write(decisions.Event.STOPPING, grace_ms=grace_ms)
         if not self.crashed:
             await asyncio.sleep(self._seconds_until(plan.accepts_until_ms))
-        self._caller_server.stop_accepting()
-        await self._caller_server.drain(self._seconds_until(plan.cut_ms))
+        self._caller_connections.stop_accepting()
+        await self._caller_connections.drain(self._seconds_until(plan.cut_ms))
         # Nothing may arrive on open connections while the rest stops.
-        await self._caller_server.stop(self._seconds_until(plan.cut_ms))
+        await self._caller_connections.stop(self._seconds_until(plan.cut_ms))
 
     def _seconds_until(self, time_ms: int) -> float:
         return max(time_ms - self.clock.now_ms(), 0) / clocks.MS_PER_S
