--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -225,6 +225,14 @@
         "loaded",
         "sequence",
     )
+    SERVER_HIDDEN = (
+        "server_hidden",
+        "The newest report of a server was of another writer; its own count.",
+        "server",
+        "born_ms",
+        "sequence",
+        "superseded",
+    )
     REPORT_REFUSED = (
         "report_refused",
         "A report or deregistration is not of the server that it names.",
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -122,9 +122,19 @@
 
     def record_report(self, report: model.ServerReport) -> None:
         """Records a report that a backend server sent to this node."""
+        before = self.table.superseded(report.server_id)
         if self.table.put(report, self._clock.now_ms()):
             self._log_report(report)
             self._publish_changes()
+        superseded = self.table.superseded(report.server_id)
+        if superseded != before:
+            self._log.write(
+                decisions.Event.SERVER_HIDDEN,
+                server=report.server_id,
+                born_ms=report.born_ms,
+                sequence=report.sequence,
+                superseded=superseded,
+            )
 
     def deregister(
         self, server_id: model.BackendServerId, born_ms: int | None
