Known red: a report that states another server's address

Cause: an address belongs to the server that started last, and the earlier one is deregistered, as if it had said that it leaves.

--- a/lagooncrank/core/fleet/tests/test_hidden_servers.py
+++ b/lagooncrank/core/fleet/tests/test_hidden_servers.py
@@ -277,3 +277,14 @@
     assert table.get(SERVER) is None
     assert table.superseded(SERVER) is None
     assert dataclasses.asdict(table.snapshot(end_ms))["reports"] == ()
+
+
+# Guards against: one report of another id that states a server's address and a
+# later start made that server count as gone as long as it ran.
+def test_server_whose_address_another_writer_states_is_ready_again() -> None:
+    simulated = Fleet()
+    simulated.pass_time(2 * REPORT_INTERVAL_MS)
+    taker = test_servers.report(server_id="x", born_ms=200)
+    simulated.table.put(taker, simulated.now_ms)
+    simulated.pass_time(10 * REPORT_INTERVAL_MS)
+    assert simulated.is_ready
