Log whether a repeat was paid from the retry budget

The line has `charged` now, the counter of retries a label of that name, and request_delegated says whether an attempt had arrived and how many may have run. No decision changes.

--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -55,6 +55,7 @@
         "request",
         "to",
         "failure",
+        "charged",
         "entries",
         "queued_ms",
         "tried",
@@ -149,6 +150,8 @@
         "request",
         "to",
         "delegates",
+        "has_arrived",
+        "possible_runs",
         "tried",
         "age_ms",
     )
--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -140,18 +140,21 @@
         Raises:
             ForwardingError: The budget is spent.
         """
-        if exchange.has_arrived and not self._next_attempts.acquire(exchange):
+        is_charged = exchange.has_arrived
+        if is_charged and not self._next_attempts.acquire(exchange):
             code = results.ResultCode.RETRY_BUDGET_SPENT
             raise _refusals.ForwardingError(
                 _refusals.final_refusal(exchange, code, last_error)
             )
         self._metrics.count_retry(
-            last_error.failure if last_error else "resumed"
+            last_error.failure if last_error else "resumed",
+            is_charged=is_charged,
         )
         self._log.write(
             decisions.Event.SENT_AGAIN,
             to=target.server_id,
             failure=last_error.failure if last_error else None,
+            charged=is_charged,
             entries=self._view.sharing_entries.count(self._clock.now_ms()),
             **exchange.log_fields(self._clock),
         )
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -124,6 +124,8 @@
         self._log.write(
             decisions.Event.DELEGATED,
             to=target.address,
+            has_arrived=exchange.has_arrived,
+            possible_runs=exchange.possible_runs,
             **exchange.log_fields(self._clock),
         )
         header = self._codec.encode(self._describe(exchange, target))
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -24,8 +24,9 @@
         )
         self._retries = prometheus_client.Counter(
             "lagooncrank_retries",
-            "Further sends, by why the one before failed.",
-            ("reason",),
+            "Further sends, by why the one before failed and by whether the "
+            "retry budget was charged.",
+            ("reason", "charged"),
             registry=self.registry,
         )
         self._failures = prometheus_client.Counter(
@@ -69,9 +70,14 @@
         """Counts a request that this system ended with a result code."""
         self._refusals.labels(code.name).inc()
 
-    def count_retry(self, reason: str) -> None:
-        """Counts a retry."""
-        self._retries.labels(reason).inc()
+    def count_retry(self, reason: str, *, is_charged: bool) -> None:
+        """Counts a retry.
+
+        Args:
+            reason: Why the attempt before failed.
+            is_charged: Whether the retry budget was charged for it.
+        """
+        self._retries.labels(reason, str(is_charged).lower()).inc()
 
     def count_failure(self, reason: str) -> None:
         """Counts an attempt that yielded no response."""
