Soak: account each repeat, hush services, judge deadlines

The bound on repeats rarely binds, so a repeat that nothing paid for passed unseen. Now each request's arrivals at servers are matched with the charged lines of the entries' logs, at any load; and the time that servers are given is judged by the users' rule. A fault hushes all or 0.6 of a service's servers for about a second as a stopped process is: connections and bytes are accepted, and read later. Operators also change timeouts and idle limits. The ratio of the budget can be given, so that its fixed number binds.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from soak import _checks
+from soak import _budget
 from soak import _deployment
 from soak import _run
 
@@ -32,7 +32,12 @@
         _run.MAX_INTERVAL_S, help="Longest time between two faults."
     ),
     retry_extra: int = typer.Option(
-        _checks.RETRY_EXTRA, help="Repeats allowed beside a part of requests."
+        _budget.BINDING_RULES.extra,
+        help="Repeats allowed beside a part of requests.",
+    ),
+    retry_ratio: float = typer.Option(
+        _budget.BINDING_RULES.ratio,
+        help="Repeats allowed for each request.",
     ),
     controls: int = typer.Option(
         _deployment.DEFAULT_CONTROLS, help="Number of control nodes."
@@ -49,7 +54,7 @@
             tuple(k for k in kinds.split(",") if k),
             production,
             max_interval_s,
-            retry_extra,
+            _budget.BudgetRules(ratio=retry_ratio, extra=retry_extra),
             controls,
         )
         for seed in range(first, first + seeds)
--- a/soak/_budget.py
+++ b/soak/_budget.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
+from typing import Final
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,6 +16,10 @@
     extra: int = 100
 
 
+#: Rules that the load of the soak reaches.
+BINDING_RULES: Final = BudgetRules(extra=8)
+
+
 class Arrivals:
     """Records requests and their arrivals by service."""
 
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -2,19 +2,20 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 from typing import Final
 
 from soak import _budget
+from soak import _charges
 from soak import _config_history
+from soak import _deadlines
 from soak import _disturbances
 from soak import _drain
 from soak import _history
 from soak import _lost
 
 DRAIN_S: Final = 2.0
-#: Repeats in a window beside the part of the requests.
-RETRY_EXTRA: Final = 8
 #: Requests that may run on more servers than their route allows.
 ALLOWED_EXCESSES: Final = 3
 MAX_ATTEMPTS: Final = 2
@@ -29,12 +30,14 @@
     budget: _budget.BudgetRules
 
     @classmethod
-    def usual(cls, retry_extra: int = RETRY_EXTRA) -> "Bounds":
+    def usual(
+        cls, budget: _budget.BudgetRules = _budget.BINDING_RULES
+    ) -> "Bounds":
         """Returns the operators' usual bounds, with a budget that binds."""
         return cls(
             _lost.LossRules(),
             _config_history.ConfigRules(),
-            _budget.BudgetRules(extra=retry_extra),
+            budget,
         )
 
 
@@ -58,6 +61,8 @@
         self.now_s = now_s
         self.history = _history.RequestHistory()
         self.arrivals = _budget.Arrivals()
+        self.account = _charges.Account()
+        self.deadlines = _deadlines.Deadlines()
         self.planned_work = _lost.PlannedWork(disturbances, bounds.loss)
         self.config = _config_history.ConfigHistory(bounds.config)
         self.left_servers = _drain.LeftServers(DRAIN_S)
@@ -72,6 +77,21 @@
         self.history.record_request(request)
         self.arrivals.record_request(request.service, self.now_s())
 
+    def record_arrival(
+        self,
+        service: str,
+        server_id: str,
+        attempt_id: str,
+        limit_ms: int | None,
+    ) -> None:
+        """Records that a server has read a request, whether it runs or not."""
+        now_s = self.now_s()
+        self.arrivals.record_arrival(service, attempt_id, now_s)
+        self.deadlines.record_arrival(attempt_id, limit_ms, now_s)
+        self.account.record_arrival(
+            _charges.Arrival(attempt_id, service, server_id, now_s)
+        )
+
     def record_probe(self, probe: _config_history.Probe) -> None:
         """Records and checks how an entry handled a probe."""
         self.probes += 1
@@ -102,13 +122,19 @@
             )
         )
 
-    def finish(self) -> list[str]:
-        """Returns all violations; call it once, after the end."""
+    def finish(self, charges: Mapping[str, int]) -> list[str]:
+        """Returns all violations; call it once, after the end.
+
+        Args:
+            charges: How often each request was charged.
+        """
         now_s = self.now_s()
         changes = self.config.changes()
         for violation in (
             *self.planned_work.violations(self.cuts, changes, now_s),
             *self.arrivals.violations(self.bounds.budget),
+            *self.account.violations(charges),
+            *self.deadlines.violations(),
             *self.config.rate_violations(),
             *self.left_servers.violations(self._was_entry_in_touch),
             *self._excesses(),
@@ -116,9 +142,10 @@
             self.history.record_violation(violation)
         return self.history.finish()
 
-    def summary(self) -> str:
+    def summary(self, charges: Mapping[str, int]) -> str:
         """Returns how much there was to judge."""
         return (
+            f"{self.account.summary(charges)}, {self.deadlines.summary()}, "
             f"{len(self.cuts)} cut requests, repeats {self.arrivals.repeats()},"
             f" {self.probes} probes of which {self.probes_in_touch} in touch"
         )
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -8,6 +8,7 @@
 
 from lagooncrank_platform.tests import local_cluster
 
+from soak import _budget
 from soak import _builds
 from soak import _callers
 from soak import _checks
@@ -44,7 +45,7 @@
         entries: Number of entries.
         engines: Number of engines.
         production: Build that all nodes start on; the one at hand if None.
-        retry_extra: Repeats in a window beside the part of the requests.
+        budget: Repeats that the operator allows.
         controls: Number of control nodes.
     """
 
@@ -55,7 +56,7 @@
         entries: int,
         engines: int,
         production: _builds.Build | None = None,
-        retry_extra: int = _checks.RETRY_EXTRA,
+        budget: _budget.BudgetRules = _budget.BINDING_RULES,
         controls: int = DEFAULT_CONTROLS,
     ) -> None:
         self.random = random.Random(seed)
@@ -68,7 +69,7 @@
         self.disturbances = _disturbances.Disturbances(ips[:controls])
         self.checks = _checks.Checks(
             self.disturbances,
-            _checks.Bounds.usual(retry_extra),
+            _checks.Bounds.usual(budget),
             lambda: asyncio.get_running_loop().time(),
         )
         self.history = self.checks.history
@@ -199,6 +200,10 @@
         await server.stop()
         await self._server_proxies.pop(server.server_id).stop()
 
+    def proxy_of(self, server: _servers.CheckingServer) -> _proxy.Proxy:
+        """Returns the proxy in front of a running backend server."""
+        return self._server_proxies[server.server_id]
+
     def running_servers(self) -> list[_servers.CheckingServer]:
         """Returns the backend servers that are running."""
         return [s for s in self.servers.values() if s.is_running]
--- a/soak/_documents.py
+++ b/soak/_documents.py
@@ -24,6 +24,9 @@
 #: Path of a route that only documents have that are never in force.
 NEVER_PATH: Final = "/never/"
 MAX_STEP: Final = 3
+#: Timeouts that changes choose from; the first ones are in force first.
+TIMEOUTS_MS: Final = (20_000, 15_000, 10_000)
+IDLE_TIMEOUTS_MS: Final = (15_000, 30_000, 10_000)
 
 Document = dict[str, Any]
 
@@ -43,6 +46,10 @@
     routes: tuple[tuple[str, str], ...] = ()
     keys: frozenset[str] = frozenset()
     services: frozenset[str] = frozenset()
+    #: Timeout of the added routes.
+    timeout_ms: int = TIMEOUTS_MS[0]
+    #: For how long callers may leave a connection idle.
+    idle_timeout_ms: int = IDLE_TIMEOUTS_MS[0]
 
     def handling(self, route: str, key: str) -> str | Handling:
         """Returns the service that runs a request, or why none does.
@@ -61,11 +68,13 @@
         """Returns the document of a version."""
         document: Document = copy.deepcopy(local_cluster.DOCUMENT)
         document["version"] = version
+        timeout = {"timeout_ms": self.timeout_ms}
         document["routes"] += [_route("keyed", KEYED_PATH, SERVICES[0])]
         document["routes"] += [
-            _route(name, path_of(name), service)
+            {**_route(name, path_of(name), service), **timeout}
             for name, service in self.routes
         ]
+        document["limits"] = {"idle_timeout_ms": self.idle_timeout_ms}
         document["services"] += [{"name": SERVICES[1]}]
         document["services"] += [{"name": s} for s in sorted(self.services)]
         added = {"name": "added", "api_keys": sorted(self.keys)}
@@ -109,7 +118,12 @@
     def next_content(self) -> Content:
         """Returns the newest content with one change."""
         draw = self._random.choice(
-            [self._change_routes, self._change_keys, self._change_services]
+            [
+                self._change_routes,
+                self._change_keys,
+                self._change_services,
+                self._change_timeouts,
+            ]
         )
         self.content = draw(self.content)
         return self.content
@@ -132,6 +146,13 @@
         services = self._change(content.services)
         return dataclasses.replace(content, services=services)
 
+    def _change_timeouts(self, content: Content) -> Content:
+        if self._random.random() < 0.5:
+            timeout_ms = self._random.choice(TIMEOUTS_MS)
+            return dataclasses.replace(content, timeout_ms=timeout_ms)
+        idle_ms = self._random.choice(IDLE_TIMEOUTS_MS)
+        return dataclasses.replace(content, idle_timeout_ms=idle_ms)
+
     def _change(self, names: frozenset[str]) -> frozenset[str]:
         if names and (len(names) > MAX_ADDED or self._random.random() < 0.5):
             return names - {self._random.choice(sorted(names))}
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -33,7 +33,7 @@
 DISK_LOSS_FAULTS: Final = frozenset({"lose-disk"})
 #: Kinds that affect backend servers only.
 SERVER_FAULTS: Final = frozenset(
-    {"replace-servers", "bad-answers", "drain", "leave", "quiet"}
+    {"replace-servers", "bad-answers", "drain", "leave", "quiet", "hush"}
 )
 
 
--- a/soak/_kept_callers.py
+++ b/soak/_kept_callers.py
@@ -149,7 +149,7 @@
         events = self._random.randint(1, int(longest_s * 10))
         headers = {
             **provider_protocol.request_headers(path, attempt_id),
-            "Deadline-Ms": str(int(LIMIT_S * 1_000)),
+            provider_protocol.LIMIT_HEADER: str(int(LIMIT_S * 1_000)),
             _lasting_server.EVENTS_HEADER: str(events),
             _lasting_server.WORK_HEADER: (
                 str(events / 10) if service == "desk" else "0"
--- a/soak/_lasting_server.py
+++ b/soak/_lasting_server.py
@@ -20,13 +20,15 @@
 
     #: Time, on the event loop's clock, until which it sends nothing.
     quiet_until_s = 0.0
+    #: Whether it does nothing at all, like a process that does not run.
+    is_held = False
 
     async def _wait_while_quiet(self) -> None:
         now_s = asyncio.get_running_loop().time()
         await asyncio.sleep(max(self.quiet_until_s - now_s, 0.0))
 
-    def on_arrival(self, attempt_id: str) -> None:
-        """Called when a request has arrived."""
+    def on_arrival(self, attempt_id: str, limit_ms: int | None) -> None:
+        """Called when a request has arrived, with its time limit."""
 
     def on_passed(self, attempt_id: str, arrived_s: float) -> None:
         """Called when an arrived request was not rejected with 421."""
@@ -64,6 +66,8 @@
     async def _send_report(
         self, session: aiohttp.ClientSession, control: str
     ) -> bool:
+        if self.is_held:
+            return False
         state = self.state
         is_acknowledged = await super()._send_report(session, control)
         if is_acknowledged and state == "draining":
@@ -75,7 +79,8 @@
             provider_protocol.response_attempt_id(request.headers) or ""
         )
         arrived_s = asyncio.get_running_loop().time()
-        self.on_arrival(attempt_id)
+        limit = request.headers.get(provider_protocol.LIMIT_HEADER)
+        self.on_arrival(attempt_id, None if limit is None else int(limit))
         response = await super()._serve(request)
         if response.status != NOT_RUN:
             self.on_passed(attempt_id, arrived_s)
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -1,6 +1,7 @@
 """Control nodes and entries as separate processes behind proxies."""
 
 import asyncio
+import contextlib
 import dataclasses
 import os
 import pathlib
@@ -20,6 +21,7 @@
 
 STOP_TIMEOUT_S: Final = 20.0
 START_POLL_S: Final = 0.1
+NO_PIDFD: Final = -1
 MS_PER_S: Final = 1_000
 #: What a node or its proxies listen on at ports of their own; "proxy" is for
 #: callers or operators, and "public" is what it forwards to.
@@ -97,6 +99,8 @@
         self._is_ended = False
         self._guard: asyncio.Task[None] | None = None
         self._process: asyncio.subprocess.Process | None = None
+        #: Refers to the process, also once its id is used again.
+        self._pidfd = NO_PIDFD
         self._start_lock = asyncio.Lock()
         #: Proxies for peers, and for callers or operators.
         self._addresses = {
@@ -169,6 +173,7 @@
                 stderr=log,
                 env=environment,
             )
+        self._pidfd = _open_pidfd(self._process.pid, self._pidfd)
         self._checks.planned_work.record_start(
             self.ip, self.build.name, self._checks.now_s()
         )
@@ -216,6 +221,11 @@
         lines = self._log_file.read_text(errors="replace").splitlines()
         return lines[-1] if lines else ""
 
+    @property
+    def log_file(self) -> pathlib.Path:
+        """Log of all processes of this node."""
+        return self._log_file
+
     @property
     def process_id(self) -> int:
         """Id of the process, which has been started."""
@@ -228,7 +238,9 @@
             self._record(signal_number)
             if signal_number is signal.SIGHUP:
                 self._reload_action = _reload_action(self._process.pid)
-            self._process.send_signal(signal_number)
+            # The library's way would reap a process that has just ended.
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self._pidfd, signal_number)
 
     def _record(self, signal_number: signal.Signals) -> None:
         now_s = self._checks.now_s()
@@ -243,6 +255,7 @@
             self._watch.end("frozen")
         elif signal_number is signal.SIGKILL:
             self._watch.begin("killed")
+            self._checks.account.record_kill(now_s)
         elif signal_number is signal.SIGSTOP:
             self._watch.begin("frozen")
 
@@ -313,6 +326,13 @@
         temporary.replace(self._settings_file)
 
 
+def _open_pidfd(pid: int, previous: int) -> int:
+    """Returns a descriptor of a child process, in place of the previous one."""
+    if previous != NO_PIDFD:
+        os.close(previous)
+    return os.pidfd_open(pid)
+
+
 def _reload_action(pid: int) -> str:
     """Returns what a process does on a signal to reload its settings.
 
--- a/soak/_planned_faults.py
+++ b/soak/_planned_faults.py
@@ -1,6 +1,7 @@
 """Stops, signals and kills in series, and servers that leave."""
 
 import asyncio
+import math
 import random
 import signal
 from typing import Final
@@ -17,6 +18,7 @@
     "leave",
     "stop-at-once",
     "quiet",
+    "hush",
 )
 MAX_PAUSE_S: Final = 1.0
 #: Longest time for which everything is down.
@@ -26,6 +28,11 @@
 ACK_TIMEOUT_S: Final = 10.0
 #: Shortest and longest time for which a sound server sends nothing.
 QUIET_S: Final = (0.8, 1.5)
+#: Shortest and longest time for which servers do nothing at all.
+HUSH_S: Final = (0.9, 1.3)
+#: Services that fall silent, and the parts of their servers that do.
+HUSHED_SERVICES: Final = ("writers", "writers", "desk")
+HUSHED_SHARES: Final = (1.0, 0.6)
 
 
 @_faults.FAULTS.register("roll")
@@ -159,6 +166,27 @@
         server.quiet_until_s = now_s + random_.uniform(*QUIET_S)
 
 
+@_faults.FAULTS.register("hush")
+async def hush_service(
+    deployment: _deployment.Deployment,
+    random_: random.Random,
+    duration_s: float,
+) -> None:
+    """Stops all or most servers of a service for a second, like a signal."""
+    service = random_.choice(HUSHED_SERVICES)
+    share = random_.choice(HUSHED_SHARES)
+    servers = [s for s in deployment.running_servers() if s.service == service]
+    hushed = random_.sample(servers, math.ceil(share * len(servers)))
+    proxies = [deployment.proxy_of(server) for server in hushed]
+    for server, proxy in zip(hushed, proxies, strict=True):
+        server.is_held = True
+        proxy.hold()
+    await asyncio.sleep(random_.uniform(*HUSH_S))
+    for server, proxy in zip(hushed, proxies, strict=True):
+        server.is_held = False
+        await proxy.release()
+
+
 @_faults.FAULTS.register("leave")
 async def leave(
     deployment: _deployment.Deployment,
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -64,6 +64,8 @@
         self._refused_clients: set[str] = set()
         #: Clients whose data, and that for them, is held back.
         self._silenced_clients: set[str] = set()
+        #: Whether the server is silent, which is no disturbance.
+        self._is_held = False
         self._impairment_changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -81,6 +83,7 @@
             self._server.close()
         # Data that is held back would keep its connection from ending.
         self._silenced_clients.clear()
+        self._is_held = False
         await self.impair(Impairment(resets_new_connections=True))
         while self._tasks:
             self.reset()
@@ -100,6 +103,20 @@
         async with self._impairment_changed:
             self._impairment_changed.notify_all()
 
+    def hold(self) -> None:
+        """Makes the server as silent as a process that does not run.
+
+        Connections and bytes are accepted, and passed on after `release`, also
+        those that the client has given up by then.
+        """
+        self._is_held = True
+
+    async def release(self) -> None:
+        """Reverts `hold`."""
+        self._is_held = False
+        async with self._impairment_changed:
+            self._impairment_changed.notify_all()
+
     async def cut(self, client: str, kind: CutKind) -> None:
         """Cuts one client off; its other paths are not affected."""
         if kind is not CutKind.SILENCE:
@@ -205,7 +222,8 @@
                 if is_request
                 else impairment.blocks_responses
             )
-            return not is_blocked and client not in self._silenced_clients
+            is_silenced = self._is_held or client in self._silenced_clients
+            return not is_blocked and not is_silenced
 
         async with self._impairment_changed:
             await self._impairment_changed.wait_for(is_unblocked)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,8 +9,9 @@
 import random
 from typing import Final
 
+from soak import _budget
 from soak import _builds
-from soak import _checks
+from soak import _charges
 from soak import _deployment
 from soak import _faults
 from soak import _nodes
@@ -49,8 +50,8 @@
     production: str = ""
     #: Longest time between the starts of two faults.
     max_interval_s: float = MAX_INTERVAL_S
-    #: Repeats in a window beside the part of the requests.
-    retry_extra: int = _checks.RETRY_EXTRA
+    #: Repeats that the operator allows.
+    budget: _budget.BudgetRules = _budget.BINDING_RULES
     controls: int = _deployment.DEFAULT_CONTROLS
 
     def names(self) -> tuple[str, ...]:
@@ -105,7 +106,7 @@
         config.entries,
         config.engines,
         production,
-        config.retry_extra,
+        config.budget,
         config.controls,
     )
     faults: list[str] = []
@@ -126,9 +127,10 @@
         # Other faults fail requests at any entry.
         for violation in deployment.cuts.violations():
             deployment.history.record_violation(violation)
+    charges = _charges.read_charges(e.log_file for e in deployment.entries)
     return SeedReport(
         config.seed,
-        tuple(deployment.checks.finish()),
+        tuple(deployment.checks.finish(charges)),
         tuple(faults),
         deployment.callers.served,
         deployment.operator.acknowledged,
@@ -137,7 +139,8 @@
         dict(
             collections.Counter(n.started_build.name for n in deployment.nodes)
         ),
-        f"{deployment.checks.summary()}, {deployment.lag.delays} own delays of "
+        f"{deployment.checks.summary(charges)}, "
+        f"{deployment.lag.delays} own delays of "
         f"up to {deployment.lag.longest_s:.2f} s",
     )
 
--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -89,11 +89,11 @@
                 )
         return True
 
-    def on_arrival(self, attempt_id: str) -> None:
-        """Records an arrival for the retry budget."""
+    def on_arrival(self, attempt_id: str, limit_ms: int | None) -> None:
+        """Records an arrival for the retry budget and its deadline."""
         if self._checks is not None:
-            self._checks.arrivals.record_arrival(
-                self.service, attempt_id, self._checks.now_s()
+            self._checks.record_arrival(
+                self.service, self.server_id, attempt_id, limit_ms
             )
 
     def on_passed(self, attempt_id: str, arrived_s: float) -> None:
