Charge repeats of requests that were lost at another entry

Servers saw repeats that no budget had paid for (BUDGET). An entry that assumes to have lost its path to a service delegates; if the other entry was lost with the request, and the path was back, the request went to a server from here without a charge: the charge hung on the servers that this entry had tried, of which there were none, instead of on whether the request may have arrived.

Evidence: with a budget of nothing, the lookup and the stream of the new test arrived twice (both rows failed before); now once, and the caller gets 502. Delegation beside a silence is common: while probes decide, requests of all entries are delegated.

The soak's routes of plain services have the sheets' target latency, so that they are repeated within a silence.

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -106,7 +106,7 @@
             raise _refusals.ForwardingError(
                 self._no_target_refusal(exchange, last_error)
             )
-        if exchange.tried:
+        if exchange.tried or exchange.has_arrived:
             self._record_retry(exchange, target, last_error)
         exchange.tried.append(target.server_id)
         return target
--- a/soak/_documents.py
+++ b/soak/_documents.py
@@ -24,6 +24,9 @@
 #: Path of a route that only documents have that are never in force.
 NEVER_PATH: Final = "/never/"
 MAX_STEP: Final = 3
+#: Target latencies of the first routes, by name; callers of plain services are
+#: served again elsewhere after a silence that is shorter than a server's pause.
+TARGET_LATENCIES_MS: Final = {"lookup": 100, "booking": 100}
 #: Timeouts that changes choose from; the first ones are in force first.
 TIMEOUTS_MS: Final = (20_000, 15_000, 10_000)
 IDLE_TIMEOUTS_MS: Final = (15_000, 30_000, 10_000)
@@ -74,6 +77,10 @@
             {**_route(name, path_of(name), service), **timeout}
             for name, service in self.routes
         ]
+        for route in document["routes"]:
+            route["target_latency_ms"] = TARGET_LATENCIES_MS.get(
+                route["name"], route["target_latency_ms"]
+            )
         document["limits"] = {"idle_timeout_ms": self.idle_timeout_ms}
         document["services"] += [{"name": SERVICES[1]}]
         document["services"] += [{"name": s} for s in sorted(self.services)]
