Count arrivals at an entry that stops before it serves a delegated request

Servers saw a repeat that no budget had paid for (BUDGET): an entry that stopped refused a delegated request after a server had turned it away; the entry that had delegated it took this for a request that had reached no server, and the next arrival was free. The outcome now says whether a server may have received it; entries of earlier builds ignore the field, and theirs are read as before.

--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -215,7 +215,9 @@
             response.force_close()
         if exchange is not None and exchange.delegated_by is not None:
             _delegated_request.Outcome.of_refusal(
-                refusal, exchange.possible_runs
+                refusal,
+                exchange.possible_runs,
+                has_arrived=exchange.has_arrived,
             ).add_to(response.headers)
         return response
 
--- a/lagooncrank/server/seeded/_delegated_request.py
+++ b/lagooncrank/server/seeded/_delegated_request.py
@@ -75,14 +75,25 @@
     retry_after_ms: int | None = None
     #: Process that the response comes from, if it says that it is leaving.
     leaving_server: holds.Process | None = None
+    #: Whether a backend server may have received it from that entry; earlier
+    #: builds do not state it.
+    has_arrived: bool = False
 
     @classmethod
     def of_refusal(
-        cls, refusal: results.Refusal, possible_runs: int
+        cls,
+        refusal: results.Refusal,
+        possible_runs: int = 0,
+        *,
+        has_arrived: bool = False,
     ) -> "Outcome":
         """Returns the outcome of a refused request."""
         return cls(
-            possible_runs, refusal.code, refusal.ran, refusal.retry_after_ms
+            possible_runs,
+            refusal.code,
+            refusal.ran,
+            refusal.retry_after_ms,
+            has_arrived=has_arrived,
         )
 
     def encode(self) -> str:
--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -181,7 +181,7 @@
             reason=refusal.reason,
         )
         response = self._caller_server.refuse(request_head, refusal)
-        outcome = _delegated_request.Outcome.of_refusal(refusal, 0)
+        outcome = _delegated_request.Outcome.of_refusal(refusal)
         outcome.add_to(response.headers)
         return response
 
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -206,6 +206,7 @@
             _attempt.check_promise(response.head)
             return
         if outcome.code in _NOT_ACCEPTED:
+            exchange.has_arrived |= outcome.has_arrived
             raise _attempt.AttemptFailedError(
                 _attempt.FailureKind.NOT_RUN, outcome.code.meaning
             )
