Tell the delegating entry of further runs of its stream

Requests ran on more servers than their route allows (BUDGET, max_attempts).

The entry that serves now sends a notice, a comment of the event stream with a token of the delegation, before each further run, and the delegating entry takes it out of the stream. Ruled out: to count such a stream as run as often as allowed (callers of a cut-off entry would lose every stream whose delegate is lost), and to leave all resuming to the delegating entry (it does not see stalls of groups). An entry of an earlier build states no token and gets no notices.

--- a/lagooncrank/server/seeded/_delegated_request.py
+++ b/lagooncrank/server/seeded/_delegated_request.py
@@ -60,6 +60,9 @@
     possible_runs: int
     #: Digest of the request line and the body.
     content_digest: str
+    #: Token of notices of further runs; earlier builds state none and would
+    #: pass the notices on.
+    notice_token: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -124,6 +124,7 @@
             body,
             possible_runs=delegated.possible_runs,
             delegated_by=delegated.sender,
+            notice_token=delegated.notice_token,
         )
         if not self._stop_gate.is_open(exchange):
             raise _refusals.ForwardingError(_refusal("this entry is stopping"))
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+import secrets
 from typing import Final
 
 from lagooncrank import clock as clocks
@@ -24,6 +25,7 @@
 
 #: Entries that one request is delegated to at most, one after the other.
 MAX_DELEGATIONS: Final = 3
+NOTICE_TOKEN_BYTES: Final = 8
 #: Refusals of requests that another entry may serve at once.
 _NOT_ACCEPTED: Final = (
     results.ResultCode.DELEGATION_REFUSED,
@@ -121,6 +123,7 @@
             ForwardingError: The other entry ended the request.
         """
         exchange.delegates.append(target.server_id)
+        exchange.notice_token = secrets.token_hex(NOTICE_TOKEN_BYTES)
         self._log.write(
             decisions.Event.DELEGATED,
             to=target.address,
@@ -182,6 +185,7 @@
             _delegated_request.content_digest(
                 exchange.request_head, exchange.body
             ),
+            exchange.notice_token,
         )
 
     def _check_outcome(
--- a/lagooncrank/server/seeded/_event_sequence.py
+++ b/lagooncrank/server/seeded/_event_sequence.py
@@ -1,7 +1,7 @@
 """Whether the events of one run go on where a stream stands."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Sequence
 
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _events
@@ -37,7 +37,7 @@
         )
 
     def take(
-        self, events: Sequence[_events.StreamEvent]
+        self, events: Iterable[_events.StreamEvent]
     ) -> Iterator[_events.StreamEvent]:
         """Yields the events before the first that does not fit."""
         for event in events:
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -57,6 +57,9 @@
     #: Attempts in which a backend server may have run the request, according
     #: to the entry that it was delegated to last.
     delegated_runs: int = 0
+    #: Token of the notices of further runs between the two entries of a
+    #: delegated request; empty if the one that delegates reads none.
+    notice_token: str = ""
     #: Process whose response to the delegated request says that it leaves.
     leaving_server: holds.Process | None = None
     #: Time that the request waited for a slot of a group.
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 from typing import Final
 
 import aiohttp
@@ -25,6 +26,7 @@
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _refusals
+from lagooncrank.server.seeded import _run_notices
 from lagooncrank.server.seeded import _silence_limit
 from lagooncrank.server.seeded import _stop_gate
 from lagooncrank.server.seeded import _stream_quota
@@ -199,6 +201,10 @@
             finally:
                 backend_response.close()
                 self._forwarder.close(exchange, target)
+            if exchange.delegated_by is not None and exchange.notice_token:
+                yield _run_notices.encode(
+                    exchange.notice_token, exchange.possible_runs + 1
+                )
             target, backend_response = await self._resume(exchange, first)
 
     async def _resume(
@@ -237,7 +243,10 @@
                 exchange, target, backend_response, silence_limit
             ):
                 ready = []
-                for event in sequence.take(splitter.feed(chunk)):
+                events: Iterable[_events.StreamEvent] = splitter.feed(chunk)
+                if target.is_entry:
+                    events = _run_notices.take(exchange, events)
+                for event in sequence.take(events):
                     exchange.record_event(self._clock.now_ms())
                     if event.event_id is not None:
                         exchange.last_event_id = event.event_id
--- /dev/null
+++ b/lagooncrank/server/seeded/_run_notices.py
@@ -0,0 +1,45 @@
+"""Notices of further runs in the stream of a delegated request.
+
+The head of the stream states the runs until then. Before the entry that serves
+the request resumes the stream at another backend server, it tells the entry
+that delegated it, which may have to resume the stream itself. A notice is a
+comment of the event stream. It begins with a token that only the two entries
+know, so that no comment of a backend server is taken for one.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from lagooncrank.server.seeded import _events
+from lagooncrank.server.seeded import _exchange
+
+
+def encode(token: str, possible_runs: int) -> bytes:
+    r"""Returns a notice.
+
+    Args:
+        token: Token of the delegation.
+        possible_runs: Runs that may have begun, with the one that is next.
+
+    >>> encode("t0", 2)
+    b': t0 2\n\n'
+    """
+    return f": {token} {possible_runs}\n\n".encode()
+
+
+def take(
+    exchange: _exchange.Exchange, events: Iterable[_events.StreamEvent]
+) -> Iterator[_events.StreamEvent]:
+    """Yields the events of a delegated stream without the notices.
+
+    Args:
+        exchange: The request; its runs are updated.
+        events: Events that the other entry has sent.
+    """
+    prefix = f": {exchange.notice_token} ".encode()
+    for event in events:
+        runs = event.raw.removeprefix(prefix).strip()
+        if event.raw.startswith(prefix) and runs.isdigit():
+            exchange.delegated_runs = max(exchange.delegated_runs, int(runs))
+        else:
+            yield event
