Leave time for a pause of the server when a stop takes a request late

Callers' connections ended without an answer around the SIGTERM of an entry (LOST): a stop takes a request late if it is expected to end before the cut, and the estimate had no room for a server that falls silent for a second, as sound ones may. A booking that takes 22 ms was passed on until 300 ms before the cut.

--- a/lagooncrank/core/drain/_stop_plan.py
+++ b/lagooncrank/core/drain/_stop_plan.py
@@ -14,6 +14,8 @@
 ACCEPT_FRACTION: Final = 0.5
 #: Shortest duration that is expected of any request.
 MIN_DURATION_MS: Final = 300
+#: Longest time for which a sound backend server falls silent and goes on.
+MAX_PAUSE_MS: Final = 1_500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,11 +56,12 @@
 
         Args:
             deadline_ms: When its response must be complete.
-            longest_ms: Time that it takes at most, as far as is known.
+            longest_ms: Time that it takes at most while its server does not
+                pause, as far as is known.
         """
         latest_ms = self.serves_all_until_ms
         if longest_ms is not None:
-            needed_ms = max(longest_ms, MIN_DURATION_MS)
+            needed_ms = max(longest_ms, MIN_DURATION_MS) + MAX_PAUSE_MS
             latest_ms = max(latest_ms, self.cut_ms - needed_ms)
         if deadline_ms <= self.cut_ms:
             latest_ms = max(latest_ms, self.cut_ms - MIN_DURATION_MS)
--- a/lagooncrank/core/drain/tests/test_stop_plan.py
+++ b/lagooncrank/core/drain/tests/test_stop_plan.py
@@ -11,6 +11,7 @@
 CUT_MS = STARTED_MS + 7_440
 LATE_MS = CUT_MS + 1
 SHORTEST_MS = _stop_plan.MIN_DURATION_MS
+PAUSE_MS = drain.MAX_PAUSE_MS
 
 
 def plan(grace_ms: int = GRACE_MS) -> drain.StopPlan:
@@ -23,8 +24,8 @@
         # Nothing is known: only early requests are served.
         (LATE_MS, None, SERVED_UNTIL_MS),
         # What takes longer than the rest of the stop is refused.
-        (LATE_MS, 3_000, CUT_MS - 3_000),
-        (LATE_MS, 1, CUT_MS - SHORTEST_MS),
+        (LATE_MS, 3_000, CUT_MS - 3_000 - PAUSE_MS),
+        (LATE_MS, 1, CUT_MS - SHORTEST_MS - PAUSE_MS),
         (LATE_MS, 7_000, SERVED_UNTIL_MS),
         (LATE_MS, 60_000, SERVED_UNTIL_MS),
         # A request whose time ends before the cut is not cut.
