Give a server back the address that another writer stated

A server whose address was taken is replaced now, not departed: it gets nothing while the other one reports. If the other one has become unreachable, and the server has reported on for 0.8 s, it gets its address back. Late reports that come together do not. This also holds for a node that learns of both at once.

Addresses have a module of their own, and the storing of a report a method, so that each stays short.

--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from lagooncrank import model
+from lagooncrank.core.fleet import _addresses
 from lagooncrank.core.fleet import _challenges
 from lagooncrank.core.fleet import _departures
 from lagooncrank.core.fleet import _report_batches
@@ -57,7 +58,7 @@
         """
         self._unreachable_after_ms = unreachable_after_ms
         self._servers: dict[model.BackendServerId, ServerRecord] = {}
-        self._by_address: dict[str, model.BackendServerId] = {}
+        self._addresses = _addresses.AddressHolders(unreachable_after_ms)
         #: Processes that leave; their reports may come late.
         self.departures = _departures.Departures()
         self._hidden = _challenges.HiddenServers(unreachable_after_ms)
@@ -102,6 +103,24 @@
             report = dataclasses.replace(record.report, state=report.state)
             received_ms = max(received_ms, record.last_seen_ms)
             content_sequence = None
+        return self._store(
+            record, report, received_ms, content_sequence, was_hidden=was_hidden
+        )
+
+    def _store(
+        self,
+        record: ServerRecord | None,
+        report: model.ServerReport,
+        received_ms: int,
+        content_sequence: int | None,
+        *,
+        was_hidden: bool,
+    ) -> bool:
+        """Replaces the record of a server by a report that is newer.
+
+        Returns:
+            Whether the content of the report is new.
+        """
         previous = record.report if record is not None else None
         if (
             previous is not None
@@ -109,7 +128,7 @@
         ):
             report = _retain_leaving_state(previous, report)
             report = _retain_loaded_models(previous, report)
-        if previous is None or previous.incarnation_id != report.incarnation_id:
+        else:
             self.newest_start_ms = max(self.newest_start_ms, received_ms)
         is_renewed = previous is not None and _differ_by_sequence_only(
             previous, report
@@ -125,7 +144,8 @@
         self._servers[report.server_id] = ServerRecord(
             report, received_ms, self._connected_ms - age_ms, content_sequence
         )
-        self._assign_address(report)
+        if self._may_have_address(report):
+            self._addresses.assign(report)
         if is_renewed and not was_hidden:
             self._renewed.add(report.server_id)
             return False
@@ -271,15 +291,17 @@
 
     def is_replaced(self, record: ServerRecord) -> bool:
         """Returns whether another server has since taken over the address."""
-        holder = self._holder(record.report.address)
-        return (
-            holder is not None and holder.server_id != record.report.server_id
-        )
+        holder = self._addresses.holder(record.report.address)
+        return holder not in (None, record.report.server_id)
+
+    def is_leaving(self, record: ServerRecord) -> bool:
+        """Returns whether a server has announced to leave, or is replaced."""
+        is_staying = record.report.state is model.ServerState.READY
+        return not is_staying or self.is_replaced(record)
 
     def is_ready(self, record: ServerRecord) -> bool:
         """Returns whether a server may receive new requests."""
-        is_ready = record.report.state is model.ServerState.READY
-        return is_ready and not self.is_unreachable(record)
+        return not (self.is_leaving(record) or self.is_unreachable(record))
 
     def ready(self, service: model.ServiceName) -> Iterator[ServerRecord]:
         """Yields the servers of a service that may receive new requests."""
@@ -389,30 +411,28 @@
             previous = record.report
             order = (report.born_ms, report.sequence)
             return order <= (previous.born_ms, previous.sequence)
-        holder = self._holder(report.address)
-        # The address was reassigned to a server that started later.
-        return holder is not None and holder.born_ms > report.born_ms
-
-    def _holder(self, address: str) -> model.ServerReport | None:
-        server_id = self._by_address.get(address)
-        return None if server_id is None else self._servers[server_id].report
+        # The address may be that of a server that started later.
+        return not self._may_have_address(report)
+
+    def _may_have_address(self, report: model.ServerReport) -> bool:
+        """Returns whether a server gets the address that it reports."""
+        server_id = self._addresses.holder(report.address)
+        holder = None if server_id is None else self._servers[server_id]
+        if holder is None or server_id == report.server_id:
+            return True
+        return self._addresses.may_assign(
+            report,
+            holder.report,
+            self._connected_ms,
+            is_holder_unreachable=self.is_unreachable(holder),
+        )
 
     def _release_address(self, server_id: model.BackendServerId) -> None:
         """Forgets the address at which a server was last reported."""
         record = self._servers.get(server_id)
         if record is None:
             return
-        address = record.report.address
-        if self._by_address.get(address) == server_id:
-            del self._by_address[address]
-
-    def _assign_address(self, report: model.ServerReport) -> None:
-        holder = self._holder(report.address)
-        if holder is not None and holder.server_id != report.server_id:
-            if holder.born_ms > report.born_ms:
-                return
-            self.deregister(holder.server_id, None, self._advanced_ms or 0)
-        self._by_address[report.address] = report.server_id
+        self._addresses.release(record.report)
 
 
 def _announces_leaving(
--- a/lagooncrank/core/fleet/tests/test_hidden_servers.py
+++ b/lagooncrank/core/fleet/tests/test_hidden_servers.py
@@ -288,3 +288,57 @@
     simulated.table.put(taker, simulated.now_ms)
     simulated.pass_time(10 * REPORT_INTERVAL_MS)
     assert simulated.is_ready
+
+
+def fleet_with_taken_address() -> Fleet:
+    """Returns a table in which another id has the server's address."""
+    simulated = Fleet()
+    simulated.pass_time(2 * REPORT_INTERVAL_MS)
+    taker = test_servers.report(server_id="x", born_ms=200)
+    simulated.table.put(taker, simulated.now_ms)
+    return simulated
+
+
+def test_server_whose_address_was_taken_gets_nothing_meanwhile() -> None:
+    simulated = fleet_with_taken_address()
+    simulated.not_ready_ms.clear()
+    simulated.pass_time(simulated.now_ms + UNREACHABLE_AFTER_MS)
+    assert len(simulated.not_ready_ms) * TICK_MS == UNREACHABLE_AFTER_MS
+
+
+# Guards against: late reports of a server that has ended, which come together,
+# give it back the address of one that is lost for a while.
+def test_late_reports_that_come_together_take_no_address_back() -> None:
+    simulated = fleet_with_taken_address()
+    table = simulated.table
+    for _ in range(2 * UNREACHABLE_AFTER_MS // TICK_MS):
+        simulated.now_ms += TICK_MS
+        table.advance_clock(simulated.now_ms, is_connected=True)
+    for sequence in (3, 4, 5):
+        table.put(test_servers.report(sequence=sequence), simulated.now_ms)
+    assert not simulated.is_ready
+
+
+# Guards against: a node that learns of both servers at once, as after a
+# restart, never heard the one whose address another writer had stated.
+def test_node_that_starts_later_hears_the_server_again() -> None:
+    simulated = fleet_with_taken_address()
+    simulated.pass_time(simulated.now_ms + 2 * REPORT_INTERVAL_MS)
+    taker = simulated.table.get(model.BackendServerId("x"))
+    assert taker is not None
+    later = Fleet()
+    later.sequence = simulated.sequence
+    later.table.put(taker.report, 0)
+    later.pass_time(10 * REPORT_INTERVAL_MS)
+    assert later.is_ready
+
+
+# Guards against: that an address was taken over is remembered like a departure,
+# also by nodes to which it is passed on.
+def test_taken_address_is_no_departure() -> None:
+    simulated = fleet_with_taken_address()
+    simulated.pass_time(simulated.now_ms + REPORT_INTERVAL_MS)
+    assert simulated.table.departures.all() == ()
+    found = simulated.table.snapshot(simulated.now_ms)
+    states = {aged.report.state for aged in found.reports}
+    assert states == {model.ServerState.READY}
--- a/lagooncrank/core/groups/_evidence.py
+++ b/lagooncrank/core/groups/_evidence.py
@@ -27,7 +27,7 @@
     if record is None:
         return None
     version = fleet.ReportVersion.of(record.report)
-    is_leaving = record.report.state is not model.ServerState.READY
+    is_leaving = table.is_leaving(record)
     if is_leaving and record.report.born_ms == member.born_ms:
         return record
     based_on = fleet.ReportVersion(member.born_ms, member.report_sequence)
--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -287,7 +287,7 @@
             return f"member {member.server_id} is unknown"
         if record.report.born_ms != member.born_ms:
             return f"member {member.server_id} has restarted"
-        if record.report.state is not model.ServerState.READY:
+        if table.is_leaving(record):
             return f"member {member.server_id} is leaving"
         if table.is_lost(record) and not allow_unreachable:
             return f"member {member.server_id} is unreachable"
--- a/lagooncrank/core/groups/_serving.py
+++ b/lagooncrank/core/groups/_serving.py
@@ -46,7 +46,7 @@
             return False
         # Only the leader acts on missing reports: this entry may still reach
         # a server whose reports do not arrive.
-        if record.report.state is not model.ServerState.READY:
+        if table.is_leaving(record):
             return False
         membership = record.report.membership
         if membership is None or membership.epoch != group.epoch:
