--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -95,3 +95,34 @@
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(SILENCE_S):
                 await connection[0].read(1)
+
+
+# Guards against: a silent server does not read what its clients gave up, unlike
+# a process that a signal has stopped.
+async def test_held_server_reads_later_what_was_given_up() -> None:
+    received = asyncio.Event()
+
+    async def listen(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if await reader.read(100) == b"given up":
+            received.set()
+        writer.close()
+
+    ports = local_cluster.free_ports(2)
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    proxy = _proxy.Proxy(*addresses)
+    async with stream_servers.running(listen, ports[1]):
+        await proxy.start()
+        proxy.hold()
+        _, writer = await connect(proxy, CLIENT)
+        writer.write(b"given up")
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+        await asyncio.sleep(SILENCE_S)
+        assert not received.is_set()
+        await proxy.release()
+        async with asyncio.timeout(TIMEOUT_S):
+            await received.wait()
+            await proxy.stop()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -116,3 +116,20 @@
     report = await _run.run_seed(config, tmp_path)
     assert not report.violations
     assert report.served
+
+
+# Guards against: requests that an entry gave up at servers that were silent
+# for a second reached others unpaid, or more often than allowed.
+async def test_repeats_beside_silent_services_are_paid_for(
+    tmp_path: pathlib.Path,
+) -> None:
+    config = _run.SeedConfig(
+        1,
+        PLANNED_DURATION_S,
+        entries=3,
+        kinds=("hush",),
+        max_interval_s=MAX_INTERVAL_S,
+    )
+    report = await _run.run_seed(config, tmp_path)
+    assert not report.violations
+    assert report.served
