--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -110,8 +110,8 @@
         writer.close()
 
     ports = local_cluster.free_ports(2)
-    addresses = [f"127.0.0.1:{port}" for port in ports]
-    proxy = _proxy.Proxy(*addresses)
+    listen_address, target_address = (f"127.0.0.1:{p}" for p in ports)
+    proxy = _proxy.Proxy(listen_address, target_address)
     async with stream_servers.running(listen, ports[1]):
         await proxy.start()
         proxy.hold()
