--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -201,11 +201,14 @@
             finally:
                 backend_response.close()
                 self._forwarder.close(exchange, target)
-            if exchange.delegated_by is not None and exchange.notice_token:
-                yield _run_notices.encode(
-                    exchange.notice_token, exchange.possible_runs + 1
-                )
-            target, backend_response = await self._resume(exchange, first)
+            if notice := _run_notices.notice(exchange, further_runs=1):
+                yield notice
+            try:
+                target, backend_response = await self._resume(exchange, first)
+            except _refusals.ForwardingError:
+                if notice := _run_notices.notice(exchange, further_runs=0):
+                    yield notice
+                raise
 
     async def _resume(
         self, exchange: _exchange.Exchange, first: _attempt.BackendResponse
--- a/lagooncrank/server/seeded/_run_notices.py
+++ b/lagooncrank/server/seeded/_run_notices.py
@@ -2,9 +2,10 @@
 
 The head of the stream states the runs until then. Before the entry that serves
 the request resumes the stream at another backend server, it tells the entry
-that delegated it, which may have to resume the stream itself. A notice is a
-comment of the event stream. It begins with a token that only the two entries
-know, so that no comment of a backend server is taken for one.
+that delegated it, which may have to resume the stream itself; the newest notice
+counts. A notice is a comment of the event stream. It begins with a token that
+only the two entries know, so that no comment of a backend server is taken for
+one.
 """
 
 from collections.abc import Iterable
@@ -14,12 +15,23 @@
 from lagooncrank.server.seeded import _exchange
 
 
-def encode(token: str, possible_runs: int) -> bytes:
-    r"""Returns a notice.
+def notice(exchange: _exchange.Exchange, *, further_runs: int) -> bytes:
+    """Returns a notice about a request, for the entry that delegated it.
 
     Args:
-        token: Token of the delegation.
-        possible_runs: Runs that may have begun, with the one that is next.
+        exchange: The request.
+        further_runs: Runs that begin now.
+
+    Returns:
+        Nothing if no other entry reads notices.
+    """
+    if exchange.delegated_by is None or not exchange.notice_token:
+        return b""
+    return encode(exchange.notice_token, exchange.possible_runs + further_runs)
+
+
+def encode(token: str, possible_runs: int) -> bytes:
+    r"""Returns a notice with the number of runs that may have begun.
 
     >>> encode("t0", 2)
     b': t0 2\n\n'
@@ -40,6 +52,6 @@
     for event in events:
         runs = event.raw.removeprefix(prefix).strip()
         if event.raw.startswith(prefix) and runs.isdigit():
-            exchange.delegated_runs = max(exchange.delegated_runs, int(runs))
+            exchange.delegated_runs = int(runs)
         else:
             yield event
