Soak: mend its own tests, and judge stops of builds that plan none apart

A cut in a stop of a build without the plan is counted apart and shown; the build at hand, and all other losses of earlier ones, are judged as before, with a test for both.

--- a/soak/_builds.py
+++ b/soak/_builds.py
@@ -16,6 +16,8 @@
 PROGRAM: Final = pathlib.Path("platform") / "run.py"
 #: Where a build declares the fields of its settings.
 SETTINGS_MODULE: Final = pathlib.Path("lagooncrank/settings/_seeded.py")
+#: Part of the builds that plan their stops.
+STOP_PLAN_MODULE: Final = pathlib.Path("lagooncrank/core/drain/_stop_plan.py")
 SETTINGS_CLASS: Final = "SeededSettings"
 #: Name of the build at hand in reports.
 CURRENT_NAME: Final = "current"
@@ -59,6 +61,11 @@
         """Path of the program that a node runs."""
         return self.root / PROGRAM
 
+    @property
+    def plans_stops(self) -> bool:
+        """Whether it takes late in a stop only what ends before the cut."""
+        return (self.root / STOP_PLAN_MODULE).exists()
+
     def settings(self, content: dict[str, Any]) -> dict[str, Any]:
         """Returns those settings that this build knows."""
         return {k: v for k, v in content.items() if k in self.settings_fields}
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -146,7 +146,9 @@
         """Returns how much there was to judge."""
         return (
             f"{self.account.summary(charges)}, {self.deadlines.summary()}, "
-            f"{len(self.cuts)} cut requests, repeats {self.arrivals.repeats()},"
+            f"{len(self.cuts)} cut requests, "
+            f"{self.planned_work.known_cuts} in stops of older builds, "
+            f"repeats {self.arrivals.repeats()},"
             f" {self.probes} probes of which {self.probes_in_touch} in touch"
         )
 
--- a/soak/_documents.py
+++ b/soak/_documents.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import copy
 import dataclasses
 import enum
@@ -155,11 +156,14 @@
 
     def _change_timeouts(self, content: Content) -> Content:
         if self._random.random() < 0.5:
-            timeout_ms = self._random.choice(TIMEOUTS_MS)
+            timeout_ms = self._other(TIMEOUTS_MS, content.timeout_ms)
             return dataclasses.replace(content, timeout_ms=timeout_ms)
-        idle_ms = self._random.choice(IDLE_TIMEOUTS_MS)
+        idle_ms = self._other(IDLE_TIMEOUTS_MS, content.idle_timeout_ms)
         return dataclasses.replace(content, idle_timeout_ms=idle_ms)
 
+    def _other(self, values: Sequence[int], current: int) -> int:
+        return self._random.choice([v for v in values if v != current])
+
     def _change(self, names: frozenset[str]) -> frozenset[str]:
         if names and (len(names) > MAX_ADDED or self._random.random() < 0.5):
             return names - {self._random.choice(sorted(names))}
--- a/soak/_lost.py
+++ b/soak/_lost.py
@@ -70,10 +70,29 @@
         self._starts: dict[str, list[tuple[float, str]]] = (
             collections.defaultdict(list)
         )
+        self._builds_without_plans: set[str] = set()
+        self._known_cuts = 0
 
-    def record_start(self, entry: str, build: str, now_s: float) -> None:
-        """Records the start of a process."""
+    def record_start(
+        self, entry: str, build: str, now_s: float, *, plans_stops: bool = True
+    ) -> None:
+        """Records the start of a process.
+
+        Args:
+            entry: Its node.
+            build: Its build.
+            now_s: Current time.
+            plans_stops: Whether the build takes late in a stop only what ends
+                before the cut; those before bb1747a cut such requests.
+        """
         self._starts[entry].append((now_s, build))
+        if not plans_stops:
+            self._builds_without_plans.add(build)
+
+    @property
+    def known_cuts(self) -> int:
+        """Requests that stops of builds cut that are known to do so."""
+        return self._known_cuts
 
     def record_stop(self, entry: str, now_s: float) -> None:
         """Records a stop signal."""
@@ -99,7 +118,11 @@
         counted = [c for c in cuts if self._counts(c)]
         others = []
         for cut in counted:
-            if stop_s := self._stop_of(cut):
+            stop_s = self._stop_of(cut)
+            build = self._build_at(cut.entry, cut.ended_s)
+            if stop_s and build in self._builds_without_plans:
+                self._known_cuts += 1
+            elif stop_s:
                 yield self._describe(cut, f"stop at {stop_s:.2f}")
             elif self._is_beside_reload(cut):
                 yield self._describe(cut, "reload")
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -166,22 +166,33 @@
         # A build finds its own modules only.
         environment.pop("PYTHONPATH", None)
         with self._log_file.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(self.build.program),
-                stdout=log,
-                stderr=log,
-                env=environment,
+            self.adopt(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    str(self.build.program),
+                    stdout=log,
+                    stderr=log,
+                    env=environment,
+                )
             )
-        self._pidfd = _open_pidfd(self._process.pid, self._pidfd)
         self._checks.planned_work.record_start(
-            self.ip, self.build.name, self._checks.now_s()
+            self.ip,
+            self.build.name,
+            self._checks.now_s(),
+            plans_stops=self.build.plans_stops,
         )
         await self._wait_until_listening()
         self._watch.end("down", "killed", "stopped", "frozen")
         if self._guard is None:
             self._guard = asyncio.create_task(self._restart_if_ended())
 
+    def adopt(self, process: asyncio.subprocess.Process) -> None:
+        """Makes a child process that has just started this node's."""
+        if self._pidfd != NO_PIDFD:
+            os.close(self._pidfd)
+        self._process = process
+        self._pidfd = os.pidfd_open(process.pid)
+
     async def _restart_if_ended(self) -> None:
         """Reports a process that ends by itself and starts it again."""
         while True:
@@ -326,13 +337,6 @@
         temporary.replace(self._settings_file)
 
 
-def _open_pidfd(pid: int, previous: int) -> int:
-    """Returns a descriptor of a child process, in place of the previous one."""
-    if previous != NO_PIDFD:
-        os.close(previous)
-    return os.pidfd_open(pid)
-
-
 def _reload_action(pid: int) -> str:
     """Returns what a process does on a signal to reload its settings.
 
--- a/soak/tests/test_builds.py
+++ b/soak/tests/test_builds.py
@@ -29,4 +29,6 @@
     earlier = await _builds.export(EARLIER, tmp_path)
     content = {"role": "entry", "delegation_port": 1}
     assert earlier.settings(content) == {"role": "entry"}
+    assert not earlier.plans_stops
+    assert _builds.Build.current().plans_stops
     assert _builds.Build.current().settings(content) == content
--- a/soak/tests/test_lost.py
+++ b/soak/tests/test_lost.py
@@ -102,6 +102,22 @@
     assert not [f for f in found if "change" in f]
 
 
+# Guards against: a run that starts on an earlier build fails by the fault of
+# that build alone, or one of the build at hand passes with it.
+@pytest.mark.parametrize(("plans_stops", "known"), [(True, 0), (False, 1)])
+def test_cuts_by_stops_of_builds_that_plan_none_are_known(
+    plans_stops: bool, known: int
+) -> None:
+    work = _lost.PlannedWork(
+        _disturbances.Disturbances(["c1"]), _lost.LossRules()
+    )
+    work.record_start("e1", "older", 10.0, plans_stops=plans_stops)
+    work.record_stop("e1", 95.0)
+    found = list(work.violations([CUT], [], 120.0))
+    assert len(found) == 1 - known
+    assert work.known_cuts == known
+
+
 # Guards against: a report that does not tell whether an earlier build, with
 # faults that are mended since, cut the request.
 def test_lost_request_is_reported_with_the_build_of_its_entry() -> None:
