--- a/lagooncrank/core/fleet/_addresses.py
+++ b/lagooncrank/core/fleet/_addresses.py
@@ -5,14 +5,8 @@
 gets it back if it reports on while the other does not.
 """
 
-from typing import Final
-
 from lagooncrank import model
-
-#: Fraction of the time until a server counts as unreachable over which the
-#: reports of a server must be spread that takes its address back. Late reports
-#: often arrive together.
-MIN_SPREAD_FRACTION: Final = 0.25
+from lagooncrank.core.fleet import _challenges
 
 
 class AddressHolders:
@@ -22,7 +16,7 @@
     """
 
     def __init__(self, unreachable_after_ms: int) -> None:
-        self._min_spread_ms = int(unreachable_after_ms * MIN_SPREAD_FRACTION)
+        self._min_spread_ms = _challenges.min_spread_ms(unreachable_after_ms)
         self._holders: dict[str, model.BackendServerId] = {}
         #: When servers first reported after the holder of their address, which
         #: started later, had become unreachable.
--- a/lagooncrank/core/fleet/_challenges.py
+++ b/lagooncrank/core/fleet/_challenges.py
@@ -56,7 +56,7 @@
 
     def __init__(self, unreachable_after_ms: int) -> None:
         self._unreachable_after_ms = unreachable_after_ms
-        self._min_spread_ms = int(unreachable_after_ms * MIN_SPREAD_FRACTION)
+        self._min_spread_ms = min_spread_ms(unreachable_after_ms)
         self._challenges: dict[model.BackendServerId, _Challenge] = {}
         self._superseded: dict[model.BackendServerId, ReportVersion] = {}
 
@@ -119,6 +119,11 @@
         return is_unreachable and lasts_ms >= self._unreachable_after_ms
 
 
+def min_spread_ms(unreachable_after_ms: int) -> int:
+    """Returns over how long reports must be spread that are not merely late."""
+    return int(unreachable_after_ms * MIN_SPREAD_FRACTION)
+
+
 def is_beyond_lateness(recorded: ReportVersion, found: ReportVersion) -> bool:
     """Returns whether a process cannot have sent both versions so shortly.
 
