Log and count how late the event loop is, and whether a departed caller's request was sent

Entries expose the process-wide metrics too, as control nodes did: the counter of failed steps was missing there.

No change of behaviour.

--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -201,10 +201,17 @@
         "caller_left",
         "The caller closed its connection.",
         "request",
+        "sent",
+        "lag_ms",
         "queued_ms",
         "tried",
         "age_ms",
     )
+    LOOP_LATE = (
+        "loop_late",
+        "The process did not look at its connections for this long.",
+        "lag_ms",
+    )
     DOCUMENT = (
         "document_in_force",
         "The node applies a document from now on.",
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -60,6 +60,7 @@
             AttemptFailedError: No response for the caller arrived.
             ForwardingError: Another entry refused the request.
         """
+        exchange.was_sent = True
         if target.is_entry:
             return await self._start_delegation(exchange, target)
         self._view.loads.begin(target.server_id)
--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -16,6 +16,7 @@
 from lagooncrank.server.seeded import _caller_connections
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
+from lagooncrank.server.seeded import _departures
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
@@ -44,6 +45,7 @@
         retry_budget: dispatch.SharedRetryBudget,
         response_relay: _response_relay.ResponseRelay,
         stop_gate: _stop_gate.StopGate,
+        departures: _departures.Departures,
         metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
@@ -56,6 +58,7 @@
         self._retry_budget = retry_budget
         self._response_relay = response_relay
         self._stop_gate = stop_gate
+        self._departures = departures
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -223,9 +226,8 @@
 
     def _log_cancelled(self, exchange: _exchange.Exchange) -> None:
         """Logs who ended a request: its caller, or the stop of this entry."""
-        fields = exchange.log_fields(self._clock)
         if not self._connections.is_stopped:
-            self._log.write(decisions.Event.CALLER_LEFT, **fields)
+            self._departures.record(exchange)
             return
         code = results.ResultCode.STOPPING
         self._metrics.count_refusal(code)
@@ -234,7 +236,7 @@
             code=code.name,
             reason="the stop of this entry did not wait any longer",
             last_event_id=exchange.last_event_id,
-            **fields,
+            **exchange.log_fields(self._clock),
         )
 
     def _log_refusal(
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -16,6 +16,7 @@
 from lagooncrank.server.seeded import _crash_guard
 from lagooncrank.server.seeded import _delegation_server
 from lagooncrank.server.seeded import _delegator
+from lagooncrank.server.seeded import _departures
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _node
@@ -100,9 +101,13 @@
             self.decision_log,
         )
         self._forwarder = _forwarding.Forwarder(parts)
+        departures = _departures.Departures(
+            self.loop_watch, self.metrics, clock, self.decision_log
+        )
         response_relay = _response_relay.ResponseRelay(
             self._forwarder,
             self._stop_gate,
+            departures,
             self.metrics,
             clock,
             self.decision_log,
@@ -119,6 +124,7 @@
             retry_budget,
             response_relay,
             self._stop_gate,
+            departures,
             self.metrics,
             clock,
             self.decision_log,
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -41,6 +41,13 @@
             ("reason",),
             registry=self.registry,
         )
+        self._departures = prometheus_client.Counter(
+            "lagooncrank_callers_left",
+            "Callers that closed their connection before their response was "
+            "complete, by whether their request had been sent on.",
+            ("sent",),
+            registry=self.registry,
+        )
         self._first_byte_s = prometheus_client.Histogram(
             "lagooncrank_first_byte_seconds",
             "Time from arrival to the first event or the whole answer.",
@@ -83,6 +90,10 @@
         """Counts an attempt that yielded no response."""
         self._failures.labels(reason).inc()
 
+    def count_departure(self, *, was_sent: bool) -> None:
+        """Counts a caller that left before its response was complete."""
+        self._departures.labels(str(was_sent).lower()).inc()
+
     def count_hold(self, reason: str) -> None:
         """Counts a server that wants no new requests."""
         self._holds.labels(reason).inc()
@@ -94,5 +105,6 @@
         self._first_byte_s.labels(service).observe(first_ms / 1_000)
 
     def exposition(self) -> bytes:
-        """Returns the metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self.registry)
+        """Returns these and the process-wide metrics in Prometheus format."""
+        shared = prometheus_client.generate_latest(prometheus_client.REGISTRY)
+        return shared + prometheus_client.generate_latest(self.registry)
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -48,6 +48,8 @@
     is_trial: bool = False
     #: Whether the retry budget has been charged for the next attempt.
     has_reserved_retry: bool = False
+    #: Whether the request was sent to a backend server or to another entry.
+    was_sent: bool = False
     #: Whether a backend server may have received the request.
     has_arrived: bool = False
     #: Entry that delegated the request to this one; None for a caller's own.
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -25,6 +25,7 @@
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _loop_watch
 from lagooncrank.server.seeded import _retained_state
 from lagooncrank.server.seeded import _server_limits
 
@@ -65,6 +66,7 @@
         self.decision_log = _decision_log.DecisionLog(
             sys.stdout.fileno(), clock, node_settings.node_id
         )
+        self.loop_watch = _loop_watch.LoopWatch(clock, self.decision_log)
         self.links = peer_links.Links(
             node_settings.node_id,
             {
@@ -124,6 +126,7 @@
         """Starts the components, each after those that it depends on."""
         for component in (
             self.decision_log,
+            self.loop_watch,
             self.links,
             self.shared,
             self.view,
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -20,6 +20,7 @@
 from lagooncrank.server.seeded import _body_reader
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
+from lagooncrank.server.seeded import _departures
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _event_sequence
 from lagooncrank.server.seeded import _events
@@ -44,12 +45,14 @@
         self,
         forwarder: _forwarding.Forwarder,
         stop_gate: _stop_gate.StopGate,
+        departures: _departures.Departures,
         metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
     ) -> None:
         self._forwarder = forwarder
         self._stop_gate = stop_gate
+        self._departures = departures
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -154,10 +157,7 @@
             self._abort(request, exchange, error)
             return response
         except ConnectionError:
-            self._log.write(
-                decisions.Event.CALLER_LEFT,
-                **exchange.log_fields(self._clock),
-            )
+            self._departures.record(exchange)
             return response
         finally:
             await chunks.aclose()
