Keep known servers while the followed control node has no quorum

What callers saw: lookups and bookings refused (503, NO_BACKEND_SERVER) from 2.75 report intervals after the control nodes had lost their quorum, though every server ran; streams to groups were served on for 60 s, then refused as well.

Cause: control nodes without a quorum refuse reports, and do not count that time as silence of the servers. Entries that follow them did: they had a link, so they counted. After RETAIN_MS the records were evicted, with the addresses of the groups.

Why this works: an entry counts only the time in which it is linked to a control node that has had recent contact with a quorum, which every poll tells it. A server that dies meanwhile fails at the connection, and the request goes to another. The log names which of the two is missing.

--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -52,6 +52,10 @@
 _SUMMARY: Final = "fleet-summary"
 _WANTED: Final = "reports-wanted"
 
+#: Names of dependencies in the log.
+_CONTROL_NODES: Final = "control nodes"
+_QUORUM: Final = "quorum"
+
 
 class FleetView(mode.Service):  # type: ignore[misc, unused-ignore]
     """Tracks backend servers and nodes, and publishes this node's state."""
@@ -108,7 +112,7 @@
         self._synced_followers: frozenset[model.NodeId] = frozenset()
         self._sequence = 0
         self._notice_sent_ms = 0
-        self._is_connected = True
+        self._missing = ""
         links.on_message(_REPORTS, fleet.ReportBatch, self._on_reports)
         links.on_message(_NOTICES, fleet.NodeNotices, self._on_notices)
         links.on_message(_WANTED, fleet.ReportsWanted, self._on_wanted)
@@ -287,25 +291,32 @@
     def _update_connectivity(self, now_ms: int) -> None:
         """Counts the time for which this node receives server reports.
 
-        A control node without a quorum refuses reports, so missing reports
-        do not make a server unreachable during that time.
+        Control nodes without a quorum refuse reports, so missing reports do not
+        make a server unreachable during that time, here or on an entry that
+        follows such a node.
         """
-        if self.is_control:
-            is_connected = self._shared.has_quorum
-            dependency = "quorum"
-        else:
-            is_connected = self._shared.upstream in self._links.connected()
-            dependency = "control nodes"
-        if is_connected is not self._is_connected:
-            event = decisions.Event.LOST
-            if is_connected:
-                event = decisions.Event.REGAINED
-            self._log.write(event, dependency=dependency)
-        self._is_connected = is_connected
-        if not is_connected:
+        missing = self._missing_dependency()
+        if missing != self._missing:
+            self._log_dependency(decisions.Event.REGAINED, self._missing)
+            self._log_dependency(decisions.Event.LOST, missing)
+        self._missing = missing
+        if missing == _CONTROL_NODES:
             # The last totals of the other entries are outdated.
             self.loads.set_fleet_totals({})
-        self.table.advance_clock(now_ms, is_connected=is_connected)
+        self.table.advance_clock(now_ms, is_connected=not missing)
+
+    def _missing_dependency(self) -> str:
+        """Returns what this node lacks to receive reports; empty if nothing."""
+        is_linked = (
+            self.is_control or self._shared.upstream in self._links.connected()
+        )
+        if not is_linked:
+            return _CONTROL_NODES
+        return "" if self._shared.has_quorum else _QUORUM
+
+    def _log_dependency(self, event: decisions.Event, dependency: str) -> None:
+        if dependency:
+            self._log.write(event, dependency=dependency)
 
     def _publish_changes(self) -> None:
         self._forward_updates(self._clock.now_ms())
