Send nothing on for a caller that has closed its connection

What servers saw (GONE): requests, bookings too, of callers that had left a second before.

Cause: the entry learned of a caller's end from the cancellation of the request's task. The event loop reads the end of a connection a step after the bytes before it; a request on an idle connection to a server is written in the step in between. The longer a turn of the loop (little processor time, many callers at once), the more of them. Behind further bytes the end showed later still.

Why this works: the kernel is asked (POLLRDHUP) in the step in which a request is sent, on the first attempt, a retry, a resumption, a granted slot or a delegation, before anything is charged or taken; once more if a connection had to be opened. A delegating entry is a caller like others. A caller that closed only its sending side counts as gone, as before: asyncio closes its connection at that end.

Ruled out: a lost cancellation (caller_left was written for all of them).

--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -249,7 +249,7 @@
         body: bytes,
         *,
         added_headers: _adapter.Headers = (),
-        observer: _connection_traces.ConnectionObserver | None = None,
+        context: _connection_traces.SendContext | None = None,
     ) -> BackendResponse:
         """Sends a request and waits for the head of its response.
 
@@ -259,7 +259,8 @@
             metadata: Metadata that the codec encodes as headers.
             body: Body of the request.
             added_headers: Further headers.
-            observer: Is told whether a connection is opened for the request.
+            context: Is told whether a connection is opened for the request;
+                may prevent that it is sent then.
 
         Raises:
             AttemptFailedError: No valid response to this request arrived.
@@ -277,7 +278,7 @@
                 ),
                 data=body or None,
                 allow_redirects=False,
-                trace_request_ctx=observer,
+                trace_request_ctx=context,
             )
         except (
             aiohttp.ClientConnectorError,
--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -47,6 +47,7 @@
 
         Raises:
             ForwardingError: There is none, or the request must not be retried.
+            CallerLeftError: The caller has left.
         """
         entry = self._choose_entry(exchange, last_error)
         if entry is None:
@@ -54,8 +55,12 @@
             await self._wait_for_admission(exchange, last_error)
             # The path to the servers may have been lost during the wait.
             entry = self._choose_entry(exchange, last_error)
+        # Nothing is charged, and no slot is taken, for a caller that has left.
+        exchange.check_caller()
         if entry is None:
             return self._next_server(exchange, last_error)
+        if exchange.has_arrived:
+            self._record_retry(exchange, entry, last_error)
         return entry
 
     def _choose_entry(
@@ -73,8 +78,6 @@
             raise _refusals.ForwardingError(
                 _refusals.unreached_refusal(exchange, last_error)
             )
-        if entry is not None and exchange.has_arrived:
-            self._record_retry(exchange, entry, last_error)
         return entry
 
     async def _wait_for_admission(
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -13,6 +13,7 @@
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
+from lagooncrank.server.seeded import _connection_traces
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _next_attempt
 from lagooncrank.server.seeded import _response_waits
@@ -59,6 +60,7 @@
         Raises:
             AttemptFailedError: No response for the caller arrived.
             ForwardingError: Another entry refused the request.
+            CallerLeftError: The caller has left; nothing was sent.
         """
         exchange.was_sent = True
         if target.is_entry:
@@ -160,7 +162,9 @@
                         exchange.request_head,
                         metadata,
                         exchange.body,
-                        observer=observer,
+                        context=_connection_traces.SendContext(
+                            observer, exchange.check_caller
+                        ),
                     )
         except TimeoutError as error:
             failure = _attempt.AttemptFailedError(
--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -86,12 +86,19 @@
         self, request: web.BaseRequest, exchange: _exchange.Exchange
     ) -> web.StreamResponse:
         """Forwards an admitted request and returns its response."""
+        exchange.connection = request.transport
         try:
             return await self._response_relay.serve(
                 request, exchange, close_connection=self._connections.is_closing
             )
         except _refusals.ForwardingError as error:
             return self.refuse(exchange.request_head, error.refusal, exchange)
+        except _exchange.CallerLeftError:
+            self._departures.record(exchange)
+            if request.transport is not None:
+                request.transport.abort()
+            # Goes nowhere; the HTTP library wants a response.
+            return web.Response()
         except asyncio.CancelledError:
             self._log_cancelled(exchange)
             raise
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -15,6 +15,7 @@
 from lagooncrank.core import reach
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _connection_traces
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
 from lagooncrank.server.seeded import _exchange
@@ -121,6 +122,7 @@
             AttemptFailedError: No response arrived, or the entry does not
                 accept the request.
             ForwardingError: The other entry ended the request.
+            CallerLeftError: The caller has left; nothing was sent.
         """
         exchange.delegates.append(target.server_id)
         exchange.notice_token = secrets.token_hex(NOTICE_TOKEN_BYTES)
@@ -141,6 +143,9 @@
                 exchange.forwarding_metadata(target, self._clock),
                 exchange.body,
                 added_headers=((_delegated_request.REQUEST_HEADER, header),),
+                context=_connection_traces.SendContext(
+                    check_before_send=exchange.check_caller
+                ),
             )
         except _attempt.AttemptFailedError as error:
             self.record_failure(target, error)
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -1,5 +1,6 @@
 """One request of a caller, from its arrival to its end."""
 
+import asyncio
 import dataclasses
 import hashlib
 from typing import Any
@@ -9,11 +10,16 @@
 from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.core import holds
+from lagooncrank.server import _peer_presence
 from lagooncrank.server.seeded import _adapter
 
 CONTENT_DIGEST_BYTES: Final = 8
 
 
+class CallerLeftError(Exception):
+    """The caller has closed its connection; nobody waits for a response."""
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """State of a caller's request while it is served."""
@@ -28,6 +34,8 @@
     document_version: int
     account: model.AccountConfig | None = None
     body: bytes = b""
+    #: Connection of the caller, or of the entry that delegated the request.
+    connection: asyncio.BaseTransport | None = None
     #: Backend servers of all attempts, whatever their outcome.
     tried: list[str] = dataclasses.field(default_factory=list)
     #: Attempts in which a backend server may have run the request.
@@ -94,6 +102,15 @@
         """
         return self.first_event_ms is None or self.last_event_id is not None
 
+    def check_caller(self) -> None:
+        """Checks that somebody still waits for the response.
+
+        Raises:
+            CallerLeftError: The caller has closed its connection.
+        """
+        if _peer_presence.has_left(self.connection):
+            raise CallerLeftError
+
     def begin_run(self, now_ms: int) -> None:
         """Records that a backend server began to respond."""
         self.run_began_ms = now_ms
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -156,7 +156,7 @@
         except _refusals.ForwardingError as error:
             self._abort(request, exchange, error)
             return response
-        except ConnectionError:
+        except (ConnectionError, _exchange.CallerLeftError):
             self._departures.record(exchange)
             return response
         finally:
--- a/lagooncrank/server/seeded/tests/test_attempt.py
+++ b/lagooncrank/server/seeded/tests/test_attempt.py
@@ -9,6 +9,7 @@
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _connection_traces
 from lagooncrank.server.tests import raw_server
 
 SERVER = model.BackendServerId("s1")
@@ -59,3 +60,37 @@
     assert caught.value.failure is _attempt.FailureKind.RESPONSE_LOST
     assert caught.value.may_have_run
     assert server.requests == 1
+
+
+class GoneError(Exception):
+    """The caller has left."""
+
+
+# Guards against a request that is written although its caller left while the
+# connection for it was opened.
+async def test_request_is_not_written_once_its_caller_has_left() -> None:
+    server = raw_server.RawServer([], False)
+    client = _attempt.BackendClient(cast(Any, PlainCodec()))
+    await client.start()
+
+    def check_before_send() -> None:
+        raise GoneError
+
+    context = _connection_traces.SendContext(
+        check_before_send=check_before_send
+    )
+    try:
+        async with server.running() as address:
+            target = dispatch.Target(SERVER, address, SERVICE, DOMAIN, slots=1)
+            with pytest.raises(GoneError):
+                await client.open(
+                    target,
+                    request_head("POST"),
+                    METADATA,
+                    b"text",
+                    context=context,
+                )
+    finally:
+        await client.stop()
+    assert server.requests == 0
+    assert context.has_connected
