Drop the unsent rest of a request that was given up

What servers saw (GONE): a caller that leaves while its body is written to a server that reads slowly, or not at all for a second, had the rest of it sent; the server then held, and ran, a whole request that nobody waited for.

Cause: closing an asyncio transport sends what it has buffered first.

Evidence: test_body_is_not_sent_on_after_its_request_was_given_up failed before: the server got all of 64 MB after the request had been cancelled.

Why this works: a connection with unsent bytes is aborted when it closes, so that they are dropped; a request with unsent bytes has been given up in any case.

The page lists the delay of the event loop; its test imports the module that exports it (the test passed or failed by what had been imported before it).

--- a/lagooncrank/server/_bounded_http.py
+++ b/lagooncrank/server/_bounded_http.py
@@ -196,6 +196,17 @@
         self._tail_bytes = b""
         super().set_response_params(**params)
 
+    def close(self) -> None:
+        """Closes the connection; the rest of a request is not sent any more.
+
+        A transport that closes sends what it has buffered first, and a server
+        that reads slowly would get, and run, a request that was given up.
+        """
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size():
+            transport.abort()
+        super().close()
+
     def feed_data(self, data: _Message, size: int = 0) -> None:
         """Accepts a complete head."""
         if not self._awaits_head:
--- a/lagooncrank/server/seeded/tests/test_attempt.py
+++ b/lagooncrank/server/seeded/tests/test_attempt.py
@@ -1,7 +1,10 @@
 """Attempts at one backend server."""
 
+import asyncio
+import contextlib
 from typing import Any
 from typing import cast
+from typing import Final
 
 import pytest
 
@@ -15,6 +18,10 @@
 SERVER = model.BackendServerId("s1")
 SERVICE = model.ServiceName("desk")
 DOMAIN = model.FailureDomainId("a")
+#: More than the kernel buffers for a server that does not read.
+LARGE_BODY_BYTES: Final = 67_108_864
+#: Much longer than any step takes, so that only a fault exceeds it.
+TIMEOUT_S: Final = 30.0
 METADATA = _adapter.ForwardingMetadata(SERVER, 1_000, None, None, None)
 
 
@@ -94,3 +101,45 @@
         await client.stop()
     assert server.requests == 0
     assert context.has_connected
+
+
+# Guards against the rest of a body that a server gets after its request was
+# given up: it would run the whole request.
+async def test_body_is_not_sent_on_after_its_request_was_given_up() -> None:
+    received = bytearray()
+    has_connected = asyncio.Event()
+    may_read = asyncio.Event()
+    has_ended = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        has_connected.set()
+        await may_read.wait()
+        with contextlib.suppress(ConnectionError):
+            while chunk := await reader.read(65_536):
+                received.extend(chunk)
+        writer.close()
+        has_ended.set()
+
+    client = _attempt.BackendClient(cast(Any, PlainCodec()))
+    await client.start()
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0, limit=4_096)
+    host, port = listener.sockets[0].getsockname()
+    target = dispatch.Target(SERVER, f"{host}:{port}", SERVICE, DOMAIN, slots=1)
+    body = bytes(LARGE_BODY_BYTES)
+    sending = asyncio.create_task(
+        client.open(target, request_head("POST"), METADATA, body)
+    )
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            await has_connected.wait()
+            await asyncio.sleep(0.2)
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+            may_read.set()
+            await has_ended.wait()
+    finally:
+        listener.close()
+        await client.stop()
+    assert len(received) < LARGE_BODY_BYTES
--- a/lagooncrank/server/tests/test_operations_page.py
+++ b/lagooncrank/server/tests/test_operations_page.py
@@ -8,6 +8,7 @@
 from lagooncrank import results
 from lagooncrank.server import _main
 from lagooncrank.server import _metrics
+from lagooncrank.server.seeded import _loop_watch
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 
@@ -15,8 +16,10 @@
 def metric_names() -> set[str]:
     families = [
         *_metrics.Metrics().registry.collect(),
+        # Only modules that are imported export their metrics there.
         *prometheus_client.REGISTRY.collect(),
     ]
+    assert _loop_watch.LoopWatch
     return {
         f"{family.name}_total" if family.type == "counter" else family.name
         for family in families
