Take little from the kernel at a time from connections to servers

What callers would see: an entry of 200 MB that ends because many servers send bytes without end, and all requests with it. Each response was bounded; what many of them hold beside the accounted bytes was not.

Cause: a read of the event loop takes up to 256 KiB, and a body pauses its connection above 128 KiB; in chunks of 16 bytes that is several times as much in objects. A body grew in one block, whose old copies stayed in the heap.

Why this works: a connection reads at most 16 KiB into a buffer that all share, and pauses above 16 KiB; what is whole stays as the chunks that arrived until its end.

--- a/lagooncrank/server/_bounded_http.py
+++ b/lagooncrank/server/_bounded_http.py
@@ -20,6 +20,7 @@
 from aiohttp import http_parser
 from aiohttp import streams
 
+from lagooncrank.server import _bounded_reads
 from lagooncrank.server import _connection_end
 from lagooncrank.server import _idle_connections
 
@@ -35,8 +36,8 @@
 #: 20 bytes in a chunk of its own has 6; each chunk costs some microseconds.
 MAX_FRAMING_BYTES: Final = 524_288
 BODY_BYTES_PER_FRAMING_BYTE: Final = 4
-#: Buffered bytes of a body above which reading from its connection pauses.
-READ_BUFFER_BYTES: Final = 65_536
+#: Reading from a connection pauses above twice as many bytes of a body.
+READ_BUFFER_BYTES: Final = 8_192
 #: Bytes of a body that are processed in one turn of the event loop.
 TURN_BYTES: Final = 8_192
 _FIRST_FINAL_STATUS: Final = 200
@@ -150,7 +151,9 @@
         raise ResponseTooLargeError(f"the body exceeds {max_bytes} bytes")
 
 
-class _BoundedProtocol(client_proto.ResponseHandler):
+class _BoundedProtocol(
+    client_proto.ResponseHandler, _bounded_reads.BoundedReads
+):
     """Tells the bytes of each response from those around them."""
 
     def __init__(self, loop: Any) -> None:
--- a/lagooncrank/server/seeded/_body_reader.py
+++ b/lagooncrank/server/seeded/_body_reader.py
@@ -14,17 +14,19 @@
     Raises:
         AttemptFailedError: It ended early or exceeds a limit.
     """
-    body = bytearray()
+    chunks = []
+    size_bytes = 0
     max_bytes = _response_buffers.MAX_BODY_BYTES
     try:
         _bounded_http.check_length(backend_response.length, max_bytes)
         with buffers.open() as buffer:
             async for chunk in backend_response.body():
-                body += chunk
-                _bounded_http.check_length(len(body), max_bytes)
-                buffer.resize(len(body))
+                size_bytes += len(chunk)
+                _bounded_http.check_length(size_bytes, max_bytes)
+                buffer.resize(size_bytes)
+                chunks.append(chunk)
     except _bounded_http.ResponseTooLargeError as error:
         raise _attempt.AttemptFailedError(
             _attempt.FailureKind.TOO_LARGE, str(error)
         ) from error
-    return bytes(body)
+    return b"".join(chunks)
--- /dev/null
+++ b/lagooncrank/server/seeded/tests/endless_reader.py
@@ -0,0 +1,84 @@
+"""Process that reads many responses without end at once, and some sound ones.
+
+Arguments: the addresses of a server of endless and of one of sound responses,
+and the number of endless ones. Prints a JSON object: `served`, the number of
+sound requests that got their response, and `peak_mb`, the most memory used.
+"""
+
+import asyncio
+import contextlib
+import json
+import resource
+import sys
+from typing import Final
+
+from lagooncrank import model
+from lagooncrank.core import dispatch
+from lagooncrank.server import _response_buffers
+from lagooncrank.server.seeded import _adapter
+from lagooncrank.server.seeded import _attempt
+from lagooncrank.server.seeded import _body_reader
+from lagooncrank.server.seeded.tests import plain_codec
+
+SOUND_REQUESTS: Final = 20
+PAUSE_S: Final = 0.05
+SERVER_ID: Final = model.BackendServerId("s")
+REQUEST: Final = _adapter.RequestHead("a1", "GET", "/x", "h.example")
+
+
+async def read(
+    client: _attempt.BackendClient,
+    address: str,
+    buffers: _response_buffers.ResponseBuffers,
+) -> bytes:
+    """Returns the body of a response."""
+    target = dispatch.Target(
+        SERVER_ID,
+        address,
+        model.ServiceName("desk"),
+        model.FailureDomainId("a"),
+        4,
+    )
+    metadata = _adapter.ForwardingMetadata(SERVER_ID, 60_000)
+    response = await client.open(target, REQUEST, metadata, b"")
+    try:
+        return await _body_reader.read(response, buffers)
+    finally:
+        response.close()
+
+
+async def run(endless: str, sound: str, count: int) -> int:
+    """Returns how many sound requests were served beside the endless ones."""
+    client = _attempt.BackendClient(plain_codec.PlainCodec())
+    await client.start()
+    buffers = _response_buffers.ResponseBuffers()
+
+    async def read_endless() -> None:
+        with contextlib.suppress(_attempt.AttemptFailedError):
+            await read(client, endless, buffers)
+
+    async def read_sound() -> bool:
+        with contextlib.suppress(_attempt.AttemptFailedError):
+            return await read(client, sound, buffers) == b"done"
+        return False
+
+    # Its connection is kept for the later ones.
+    assert await read_sound()
+    readers = [asyncio.create_task(read_endless()) for _ in range(count)]
+    served = 0
+    for _ in range(SOUND_REQUESTS):
+        served += await read_sound()
+        await asyncio.sleep(PAUSE_S)
+    # The first that is ended shows that all that may be buffered is in use.
+    await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
+    for reader in readers:
+        reader.cancel()
+    await asyncio.gather(*readers, return_exceptions=True)
+    await client.stop()
+    return served
+
+
+if __name__ == "__main__":
+    served = asyncio.run(run(sys.argv[1], sys.argv[2], int(sys.argv[3])))
+    peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    sys.stdout.write(json.dumps({"served": served, "peak_mb": peak_kb / 1_024}))
--- a/lagooncrank/server/seeded/tests/test_endless_responses.py
+++ b/lagooncrank/server/seeded/tests/test_endless_responses.py
@@ -6,13 +6,13 @@
 import pytest
 
 from lagooncrank import model
-from lagooncrank import results
 from lagooncrank.core import dispatch
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _response_buffers
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _body_reader
+from lagooncrank.server.seeded.tests import plain_codec
 from lagooncrank.server.tests import endless_server
 
 #: Much longer than any step takes, so that only a fault exceeds it.
@@ -20,45 +20,9 @@
 REQUEST = _adapter.RequestHead("a1", "GET", "/x", "h.example")
 
 
-class PlainCodec:
-    """Knows only the attempt id and the signature."""
-
-    def decode_request(
-        self, method: str, target: str, headers: _adapter.Headers
-    ) -> _adapter.RequestHead:
-        return _adapter.RequestHead("", method, target, "")
-
-    def backend_request_headers(
-        self,
-        request_head: _adapter.RequestHead,
-        metadata: _adapter.ForwardingMetadata,
-    ) -> _adapter.Headers:
-        return (("Attempt-Id", request_head.attempt_id),)
-
-    def decode_response(
-        self, status: int, headers: _adapter.Headers
-    ) -> _adapter.ResponseHead:
-        fields = dict(headers)
-        return _adapter.ResponseHead(
-            status=status,
-            attempt_id=fields.get("Attempt-Id", ""),
-            is_signed="Server-Signature" in fields,
-            is_not_run=False,
-            is_encoded=False,
-            forwarded_headers=headers,
-        )
-
-    def refusal_headers(
-        self,
-        request_head: _adapter.RequestHead | None,
-        refusal: results.Refusal,
-    ) -> _adapter.Headers:
-        return ()
-
-
 @pytest.fixture
 async def client() -> AsyncIterator[_attempt.BackendClient]:
-    running = _attempt.BackendClient(PlainCodec())
+    running = _attempt.BackendClient(plain_codec.PlainCodec())
     await running.start()
     yield running
     await running.stop()
