Limit the bodies that an entry holds by its memory, until they are delivered

What callers would see: an entry that ends for want of memory, with the requests of all its callers. Bodies of requests had a limit each and none together (8 of 4 MB on 200 MB are a sixth of it, 50 are all). Responses were counted while they were read, not while a slow caller took them; the limit was 67 MB on any machine.

Why this works: bodies of requests, and those of responses, may each use a quarter of the process's memory (new setting memory_limit_mb, filled in by the provider). A body gets at most what all leave unused, so that some is left for the next one. A request that does not fit is refused as not run (MEMORY_SPENT, 503 with Retry-After) and its connection ends; a response counts until its caller has taken it. Connections of callers, too, read 16 KiB at a time.

Whether a response ends its connection is decided when it is written, as before, also for streams, which decided it when the request came.

Renamed: ResponseBuffers are a BufferBudget, as they hold requests too.

--- a/lagooncrank/results.py
+++ b/lagooncrank/results.py
@@ -58,6 +58,7 @@
     CANNOT_START_IN_TIME = 201, 429, "The request cannot start by its deadline."
     QUEUE_TIMEOUT = 202, 503, "The request was queued past its deadline."
     PREEMPTED = 203, 503, "Borrowed capacity was reclaimed."
+    MEMORY_SPENT = 204, 503, "The node has no memory left for the request."
 
     NO_SERVING_REPLICA = 300, 503, "The model service has no serving replica."
     NO_BACKEND_SERVER = 301, 503, "The service has no available backend server."
--- a/lagooncrank/server/_plain_client.py
+++ b/lagooncrank/server/_plain_client.py
@@ -9,13 +9,13 @@
 from lagooncrank.core import retry
 from lagooncrank.server import _attempts
 from lagooncrank.server import _bounded_http
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server import _connection_end
 from lagooncrank.server import _pools
 from lagooncrank.server import _request_targets
-from lagooncrank.server import _response_buffers
 
 #: Maximum body size of a response that an entry forwards.
-MAX_RESPONSE_BYTES = _response_buffers.MAX_BODY_BYTES
+MAX_RESPONSE_BYTES = _buffer_budget.MAX_BODY_BYTES
 
 #: Headers that apply to one connection only, or that the entry sets itself.
 HOP_BY_HOP_HEADERS = frozenset(
--- a/lagooncrank/server/seeded/_caller_connections.py
+++ b/lagooncrank/server/seeded/_caller_connections.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from lagooncrank.server import _bounded_reads
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _fleet_view
 
@@ -23,9 +24,24 @@
 #: longer than a request on a new connection takes to arrive.
 QUIET_S: Final = 0.1
 
+#: Reading from a connection pauses above twice as many bytes of a body.
+READ_BUFFER_BYTES: Final = 16_384
+
 RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+class _Protocol(web.RequestHandler, _bounded_reads.BoundedReads):
+    """Connection of a caller that is read a little at a time."""
+
+
+class _Server(web.Server):
+    """Server whose connections hold few bytes that are not handled yet."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return _Protocol(self, loop=self._loop, **self._kwargs)
+
+
 class CallerConnections:
     """Accepts connections, and ends them in a planned stop."""
 
@@ -54,7 +70,7 @@
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             return await self._track(request, handler)
 
-        server = web.Server(
+        server = _Server(
             handle,
             handler_cancellation=True,
             access_log=None,
@@ -63,6 +79,7 @@
             max_field_size=MAX_LINE_BYTES,
             max_headers=MAX_HEADERS,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self._servers.append(server)
         sock = _sockets.listener(address)
--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -12,6 +12,7 @@
 from lagooncrank import settings
 from lagooncrank.core import catalog as catalogs
 from lagooncrank.core import dispatch
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _caller_connections
 from lagooncrank.server.seeded import _decision_log
@@ -30,6 +31,13 @@
 #: Delay before callers should retry while no document is known; a restart of
 #: all nodes takes about this long.
 NO_DOCUMENT_RETRY_AFTER_MS: Final = 2_000
+#: Delay before callers should retry while bodies use up the memory.
+NO_MEMORY_RETRY_AFTER_MS: Final = 1_000
+#: Refusals before the whole body was read, after which the connection ends.
+_BODY_NOT_READ: Final = (
+    results.ResultCode.REQUEST_TOO_LARGE,
+    results.ResultCode.MEMORY_SPENT,
+)
 
 
 class CallerServer:
@@ -62,6 +70,10 @@
         self._metrics = metrics
         self._clock = clock
         self._log = log
+        #: Bodies of all requests that are held.
+        self.bodies = _buffer_budget.BufferBudget.of_memory(
+            node_settings.memory_limit_mb
+        )
 
     async def start(self) -> None:
         """Starts to listen for callers."""
@@ -72,15 +84,16 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_ms = self._clock.now_ms()
         request_head: _adapter.RequestHead | None = None
-        try:
-            request_head = self.read_head(request)
-            await self._wait_for_document(request_head)
-            exchange = self._admit(request_head, arrived_ms)
-            async with self._stop_gate.limit_wait(exchange, None):
-                exchange.body = await self.read_body(request)
-        except _refusals.ForwardingError as error:
-            return self.refuse(request_head, error.refusal)
-        return await self.serve_exchange(request, exchange)
+        with self.bodies.open() as buffer:
+            try:
+                request_head = self.read_head(request)
+                await self._wait_for_document(request_head)
+                exchange = self._admit(request_head, arrived_ms)
+                async with self._stop_gate.limit_wait(exchange, None):
+                    exchange.body = await self.read_body(request, buffer)
+            except _refusals.ForwardingError as error:
+                return self.refuse(request_head, error.refusal)
+            return await self.serve_exchange(request, exchange)
 
     async def serve_exchange(
         self, request: web.BaseRequest, exchange: _exchange.Exchange
@@ -89,7 +102,9 @@
         exchange.connection = request.transport
         try:
             return await self._response_relay.serve(
-                request, exchange, close_connection=self._connections.is_closing
+                request,
+                exchange,
+                is_closing=lambda: self._connections.is_closing,
             )
         except _refusals.ForwardingError as error:
             return self.refuse(exchange.request_head, error.refusal, exchange)
@@ -181,11 +196,17 @@
             )
         return account
 
-    async def read_body(self, request: web.BaseRequest) -> bytes:
+    async def read_body(
+        self, request: web.BaseRequest, buffer: _buffer_budget.Buffer
+    ) -> bytes:
         """Reads the whole body of a request.
 
+        Args:
+            request: The request.
+            buffer: Accounts for the body, until its owner closes it.
+
         Raises:
-            ForwardingError: It exceeds the operators' limit.
+            ForwardingError: It exceeds the operators' limit, or the memory.
         """
         if not request.can_read_body:
             return b""
@@ -194,14 +215,21 @@
         catalog = self._documents.catalog
         limits = catalog.config.limits if catalog else model.CallerLimits()
         chunks = []
-        size = 0
+        size_bytes = 0
         async for chunk in request.content.iter_any():
-            size += len(chunk)
-            if size > limits.max_body_bytes:
+            size_bytes += len(chunk)
+            if size_bytes > limits.max_body_bytes:
                 code = results.ResultCode.REQUEST_TOO_LARGE
                 raise _refusal_error(
                     code, f"over {limits.max_body_bytes} bytes"
                 )
+            try:
+                buffer.resize(size_bytes)
+            except _buffer_budget.BufferSpentError as error:
+                code = results.ResultCode.MEMORY_SPENT
+                raise _refusal_error(
+                    code, str(error), NO_MEMORY_RETRY_AFTER_MS
+                ) from error
             chunks.append(chunk)
         return b"".join(chunks)
 
@@ -220,7 +248,7 @@
             headers=dict(headers),
             body=refusal.reason.encode(),
         )
-        if refusal.code is results.ResultCode.REQUEST_TOO_LARGE:
+        if refusal.code in _BODY_NOT_READ:
             # The rest of the body was not read.
             response.force_close()
         if exchange is not None and exchange.delegated_by is not None:
--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -11,6 +11,7 @@
 from lagooncrank import settings
 from lagooncrank.core import catalog as catalogs
 from lagooncrank.core import reach
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _caller_connections
 from lagooncrank.server.seeded import _caller_server
@@ -67,6 +68,13 @@
             await self._connections.listen(self._address, self._serve)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        with self._caller_server.bodies.open() as buffer:
+            return await self._serve_buffered(request, buffer)
+
+    async def _serve_buffered(
+        self, request: web.BaseRequest, buffer: _buffer_budget.Buffer
+    ) -> web.StreamResponse:
+        """Serves a request whose body the buffer accounts for."""
         request_head: _adapter.RequestHead | None = None
         sender = model.NodeId("")
         try:
@@ -76,7 +84,7 @@
                 self._address,
             )
             sender = delegated.sender
-            body = await self._caller_server.read_body(request)
+            body = await self._caller_server.read_body(request, buffer)
             await self._wait_for_document(delegated)
             exchange = self._admit(request_head, delegated, body)
         except _refusals.ForwardingError as error:
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -8,6 +8,7 @@
 from lagooncrank import settings
 from lagooncrank.core import dispatch
 from lagooncrank.core import drain
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
@@ -44,6 +45,10 @@
     ) -> None:
         super().__init__(node_settings, document_codec, clock)
         self.metrics = _entry_metrics.EntryMetrics()
+        #: Bodies of responses that are read, or written to callers.
+        self.response_bodies = _buffer_budget.BufferBudget.of_memory(
+            node_settings.memory_limit_mb
+        )
         self.server_limits.count_permits = self.metrics.permits.count
         self._client = _attempt.BackendClient(
             http_codec, node_settings.source_ip
@@ -109,6 +114,7 @@
             self._stop_gate,
             departures,
             self.metrics,
+            self.response_bodies,
             clock,
             self.decision_log,
         )
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Final
 
@@ -13,7 +14,7 @@
 from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank.core import dispatch
-from lagooncrank.server import _response_buffers
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
@@ -47,6 +48,7 @@
         stop_gate: _stop_gate.StopGate,
         departures: _departures.Departures,
         metrics: _entry_metrics.EntryMetrics,
+        buffers: _buffer_budget.BufferBudget,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
     ) -> None:
@@ -56,39 +58,68 @@
         self._metrics = metrics
         self._clock = clock
         self._log = log
-        self._buffers = _response_buffers.ResponseBuffers()
+        self._buffers = buffers
 
     async def serve(
         self,
         request: web.BaseRequest,
         exchange: _exchange.Exchange,
         *,
-        close_connection: bool,
+        is_closing: Callable[[], bool],
     ) -> web.StreamResponse:
         """Forwards a request and relays the whole response.
 
+        Args:
+            request: The request.
+            exchange: Its state.
+            is_closing: Returns whether connections end with their response.
+
         Raises:
             ForwardingError: There is no response; nothing was written.
         """
-        while True:
-            target, backend_response = await self._forwarder.open(exchange)
-            if _is_stream(exchange, backend_response):
-                return await self._relay_stream(
-                    request,
-                    exchange,
-                    target,
-                    backend_response,
-                    close_connection,
+        with self._buffers.open() as buffer:
+            while True:
+                target, backend_response = await self._forwarder.open(exchange)
+                if _is_stream(exchange, backend_response):
+                    return await self._relay_stream(
+                        request,
+                        exchange,
+                        target,
+                        backend_response,
+                        is_closing,
+                    )
+                body = await self._read_attempt(
+                    exchange, target, backend_response, buffer
                 )
-            body = await self._read_attempt(exchange, target, backend_response)
-            if body is not None:
-                break
-        is_success = backend_response.head.status < _adapter.FIRST_ERROR_STATUS
-        if is_success and backend_response.is_framed:
-            self._forwarder.record_complete(exchange, target)
-        response = web.Response(status=backend_response.head.status, body=body)
-        _set_headers(response, backend_response, exchange, target)
-        self._record_response(exchange, backend_response.head.status)
+                if body is not None:
+                    break
+            is_success = (
+                backend_response.head.status < _adapter.FIRST_ERROR_STATUS
+            )
+            if is_success and backend_response.is_framed:
+                self._forwarder.record_complete(exchange, target)
+            response = web.Response(
+                status=backend_response.head.status, body=body
+            )
+            _set_headers(response, backend_response, exchange, target)
+            if is_closing():
+                response.force_close()
+            return await self._write_whole(request, exchange, response)
+
+    async def _write_whole(
+        self,
+        request: web.BaseRequest,
+        exchange: _exchange.Exchange,
+        response: web.Response,
+    ) -> web.Response:
+        """Writes a response; its body is held until the caller has read it."""
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        except ConnectionError:
+            self._departures.record(exchange)
+            return response
+        self._record_response(exchange, response.status)
         return response
 
     async def _read_attempt(
@@ -96,6 +127,7 @@
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         backend_response: _attempt.BackendResponse,
+        buffer: _buffer_budget.Buffer,
     ) -> bytes | None:
         """Returns a whole body; None if it broke off and may be retried.
 
@@ -103,8 +135,9 @@
             ForwardingError: It broke off and must not be retried.
         """
         try:
-            return await self._read_body(exchange, backend_response)
+            return await self._read_body(exchange, backend_response, buffer)
         except _attempt.AttemptFailedError as error:
+            buffer.resize(0)
             self._forwarder.handle_broken_response(exchange, target, error)
         finally:
             backend_response.close()
@@ -115,11 +148,12 @@
         self,
         exchange: _exchange.Exchange,
         backend_response: _attempt.BackendResponse,
+        buffer: _buffer_budget.Buffer,
     ) -> bytes:
         remaining_ms = max(exchange.remaining_ms(self._clock), 0)
         try:
             async with asyncio.timeout(remaining_ms / clocks.MS_PER_S):
-                body = await _body_reader.read(backend_response, self._buffers)
+                body = await _body_reader.read(backend_response, buffer)
         except TimeoutError as error:
             raise _attempt.AttemptFailedError(
                 _attempt.FailureKind.TIMED_OUT,
@@ -134,11 +168,11 @@
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         backend_response: _attempt.BackendResponse,
-        close_connection: bool,
+        is_closing: Callable[[], bool],
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=backend_response.head.status)
         _set_headers(response, backend_response, exchange, target)
-        if close_connection:
+        if is_closing():
             response.force_close()
         # A length would not hold for the events of another run after a resume.
         if _accepts_chunks(request):
@@ -235,7 +269,7 @@
         exchange: _exchange.Exchange,
         target: dispatch.Target,
         backend_response: _attempt.BackendResponse,
-        buffer: _response_buffers.ResponseBuffer,
+        buffer: _buffer_budget.Buffer,
     ) -> AsyncIterator[bytes]:
         splitter = _events.EventSplitter()
         sequence = _event_sequence.EventSequence.of_next_run(exchange)
--- a/lagooncrank/server/seeded/_stream_quota.py
+++ b/lagooncrank/server/seeded/_stream_quota.py
@@ -2,8 +2,7 @@
 
 from typing import Final
 
-from lagooncrank.server import _bounded_http
-from lagooncrank.server import _response_buffers
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _attempt
 
 MAX_EVENT_BYTES: Final = 1_048_576
@@ -16,7 +15,7 @@
 class StreamQuota:
     """Ends a stream that is too long to be a sound response."""
 
-    def __init__(self, buffer: _response_buffers.ResponseBuffer) -> None:
+    def __init__(self, buffer: _buffer_budget.Buffer) -> None:
         """Starts the limits of one run.
 
         Args:
@@ -47,7 +46,7 @@
             raise _too_large(f"the stream exceeds {MAX_STREAM_BYTES} bytes")
         try:
             self._buffer.resize(partial_bytes)
-        except _bounded_http.ResponseTooLargeError as error:
+        except _buffer_budget.BufferSpentError as error:
             raise _too_large(str(error)) from error
 
 
--- a/lagooncrank/server/seeded/tests/endless_reader.py
+++ b/lagooncrank/server/seeded/tests/endless_reader.py
@@ -14,7 +14,7 @@
 
 from lagooncrank import model
 from lagooncrank.core import dispatch
-from lagooncrank.server import _response_buffers
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _body_reader
@@ -29,7 +29,7 @@
 async def read(
     client: _attempt.BackendClient,
     address: str,
-    buffers: _response_buffers.ResponseBuffers,
+    buffers: _buffer_budget.BufferBudget,
 ) -> bytes:
     """Returns the body of a response."""
     target = dispatch.Target(
@@ -42,7 +42,8 @@
     metadata = _adapter.ForwardingMetadata(SERVER_ID, 60_000)
     response = await client.open(target, REQUEST, metadata, b"")
     try:
-        return await _body_reader.read(response, buffers)
+        with buffers.open() as buffer:
+            return await _body_reader.read(response, buffer)
     finally:
         response.close()
 
@@ -51,7 +52,7 @@
     """Returns how many sound requests were served beside the endless ones."""
     client = _attempt.BackendClient(plain_codec.PlainCodec())
     await client.start()
-    buffers = _response_buffers.ResponseBuffers()
+    buffers = _buffer_budget.BufferBudget()
 
     async def read_endless() -> None:
         with contextlib.suppress(_attempt.AttemptFailedError):
--- a/lagooncrank/server/seeded/tests/test_endless_responses.py
+++ b/lagooncrank/server/seeded/tests/test_endless_responses.py
@@ -8,7 +8,7 @@
 from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.server import _bounded_http
-from lagooncrank.server import _response_buffers
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _body_reader
@@ -128,12 +128,15 @@
 async def test_body_without_end_is_closed(
     client: _attempt.BackendClient, sort: str
 ) -> None:
-    buffers = _response_buffers.ResponseBuffers()
+    buffers = _buffer_budget.BufferBudget()
     content = endless_server.BODIES[sort]
     async with endless_server.running(content) as server:
         response = await open_response(client, server)
-        with pytest.raises(_attempt.AttemptFailedError) as caught:
-            await _body_reader.read(response, buffers)
+        with (
+            buffers.open() as buffer,
+            pytest.raises(_attempt.AttemptFailedError) as caught,
+        ):
+            await _body_reader.read(response, buffer)
         response.close()
         await server.wait_for_ends()
     assert server.given_up == 0
@@ -145,13 +148,16 @@
 async def test_bodies_without_end_share_one_limit(
     client: _attempt.BackendClient,
 ) -> None:
-    buffers = _response_buffers.ResponseBuffers(max_bytes=1_048_576)
+    buffers = _buffer_budget.BufferBudget(max_bytes=1_048_576)
     content = endless_server.BODIES["chunks"]
 
     async def read(server: endless_server.EndlessServer) -> None:
         response = await open_response(client, server)
-        with pytest.raises(_attempt.AttemptFailedError, match="all responses"):
-            await _body_reader.read(response, buffers)
+        with (
+            buffers.open() as buffer,
+            pytest.raises(_attempt.AttemptFailedError, match="all bodies"),
+        ):
+            await _body_reader.read(response, buffer)
         response.close()
 
     async with endless_server.running(content) as server:
--- a/lagooncrank/server/seeded/tests/test_stream_quota.py
+++ b/lagooncrank/server/seeded/tests/test_stream_quota.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lagooncrank.server import _response_buffers
+from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _stream_quota
 
@@ -22,7 +22,7 @@
 def test_stream_ends_at_its_limit(
     events: int, grows: bool, limit_bytes: int
 ) -> None:
-    buffers = _response_buffers.ResponseBuffers()
+    buffers = _buffer_budget.BufferBudget()
     quota = _stream_quota.StreamQuota(buffers.open())
     read_bytes = 0
     while read_bytes < limit_bytes:
@@ -36,7 +36,7 @@
 
 
 def test_incomplete_events_share_the_memory_of_all_responses() -> None:
-    buffers = _response_buffers.ResponseBuffers(max_bytes=3 * READ_BYTES)
+    buffers = _buffer_budget.BufferBudget(max_bytes=3 * READ_BYTES)
     quotas = [_stream_quota.StreamQuota(buffers.open()) for _ in range(2)]
     quotas[0].record(READ_BYTES, 0, READ_BYTES)
     with pytest.raises(_attempt.AttemptFailedError):
--- a/lagooncrank/server/tests/test_response_buffers.py
+++ b/lagooncrank/server/tests/test_buffer_budget.py
@@ -1,4 +1,4 @@
-"""Shares of the memory for responses."""
+"""Shares of the memory for bodies."""
 
 import contextlib
 
@@ -6,21 +6,20 @@
 from hypothesis import strategies
 import pytest
 
-from lagooncrank.server import _bounded_http
-from lagooncrank.server import _response_buffers
+from lagooncrank.server import _buffer_budget
 
 
 def test_single_response_leaves_half_of_the_limit() -> None:
-    buffers = _response_buffers.ResponseBuffers(max_bytes=100)
+    buffers = _buffer_budget.BufferBudget(max_bytes=100)
     buffer = buffers.open()
     buffer.resize(50)
-    with pytest.raises(_bounded_http.ResponseTooLargeError):
+    with pytest.raises(_buffer_budget.BufferSpentError):
         buffer.resize(51)
     assert buffers.used_bytes == 50
 
 
 def test_closed_buffer_returns_its_share() -> None:
-    buffers = _response_buffers.ResponseBuffers(max_bytes=100)
+    buffers = _buffer_budget.BufferBudget(max_bytes=100)
     with buffers.open() as buffer:
         buffer.resize(40)
         assert buffers.used_bytes == 40
@@ -34,11 +33,11 @@
     step_bytes=strategies.integers(min_value=1, max_value=10),
 )
 def test_further_response_gets_a_share(count: int, step_bytes: int) -> None:
-    buffers = _response_buffers.ResponseBuffers(max_bytes=1_000)
+    buffers = _buffer_budget.BufferBudget(max_bytes=1_000)
     endless = [buffers.open() for _ in range(count)]
     for size_bytes in range(step_bytes, 1_000, step_bytes):
         for buffer in endless:
-            with contextlib.suppress(_bounded_http.ResponseTooLargeError):
+            with contextlib.suppress(_buffer_budget.BufferSpentError):
                 buffer.resize(size_bytes)
     assert buffers.used_bytes < 1_000
     with buffers.open() as further:
@@ -46,9 +45,21 @@
 
 
 def test_buffer_at_its_limit_may_still_shrink() -> None:
-    buffers = _response_buffers.ResponseBuffers(max_bytes=100)
+    buffers = _buffer_budget.BufferBudget(max_bytes=100)
     first, second = buffers.open(), buffers.open()
     first.resize(50)
     second.resize(25)
     first.resize(49)
     assert buffers.used_bytes == 74
+
+
+@pytest.mark.parametrize(
+    ("memory_limit_mb", "max_bytes"), [(200, 50_000_000), (296, 74_000_000)]
+)
+def test_limit_follows_from_the_memory(
+    memory_limit_mb: int, max_bytes: int
+) -> None:
+    buffers = _buffer_budget.BufferBudget.of_memory(memory_limit_mb)
+    buffers.open().resize(max_bytes // 2)
+    with pytest.raises(_buffer_budget.BufferSpentError):
+        buffers.open().resize(max_bytes // 2 + 1)
--- a/lagooncrank/settings/_seeded.py
+++ b/lagooncrank/settings/_seeded.py
@@ -71,6 +71,9 @@
     #: Local IP address of connections to backend servers; empty for the
     #: kernel's choice.
     source_ip: str = ""
+    #: Memory that the process may use; bodies of requests and responses get
+    #: a part of it.
+    memory_limit_mb: int = 200
     log_level: str = "INFO"
 
     @property
