--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -76,7 +76,7 @@
         if problem is not None:
             self.log_refused_report(report.server_id, problem)
             return results.ResultCode.INVALID_ANNOUNCEMENT
-        self.view.record_report(report)
+        self.view.reports.record(report)
         if report.state is model.ServerState.READY:
             return results.ResultCode.OK
         return await self._save_departures()
@@ -99,7 +99,7 @@
             problem = fleet.ReportProblem.START_IN_FUTURE
             self.log_refused_report(server_id, problem)
             return results.ResultCode.INVALID_ANNOUNCEMENT
-        self.view.deregister(server_id, born_ms)
+        self.view.reports.deregister(server_id, born_ms)
         return await self._save_departures()
 
     async def _save_departures(self) -> results.ResultCode:
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -1,10 +1,10 @@
 """View of the fleet: backend servers and nodes, as far as this node knows them.
 
-Backend servers report to any control node. Control nodes forward updates to
-each other and to their followers; each entry follows one control node.
+Nodes send notices of themselves to control nodes, which pass them on to each
+other and send summaries to their followers; each entry follows one control
+node.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -15,15 +15,16 @@
 import mode
 
 from lagooncrank import clock as clocks
-from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank import settings
 from lagooncrank.core import dispatch
 from lagooncrank.core import fleet
 from lagooncrank.server import _shared_state
 from lagooncrank.server import links as peer_links
+from lagooncrank.server.seeded import _connectivity
 from lagooncrank.server.seeded import _control_nodes
 from lagooncrank.server.seeded import _decision_log
+from lagooncrank.server.seeded import _report_exchange
 from lagooncrank.server.seeded import _stall_detector
 from lagooncrank.server.seeded import _step_guard
 
@@ -47,14 +48,8 @@
 #: two notice intervals.
 LOADS_SETTLING_MS: Final = 700
 
-_REPORTS: Final = "server-reports"
 _NOTICES: Final = "node-notices"
 _SUMMARY: Final = "fleet-summary"
-_WANTED: Final = "reports-wanted"
-
-#: Names of dependencies in the log.
-_CONTROL_NODES: Final = "control nodes"
-_QUORUM: Final = "quorum"
 
 
 class FleetView(mode.Service):  # type: ignore[misc, unused-ignore]
@@ -103,53 +98,34 @@
         self._cut_off_entries: tuple[str, ...] = ()
         self._first_summary_ms: int | None = None
         self._cached_entries = fleet.CachedEntryList()
-        #: Called after backend servers or stalled servers may have changed.
-        self.listeners: list[Callable[[], None]] = []
         self._control_nodes = _control_nodes.ControlNodes(
             node_settings, links, shared, log
         )
+        self.connectivity = _connectivity.Connectivity(
+            node_settings.role, self.table, self.loads, links, shared, log
+        )
+        self.reports = _report_exchange.ReportExchange(
+            node_settings.role,
+            self.table,
+            links,
+            shared,
+            self._control_nodes,
+            clock,
+            log,
+        )
+        #: Called after backend servers or stalled servers may have changed.
+        self.listeners = self.reports.listeners
         self._pending_notices: dict[model.NodeId, fleet.NodeNotice] = {}
-        self._synced_followers: frozenset[model.NodeId] = frozenset()
         self._sequence = 0
         self._notice_sent_ms = 0
-        self._missing = ""
-        links.on_message(_REPORTS, fleet.ReportBatch, self._on_reports)
         links.on_message(_NOTICES, fleet.NodeNotices, self._on_notices)
-        links.on_message(_WANTED, fleet.ReportsWanted, self._on_wanted)
         links.on_message(_SUMMARY, fleet.FleetSummary, self._on_summary)
-        links.on_connected(self._on_connected)
 
     @property
     def is_control(self) -> bool:
         """Whether this is a control node."""
         return self._settings.role is settings.Role.CONTROL
 
-    def record_report(self, report: model.ServerReport) -> None:
-        """Records a report that a backend server sent to this node."""
-        before = self.table.superseded(report.server_id)
-        if self.table.put(report, self._clock.now_ms()):
-            self._log_report(report)
-            self._publish_changes()
-        superseded = self.table.superseded(report.server_id)
-        if superseded != before:
-            self._log.write(
-                decisions.Event.SERVER_HIDDEN,
-                server=report.server_id,
-                born_ms=report.born_ms,
-                sequence=report.sequence,
-                superseded=superseded,
-            )
-
-    def deregister(
-        self, server_id: model.BackendServerId, born_ms: int | None
-    ) -> None:
-        """Removes a backend server that announced its stop."""
-        if self.table.deregister(server_id, born_ms, self._clock.now_ms()):
-            self._log.write(
-                decisions.Event.SERVER, server=server_id, state="gone"
-            )
-            self._publish_changes()
-
     async def on_start(self) -> None:
         """Connects to the control nodes that the settings name."""
         self._control_nodes.replace(self._settings.seed_ids)
@@ -166,10 +142,10 @@
         """Does what is due by now; parts that fail stop no other."""
         now_ms = self._clock.now_ms()
         for part, action in (
-            ("connectivity", self._update_connectivity),
+            ("connectivity", self.connectivity.update),
             ("expired reports", self.table.evict_expired),
             ("stalls", self._check_stalls),
-            ("reports", self._forward_updates),
+            ("reports", self.reports.forward_updates),
             ("notice", self._publish_due_notice),
         ):
             self._guard.run(part, functools.partial(action, now_ms))
@@ -288,80 +264,6 @@
         self._control_nodes.replace(summary.control_nodes)
         self._links.send_all(self._shared.followers, _SUMMARY, summary)
 
-    def _update_connectivity(self, now_ms: int) -> None:
-        """Counts the time for which this node receives server reports.
-
-        Control nodes without a quorum refuse reports, so missing reports do not
-        make a server unreachable during that time, here or on an entry that
-        follows such a node.
-        """
-        missing = self._missing_dependency()
-        if missing != self._missing:
-            self._log_dependency(decisions.Event.REGAINED, self._missing)
-            self._log_dependency(decisions.Event.LOST, missing)
-        self._missing = missing
-        if missing == _CONTROL_NODES:
-            # The last totals of the other entries are outdated.
-            self.loads.set_fleet_totals({})
-        self.table.advance_clock(now_ms, is_connected=not missing)
-
-    def _missing_dependency(self) -> str:
-        """Returns what this node lacks to receive reports; empty if nothing."""
-        is_linked = (
-            self.is_control or self._shared.upstream in self._links.connected()
-        )
-        if not is_linked:
-            return _CONTROL_NODES
-        return "" if self._shared.has_quorum else _QUORUM
-
-    def _log_dependency(self, event: decisions.Event, dependency: str) -> None:
-        if dependency:
-            self._log.write(event, dependency=dependency)
-
-    def _publish_changes(self) -> None:
-        self._forward_updates(self._clock.now_ms())
-        for listener in self.listeners:
-            listener()
-
-    def _forward_updates(self, now_ms: int) -> None:
-        updates = self.table.pop_updates(now_ms)
-        if not self.is_control:
-            return
-        followers = self._shared.followers
-        new_followers = followers - self._synced_followers
-        self._synced_followers = followers
-        if new_followers:
-            snapshot = self.table.snapshot(now_ms)
-            self._links.send_all(new_followers, _REPORTS, snapshot)
-        if updates is not None:
-            others = followers - new_followers
-            others = others.union(self._control_nodes.others())
-            self._links.send_all(others, _REPORTS, updates)
-
-    def _on_connected(self, peer: model.NodeId) -> None:
-        # The follower may have missed updates that were sent before.
-        self._synced_followers -= {peer}
-        if self.is_control and peer in self._control_nodes:
-            snapshot = self.table.snapshot(self._clock.now_ms())
-            self._links.send(peer, _REPORTS, snapshot)
-
-    def _on_reports(
-        self, sender: model.NodeId, batch: fleet.ReportBatch
-    ) -> None:
-        self.table.merge(batch, self._clock.now_ms())
-        wanted = self.table.pop_wanted()
-        if wanted is not None:
-            self._links.send(sender, _WANTED, wanted)
-        if batch.reports:
-            self._publish_changes()
-
-    def _on_wanted(
-        self, sender: model.NodeId, wanted: fleet.ReportsWanted
-    ) -> None:
-        batch = self.table.reports_for(wanted, self._clock.now_ms())
-        if batch.reports:
-            self._links.send(sender, _REPORTS, batch)
-
     def _on_notices(
         self, sender: model.NodeId, batch: fleet.NodeNotices
     ) -> None:
@@ -406,18 +308,6 @@
         self.entry_count = len(summary.open_entries)
         self.sharing_entries.record(self.entry_count, now_ms)
 
-    def _log_report(self, report: model.ServerReport) -> None:
-        self._log.write(
-            decisions.Event.SERVER,
-            server=report.server_id,
-            service=report.service,
-            state=report.state.value,
-            membership=report.membership,
-            staged=report.staged,
-            loaded=report.loaded,
-            sequence=report.sequence,
-        )
-
 
 def notice_interval_ms(entry_count: int) -> int:
     """Returns the interval between two notices of a node.
--- a/lagooncrank/server/seeded/tests/fleet_node.py
+++ b/lagooncrank/server/seeded/tests/fleet_node.py
@@ -71,7 +71,7 @@
         for _ in range(duration_ms // TICK_MS):
             self.clock.advance(TICK_MS)
             now_ms = self.clock.now_ms()
-            self.view._update_connectivity(now_ms)
+            self.view.connectivity.update(now_ms)
             self.view.table.evict_expired(now_ms)
 
 
--- a/lagooncrank/server/seeded/tests/test_contradicting_reports.py
+++ b/lagooncrank/server/seeded/tests/test_contradicting_reports.py
@@ -53,7 +53,9 @@
     table = builders.server_table(*([known] if known else []))
     index = catalog.Catalog(CONFIG) if has_document else None
     node = types.SimpleNamespace(
-        view=types.SimpleNamespace(table=table, record_report=recorded.append),
+        view=types.SimpleNamespace(
+            table=table, reports=types.SimpleNamespace(record=recorded.append)
+        ),
         documents=types.SimpleNamespace(catalog=index),
         clock=clocks.ManualClock(),
         log_refused_report=lambda *_: None,
--- a/lagooncrank/server/seeded/tests/test_control_without_quorum.py
+++ b/lagooncrank/server/seeded/tests/test_control_without_quorum.py
@@ -17,7 +17,7 @@
 ) -> None:
     node = FleetNode()
     node.pass_time(500)
-    node.view.record_report(report())
+    node.view.reports.record(report())
     node.shared.has_quorum = False
     node.pass_time(duration_without_quorum_ms)
     record = node.view.table.get(SERVER)
--- a/lagooncrank/server/seeded/tests/test_entry_without_quorum.py
+++ b/lagooncrank/server/seeded/tests/test_entry_without_quorum.py
@@ -16,7 +16,7 @@
 ) -> None:
     node = FleetNode(settings.Role.ENTRY)
     node.pass_time(500)
-    node.view.record_report(report())
+    node.view.reports.record(report())
     node.shared.has_quorum = False
     node.pass_time(duration_without_quorum_ms)
     record = node.view.table.get(SERVER)
--- a/lagooncrank/server/seeded/tests/test_retained_state.py
+++ b/lagooncrank/server/seeded/tests/test_retained_state.py
@@ -203,7 +203,8 @@
         local.table.deregister(server_id, born_ms, 0)
 
     node: Any = object.__new__(_control.ControlNode)
-    node.view = types.SimpleNamespace(deregister=deregister)
+    reports = types.SimpleNamespace(deregister=deregister)
+    node.view = types.SimpleNamespace(reports=reports)
     node.clock = local.clock
     node._retained = local.retained
     codes = await asyncio.gather(
