Soak: count late requests of departed callers by what the entries knew

A late request counts unless its entry logged within half a second that the caller had left: after that it sends nothing. A paused entry logs it later, so that stutter is judged as before.

--- a/soak/_charges.py
+++ b/soak/_charges.py
@@ -47,12 +47,13 @@
         for line in file.read_bytes().splitlines():
             if SENT_AGAIN.encode() not in line:
                 continue
-            if _is_charged(fields := _decode(line)):
+            if _is_charged(fields := decode_line(line)):
                 charges[fields["request"]] += 1
     return charges
 
 
-def _decode(line: bytes) -> dict[str, Any]:
+def decode_line(line: bytes) -> dict[str, Any]:
+    """Returns the fields of a log line; none if it is not whole."""
     try:
         fields: dict[str, Any] = json.loads(line)
     except ValueError:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import Final
 
+from lagooncrank import clock as clocks
 from soak import _budget
 from soak import _charges
 from soak import _config_history
@@ -20,6 +21,7 @@
 #: Requests that may run on more servers than their route allows.
 ALLOWED_EXCESSES: Final = 3
 MAX_ATTEMPTS: Final = 2
+_MS_PER_S: Final = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,12 +94,16 @@
         """Records that a server has read a request, whether it runs or not."""
         now_s = self.now_s()
         self.arrivals.record_arrival(service, attempt_id, now_s)
-        self.left_callers.record_arrival(attempt_id, now_s)
+        self.left_callers.record_arrival(attempt_id, _wall_ms())
         self.deadlines.record_arrival(attempt_id, limit_ms, now_s)
         self.account.record_arrival(
             _charges.Arrival(attempt_id, service, server_id, now_s)
         )
 
+    def record_left(self, attempt_id: str) -> None:
+        """Records that a caller has just closed its connection."""
+        self.left_callers.record_left(attempt_id, _wall_ms())
+
     def record_probe(self, probe: _config_history.Probe) -> None:
         """Records and checks how an entry handled a probe."""
         self.probes += 1
@@ -128,11 +134,14 @@
             )
         )
 
-    def finish(self, charges: Mapping[str, int]) -> list[str]:
+    def finish(
+        self, charges: Mapping[str, int], noticed_ms: Mapping[str, int]
+    ) -> list[str]:
         """Returns all violations; call it once, after the end.
 
         Args:
             charges: How often each request was charged.
+            noticed_ms: When entries noticed that callers had left.
         """
         now_s = self.now_s()
         changes = self.config.changes()
@@ -143,7 +152,7 @@
             *self.deadlines.violations(),
             *self.config.rate_violations(),
             *self.left_servers.violations(self._was_entry_in_touch),
-            *self.left_callers.violations(self._counts_as_left),
+            *self.left_callers.violations(noticed_ms, self._counts_as_left),
             *self._excesses(),
         ):
             self.history.record_violation(violation)
@@ -161,13 +170,14 @@
             f" {self.probes} probes of which {self.probes_in_touch} in touch"
         )
 
-    def _counts_as_left(
-        self, attempt_id: str, left_s: float, arrived_s: float
-    ) -> bool:
+    def _counts_as_left(self, late: _left_callers.LateRequest) -> bool:
         # Delays of this process count as disturbances of the core: servers,
         # which run here, read late then.
-        entry = self.history.request(attempt_id).entry
+        entry = self.history.request(late.attempt_id).entry
         owner = "" if self.has_pauses_only else entry
+        offset_s = self.now_s() - _wall_ms() / _MS_PER_S
+        left_s = late.left_ms / _MS_PER_S + offset_s
+        arrived_s = late.arrived_ms / _MS_PER_S + offset_s
         return self.disturbances.is_in_touch(owner, left_s, arrived_s)
 
     def _was_entry_in_touch(self, attempt_id: str, now_s: float) -> bool:
@@ -189,3 +199,8 @@
                 f"BUDGET: {len(excesses)} requests ran on more than "
                 f"{MAX_ATTEMPTS} servers: {excesses[:10]}"
             )
+
+
+def _wall_ms() -> int:
+    """Returns the wall clock, as in the logs of the nodes."""
+    return clocks.SystemClock().wall_ms()
--- a/soak/_leaving_callers.py
+++ b/soak/_leaving_callers.py
@@ -63,6 +63,4 @@
             await asyncio.sleep(self._random.uniform(0.0, MAX_STAY_S))
         finally:
             connection.close()
-        self._checks.left_callers.record_left(
-            request.attempt_id, self._checks.now_s()
-        )
+        self._checks.record_left(request.attempt_id)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -14,6 +14,7 @@
 from soak import _charges
 from soak import _deployment
 from soak import _faults
+from soak import _left_callers
 from soak import _nodes
 from soak import _planned_faults
 from soak import _upgrades
@@ -131,9 +132,12 @@
         for violation in deployment.cuts.violations():
             deployment.history.record_violation(violation)
     charges = _charges.read_charges(e.log_file for e in deployment.entries)
+    noticed_ms = _left_callers.read_departures(
+        e.log_file for e in deployment.entries
+    )
     return SeedReport(
         config.seed,
-        tuple(deployment.checks.finish(charges)),
+        tuple(deployment.checks.finish(charges, noticed_ms)),
         tuple(faults),
         deployment.callers.served,
         deployment.operator.acknowledged,
