--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -76,6 +76,8 @@
 
         Raises:
             ForwardingError: There is no response; nothing was written.
+            CallerLeftError: The caller has left; what was written of a stream
+                is not complete.
         """
         with self._buffers.open() as buffer:
             while True:
@@ -190,7 +192,7 @@
         except _refusals.ForwardingError as error:
             self._abort(request, exchange, error)
             return response
-        except (ConnectionError, _exchange.CallerLeftError):
+        except ConnectionError:
             self._departures.record(exchange)
             return response
         finally:
