Measure the memory of the reader of endless responses, not that of its parent

The whole run of the server tests failed all four rows of test_many_endless_responses with the same figure (271 MB): ru_maxrss of a new process also counts the one that it was started from, which had run 570 tests. The bound is the same.

--- a/lagooncrank/server/seeded/tests/endless_reader.py
+++ b/lagooncrank/server/seeded/tests/endless_reader.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import json
-import resource
+import pathlib
 import sys
 from typing import Final
 
@@ -22,6 +22,7 @@
 
 SOUND_REQUESTS: Final = 20
 PAUSE_S: Final = 0.05
+KB_PER_MB: Final = 1_024
 SERVER_ID: Final = model.BackendServerId("s")
 REQUEST: Final = _adapter.RequestHead("a1", "GET", "/x", "h.example")
 
@@ -79,7 +80,20 @@
     return served
 
 
+def peak_mb() -> float:
+    """Returns the most memory that this program has used.
+
+    `ru_maxrss` also counts the process that started it.
+    """
+    status = pathlib.Path("/proc/self/status").read_text()
+    peak_kb = next(
+        line.split()[1]
+        for line in status.splitlines()
+        if line.startswith("VmHWM:")
+    )
+    return int(peak_kb) / KB_PER_MB
+
+
 if __name__ == "__main__":
     served = asyncio.run(run(sys.argv[1], sys.argv[2], int(sys.argv[3])))
-    peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    sys.stdout.write(json.dumps({"served": served, "peak_mb": peak_kb / 1_024}))
+    sys.stdout.write(json.dumps({"served": served, "peak_mb": peak_mb()}))
