--- a/soak/tests/test_nodes.py
+++ b/soak/tests/test_nodes.py
@@ -86,7 +86,10 @@
 # Guards against: a soak ended as a process was gone when it was asked what a
 # signal to reload does.
 async def test_action_of_a_signal_to_reload_is_told() -> None:
+    # A process inherits that a signal is ignored, as below `nohup`.
+    inherited = signal.signal(signal.SIGHUP, signal.SIG_DFL)
     process = await asyncio.create_subprocess_exec("sleep", "60")
+    signal.signal(signal.SIGHUP, inherited)
     assert _nodes._reload_action(process.pid) == "default"
     process.kill()
     await process.wait()
