Names that say what they hold: contexts of sends, departures of callers; no second limit

No change of behaviour. _connection_traces holds the context of each send and the guarded body (_send_context now); Departures were named like those of servers in core/fleet. The budget of bodies had a default beside the one that follows from the memory, which only tests used: they name the 200 MB that they mean.

--- a/lagooncrank/server/_buffer_budget.py
+++ b/lagooncrank/server/_buffer_budget.py
@@ -6,8 +6,6 @@
 #: Size limit of a response that is passed on whole. Twice the default limit of
 #: a request's body.
 MAX_BODY_BYTES: Final = 8_388_608
-#: Limit of a process with the default of `SeededSettings.memory_limit_mb`.
-MAX_BUFFERED_BYTES: Final = 50_000_000
 #: Fraction of a process's memory for request bodies, and the same for response
 #: bodies. The rest is for the program, connections and what the kernel holds.
 MEMORY_FRACTION: Final = 0.25
@@ -25,7 +23,7 @@
     for a further one, however many never end.
     """
 
-    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+    def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
         self._used_bytes = 0
 
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -19,7 +19,7 @@
 from lagooncrank.server import _request_targets
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
-from lagooncrank.server.seeded import _connection_traces
+from lagooncrank.server.seeded import _send_context
 
 #: Shorter than the usual keep-alive timeout of backend servers, so that no
 #: request is sent on a connection that the server is closing.
@@ -200,7 +200,7 @@
             timeout,
             skip_auto_headers=_NO_AUTO_HEADERS,
             middlewares=(_library_retries.send_once,),
-            trace_configs=(_connection_traces.trace_config(),),
+            trace_configs=(_send_context.trace_config(),),
         )
 
     def close_idle_connections(self) -> None:
@@ -249,7 +249,7 @@
         body: bytes,
         *,
         added_headers: _adapter.Headers = (),
-        context: _connection_traces.SendContext | None = None,
+        context: _send_context.SendContext | None = None,
     ) -> BackendResponse:
         """Sends a request and waits for the head of its response.
 
@@ -343,12 +343,12 @@
 
 
 def _guarded(
-    body: bytes, context: _connection_traces.SendContext | None
+    body: bytes, context: _send_context.SendContext | None
 ) -> bytes | aiohttp.BytesPayload | None:
     """Returns a body that is written only while its request may be sent."""
     if not body or context is None or context.check_before_send is None:
         return body or None
-    return _connection_traces.GuardedBody(body, context)
+    return _send_context.GuardedBody(body, context)
 
 
 def _check_owner(
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -13,10 +13,10 @@
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
-from lagooncrank.server.seeded import _connection_traces
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _next_attempt
 from lagooncrank.server.seeded import _response_waits
+from lagooncrank.server.seeded import _send_context
 from lagooncrank.server.seeded import _silence_limit
 
 #: A request that may run again is retried elsewhere if there is no response
@@ -162,7 +162,7 @@
                         exchange.request_head,
                         metadata,
                         exchange.body,
-                        context=_connection_traces.SendContext(
+                        context=_send_context.SendContext(
                             observer, exchange.check_caller
                         ),
                     )
--- a/lagooncrank/server/seeded/_departures.py
+++ b/lagooncrank/server/seeded/_caller_departures.py
@@ -8,7 +8,7 @@
 from lagooncrank.server.seeded import _loop_watch
 
 
-class Departures:
+class CallerDepartures:
     """Counts and logs callers that left."""
 
     def __init__(
--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -15,9 +15,9 @@
 from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _caller_connections
+from lagooncrank.server.seeded import _caller_departures
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
-from lagooncrank.server.seeded import _departures
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _exchange
@@ -53,7 +53,7 @@
         retry_budget: dispatch.SharedRetryBudget,
         response_relay: _response_relay.ResponseRelay,
         stop_gate: _stop_gate.StopGate,
-        departures: _departures.Departures,
+        departures: _caller_departures.CallerDepartures,
         metrics: _entry_metrics.EntryMetrics,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -15,13 +15,13 @@
 from lagooncrank.core import reach
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
-from lagooncrank.server.seeded import _connection_traces
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
 from lagooncrank.server.seeded import _exchange
 from lagooncrank.server.seeded import _fleet_view
 from lagooncrank.server.seeded import _reach_metrics
 from lagooncrank.server.seeded import _refusals
+from lagooncrank.server.seeded import _send_context
 from lagooncrank.server.seeded import _target_selector
 
 #: Entries that one request is delegated to at most, one after the other.
@@ -143,7 +143,7 @@
                 exchange.forwarding_metadata(target, self._clock),
                 exchange.body,
                 added_headers=((_delegated_request.REQUEST_HEADER, header),),
-                context=_connection_traces.SendContext(
+                context=_send_context.SendContext(
                     check_before_send=exchange.check_caller
                 ),
             )
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -13,11 +13,11 @@
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _caller_connections
+from lagooncrank.server.seeded import _caller_departures
 from lagooncrank.server.seeded import _caller_server
 from lagooncrank.server.seeded import _crash_guard
 from lagooncrank.server.seeded import _delegation_server
 from lagooncrank.server.seeded import _delegator
-from lagooncrank.server.seeded import _departures
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _forwarding
 from lagooncrank.server.seeded import _node
@@ -106,7 +106,7 @@
             self.decision_log,
         )
         self._forwarder = _forwarding.Forwarder(parts)
-        departures = _departures.Departures(
+        departures = _caller_departures.CallerDepartures(
             self.loop_watch, self.metrics, clock, self.decision_log
         )
         response_relay = _response_relay.ResponseRelay(
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -19,9 +19,9 @@
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _body_reader
+from lagooncrank.server.seeded import _caller_departures
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _delegated_request
-from lagooncrank.server.seeded import _departures
 from lagooncrank.server.seeded import _entry_metrics
 from lagooncrank.server.seeded import _event_sequence
 from lagooncrank.server.seeded import _events
@@ -46,7 +46,7 @@
         self,
         forwarder: _forwarding.Forwarder,
         stop_gate: _stop_gate.StopGate,
-        departures: _departures.Departures,
+        departures: _caller_departures.CallerDepartures,
         metrics: _entry_metrics.EntryMetrics,
         buffers: _buffer_budget.BufferBudget,
         clock: clocks.Clock,
--- a/lagooncrank/server/seeded/tests/endless_reader.py
+++ b/lagooncrank/server/seeded/tests/endless_reader.py
@@ -20,6 +20,8 @@
 from lagooncrank.server.seeded import _body_reader
 from lagooncrank.server.seeded.tests import plain_codec
 
+#: Memory of the smallest entry in `docs/OPERATIONS.md`.
+ENTRY_MB: Final = 200
 SOUND_REQUESTS: Final = 20
 PAUSE_S: Final = 0.05
 KB_PER_MB: Final = 1_024
@@ -53,7 +55,7 @@
     """Returns how many sound requests were served beside the endless ones."""
     client = _attempt.BackendClient(plain_codec.PlainCodec())
     await client.start()
-    buffers = _buffer_budget.BufferBudget()
+    buffers = _buffer_budget.BufferBudget.of_memory(ENTRY_MB)
 
     async def read_endless() -> None:
         with contextlib.suppress(_attempt.AttemptFailedError):
--- a/lagooncrank/server/seeded/tests/test_attempt.py
+++ b/lagooncrank/server/seeded/tests/test_attempt.py
@@ -12,7 +12,7 @@
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
-from lagooncrank.server.seeded import _connection_traces
+from lagooncrank.server.seeded import _send_context
 from lagooncrank.server.tests import raw_server
 
 SERVER = model.BackendServerId("s1")
@@ -91,9 +91,7 @@
         if checks > allowed_checks:
             raise GoneError
 
-    context = _connection_traces.SendContext(
-        check_before_send=check_before_send
-    )
+    context = _send_context.SendContext(check_before_send=check_before_send)
     has_second_check = bool(body)
     expected = (
         GoneError
--- a/lagooncrank/server/seeded/tests/test_endless_responses.py
+++ b/lagooncrank/server/seeded/tests/test_endless_responses.py
@@ -128,7 +128,7 @@
 async def test_body_without_end_is_closed(
     client: _attempt.BackendClient, sort: str
 ) -> None:
-    buffers = _buffer_budget.BufferBudget()
+    buffers = _buffer_budget.BufferBudget.of_memory(200)
     content = endless_server.BODIES[sort]
     async with endless_server.running(content) as server:
         response = await open_response(client, server)
--- a/lagooncrank/server/seeded/tests/test_many_endless_responses.py
+++ b/lagooncrank/server/seeded/tests/test_many_endless_responses.py
@@ -11,8 +11,6 @@
 from lagooncrank.server.tests import endless_server
 from lagooncrank.server.tests import raw_server
 
-#: Memory of the smallest entry in `docs/OPERATIONS.md`.
-ENTRY_MB: Final = 200
 #: Responses at once. Chunks cost the processor most, and need most memory.
 RESPONSES: Final = {
     "length_too_large": 600,
@@ -48,4 +46,4 @@
         output, _ = await reader.communicate()
     outcome = json.loads(output)
     assert outcome["served"] == endless_reader.SOUND_REQUESTS
-    assert outcome["peak_mb"] < ENTRY_MB
+    assert outcome["peak_mb"] < endless_reader.ENTRY_MB
--- a/lagooncrank/server/seeded/tests/test_stream_quota.py
+++ b/lagooncrank/server/seeded/tests/test_stream_quota.py
@@ -22,7 +22,7 @@
 def test_stream_ends_at_its_limit(
     events: int, grows: bool, limit_bytes: int
 ) -> None:
-    buffers = _buffer_budget.BufferBudget()
+    buffers = _buffer_budget.BufferBudget.of_memory(200)
     quota = _stream_quota.StreamQuota(buffers.open())
     read_bytes = 0
     while read_bytes < limit_bytes:
