A clock of observed time, ticked by the watch of the event loop

One place for the rule that time in which this process read nothing is no evidence about others; nothing uses it yet.

--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -13,6 +13,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import settings
 from lagooncrank.core import consensus
 from lagooncrank.core import fleet
@@ -66,7 +67,11 @@
         self.decision_log = _decision_log.DecisionLog(
             sys.stdout.fileno(), clock, node_settings.node_id
         )
-        self.loop_watch = _loop_watch.LoopWatch(clock, self.decision_log)
+        #: Time in which this node could notice what others did.
+        self.observed_clock = observed_time.ObservedClock(clock)
+        self.loop_watch = _loop_watch.LoopWatch(
+            clock, self.observed_clock, self.decision_log
+        )
         self.links = peer_links.Links(
             node_settings.node_id,
             {
--- a/lagooncrank/server/seeded/tests/test_loop_watch.py
+++ b/lagooncrank/server/seeded/tests/test_loop_watch.py
@@ -2,6 +2,7 @@
 import os
 
 from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _loop_watch
 
@@ -11,9 +12,11 @@
     read_end, write_end = os.pipe()
     clock = clocks.ManualClock()
     log = _decision_log.DecisionLog(write_end, clock, "n")
-    watch = _loop_watch.LoopWatch(clock, log)
+    watch = _loop_watch.LoopWatch(
+        clock, observed_time.ObservedClock(clock), log
+    )
     for lag_ms in lags_ms:
-        clock.advance(_loop_watch.TICK_MS + lag_ms)
+        clock.advance(observed_time.TICK_MS + lag_ms)
         assert watch.lag_ms == lag_ms
         watch.tick()
     log.flush()
@@ -31,8 +34,22 @@
 def test_delay_shows_before_the_tick() -> None:
     clock = clocks.ManualClock()
     log = _decision_log.DecisionLog(os.open(os.devnull, os.O_WRONLY), clock, "")
-    watch = _loop_watch.LoopWatch(clock, log)
-    clock.advance(_loop_watch.TICK_MS - 1)
+    watch = _loop_watch.LoopWatch(
+        clock, observed_time.ObservedClock(clock), log
+    )
+    clock.advance(observed_time.TICK_MS - 1)
     assert watch.lag_ms == 0
     clock.advance(1_001)
     assert watch.lag_ms == 1_000
+
+
+# Guards against a node whose observed time stands still.
+def test_tick_counts_as_observed_time() -> None:
+    clock = clocks.ManualClock()
+    log = _decision_log.DecisionLog(os.open(os.devnull, os.O_WRONLY), clock, "")
+    observed_clock = observed_time.ObservedClock(clock)
+    watch = _loop_watch.LoopWatch(clock, observed_clock, log)
+    for _ in range(10):
+        clock.advance(observed_time.TICK_MS)
+        watch.tick()
+    assert observed_clock.now_ms() == 10 * observed_time.TICK_MS
--- a/lagooncrank/server/tests/test_operations_page.py
+++ b/lagooncrank/server/tests/test_operations_page.py
@@ -19,7 +19,7 @@
         # Only modules that are imported export their metrics there.
         *prometheus_client.REGISTRY.collect(),
     ]
-    assert _loop_watch.TICK_MS
+    assert _loop_watch.LOGGED_LAG_MS
     return {
         f"{family.name}_total" if family.type == "counter" else family.name
         for family in families
