--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -15,6 +15,7 @@
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_chooser
+from lagooncrank.server.seeded import _attempt_outcomes
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _attempt_runner
 from lagooncrank.server.seeded import _attempt_task
@@ -31,16 +32,12 @@
     """Makes the attempts of all requests of one entry."""
 
     def __init__(self, parts: _attempt_parts.AttemptParts) -> None:
-        self._target_selector = parts.target_selector
-        self._view = parts.view
-        self._crash_guard = parts.crash_guard
+        #: Records what attempts show, also while their responses are read.
+        self.outcomes = _attempt_outcomes.AttemptOutcomes(parts)
         self._retry_rules = _retry_rules.RetryRules(
             parts.crash_guard, parts.clock
         )
-        self._reach_monitor = parts.reach_monitor
-        self._delegator = parts.delegator
         self._stop_gate = parts.stop_gate
-        self._metrics = parts.metrics
         self._clock = parts.clock
         self._log = parts.log
         self._next_attempts = _next_attempt.NextAttempts(parts)
@@ -87,27 +84,9 @@
                 last_error = error
             if not last_error.may_have_run and not target.is_entry:
                 rejections += 1
-            self._record_failed_attempt(exchange, target, last_error)
+            self.outcomes.record_failed_attempt(exchange, target, last_error)
             self._retry_rules.check(exchange, last_error, rejections)
 
-    def _record_failed_attempt(
-        self,
-        exchange: _exchange.Exchange,
-        target: dispatch.Target,
-        error: _attempt.AttemptFailedError,
-    ) -> int:
-        """Records a failed attempt, or one that is not relied on any more.
-
-        Returns:
-            The number of runs that it adds to those of the request.
-        """
-        self._record_lost(exchange, target, error, has_begun=False)
-        self._record_failure(exchange, target, error)
-        runs_before = exchange.possible_runs
-        if error.may_have_run:
-            exchange.record_lost_run()
-        return exchange.possible_runs - runs_before
-
     async def _try_target(
         self,
         exchange: _exchange.Exchange,
@@ -183,7 +162,9 @@
         error = _attempt.AttemptFailedError(
             _attempt.FailureKind.TIMED_OUT, "no response yet"
         )
-        runs_added = self._record_failed_attempt(exchange, target, error)
+        runs_added = self.outcomes.record_failed_attempt(
+            exchange, target, error
+        )
         async with _attempt_task.AttemptTask(
             self._open_if_allowed(exchange, error, rejections),
             lambda response: self._discard(exchange, *response),
@@ -237,8 +218,7 @@
         """
         error = _attempt_task.error_of(starting.task)
         if isinstance(error, _attempt.AttemptFailedError):
-            self._record_lost(exchange, target, error, has_begun=False)
-            self._record_failure(exchange, target, error)
+            self.outcomes.record_late_failure(exchange, target, error)
         elif error is not None:
             raise error
 
@@ -271,7 +251,9 @@
         error = _attempt.AttemptFailedError(
             _attempt.FailureKind.SERVER_ERROR, str(response.head.status)
         )
-        runs_added = self._record_failed_attempt(exchange, target, error)
+        runs_added = self.outcomes.record_failed_attempt(
+            exchange, target, error
+        )
         is_kept = False
         try:
             return await self._open_if_allowed(exchange, error, rejections)
@@ -332,28 +314,6 @@
         """Returns a limit on the silence of the server of a request."""
         return self._runner.silence_limit(exchange, patience_ms)
 
-    def record_event(
-        self, exchange: _exchange.Exchange, target: dispatch.Target
-    ) -> None:
-        """Records that a response made progress."""
-        if target.is_entry:
-            return
-        self._reach_monitor.silence.record_heard(
-            (exchange.number, target.server_id)
-        )
-        self._view.stall_detector.progress.record_event(
-            target.server_id, exchange.number, self._clock.now_ms()
-        )
-        self._crash_guard.record_event(exchange)
-
-    def record_complete(
-        self, exchange: _exchange.Exchange, target: dispatch.Target
-    ) -> None:
-        """Records that a response is complete."""
-        if target.is_entry:
-            return
-        self._crash_guard.record_sound(exchange)
-
     def handle_broken_response(
         self,
         exchange: _exchange.Exchange,
@@ -366,66 +326,9 @@
             ForwardingError: The request must not be retried.
         """
         exchange.record_lost_run()
-        self.record_broken_response(exchange, target, error)
+        self.outcomes.record_broken_response(exchange, target, error)
         self._retry_rules.check(exchange, error, 0)
 
-    def record_broken_response(
-        self,
-        exchange: _exchange.Exchange,
-        target: dispatch.Target,
-        error: _attempt.AttemptFailedError,
-    ) -> None:
-        """Records that a response broke off, or that its server is silent."""
-        if target.is_entry:
-            self._delegator.record_failure(target, error)
-        self._record_failure(exchange, target, error)
-        self._record_lost(exchange, target, error, has_begun=True)
-
-    def _record_lost(
-        self,
-        exchange: _exchange.Exchange,
-        target: dispatch.Target,
-        error: _attempt.AttemptFailedError,
-        *,
-        has_begun: bool,
-    ) -> None:
-        """Records a failed attempt, which may show that its server crashed."""
-        if target.is_entry:
-            return
-        if error.failure is _attempt.FailureKind.RESPONSE_LOST:
-            now_ms = self._clock.now_ms()
-            self._log.write(
-                decisions.Event.RUN_LOST,
-                server=target.server_id,
-                born_ms=target.born_ms,
-                events=exchange.run_events if has_begun else None,
-                run_ms=now_ms - exchange.run_began_ms if has_begun else None,
-                parts=exchange.request_head.shared_parts,
-                content=exchange.content_digest(),
-                **exchange.log_fields(self._clock),
-            )
-        self._crash_guard.record_lost(
-            exchange, target, error, has_begun=has_begun
-        )
-
-    def _record_failure(
-        self,
-        exchange: _exchange.Exchange,
-        target: dispatch.Target,
-        error: _attempt.AttemptFailedError,
-    ) -> None:
-        self._metrics.count_failure(error.failure)
-        if target.is_entry:
-            return
-        if error.failure is not _attempt.FailureKind.CONNECT:
-            exchange.has_arrived = True
-        if error.failure is not _attempt.FailureKind.SERVER_ERROR:
-            self._target_selector.record_failure(target)
-        if error.failure is _attempt.FailureKind.TIMED_OUT and target.group:
-            self._view.stall_detector.record_timeout(
-                target.server_id, self._clock.now_ms()
-            )
-
 
 def _has_served(
     starting: _attempt_task.AttemptTask[_attempt.BackendResponse],
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -112,7 +112,7 @@
                 backend_response.head.status < _adapter.FIRST_ERROR_STATUS
             )
             if is_success and backend_response.is_framed:
-                self._forwarder.record_complete(exchange, target)
+                self._forwarder.outcomes.record_complete(exchange, target)
             response = web.Response(
                 status=backend_response.head.status, body=body
             )
--- a/lagooncrank/server/seeded/_stream_events.py
+++ b/lagooncrank/server/seeded/_stream_events.py
@@ -139,7 +139,7 @@
             try:
                 events = await self._read_until_done(opening)
             except _attempt.AttemptFailedError as failure:
-                self._forwarder.record_broken_response(
+                self._forwarder.outcomes.record_broken_response(
                     exchange, self._run.target, failure
                 )
                 self._run.close()
--- a/lagooncrank/server/seeded/_stream_run.py
+++ b/lagooncrank/server/seeded/_stream_run.py
@@ -137,7 +137,7 @@
             ready.append(event.raw)
         self._taken = (len(chunk), len(ready))
         if ready:
-            self._forwarder.record_event(exchange, self.target)
+            self._forwarder.outcomes.record_event(exchange, self.target)
         return b"".join(ready)
 
     def check(self) -> None:
@@ -177,7 +177,9 @@
             )
         self.response.release()
         if self._exchange.run_events and self.response.is_framed:
-            self._forwarder.record_complete(self._exchange, self.target)
+            self._forwarder.outcomes.record_complete(
+                self._exchange, self.target
+            )
 
     def _new_silence_limit(self) -> _silence_limit.SilenceLimit:
         """Returns the limit on pauses between the events of the run."""
