Give connections up after observed time, not for this process's standstill

Requests went to a second server, were taken from the delegation, or refused with SERVICE_UNREACHED.

Cause: the HTTP library's timer for a connection counts the time of the event loop. After a standstill it runs before the loop hears that the kernel has set the connection up long ago. The failure is charged to the server or the entry (backoff, evidence of a lost path) and the request goes elsewhere.

Fix: entries open connections to servers and to other entries within a limit of observed time, 500 ms as before. The library's own limit is off.

--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -12,10 +12,12 @@
 import aiohttp
 
 from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _connection_end
 from lagooncrank.server import _library_retries
+from lagooncrank.server import _observed_connector
 from lagooncrank.server import _request_targets
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
@@ -25,7 +27,7 @@
 #: request is sent on a connection that the server is closing.
 KEEPALIVE_S: Final = 4.0
 #: Callers allow a second for their whole attempt to be read.
-CONNECT_TIMEOUT_S: Final = 0.5
+CONNECT_TIMEOUT_MS: Final = 500
 #: Errors of the HTTP library quote what the server sent.
 MAX_DETAIL_CHARS: Final = 300
 
@@ -163,8 +165,14 @@
 class BackendClient:
     """HTTP client with a pool of connections to backend servers."""
 
-    def __init__(self, codec: _adapter.HttpCodec, source_ip: str = "") -> None:
+    def __init__(
+        self,
+        codec: _adapter.HttpCodec,
+        observed_clock: observed_time.ObservedClock,
+        source_ip: str = "",
+    ) -> None:
         self._codec = codec
+        self._observed_clock = observed_clock
         #: Local address of new connections; empty for the kernel's choice.
         self.source_ip = source_ip
         self._session: aiohttp.ClientSession | None = None
@@ -178,26 +186,29 @@
 
     async def start(self) -> None:
         """Opens the client sessions."""
-        self._connector = _bounded_http.BoundedConnector(
+        self._connector = self._create_connector(keepalive_timeout=KEEPALIVE_S)
+        self._session = self._open_session(self._connector)
+        single_connector = self._create_connector(force_close=True)
+        self._single_session = self._open_session(single_connector)
+
+    def _create_connector(
+        self, **options: Any
+    ) -> _observed_connector.ObservedConnector:
+        return _observed_connector.ObservedConnector(
+            self._observed_clock,
+            CONNECT_TIMEOUT_MS,
             limit=0,
-            keepalive_timeout=KEEPALIVE_S,
             socket_factory=self._create_socket,
+            **options,
         )
-        self._session = self._open_session(self._connector)
-        single_connector = _bounded_http.BoundedConnector(
-            limit=0, force_close=True, socket_factory=self._create_socket
-        )
-        self._single_session = self._open_session(single_connector)
 
     def _open_session(
         self, connector: _bounded_http.BoundedConnector
     ) -> aiohttp.ClientSession:
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        )
         return _bounded_http.open_session(
             connector,
-            timeout,
+            # The connector limits the time for a connection.
+            aiohttp.ClientTimeout(total=None, sock_connect=None),
             skip_auto_headers=_NO_AUTO_HEADERS,
             middlewares=(_library_retries.send_once,),
             trace_configs=(_send_context.trace_config(),),
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -52,7 +52,7 @@
         )
         self.server_limits.count_permits = self.metrics.permits.count
         self._client = _attempt.BackendClient(
-            http_codec, node_settings.source_ip
+            http_codec, self.observed_clock, node_settings.source_ip
         )
         target_selector = _target_selector.TargetSelector(
             node_settings.failure_domain_id,
@@ -78,7 +78,9 @@
         self._reach_monitor = reach_monitor
         #: Has connections of its own: those to servers are closed while this
         #: entry has no path to them.
-        self._entry_client = _attempt.BackendClient(http_codec)
+        self._entry_client = _attempt.BackendClient(
+            http_codec, self.observed_clock
+        )
         delegator = _delegator.Delegator(
             node_settings,
             self._entry_client,
--- a/lagooncrank/server/seeded/tests/endless_reader.py
+++ b/lagooncrank/server/seeded/tests/endless_reader.py
@@ -12,7 +12,9 @@
 import sys
 from typing import Final
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.server import _buffer_budget
 from lagooncrank.server.seeded import _adapter
@@ -53,7 +55,10 @@
 
 async def run(endless: str, sound: str, count: int) -> int:
     """Returns how many sound requests were served beside the endless ones."""
-    client = _attempt.BackendClient(plain_codec.PlainCodec())
+    client = _attempt.BackendClient(
+        plain_codec.PlainCodec(),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
     await client.start()
     buffers = _buffer_budget.BufferBudget.of_memory(ENTRY_MB)
 
--- a/lagooncrank/server/seeded/tests/test_attempt.py
+++ b/lagooncrank/server/seeded/tests/test_attempt.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import socket
+import time
 from typing import Any
 from typing import cast
 from typing import Final
 
 import pytest
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
@@ -55,7 +60,10 @@
 ) -> None:
     """The library sent a request again that may have run."""
     server = raw_server.RawServer([], resets)
-    client = _attempt.BackendClient(cast(Any, PlainCodec()))
+    client = _attempt.BackendClient(
+        cast(Any, PlainCodec()),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
     await client.start()
     try:
         async with server.running() as address:
@@ -69,6 +77,73 @@
     assert server.requests == 1
 
 
+@dataclasses.dataclass(frozen=True)
+class LoopHolder:
+    """Holds the event loop up once a connection is being opened."""
+
+    duration_s: float
+
+    def on_connecting(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(time.sleep, self.duration_s)
+
+    def on_connected(self) -> None:
+        pass
+
+
+# Guards against a connection that the kernel set up while this process stood
+# still, and that was given up for it.
+async def test_connection_outlasts_a_standstill_of_this_process() -> None:
+    server = raw_server.RawServer([], False)
+    client = _attempt.BackendClient(
+        cast(Any, PlainCodec()),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
+    await client.start()
+    held_ms = _attempt.CONNECT_TIMEOUT_MS + 100
+    context = _send_context.SendContext(LoopHolder(held_ms / clocks.MS_PER_S))
+    try:
+        async with server.running() as address:
+            target = dispatch.Target(SERVER, address, SERVICE, DOMAIN, slots=1)
+            with pytest.raises(_attempt.AttemptFailedError) as caught:
+                await client.open(
+                    target, request_head("GET"), METADATA, b"", context=context
+                )
+    finally:
+        await client.stop()
+    assert caught.value.failure is _attempt.FailureKind.RESPONSE_LOST
+    assert server.requests == 1
+
+
+# Guards against an attempt that waits without end for a host that is gone.
+async def test_connection_that_is_not_set_up_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_attempt, "CONNECT_TIMEOUT_MS", 20)
+    client = _attempt.BackendClient(
+        cast(Any, PlainCodec()),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
+    await client.start()
+    with contextlib.ExitStack() as stack:
+        # The kernel answers no more connections than fit the queue.
+        listener = stack.enter_context(
+            socket.create_server(("127.0.0.1", 0), backlog=0)
+        )
+        host, port = listener.getsockname()
+        for _ in range(4):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex((host, port))
+        target = dispatch.Target(
+            SERVER, f"{host}:{port}", SERVICE, DOMAIN, slots=1
+        )
+        with pytest.raises(_attempt.AttemptFailedError) as caught:
+            await client.open(target, request_head("GET"), METADATA, b"")
+    await client.stop()
+    assert caught.value.failure is _attempt.FailureKind.CONNECT
+
+
 class GoneError(Exception):
     """The caller has left."""
 
@@ -81,7 +156,10 @@
     body: bytes, allowed_checks: int
 ) -> None:
     server = raw_server.RawServer([], False)
-    client = _attempt.BackendClient(cast(Any, PlainCodec()))
+    client = _attempt.BackendClient(
+        cast(Any, PlainCodec()),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
     await client.start()
     checks = 0
 
@@ -134,7 +212,10 @@
         writer.close()
         has_ended.set()
 
-    client = _attempt.BackendClient(cast(Any, PlainCodec()))
+    client = _attempt.BackendClient(
+        cast(Any, PlainCodec()),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
     await client.start()
     listener = await asyncio.start_server(serve, "127.0.0.1", 0, limit=4_096)
     host, port = listener.sockets[0].getsockname()
--- a/lagooncrank/server/seeded/tests/test_endless_responses.py
+++ b/lagooncrank/server/seeded/tests/test_endless_responses.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _buffer_budget
@@ -22,7 +24,10 @@
 
 @pytest.fixture
 async def client() -> AsyncIterator[_attempt.BackendClient]:
-    running = _attempt.BackendClient(plain_codec.PlainCodec())
+    running = _attempt.BackendClient(
+        plain_codec.PlainCodec(),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
     await running.start()
     yield running
     await running.stop()
