Let health probes wait for observed time

Seen: not in a record; shown by a held event loop. A probe whose response had arrived while this process stood still counted as timed out. One timeout confirms a lost path: the entry takes itself out of the callers' list and delegates or refuses the requests for the service, with all servers sound.

Cause: as with connections: the timer runs before the response is read.

Evidence: the test failed before: "assert <ProbeOutcome.TIMEOUT> is <ProbeOutcome.RESPONSE>".

--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -1,6 +1,5 @@
 """One attempt: sends a request to one backend server over HTTP."""
 
-import asyncio
 import collections
 from collections.abc import AsyncIterator
 import dataclasses
@@ -11,13 +10,13 @@
 
 import aiohttp
 
-from lagooncrank import clock as clocks
 from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.server import _bounded_http
 from lagooncrank.server import _connection_end
 from lagooncrank.server import _library_retries
 from lagooncrank.server import _observed_connector
+from lagooncrank.server import _observed_timer
 from lagooncrank.server import _request_targets
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
@@ -227,13 +226,13 @@
         Args:
             address: Address of the server, "ip:port".
             path: Path of the server's health check.
-            timeout_ms: Time limit of the whole probe.
+            timeout_ms: Limit of the whole probe, in observed time.
         """
         assert self._single_session is not None
         url = _request_targets.url(address, path)
         try:
             async with (
-                asyncio.timeout(timeout_ms / clocks.MS_PER_S),
+                _observed_timer.timeout(self._observed_clock, timeout_ms),
                 self._single_session.get(url, allow_redirects=False),
             ):
                 return ProbeOutcome.RESPONSE
--- a/lagooncrank/server/seeded/tests/test_attempt.py
+++ b/lagooncrank/server/seeded/tests/test_attempt.py
@@ -19,12 +19,15 @@
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _send_context
 from lagooncrank.server.tests import raw_server
+from lagooncrank.server.tests import stream_servers
 
 SERVER = model.BackendServerId("s1")
 SERVICE = model.ServiceName("desk")
 DOMAIN = model.FailureDomainId("a")
 #: More than the kernel buffers for a server that does not read.
 LARGE_BODY_BYTES: Final = 67_108_864
+#: Longer than a standstill that counts as observed time.
+PROBE_TIMEOUT_MS: Final = 200
 #: Much longer than any step takes, so that only a fault exceeds it.
 TIMEOUT_S: Final = 30.0
 METADATA = _adapter.ForwardingMetadata(SERVER, 1_000, None, None, None)
@@ -115,6 +118,32 @@
     assert server.requests == 1
 
 
+# Guards against a server that is taken for silent although its response to a
+# probe arrived while this process stood still.
+async def test_probe_outlasts_a_standstill_of_this_process() -> None:
+    held_ms = PROBE_TIMEOUT_MS + 100
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        time.sleep(held_ms / clocks.MS_PER_S)  # noqa: ASYNC251
+        writer.close()
+
+    client = _attempt.BackendClient(
+        cast(Any, PlainCodec()),
+        observed_time.ObservedClock(clocks.SystemClock()),
+    )
+    await client.start()
+    try:
+        async with stream_servers.running(serve) as address:
+            outcome = await client.probe(address, "/", PROBE_TIMEOUT_MS)
+    finally:
+        await client.stop()
+    assert outcome is _attempt.ProbeOutcome.RESPONSE
+
+
 # Guards against an attempt that waits without end for a host that is gone.
 async def test_connection_that_is_not_set_up_is_given_up(
     monkeypatch: pytest.MonkeyPatch,
