Probe members of stalled groups within a limit of observed time

Seen: not in a record; shown by a held event loop. A control node that stood still for half a second while it probed a sound member marked that member as unreachable, though its response had arrived; its group is dissolved for it.

Cause: the provider's client limited the probe by the timer of the HTTP library, which runs before the response is read; one failed probe is enough.

Looked at and left: the limit of an order (1.5 s). Its expiry is logged and charged to nobody; the order is repeated until its effect is observed.

--- a/lagooncrank/server/seeded/_adapter.py
+++ b/lagooncrank/server/seeded/_adapter.py
@@ -171,7 +171,10 @@
         """Orders an engine's host to stage the weights of a model."""
 
     async def is_alive(self, member: model.GroupMember) -> bool:
-        """Probes an engine; returns whether it responds."""
+        """Probes an engine; returns whether it responds.
+
+        The caller limits the time.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -51,6 +51,7 @@
             self.documents,
             engines,
             clock,
+            self.observed_clock,
             self.decision_log,
             self.metrics,
         )
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -12,6 +12,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import settings
 from lagooncrank.core import groups
 from lagooncrank.server import _shared_state
@@ -38,6 +39,7 @@
         documents: _documents.DocumentStore,
         engines: _adapter.EngineClient,
         clock: clocks.Clock,
+        observed_clock: observed_time.ObservedClock,
         log: _decision_log.DecisionLog,
         metrics: _control_metrics.ControlMetrics,
     ) -> None:
@@ -66,7 +68,13 @@
             self._wake.set,
         )
         self._probes = _stall_probes.StallProbes(
-            shared, view, engines, log, self._spawn, self._wake.set
+            shared,
+            view,
+            engines,
+            observed_clock,
+            log,
+            self._spawn,
+            self._wake.set,
         )
         view.listeners.append(self._wake.set)
         shared.on_applied(lambda _command, _outcome: self._wake.set())
--- a/lagooncrank/server/seeded/_stall_probes.py
+++ b/lagooncrank/server/seeded/_stall_probes.py
@@ -5,6 +5,8 @@
 
 from lagooncrank import decisions
 from lagooncrank import model
+from lagooncrank import observed_time
+from lagooncrank.server import _observed_timer
 from lagooncrank.server import _shared_state
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _decision_log
@@ -13,6 +15,9 @@
 
 #: Minimum time between two probes of the members of a stalled group.
 PROBE_INTERVAL_MS: Final = 1_000
+#: Observed time in which an engine must respond. It does within milliseconds;
+#: the retransmission of a lost packet takes some 200 ms.
+PROBE_TIMEOUT_MS: Final = 500
 
 
 class StallProbes:
@@ -22,6 +27,7 @@
         shared: Replicated state.
         view: What this node knows of servers and other nodes.
         engines: Client for probes.
+        observed_clock: Time in which this node could notice a response.
         log: Receives a line for each member that is silent.
         spawn: Starts tasks.
         on_change: Called once a member was found to be silent.
@@ -32,6 +38,7 @@
         shared: _shared_state.ReplicatedState,
         view: _fleet_view.FleetView,
         engines: _adapter.EngineClient,
+        observed_clock: observed_time.ObservedClock,
         log: _decision_log.DecisionLog,
         spawn: _group_actions.Spawn,
         on_change: Callable[[], None],
@@ -39,6 +46,7 @@
         self._shared = shared
         self._view = view
         self._engines = engines
+        self._observed_clock = observed_clock
         self._log = log
         self._spawn = spawn
         self._on_change = on_change
@@ -74,8 +82,7 @@
         self, group: model.Group, member: model.GroupMember
     ) -> None:
         """Records a member that does not answer as unreachable."""
-        is_alive = await self._engines.is_alive(member)
-        if is_alive:
+        if await self._is_alive(member):
             return
         self._view.table.mark_unreachable(member.server_id, member.born_ms)
         self._log.write(
@@ -85,3 +92,13 @@
             group=group.name,
         )
         self._on_change()
+
+    async def _is_alive(self, member: model.GroupMember) -> bool:
+        try:
+            async with _observed_timer.timeout(
+                self._observed_clock, PROBE_TIMEOUT_MS
+            ):
+                return await self._engines.is_alive(member)
+        except TimeoutError:
+            # The caller logs the failed probe.
+            return False
--- a/lagooncrank/server/seeded/tests/driver_builder.py
+++ b/lagooncrank/server/seeded/tests/driver_builder.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank import settings
 from lagooncrank.core import fleet
 from lagooncrank.core.groups.tests import builders
@@ -19,6 +20,7 @@
     write: object = lambda *_, **__: None,
     documents: object = None,
     nodes: object = None,
+    clock: clocks.Clock | None = None,
 ) -> _group_driver.GroupDriver:
     """Returns a driver that is not started.
 
@@ -29,10 +31,12 @@
         write: Receives the lines of the decision log.
         documents: Store of the document in force.
         nodes: Live nodes, as the leader sees them.
+        clock: Source of time, also of the observed time; by default it stands.
     """
     view = types.SimpleNamespace(
         listeners=[], table=table or builders.server_table(), nodes=nodes
     )
+    clock = clock or clocks.ManualClock()
     return _group_driver.GroupDriver(
         settings.SeededSettings(
             settings.Role.CONTROL,
@@ -46,7 +50,8 @@
         cast(Any, view),
         cast(Any, documents),
         cast(Any, engines),
-        clocks.ManualClock(),
+        clock,
+        observed_time.ObservedClock(clock),
         cast(Any, types.SimpleNamespace(write=write)),
         _control_metrics.ControlMetrics(),
     )
