Judge the silence of linked nodes in observed time

Seen: `dependency_lost` "control nodes" of nodes that had stood still; with it an entry forgets the loads of all other entries, and what it publishes in that moment goes to nobody.

Cause: a link counted as down 1.2 s after its last frame by the clock. After a standstill of that length every link does, until what waits in the sockets is read.

Fix: the time of the last frame, and the limit, are observed time. Heartbeats are still sent by the clock: others count on them.

Ruled out: a late node that closes the links of sound peers.

--- a/lagooncrank/server/links/_channel.py
+++ b/lagooncrank/server/links/_channel.py
@@ -15,6 +15,7 @@
 
 from lagooncrank import clock
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.server.links import _handshake
 
 HANDSHAKE_TIMEOUT_S: Final = 2.0
@@ -45,15 +46,17 @@
         peer: model.NodeId,
         session: _handshake.Session,
         clock_: clock.Clock,
+        observed_clock: observed_time.ObservedClock,
     ) -> None:
         self.peer = peer
-        #: When the newest frame was received.
-        self.last_received_ms = clock_.now_ms()
+        #: When the newest frame was received, in observed time.
+        self.last_received_ms = observed_clock.now_ms()
         #: When the newest message was queued.
         self.last_sent_ms = clock_.now_ms()
         self._connection = connection
         self._session = session
         self._clock = clock_
+        self._observed_clock = observed_clock
         self._queue: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
         self._wake = asyncio.Event()
@@ -66,6 +69,7 @@
         peer: model.NodeId,
         key: bytes,
         clock_: clock.Clock,
+        observed_clock: observed_time.ObservedClock,
     ) -> "Channel":
         """Authenticates a connection that this node opened.
 
@@ -83,7 +87,7 @@
         session = _handshake.Session(key, own_hello, peer_hello, is_dialer=True)
         await connection.send(model.to_cbor(session.proof()))
         session.check_proof(await _receive(connection, peer, _handshake.Proof))
-        return cls(connection, peer, session, clock_)
+        return cls(connection, peer, session, clock_, observed_clock)
 
     @classmethod
     async def accept(
@@ -93,6 +97,7 @@
         allowed_peers: frozenset[model.NodeId] | None,
         key: bytes,
         clock_: clock.Clock,
+        observed_clock: observed_time.ObservedClock,
     ) -> "Channel":
         """Authenticates a connection that a peer opened.
 
@@ -103,6 +108,7 @@
                 that holds the key.
             key: Key that all nodes share.
             clock_: Clock of the process.
+            observed_clock: Observed time of the process.
 
         Raises:
             HandshakeError: The remote node is not allowed, has another
@@ -123,7 +129,7 @@
         )
         session.check_proof(await _receive(connection, peer, _handshake.Proof))
         await connection.send(model.to_cbor(session.proof()))
-        return cls(connection, peer, session, clock_)
+        return cls(connection, peer, session, clock_, observed_clock)
 
     def send(self, payload: bytes) -> bool:
         """Queues a message.
@@ -172,7 +178,7 @@
             while True:
                 frame = await self._connection.recv(decode=False)
                 part = self._session.open(frame)
-                self.last_received_ms = self._clock.now_ms()
+                self.last_received_ms = self._observed_clock.now_ms()
                 message += part[1:]
                 if len(message) > MAX_MESSAGE_BYTES:
                     raise _handshake.HandshakeError(
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -18,6 +18,7 @@
 
 from lagooncrank import clock
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.server import _interfaces
@@ -37,8 +38,8 @@
 
     #: Interval at which a heartbeat is sent on an idle link.
     heartbeat_interval_ms: int = 300
-    #: A link on which no frame arrives for this long is closed and dialled
-    #: again.
+    #: A link on which no frame arrives for this long, in observed time, is
+    #: closed and dialled again.
     receive_timeout_ms: int = 1_200
     reconnect: _reconnect_backoff.ReconnectTiming = dataclasses.field(
         default_factory=_reconnect_backoff.ReconnectTiming
@@ -69,6 +70,7 @@
         listener: socket.socket | None = None,
         *,
         accepts_unknown_peers: bool = False,
+        observed_clock: observed_time.ObservedClock | None = None,
     ) -> None:
         """Creates the links; no socket is opened before the start.
 
@@ -83,6 +85,8 @@
             accepts_unknown_peers: Whether any node that holds the key may
                 connect, whatever its id; peers to dial are then added as they
                 are discovered.
+            observed_clock: Observed time of the process; by default it is that
+                of the checks of these links.
         """
         super().__init__()
         self._node_id = node_id
@@ -93,6 +97,9 @@
         self._on_connected: list[Callable[[model.NodeId], None]] = []
         self._key = key
         self._clock = clock_
+        self._observed_clock = observed_clock or observed_time.ObservedClock(
+            clock_
+        )
         self._timing = timing
         self._listener = listener
         self._handlers: dict[str, _Handler] = {}
@@ -194,25 +201,24 @@
 
     def connected(self) -> frozenset[model.NodeId]:
         """Returns the peers that sent a frame within the receive timeout."""
-        now_ms = self._clock.now_ms()
         return frozenset(
-            c.peer
-            for c in self._channels.values()
-            if now_ms - c.last_received_ms < self._timing.receive_timeout_ms
+            c.peer for c in self._channels.values() if not self._is_silent(c)
         )
 
+    def _is_silent(self, channel: _channel.Channel) -> bool:
+        silent_ms = self._observed_clock.now_ms() - channel.last_received_ms
+        return silent_ms >= self._timing.receive_timeout_ms
+
     @mode.Service.timer(CHECK_INTERVAL_S)
     async def _check_periodically(self) -> None:
+        self._observed_clock.tick()
         self.check_links()
 
     def check_links(self) -> None:
         """Sends due heartbeats and closes unresponsive links."""
         now_ms = self._clock.now_ms()
         for channel in list(self._channels.values()):
-            if (
-                now_ms - channel.last_received_ms
-                >= self._timing.receive_timeout_ms
-            ):
+            if self._is_silent(channel):
                 _metrics.LINKS_CLOSED.labels("silent").inc()
                 _log.warning(
                     "peer {} is unresponsive; closing its link", channel.peer
@@ -254,7 +260,12 @@
                 proxy=None,
             ) as connection:
                 channel = await _channel.Channel.dial(
-                    connection, self._node_id, peer, self._key, self._clock
+                    connection,
+                    self._node_id,
+                    peer,
+                    self._key,
+                    self._clock,
+                    self._observed_clock,
                 )
                 await self._run_channel(channel)
         except results.LagooncrankError as error:
@@ -274,6 +285,7 @@
                 None if self._accepts_unknown_peers else self._known_peers,
                 self._key,
                 self._clock,
+                self._observed_clock,
             )
             await self._run_channel(channel)
         except results.LagooncrankError as error:
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -86,6 +86,7 @@
                 or node_settings.peer_address(node_settings.node_id)
             ),
             accepts_unknown_peers=True,
+            observed_clock=self.observed_clock,
         )
         store = None
         #: Keeps what a control node remembers beside the replicated log.
