Let handshakes of nodes wait for observed time

The peer counted as unauthenticated ("check the shared key file"), its link was not made, and it was dialled again after a backoff that doubles with each failure.

Cause: the two limits of 2 s, for the connection and for each step of the handshake, ran by the event loop's timer, before what had arrived was read.

Fix: both count observed time.

Evidence: the test failed before: "HandshakeError: PEER_UNAUTHENTICATED (603): peer 'a': the connection closed or timed out during the handshake". A second test shows that a peer that does not answer is still given up.

--- a/lagooncrank/server/links/_channel.py
+++ b/lagooncrank/server/links/_channel.py
@@ -16,9 +16,11 @@
 from lagooncrank import clock
 from lagooncrank import model
 from lagooncrank import observed_time
+from lagooncrank.server import _observed_timer
 from lagooncrank.server.links import _handshake
 
-HANDSHAKE_TIMEOUT_S: Final = 2.0
+#: Observed time for each step of a handshake.
+HANDSHAKE_TIMEOUT_MS: Final = 2_000
 #: Empty message that keeps an idle link alive.
 HEARTBEAT: Final = b""
 #: Limit of the bytes queued for a slow peer; further messages are dropped. A
@@ -79,14 +81,18 @@
         """
         own_hello = _handshake.Hello.of(node_id)
         await connection.send(model.to_cbor(own_hello))
-        peer_hello = await _receive(connection, peer, _handshake.Hello)
+        peer_hello = await _receive(
+            connection, peer, _handshake.Hello, observed_clock
+        )
         if peer_hello.node_id != peer:
             raise _handshake.HandshakeError(
                 peer, f"it identifies itself as {peer_hello.node_id!r}"
             )
         session = _handshake.Session(key, own_hello, peer_hello, is_dialer=True)
         await connection.send(model.to_cbor(session.proof()))
-        session.check_proof(await _receive(connection, peer, _handshake.Proof))
+        session.check_proof(
+            await _receive(connection, peer, _handshake.Proof, observed_clock)
+        )
         return cls(connection, peer, session, clock_, observed_clock)
 
     @classmethod
@@ -115,7 +121,9 @@
                 protocol version, does not hold the shared key, or did not
                 complete the handshake.
         """
-        peer_hello = await _receive(connection, "", _handshake.Hello)
+        peer_hello = await _receive(
+            connection, "", _handshake.Hello, observed_clock
+        )
         peer = peer_hello.node_id
         is_allowed = allowed_peers is None or peer in allowed_peers
         if not is_allowed or peer_hello.protocol != _handshake.PROTOCOL:
@@ -127,7 +135,9 @@
         session = _handshake.Session(
             key, peer_hello, own_hello, is_dialer=False
         )
-        session.check_proof(await _receive(connection, peer, _handshake.Proof))
+        session.check_proof(
+            await _receive(connection, peer, _handshake.Proof, observed_clock)
+        )
         await connection.send(model.to_cbor(session.proof()))
         return cls(connection, peer, session, clock_, observed_clock)
 
@@ -219,10 +229,15 @@
 
 
 async def _receive(
-    connection: ws_connection.Connection, peer: str, message_type: type[T]
+    connection: ws_connection.Connection,
+    peer: str,
+    message_type: type[T],
+    observed_clock: observed_time.ObservedClock,
 ) -> T:
     try:
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+        async with _observed_timer.timeout(
+            observed_clock, HANDSHAKE_TIMEOUT_MS
+        ):
             data = await connection.recv(decode=False)
         return model.from_cbor(data, message_type)
     except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -22,6 +22,7 @@
 from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.server import _interfaces
+from lagooncrank.server import _observed_timer
 from lagooncrank.server.links import _channel
 from lagooncrank.server.links import _handshake
 from lagooncrank.server.links import _metrics
@@ -250,15 +251,7 @@
 
     async def _dial(self, peer: model.NodeId) -> None:
         try:
-            async with ws_client.connect(
-                f"ws://{self._addresses[peer]}/",
-                compression=None,
-                ping_interval=None,
-                open_timeout=_channel.HANDSHAKE_TIMEOUT_S,
-                close_timeout=0,
-                max_size=_channel.MAX_FRAME_BYTES,
-                proxy=None,
-            ) as connection:
+            async with await self._connect(peer) as connection:
                 channel = await _channel.Channel.dial(
                     connection,
                     self._node_id,
@@ -277,6 +270,20 @@
             _metrics.LINKS_CLOSED.labels("internal_error").inc()
             _log.exception("the link with peer {} failed", peer)
 
+    async def _connect(self, peer: model.NodeId) -> ws_client.ClientConnection:
+        async with _observed_timer.timeout(
+            self._observed_clock, _channel.HANDSHAKE_TIMEOUT_MS
+        ):
+            return await ws_client.connect(
+                f"ws://{self._addresses[peer]}/",
+                compression=None,
+                ping_interval=None,
+                open_timeout=None,
+                close_timeout=0,
+                max_size=_channel.MAX_FRAME_BYTES,
+                proxy=None,
+            )
+
     async def _accept(self, connection: ws_server.ServerConnection) -> None:
         try:
             channel = await _channel.Channel.accept(
--- a/lagooncrank/server/links/tests/test_failing_links.py
+++ b/lagooncrank/server/links/tests/test_failing_links.py
@@ -100,6 +100,40 @@
         channel.abort()
 
 
+# Guards against a peer that is dialled again later because this node stood
+# still while it answered.
+async def test_handshake_outlasts_a_standstill(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeout_ms = 20
+    monkeypatch.setattr(_channel, "HANDSHAKE_TIMEOUT_MS", timeout_ms)
+    manual_clock = clock.ManualClock()
+    observed_clock = observed_time.ObservedClock(manual_clock)
+    clocks = (manual_clock, observed_clock)
+    async with connected_pair() as (connection, remote):
+        dialling = asyncio.create_task(
+            _channel.Channel.dial(connection, NODE, PEER, b"k", *clocks)
+        )
+        # No observed time passes.
+        await asyncio.sleep(5 * timeout_ms / clock.MS_PER_S)
+        await _channel.Channel.accept(remote, PEER, None, b"k", *clocks)
+        assert (await dialling).peer == PEER
+
+
+async def test_handshake_that_is_not_answered_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_channel, "HANDSHAKE_TIMEOUT_MS", 20)
+    manual_clock = clock.ManualClock()
+    observed_clock = observed_time.ObservedClock(manual_clock)
+    async with connected_pair() as (connection, _):
+        asyncio.get_running_loop().call_soon(manual_clock.advance, 20)
+        with pytest.raises(_handshake.HandshakeError, match="timed out"):
+            await _channel.Channel.dial(
+                connection, NODE, PEER, b"k", manual_clock, observed_clock
+            )
+
+
 async def test_unexpected_error_of_a_link_does_not_end_the_process(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
