Pass an issuer of permits over for observed time without a response only

An entry that stood still for 300 ms took the control node that it had asked for permits as frozen, although the permits had arrived, and used only its own share of the limit for 3 s, while the control node issued the whole limit to the others.

Cause: the time since the request was counted by the clock, and the next request for a permit runs before the link is read.

Fix: a request counts as lost after 300 ms of observed time. The time for which an issuer is passed over, and all that other nodes count on (permits expire, links that are missing), go by the clock as before.

Evidence: the test failed before: "assert ['n1'] == ['c0']" (its own share instead of the issuer).

Looked at and left: permits that are read late are used late, at most what one request may hold (250 ms of the rate); an issuer that stood still saves up no more than that either.

--- a/lagooncrank/core/limits/_client.py
+++ b/lagooncrank/core/limits/_client.py
@@ -13,7 +13,7 @@
 from lagooncrank.core.limits import _types
 from lagooncrank.core.limits import _wallet
 
-#: Time after which a request without a response counts as lost.
+#: Observed time after which a request without a response counts as lost.
 RESPONSE_TIMEOUT_MS: Final = 300
 #: Time after which another node issues the permits of one without a link.
 REPLACED_AFTER_MS: Final = 2_000
@@ -30,7 +30,8 @@
         self._node_id = node_id
         self._table = table
         self._wallet = _wallet.PermitWallet()
-        #: When each issuing node was first asked without a response since.
+        #: When each issuing node was first asked without a response since, in
+        #: observed time.
         self._unanswered_ms: dict[model.NodeId, int] = {}
         self._passed_over_until_ms: dict[model.NodeId, int] = {}
         #: Since when control nodes that were connected no longer are.
@@ -66,6 +67,7 @@
         needed: int,
         control_nodes: Iterable[model.NodeId],
         now_ms: int,
+        observed_ms: int,
     ) -> Mapping[model.NodeId, _types.PermitRequests]:
         """Requests permits for limited processes, unless enough are on the way.
 
@@ -74,6 +76,7 @@
             needed: Number of requests that permits are needed for.
             control_nodes: Control nodes with a live link.
             now_ms: Monotonic time in milliseconds.
+            observed_ms: Time in which this node could notice a response.
 
         Returns:
             Messages by the node that issues the permits; this entry itself if
@@ -83,7 +86,7 @@
         batches: dict[model.NodeId, list[_types.PermitRequest]] = {}
         for process, count in self._choose(processes, needed, now_ms):
             self._wallet.record_request(process, now_ms)
-            issuer = self._issuing_node(process, now_ms)
+            issuer = self._issuing_node(process, now_ms, observed_ms)
             batches.setdefault(issuer, []).append(
                 _types.PermitRequest(
                     self._table.report(process, now_ms),
@@ -92,7 +95,7 @@
                 )
             )
         for issuer in batches:
-            self._unanswered_ms.setdefault(issuer, now_ms)
+            self._unanswered_ms.setdefault(issuer, observed_ms)
         return {
             issuer: _types.PermitRequests(tuple(requests))
             for issuer, requests in batches.items()
@@ -153,7 +156,7 @@
         self._connected = connected
 
     def _issuing_node(
-        self, process: _types.Process, now_ms: int
+        self, process: _types.Process, now_ms: int, observed_ms: int
     ) -> model.NodeId:
         """Returns the node that issues permits of a process to this entry.
 
@@ -163,14 +166,18 @@
         """
         nodes = self._connected.union(self._missing_since_ms)
         issuer = _issuing_node.issuing_node(process, nodes)
-        if issuer not in self._connected or not self._responds(issuer, now_ms):
+        if issuer not in self._connected or not self._responds(
+            issuer, now_ms, observed_ms
+        ):
             return self._node_id
         return issuer
 
-    def _responds(self, node: model.NodeId, now_ms: int) -> bool:
+    def _responds(
+        self, node: model.NodeId, now_ms: int, observed_ms: int
+    ) -> bool:
         """Returns whether a node responds, as far as is known."""
-        since_ms = self._unanswered_ms.get(node, now_ms)
-        if now_ms - since_ms >= RESPONSE_TIMEOUT_MS:
+        since_ms = self._unanswered_ms.get(node, observed_ms)
+        if observed_ms - since_ms >= RESPONSE_TIMEOUT_MS:
             del self._unanswered_ms[node]
             self._passed_over_until_ms[node] = now_ms + PASSED_OVER_MS
         return now_ms >= self._passed_over_until_ms.get(node, 0)
--- a/lagooncrank/core/limits/tests/_fleet.py
+++ b/lagooncrank/core/limits/tests/_fleet.py
@@ -186,6 +186,7 @@
             len(entry.waiting),
             self._connected(entry.node_id),
             self._now_ms,
+            self._now_ms,
         )
         for issuer, batch in batches.items():
             if issuer == entry.node_id:
--- a/lagooncrank/core/limits/tests/test_client.py
+++ b/lagooncrank/core/limits/tests/test_client.py
@@ -16,9 +16,13 @@
 
 
 def issuers(
-    client: limits.PermitClient, controls: tuple[model.NodeId, ...], now_ms: int
+    client: limits.PermitClient,
+    controls: tuple[model.NodeId, ...],
+    now_ms: int,
+    missed_ms: int = 0,
 ) -> list[model.NodeId]:
-    return list(client.request([PROCESS], 1, controls, now_ms))
+    observed_ms = now_ms - missed_ms
+    return list(client.request([PROCESS], 1, controls, now_ms, observed_ms))
 
 
 def grant(client: limits.PermitClient, count: int, now_ms: int) -> None:
@@ -76,16 +80,24 @@
     assert issuers(client, CONTROLS, later_ms + 500) == [issuer]
 
 
+# Guards against: an entry that stood still used only its own share of a limit
+# for seconds, as it took the issuer whose response it had not read for frozen.
+def test_issuer_is_not_passed_over_for_a_standstill_of_the_entry() -> None:
+    client = make_client()
+    (issuer,) = issuers(client, CONTROLS, 0)
+    assert issuers(client, CONTROLS, 2_000, missed_ms=1_850) == [issuer]
+
+
 def test_entry_without_control_nodes_issues_for_itself() -> None:
     assert issuers(make_client(), (), 0) == [ENTRY]
 
 
 def test_enough_permits_are_requested_and_no_more() -> None:
     client = make_client(rate_per_s=40.0)
-    (batch,) = client.request([PROCESS], 4, CONTROLS, 0).values()
+    (batch,) = client.request([PROCESS], 4, CONTROLS, 0, 0).values()
     assert [r.count for r in batch.requests] == [4]
     grant(client, 3, 10)
-    assert not client.request([PROCESS], 3, CONTROLS, 20)
+    assert not client.request([PROCESS], 3, CONTROLS, 20, 20)
 
 
 def test_permits_of_a_withdrawn_limit_are_forgotten() -> None:
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -125,6 +125,7 @@
             self.view,
             self.links,
             clock,
+            self.observed_clock,
             self.decision_log,
         )
 
--- a/lagooncrank/server/seeded/_server_limits.py
+++ b/lagooncrank/server/seeded/_server_limits.py
@@ -15,6 +15,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.core import limits
 from lagooncrank.server import links as peer_links
@@ -40,6 +41,7 @@
         view: _fleet_view.FleetView,
         links: peer_links.Links,
         clock: clocks.Clock,
+        observed_clock: observed_time.ObservedClock,
         log: _decision_log.DecisionLog,
     ) -> None:
         super().__init__()
@@ -47,6 +49,7 @@
         self._view = view
         self._links = links
         self._clock = clock
+        self._observed_clock = observed_clock
         self._log = log
         self._guard = _step_guard.StepGuard(log)
         self.table = limits.LimitTable()
@@ -130,6 +133,7 @@
             needed,
             self._view.connected_control_nodes(),
             self._clock.now_ms(),
+            self._observed_clock.now_ms(),
         )
         for issuer, batch in batches.items():
             if issuer == self._node_id:
--- a/lagooncrank/server/seeded/tests/test_own_permits.py
+++ b/lagooncrank/server/seeded/tests/test_own_permits.py
@@ -7,6 +7,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.core import fleet
 from lagooncrank.core import limits
@@ -48,7 +49,12 @@
     )
     log: Any = types.SimpleNamespace(write=lambda *_, **__: None)
     server_limits = _server_limits.ServerLimits(
-        model.NodeId("e1"), view, links, clock, log
+        model.NodeId("e1"),
+        view,
+        links,
+        clock,
+        observed_time.ObservedClock(clock),
+        log,
     )
     stated = limits.StatedLimit.from_rates([RATE_PER_S])
     server_limits.record_response(TARGET, stated, 0)
