Log for how long an entry itself stood still in a silence

A line stream_resumed with given_up_for pause looks the same whether a server sent nothing or this entry read nothing: loop_late is written by a tick of its own, up to a tick after the decision. Now stream_resumed, silent_run_kept and answer_cut say missed_ms, the time that the entry stood still since the server was last heard or asked, and lagooncrank_silent_runs_total counts runs taken for silent by reason and by whether it was so.

--- a/lagooncrank/server/seeded/_attempt_outcomes.py
+++ b/lagooncrank/server/seeded/_attempt_outcomes.py
@@ -19,12 +19,14 @@
         self._delegator = parts.delegator
         self._metrics = parts.metrics
         self._clock: clocks.Clock = parts.clock
+        self._observed_clock = parts.observed_clock
         self._log = parts.log
 
     def record_event(
         self, exchange: _exchange.Exchange, target: dispatch.Target
     ) -> None:
         """Records that a response made progress."""
+        exchange.begin_silence(self._observed_clock.missed_ms)
         if target.is_entry:
             return
         self._reach_monitor.silence.record_heard(
--- a/lagooncrank/server/seeded/_attempt_parts.py
+++ b/lagooncrank/server/seeded/_attempt_parts.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _crash_guard
@@ -35,4 +36,5 @@
     stop_gate: _stop_gate.StopGate
     metrics: _entry_metrics.EntryMetrics
     clock: clocks.Clock
+    observed_clock: observed_time.ObservedClock
     log: _decision_log.DecisionLog
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -57,6 +57,7 @@
         self._next_attempts = next_attempts
         self._metrics = parts.metrics
         self._clock = parts.clock
+        self._observed_clock = parts.observed_clock
         self._log = parts.log
         self._response_waits = _response_waits.ResponseWaits()
         parts.view.stall_detector.listeners.append(self._expire_waits)
@@ -70,6 +71,7 @@
         The caller of this method must call `close`.
         """
         exchange.was_sent = True
+        exchange.begin_silence(self._observed_clock.missed_ms)
         if target.is_entry:
             self._delegator.begin(target)
             return
@@ -103,6 +105,7 @@
             return await self._delegate(exchange, target)
         backend_response = await self._send_to_server(exchange, target, silence)
         exchange.begin_run(self._clock.now_ms())
+        exchange.begin_silence(self._observed_clock.missed_ms)
         if is_server_error(backend_response):
             return backend_response
         self._target_selector.backoff.record_success(target.server_id)
@@ -155,6 +158,7 @@
                 self._count_unseen_runs(exchange, began_ms)
             raise
         exchange.begin_run(self._clock.now_ms())
+        exchange.begin_silence(self._observed_clock.missed_ms)
         return backend_response
 
     def _count_unseen_runs(
@@ -334,7 +338,8 @@
         """Returns whether a silent run is given up, and notes why."""
         if not self._next_attempts.try_reserve(exchange):
             return False
-        exchange.given_up_for = reason
+        exchange.give_up(reason, self._observed_clock.missed_ms)
+        self._metrics.count_silent_run(reason, was_late=exchange.missed_ms > 0)
         return True
 
 
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -106,6 +106,7 @@
             self._stop_gate,
             self.metrics,
             clock,
+            self.observed_clock,
             self.decision_log,
         )
         self._forwarder = _forwarding.Forwarder(parts)
--- a/lagooncrank/server/seeded/_entry_metrics.py
+++ b/lagooncrank/server/seeded/_entry_metrics.py
@@ -55,6 +55,13 @@
             ("code",),
             registry=self.registry,
         )
+        self._silent_runs = prometheus_client.Counter(
+            "lagooncrank_silent_runs",
+            "Runs that were taken for silent and attempted elsewhere, by why "
+            "and by whether this entry itself stood still meanwhile.",
+            ("reason", "late"),
+            registry=self.registry,
+        )
         self._first_byte_s = prometheus_client.Histogram(
             "lagooncrank_first_byte_seconds",
             "Time from arrival to the first event or the whole answer.",
@@ -88,6 +95,15 @@
         """Counts a response that this system ended midway."""
         self._cuts.labels(code.name).inc()
 
+    def count_silent_run(self, reason: str, *, was_late: bool) -> None:
+        """Counts a run that is taken for silent.
+
+        Args:
+            reason: Why.
+            was_late: Whether this entry itself stood still in the silence.
+        """
+        self._silent_runs.labels(reason, str(was_late).lower()).inc()
+
     def count_retry(self, reason: str, *, is_charged: bool) -> None:
         """Counts a retry.
 
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -77,6 +77,11 @@
     leaving_server: holds.Process | None = None
     #: Why the last run that was given up was taken for silent; empty if none.
     given_up_for: str = ""
+    #: For how long this entry itself stood still in the silence that this run
+    #: was given up for; its server may have sent meanwhile.
+    missed_ms: int = 0
+    #: `ObservedClock.missed_ms` when the silence began.
+    missed_before_ms: int = 0
     #: Time that the request waited for a slot of a group.
     queued_ms: int = 0
 
@@ -122,6 +127,25 @@
         self.run_events = 0
         self.is_run_sound = False
         self.given_up_for = ""
+        self.missed_ms = 0
+
+    def begin_silence(self, missed_ms: int) -> None:
+        """Records that a server was heard, or asked, just now.
+
+        Args:
+            missed_ms: Time so far that this entry stood still.
+        """
+        self.missed_before_ms = missed_ms
+
+    def give_up(self, reason: str, missed_ms: int) -> None:
+        """Records that the run is taken for silent.
+
+        Args:
+            reason: Why.
+            missed_ms: Time so far that this entry stood still.
+        """
+        self.given_up_for = reason
+        self.missed_ms = missed_ms - self.missed_before_ms
 
     def record_lost_run(self) -> None:
         """Counts an attempt that may have run and yielded no response."""
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -202,6 +202,7 @@
             decisions.Event.RUN_KEPT,
             reason=error.refusal.reason,
             given_up_for=exchange.given_up_for,
+            missed_ms=exchange.missed_ms,
             **exchange.log_fields(self._clock),
         )
 
--- a/lagooncrank/server/seeded/_response_cuts.py
+++ b/lagooncrank/server/seeded/_response_cuts.py
@@ -41,6 +41,7 @@
             code=code.name,
             reason=reason,
             given_up_for=exchange.given_up_for,
+            missed_ms=exchange.missed_ms,
             last_event_id=exchange.last_event_id,
             **exchange.log_fields(self._clock),
         )
--- a/lagooncrank/server/seeded/_stream_events.py
+++ b/lagooncrank/server/seeded/_stream_events.py
@@ -208,6 +208,7 @@
             decisions.Event.RUN_KEPT,
             reason=None if refused is None else refused.refusal.reason,
             given_up_for=self._exchange.given_up_for,
+            missed_ms=self._exchange.missed_ms,
             last_event_id=self._exchange.last_event_id,
             **self._exchange.log_fields(self._clock),
         )
@@ -249,6 +250,7 @@
             failure=error.failure,
             detail=error.detail,
             given_up_for=self._exchange.given_up_for,
+            missed_ms=self._exchange.missed_ms,
             last_event_id=self._exchange.last_event_id,
             **self._exchange.log_fields(self._clock),
         )
