Count only observed time as the silence of a server

An entry that stood still for longer than its patience sent its streams at sound servers elsewhere: the timer of SilenceLimit ran before what the servers had sent meanwhile was read.

The limit waits in observed time now, for both of its users (pauses between events, and the first response); its own timer is gone. The deadline of the request stays in real time, as its caller counts on it.

The wait for another entry that stated no runs (_count_unseen_runs) stays in real time: the other entry goes on while this one stands still, and may make another attempt meanwhile; observed time would allow runs too many.

--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -168,7 +168,7 @@
 
         For as long as it is patient with its first server it makes no second
         attempt. After that the request may have run as often as its route
-        allows.
+        allows. It goes on while this entry stands still, so that time counts.
         """
         waited_ms = self._clock.now_ms() - began_ms
         if waited_ms >= _patience_ms(exchange):
@@ -289,9 +289,11 @@
 
         Args:
             exchange: The request; without a limit if it must not run twice.
-            patience_ms: Longest silence while there are other servers.
+            patience_ms: Longest silence while there are other servers, in
+                observed time.
         """
         return _silence_limit.SilenceLimit(
+            self._observed_clock,
             patience_ms if exchange.route.is_retry_safe else None,
             lambda: self._may_give_up(exchange, GivenUpFor.PAUSE),
         )
@@ -356,7 +358,10 @@
 
 
 def _patience_ms(exchange: _exchange.Exchange) -> int:
-    """Returns how long a request waits for a response before it is retried."""
+    """Returns how long a request waits for a response before it is retried.
+
+    It is observed time of the entry that waits, so never less than real time.
+    """
     return max(
         RESPONSE_TIMEOUT_FACTOR * exchange.route.target_latency_ms,
         MIN_RESPONSE_TIMEOUT_MS,
--- a/lagooncrank/server/seeded/_silence_limit.py
+++ b/lagooncrank/server/seeded/_silence_limit.py
@@ -7,10 +7,11 @@
 from typing import Final
 from typing import Protocol
 
-from lagooncrank import clock as clocks
+from lagooncrank import observed_time
+from lagooncrank.server import _observed_timer
 
 #: Interval at which a request at a silent server is checked again.
-RECHECK_S: Final = 0.1
+RECHECK_MS: Final = 100
 
 
 class Expirable(Protocol):
@@ -49,33 +50,42 @@
 class SilenceLimit:
     """Makes the wait for a server expire after a silence, but not for nothing.
 
-    While the request could not be attempted again, the wait goes on.
+    The silence is observed time. While the request could not be attempted
+    again, the wait goes on.
     """
 
     def __init__(
-        self, patience_ms: int | None, may_give_up: Callable[[], bool]
+        self,
+        clock: observed_time.ObservedClock,
+        patience_ms: int | None,
+        may_give_up: Callable[[], bool],
     ) -> None:
         """Starts the limit.
 
         Args:
+            clock: Observed time of this entry.
             patience_ms: Longest silence; None for no limit.
             may_give_up: Returns whether the request can be attempted again.
         """
-        self._loop = asyncio.get_running_loop()
+        self._clock = clock
+        self._patience_ms = patience_ms
         self._may_give_up = may_give_up
-        self._patience_s: float | None = None
-        self._expires_s = 0.0
         self._timeout: Expirable | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: _observed_timer.ObservedTimer | None = None
+        self._is_overdue = False
         if patience_ms is not None:
-            self._patience_s = patience_ms / clocks.MS_PER_S
-            self.restart()
-            self._schedule(self._expires_s)
+            self._wait(patience_ms)
 
     def restart(self) -> None:
         """Restarts the limit after a sign of progress."""
-        if self._patience_s is not None:
-            self._expires_s = self._loop.time() + self._patience_s
+        if self._timer is None or self._patience_ms is None:
+            return
+        if not self._is_overdue:
+            self._timer.restart()
+            return
+        self._is_overdue = False
+        self._timer.cancel()
+        self._wait(self._patience_ms)
 
     @contextlib.contextmanager
     def watch(self, timeout: Expirable) -> Iterator[None]:
@@ -92,22 +102,21 @@
 
     def close(self) -> None:
         """Ends the limit."""
-        self._patience_s = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _schedule(self, at_s: float) -> None:
-        self._timer = self._loop.call_at(at_s, self._on_timer)
+    def _wait(self, duration_ms: int) -> None:
+        self._timer = _observed_timer.ObservedTimer(
+            self._clock, duration_ms, self._on_silence
+        )
 
-    def _on_timer(self) -> None:
-        now_s = self._loop.time()
-        if now_s < self._expires_s:
-            self._schedule(self._expires_s)
-            return
+    def _on_silence(self) -> None:
         timeout = self._timeout
         is_waiting = timeout is not None and not timeout.expired()
         if timeout is not None and is_waiting and self._may_give_up():
-            timeout.reschedule(now_s)
+            self._timer = None
+            timeout.reschedule(asyncio.get_running_loop().time())
             return
-        self._schedule(now_s + RECHECK_S)
+        self._is_overdue = True
+        self._wait(RECHECK_MS)
