Watch the silence of all servers in the node's observed time

SilenceWatch kept a rule of its own for pauses of this process (100 ms of a call count at most); it is passed observed milliseconds now. The test of a paused process drives the watch through the one rule.

--- a/lagooncrank/core/reach/_silence.py
+++ b/lagooncrank/core/reach/_silence.py
@@ -10,9 +10,6 @@
 SILENCE_MS: Final = 400
 #: Number of servers that must be silent at once: a single one may pause.
 MIN_SILENT_SERVERS: Final = 3
-#: Longest time that one call of `advance` counts: during a pause of this
-#: process nothing could be received.
-MAX_ADVANCE_MS: Final = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,19 +22,20 @@
 class SilenceWatch:
     """Tracks servers that owe a connection or the next event of a stream."""
 
-    def __init__(self, now_ms: int) -> None:
-        self._now_ms = now_ms
+    def __init__(self, observed_ms: int) -> None:
         #: Time that passed while this process could receive, in milliseconds.
-        self._observed_ms = 0
+        self._observed_ms = observed_ms
         #: Observed time at which any server was last heard.
-        self._heard_ms = 0
+        self._heard_ms = observed_ms
         self._waits: dict[Hashable, _Wait] = {}
 
-    def advance(self, now_ms: int) -> None:
-        """Counts the time since the last call; to be called periodically."""
-        passed_ms = max(now_ms - self._now_ms, 0)
-        self._now_ms = now_ms
-        self._observed_ms += min(passed_ms, MAX_ADVANCE_MS)
+    def advance(self, observed_ms: int) -> None:
+        """Lets time pass; to be called periodically.
+
+        Args:
+            observed_ms: Time that passed while this process could receive.
+        """
+        self._observed_ms = observed_ms
 
     def begin(self, key: Hashable, server_id: str) -> None:
         """Records that a server owes something from now on.
--- a/lagooncrank/core/reach/tests/test_silence.py
+++ b/lagooncrank/core/reach/tests/test_silence.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank.core import reach
 
 TICK_MS = 50
@@ -14,9 +16,9 @@
     watch = reach.SilenceWatch(0)
     for number in range(servers):
         watch.begin(number, f"s{number}")
-    for now_ms in range(TICK_MS, silent_ms + 1, TICK_MS):
-        watch.advance(now_ms)
-        if heard_at_ms == now_ms:
+    for observed_ms in range(TICK_MS, silent_ms + 1, TICK_MS):
+        watch.advance(observed_ms)
+        if heard_at_ms == observed_ms:
             watch.record_heard()
     return watch
 
@@ -41,8 +43,13 @@
 # Guards against: an entry that was frozen for a second took its own pause for
 # the silence of all servers.
 def test_pause_of_the_process_is_not_silence_of_the_servers() -> None:
+    clock = clocks.ManualClock()
+    observed_clock = observed_time.ObservedClock(clock)
     watch = watch_after(100, 5)
-    watch.advance(5_000)
+    clock.advance(100)
+    observed_clock.tick()
+    clock.advance(4_900)
+    watch.advance(observed_clock.now_ms())
     assert not watch.is_silent()
 
 
@@ -57,6 +64,6 @@
     for number in range(3):
         watch.record_heard(number)
     assert not watch.is_silent()
-    for now_ms in range(1_050, 1_401, TICK_MS):
-        watch.advance(now_ms)
+    for observed_ms in range(1_050, 1_401, TICK_MS):
+        watch.advance(observed_ms)
     assert watch.is_silent()
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -73,6 +73,7 @@
             self.documents,
             self.metrics.reach,
             clock,
+            self.observed_clock,
             self.decision_log,
         )
         self._reach_monitor = reach_monitor
--- a/lagooncrank/server/seeded/_reach_monitor.py
+++ b/lagooncrank/server/seeded/_reach_monitor.py
@@ -10,6 +10,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import reach
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _decision_log
@@ -34,6 +35,7 @@
         documents: _documents.DocumentStore,
         metrics: _reach_metrics.ReachMetrics,
         clock: clocks.Clock,
+        observed_clock: observed_time.ObservedClock,
         log: _decision_log.DecisionLog,
     ) -> None:
         super().__init__()
@@ -42,10 +44,11 @@
         self._documents = documents
         self._metrics = metrics
         self._clock = clock
+        self._observed_clock = observed_clock
         self._log = log
         self._guard = _step_guard.StepGuard(log)
         self.detector = reach.ReachDetector()
-        self.silence = reach.SilenceWatch(clock.now_ms())
+        self.silence = reach.SilenceWatch(observed_clock.now_ms())
         #: Called with the servers of services that became unreached while no
         #: server was heard.
         self.silence_listeners: list[Callable[[frozenset[str]], None]] = []
@@ -102,7 +105,7 @@
     def check(self) -> None:
         """Decides which services are reached, and starts the due probes."""
         now_ms = self._clock.now_ms()
-        self.silence.advance(now_ms)
+        self.silence.advance(self._observed_clock.now_ms())
         if self.silence.is_silent():
             self._assume_all_unreached(now_ms)
         for service in self.detector.take_due_probes(now_ms):
