Detect stalled streams in the node's observed time

The stall detector kept a rule of its own (checks more than 200 ms apart mean a pause, which discount_pause took off each stream). Between the end of a pause and the next check nothing was taken off: a report of another entry that came then found every stream overdue (is_overdue counted the pause), and its waits expired.

StreamProgress is passed observed milliseconds. What other nodes are told (servers that sent an event lately) stays in monotonic time, as do the reports of others and suspicion after a timeout.

Tests of discount_pause are replaced by ones that drive the same pauses through the observed clock; the limit after a pause is checked to the millisecond, and a stream is not overdue after a pause (on the code before, it was).

--- a/lagooncrank/core/dispatch/_progress.py
+++ b/lagooncrank/core/dispatch/_progress.py
@@ -3,6 +3,9 @@
 The engines of a group run in lockstep, and each step emits an event on every
 stream that is in progress. If no stream of a head receives events any more,
 one of the group's members has failed.
+
+`observed_ms` is time in which this entry could read events, `now_ms` monotonic
+time, which counts for what other nodes are told.
 """
 
 from collections.abc import Collection
@@ -23,13 +26,13 @@
 
 @dataclasses.dataclass(slots=True)
 class _Stream:
-    #: Time of the last event, or of the request before the first event.
+    #: Observed time of the last event, or of the request before the first.
     last_event_ms: int
     has_begun: bool = False
 
-    def is_stalled(self, now_ms: int) -> bool:
+    def is_stalled(self, observed_ms: int) -> bool:
         limit_ms = EVENT_STALL_MS if self.has_begun else FIRST_EVENT_STALL_MS
-        return now_ms - self.last_event_ms >= limit_ms
+        return observed_ms - self.last_event_ms >= limit_ms
 
 
 class StreamProgress:
@@ -37,18 +40,21 @@
 
     def __init__(self) -> None:
         self._streams: dict[str, dict[int, _Stream]] = {}
+        #: Monotonic time of the last event of each server.
         self._last_event_ms: dict[str, int] = {}
 
-    def begin(self, server_id: str, stream: int, now_ms: int) -> None:
+    def begin(self, server_id: str, stream: int, observed_ms: int) -> None:
         """Starts tracking a request that was sent."""
         server_streams = self._streams.setdefault(server_id, {})
-        server_streams[stream] = _Stream(now_ms)
+        server_streams[stream] = _Stream(observed_ms)
 
-    def record_event(self, server_id: str, stream: int, now_ms: int) -> None:
+    def record_event(
+        self, server_id: str, stream: int, observed_ms: int, now_ms: int
+    ) -> None:
         """Records an event of a stream."""
         tracked = self._streams.get(server_id, {}).get(stream)
         if tracked is not None:
-            tracked.last_event_ms = now_ms
+            tracked.last_event_ms = observed_ms
             tracked.has_begun = True
         self._last_event_ms[server_id] = now_ms
 
@@ -61,15 +67,7 @@
         if not server_streams:
             del self._streams[server_id]
 
-    def discount_pause(self, pause_ms: int, now_ms: int) -> None:
-        """Excludes a pause of this process, in which it read no events."""
-        for server_streams in self._streams.values():
-            for stream in server_streams.values():
-                stream.last_event_ms = min(
-                    stream.last_event_ms + pause_ms, now_ms
-                )
-
-    def is_overdue(self, server_id: str, stream: int, now_ms: int) -> bool:
+    def is_overdue(self, server_id: str, stream: int, observed_ms: int) -> bool:
         """Returns whether a stream had no event for the longest step time.
 
         Unknown streams are not overdue.
@@ -77,10 +75,10 @@
         tracked = self._streams.get(server_id, {}).get(stream)
         return (
             tracked is not None
-            and now_ms - tracked.last_event_ms >= MAX_STEP_MS
+            and observed_ms - tracked.last_event_ms >= MAX_STEP_MS
         )
 
-    def stalled(self, now_ms: int) -> frozenset[str]:
+    def stalled(self, observed_ms: int) -> frozenset[str]:
         """Returns the servers all of whose streams are stalled.
 
         Requests without a first event are considered only if no stream of
@@ -90,7 +88,7 @@
         return frozenset(
             server_id
             for server_id, streams in self._streams.items()
-            if _are_stalled(streams.values(), now_ms)
+            if _are_stalled(streams.values(), observed_ms)
         )
 
     def working(self, now_ms: int) -> frozenset[str]:
@@ -105,6 +103,6 @@
         return frozenset(self._last_event_ms)
 
 
-def _are_stalled(streams: Collection[_Stream], now_ms: int) -> bool:
+def _are_stalled(streams: Collection[_Stream], observed_ms: int) -> bool:
     begun = [s for s in streams if s.has_begun]
-    return all(s.is_stalled(now_ms) for s in begun or streams)
+    return all(s.is_stalled(observed_ms) for s in begun or streams)
--- a/lagooncrank/core/dispatch/tests/test_dispatch.py
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -1,6 +1,8 @@
 """Target choice, retry budget, failure backoff and stall detection."""
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 
 SERVICE = model.ServiceName("writers")
@@ -105,11 +107,11 @@
     progress = dispatch.StreamProgress()
     progress.begin("head", 1, 0)
     progress.begin("head", 2, 0)
-    progress.record_event("head", 1, 100)
-    progress.record_event("head", 2, 300)
+    progress.record_event("head", 1, 100, 100)
+    progress.record_event("head", 2, 300, 300)
     assert not progress.stalled(500)
     assert progress.stalled(650) == {"head"}
-    progress.record_event("head", 1, 660)
+    progress.record_event("head", 1, 660, 660)
     assert not progress.stalled(700)
 
 
@@ -123,20 +125,28 @@
 
 
 def test_pause_of_the_entry_does_not_count_as_a_stall() -> None:
+    clock = clocks.ManualClock()
+    observed_clock = observed_time.ObservedClock(clock)
     progress = dispatch.StreamProgress()
     progress.begin("head", 1, 0)
-    progress.record_event("head", 1, 100)
-    progress.begin("other", 2, 3_150)
-    progress.discount_pause(pause_ms=3_000, now_ms=3_160)
-    assert not progress.stalled(3_160)
-    assert progress.stalled(3_460) == {"head"}
-    assert progress.stalled(4_160) == {"head", "other"}
+    clock.advance(100)
+    observed_clock.tick()
+    progress.record_event("head", 1, observed_clock.now_ms(), clock.now_ms())
+    clock.advance(3_000)
+    assert not progress.stalled(observed_clock.now_ms())
+    observed_clock.tick()
+    resumed_ms = observed_clock.now_ms()
+    progress.begin("other", 2, resumed_ms)
+    progress.record_event("head", 1, resumed_ms, clock.now_ms())
+    assert not progress.stalled(resumed_ms + 349)
+    assert progress.stalled(resumed_ms + 350) == {"head"}
+    assert progress.stalled(resumed_ms + 1_000) == {"head", "other"}
 
 
 def test_head_counts_as_working_for_a_second_after_an_event() -> None:
     progress = dispatch.StreamProgress()
     progress.begin("head", 1, 0)
-    progress.record_event("head", 1, 100)
+    progress.record_event("head", 1, 100, 100)
     progress.end("head", 1)
     assert progress.working(1_000) == {"head"}
     assert not progress.working(1_100)
@@ -156,7 +166,18 @@
 def test_stream_is_overdue_after_a_step_without_an_event() -> None:
     progress = dispatch.StreamProgress()
     progress.begin("head", 1, 0)
-    progress.record_event("head", 1, 100)
+    progress.record_event("head", 1, 100, 100)
     assert not progress.is_overdue("head", 1, 349)
     assert progress.is_overdue("head", 1, 350)
     assert not progress.is_overdue("head", 2, 10_000)
+
+
+# Guards against: an entry that stood still gave up its streams at once if
+# another one said that their server had stalled.
+def test_pause_of_the_entry_makes_no_stream_overdue() -> None:
+    clock = clocks.ManualClock()
+    observed_clock = observed_time.ObservedClock(clock)
+    progress = dispatch.StreamProgress()
+    progress.begin("head", 1, 0)
+    clock.advance(3_000)
+    assert not progress.is_overdue("head", 1, observed_clock.now_ms())
--- a/lagooncrank/core/dispatch/tests/test_requests_to_a_dead_group.py
+++ b/lagooncrank/core/dispatch/tests/test_requests_to_a_dead_group.py
@@ -20,13 +20,13 @@
     progress = dispatch.StreamProgress()
     for stream in range(begun_streams):
         progress.begin(HEAD, stream, FAILED_MS - 500)
-        progress.record_event(HEAD, stream, FAILED_MS)
+        progress.record_event(HEAD, stream, FAILED_MS, FAILED_MS)
     for passed_ms in range(0, 3_000, CHECK_INTERVAL_MS):
         now_ms = FAILED_MS + passed_ms
         if passed_ms % REQUEST_INTERVAL_MS == 0:
             progress.begin(HEAD, 100 + passed_ms, now_ms)
         if events_go_on:
-            progress.record_event(HEAD, 0, now_ms)
+            progress.record_event(HEAD, 0, now_ms, now_ms)
         if HEAD in progress.stalled(now_ms):
             return passed_ms
     return None
--- a/lagooncrank/server/seeded/_attempt_outcomes.py
+++ b/lagooncrank/server/seeded/_attempt_outcomes.py
@@ -33,7 +33,10 @@
             (exchange.number, target.server_id)
         )
         self._view.stall_detector.progress.record_event(
-            target.server_id, exchange.number, self._clock.now_ms()
+            target.server_id,
+            exchange.number,
+            self._observed_clock.now_ms(),
+            self._clock.now_ms(),
         )
         self._crash_guard.record_event(exchange)
 
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -79,7 +79,9 @@
         self._slot_queue.begin(exchange)
         if target.group:
             self._view.stall_detector.progress.begin(
-                target.server_id, exchange.number, self._clock.now_ms()
+                target.server_id,
+                exchange.number,
+                self._observed_clock.now_ms(),
             )
 
     async def send(
@@ -314,12 +316,12 @@
 
         Only overdue requests that may still be retried are affected.
         """
-        now_ms = self._clock.now_ms()
+        observed_ms = self._observed_clock.now_ms()
         self._response_waits.expire(
             servers,
             lambda server_id, exchange: (
                 self._view.stall_detector.progress.is_overdue(
-                    server_id, exchange.number, now_ms
+                    server_id, exchange.number, observed_ms
                 )
                 and self._may_give_up(exchange, GivenUpFor.STALL)
             ),
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -16,6 +16,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import settings
 from lagooncrank.core import dispatch
 from lagooncrank.core import fleet
@@ -62,6 +63,7 @@
         links: peer_links.Links,
         shared: _shared_state.ReplicatedState,
         clock: clocks.Clock,
+        observed_clock: observed_time.ObservedClock,
         log: _decision_log.DecisionLog,
     ) -> None:
         super().__init__()
@@ -70,6 +72,7 @@
         self._links = links
         self._shared = shared
         self._clock = clock
+        self._observed_clock = observed_clock
         self._log = log
         self._guard = _step_guard.StepGuard(log)
         unreachable_after_ms = int(
@@ -79,7 +82,7 @@
         self.table = fleet.ServerTable(unreachable_after_ms)
         self.nodes = fleet.NodeTable(NOTICE_TTL_MS)
         self.loads = dispatch.InFlightTracker()
-        self.stall_detector = _stall_detector.StallDetector(clock.now_ms())
+        self.stall_detector = _stall_detector.StallDetector()
         #: Whether callers may be directed to this node.
         self.is_open = False
         #: Whether this entry has received a request since its start.
@@ -217,8 +220,10 @@
             return self._shared.followers.union(control_nodes)
         return frozenset(control_nodes[:MAX_ENTRY_RECIPIENTS])
 
-    def _check_stalls(self, now_ms: int) -> None:
-        newly_stalled = self.stall_detector.check_streams(now_ms)
+    def _check_stalls(self, _now_ms: int) -> None:
+        newly_stalled = self.stall_detector.check_streams(
+            self._observed_clock.now_ms()
+        )
         if newly_stalled:
             self.publish_notice()
             self.stall_detector.notify(newly_stalled)
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -111,6 +111,7 @@
             self.links,
             self.shared,
             clock,
+            self.observed_clock,
             self.decision_log,
         )
         self.crash_evidence = _crash_evidence.CrashEvidenceExchange(
--- a/lagooncrank/server/seeded/_stall_detector.py
+++ b/lagooncrank/server/seeded/_stall_detector.py
@@ -6,8 +6,6 @@
 
 from lagooncrank.core import dispatch
 
-#: A longer interval between two checks means that this process was paused.
-MAX_CHECK_INTERVAL_MS: Final = 200
 #: Time for which a stall that the fleet summary reports is used.
 REMOTE_STALL_TTL_MS: Final = 1_500
 #: Time for which a server is suspected after a request timed out there.
@@ -17,31 +15,28 @@
 class StallDetector:
     """Combines stalls of this entry's streams with those others report."""
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(self) -> None:
         self.progress = dispatch.StreamProgress()
         #: Called with servers that have just stalled.
         self.listeners: list[Callable[[frozenset[str]], None]] = []
         #: Servers on which this entry's streams are stalled.
         self.stalled_locally: frozenset[str] = frozenset()
-        self._checked_ms = now_ms
         #: Servers that any entry reports as stalled, with the time at which
         #: this entry received the first report.
         self._stalled_remotely: dict[str, int] = {}
         #: Servers at which a request of this entry timed out, with the time.
         self._timed_out_ms: dict[str, int] = {}
 
-    def check_streams(self, now_ms: int) -> frozenset[str]:
+    def check_streams(self, observed_ms: int) -> frozenset[str]:
         """Checks this entry's streams.
 
+        Args:
+            observed_ms: Time in which this entry could read events.
+
         Returns:
             Servers that have stalled since the last check.
         """
-        pause_ms = now_ms - self._checked_ms
-        self._checked_ms = now_ms
-        if pause_ms > MAX_CHECK_INTERVAL_MS:
-            # Events that arrived during the pause have not been read yet.
-            self.progress.discount_pause(pause_ms, now_ms)
-        stalled = self.progress.stalled(now_ms)
+        stalled = self.progress.stalled(observed_ms)
         newly_stalled = stalled - self.stalled_locally
         self.stalled_locally = stalled
         return newly_stalled
--- a/lagooncrank/server/seeded/tests/fleet_node.py
+++ b/lagooncrank/server/seeded/tests/fleet_node.py
@@ -5,6 +5,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import settings
 from lagooncrank.server.seeded import _fleet_view
 
@@ -48,6 +49,7 @@
 
     def __init__(self, role: settings.Role = settings.Role.CONTROL) -> None:
         self.clock = clocks.ManualClock(start_ms=1_000)
+        self.observed_clock = observed_time.ObservedClock(self.clock)
         self.shared = _Shared()
         self.log = _Log()
         node_settings = settings.SeededSettings(
@@ -64,12 +66,14 @@
             cast(Any, _Links()),
             cast(Any, self.shared),
             self.clock,
+            self.observed_clock,
             cast(Any, self.log),
         )
 
     def pass_time(self, duration_ms: int) -> None:
         for _ in range(duration_ms // TICK_MS):
             self.clock.advance(TICK_MS)
+            self.observed_clock.tick()
             now_ms = self.clock.now_ms()
             self.view.connectivity.update(now_ms)
             self.view.table.evict_expired(now_ms)
--- a/lagooncrank/server/seeded/tests/test_address_of_a_restarted_head.py
+++ b/lagooncrank/server/seeded/tests/test_address_of_a_restarted_head.py
@@ -33,7 +33,7 @@
     )
     view: Any = types.SimpleNamespace(
         table=table,
-        stall_detector=_stall_detector.StallDetector(now_ms=0),
+        stall_detector=_stall_detector.StallDetector(),
     )
     shared: Any = types.SimpleNamespace(
         view=types.SimpleNamespace(groups={group.name: group})
--- a/lagooncrank/server/seeded/tests/test_slot_budget_after_start.py
+++ b/lagooncrank/server/seeded/tests/test_slot_budget_after_start.py
@@ -22,7 +22,7 @@
 ) -> _target_selector.TargetSelector:
     view: Any = types.SimpleNamespace(
         loads=dispatch.InFlightTracker(),
-        stall_detector=_stall_detector.StallDetector(now_ms=0),
+        stall_detector=_stall_detector.StallDetector(),
         knows_other_loads=lambda _: knows_other_loads,
         entry_count=entries,
     )
--- a/lagooncrank/server/seeded/tests/test_targets_of_a_document.py
+++ b/lagooncrank/server/seeded/tests/test_targets_of_a_document.py
@@ -48,7 +48,7 @@
     group = builders.group(1, 2, 3, 4)
     view: Any = types.SimpleNamespace(
         table=fleet.ServerTable(builders.UNREACHABLE_AFTER_MS),
-        stall_detector=_stall_detector.StallDetector(now_ms=0),
+        stall_detector=_stall_detector.StallDetector(),
     )
     shared: Any = types.SimpleNamespace(
         view=types.SimpleNamespace(groups={group.name: group})
