Count the connected time of reports in the node's observed time

The table of server reports kept a rule of its own for pauses of this process (a call of advance_clock counts 250 ms at most). It is passed observed milliseconds beside the monotonic time that dates the reports.

The test of connected time drives its 60 s pause, the partition and the wait for reports through the one rule; all other callers, whose steps are even, pass the same time twice.

--- a/bench/_repair_fleet.py
+++ b/bench/_repair_fleet.py
@@ -160,7 +160,7 @@
             if self._now_ms % REPORT_INTERVAL_MS == 0:
                 engine.renew_report()
             self._table.put(engine.report, self._now_ms)
-        self._table.advance_clock(self._now_ms, is_connected=True)
+        self._table.advance_clock(self._now_ms, self._now_ms, is_connected=True)
         for known_ms, engine in self._lost:
             if known_ms == self._now_ms:
                 self._table.mark_unreachable(engine.report.server_id)
--- a/lagooncrank/core/fleet/_servers.py
+++ b/lagooncrank/core/fleet/_servers.py
@@ -21,10 +21,6 @@
 #: that late reports of it are recognized.
 RETAIN_MS: Final = 60_000
 
-#: Maximum time that one call of `advance_clock` counts. A longer gap between
-#: two calls means that this node's own process was paused.
-MAX_ADVANCE_MS: Final = 250
-
 
 @dataclasses.dataclass(slots=True)
 class ServerRecord:
@@ -66,6 +62,7 @@
         #: When the newest process of any server was first reported.
         self.newest_start_ms = 0
         self._advanced_ms: int | None = None
+        self._observed_ms = 0
         self._changed: set[model.BackendServerId] = set()
         self._renewed: set[model.BackendServerId] = set()
         self._wanted: set[model.BackendServerId] = set()
@@ -252,18 +249,21 @@
                 self._connected_ms - self._unreachable_after_ms
             )
 
-    def advance_clock(self, now_ms: int, *, is_connected: bool) -> None:
-        """Adds the time since the last call to the connected time.
+    def advance_clock(
+        self, now_ms: int, observed_ms: int, *, is_connected: bool
+    ) -> None:
+        """Adds the observed time since the last call to the connected time.
 
         Args:
-            now_ms: Monotonic time in milliseconds.
+            now_ms: Monotonic time in milliseconds, which dates reports.
+            observed_ms: Time in which this node could read reports.
             is_connected: Whether reports could reach this node; if not, the
                 time is not added.
         """
         if self._advanced_ms is not None and is_connected:
-            passed_ms = now_ms - self._advanced_ms
-            self._connected_ms += min(passed_ms, MAX_ADVANCE_MS)
+            self._connected_ms += observed_ms - self._observed_ms
         self._advanced_ms = now_ms
+        self._observed_ms = observed_ms
 
     @property
     def connected_ms(self) -> int:
--- a/lagooncrank/core/fleet/tests/test_hidden_servers.py
+++ b/lagooncrank/core/fleet/tests/test_hidden_servers.py
@@ -40,7 +40,9 @@
         """Lets the server report at its interval."""
         while self.now_ms < until_ms:
             self.now_ms += TICK_MS
-            self.table.advance_clock(self.now_ms, is_connected=True)
+            self.table.advance_clock(
+                self.now_ms, self.now_ms, is_connected=True
+            )
             if self.now_ms % REPORT_INTERVAL_MS == 0:
                 self.sequence += 1
                 self.table.put(
@@ -85,7 +87,7 @@
     table = new_table()
     table.put(test_servers.report(sequence=9), 0)
     for now_ms in range(0, 5 * REPORT_INTERVAL_MS, TICK_MS):
-        table.advance_clock(now_ms, is_connected=True)
+        table.advance_clock(now_ms, now_ms, is_connected=True)
         if now_ms in {3 * REPORT_INTERVAL_MS, 4 * REPORT_INTERVAL_MS}:
             number = now_ms // REPORT_INTERVAL_MS
             table.put(test_servers.report(sequence=number), now_ms)
@@ -138,11 +140,11 @@
     late: list[tuple[int, int]],
 ) -> None:
     table = new_table()
-    table.advance_clock(0, is_connected=True)
+    table.advance_clock(0, 0, is_connected=True)
     table.put(test_servers.report(sequence=9), 0)
     for sequence, arrives_ms in late:
         for now_ms in range(0, arrives_ms + 1, TICK_MS):
-            table.advance_clock(now_ms, is_connected=True)
+            table.advance_clock(now_ms, now_ms, is_connected=True)
         table.put(test_servers.report(sequence=sequence), arrives_ms)
     record = table.get(SERVER)
     assert record is not None
@@ -163,7 +165,7 @@
     for arrives_ms, number in sorted(arrivals):
         while now_ms < arrives_ms:
             now_ms += TICK_MS
-            table.advance_clock(now_ms, is_connected=True)
+            table.advance_clock(now_ms, now_ms, is_connected=True)
         table.put(test_servers.report(sequence=number), now_ms)
         newest = max(newest, number)
         record = table.get(SERVER)
@@ -184,7 +186,7 @@
     for number in range(1, 5):
         now_ms = number * REPORT_INTERVAL_MS
         for tick_ms in range(now_ms - REPORT_INTERVAL_MS, now_ms, TICK_MS):
-            table.advance_clock(tick_ms, is_connected=True)
+            table.advance_clock(tick_ms, tick_ms, is_connected=True)
         table.put(test_servers.report(born_ms=100, sequence=number), now_ms)
     record = table.get(SERVER)
     assert record is not None
@@ -272,7 +274,7 @@
     table = simulated.table
     end_ms = simulated.now_ms + 70_000
     for now_ms in range(simulated.now_ms, end_ms, TICK_MS):
-        table.advance_clock(now_ms, is_connected=True)
+        table.advance_clock(now_ms, now_ms, is_connected=True)
     table.evict_expired(end_ms)
     assert table.get(SERVER) is None
     assert table.superseded(SERVER) is None
@@ -313,7 +315,9 @@
     table = simulated.table
     for _ in range(2 * UNREACHABLE_AFTER_MS // TICK_MS):
         simulated.now_ms += TICK_MS
-        table.advance_clock(simulated.now_ms, is_connected=True)
+        table.advance_clock(
+            simulated.now_ms, simulated.now_ms, is_connected=True
+        )
     for sequence in (3, 4, 5):
         table.put(test_servers.report(sequence=sequence), simulated.now_ms)
     assert not simulated.is_ready
--- a/lagooncrank/core/fleet/tests/test_servers.py
+++ b/lagooncrank/core/fleet/tests/test_servers.py
@@ -7,7 +7,9 @@
 from hypothesis import strategies
 import pytest
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import fleet
 
 UNREACHABLE_AFTER_MS = 3_000
@@ -35,7 +37,7 @@
 
 def advance_clock(table: fleet.ServerTable, start_ms: int, end_ms: int) -> None:
     for now_ms in range(start_ms, end_ms + 1, 50):
-        table.advance_clock(now_ms, is_connected=True)
+        table.advance_clock(now_ms, now_ms, is_connected=True)
 
 
 def test_first_report_is_new_and_its_renewal_is_not() -> None:
@@ -96,17 +98,33 @@
 
 
 def test_only_connected_time_makes_a_server_unreachable() -> None:
+    clock = clocks.ManualClock()
+    observed_clock = observed_time.ObservedClock(clock)
     table = fleet.ServerTable(UNREACHABLE_AFTER_MS)
-    table.advance_clock(0, is_connected=True)
+
+    def advance(duration_ms: int, *, is_connected: bool) -> None:
+        for _ in range(0, duration_ms, 50):
+            clock.advance(50)
+            observed_clock.tick()
+            table.advance_clock(
+                clock.now_ms(),
+                observed_clock.now_ms(),
+                is_connected=is_connected,
+            )
+
+    table.advance_clock(0, 0, is_connected=True)
     table.put(report(), 0)
-    table.advance_clock(60_000, is_connected=True)
+    clock.advance(60_000)
+    table.advance_clock(
+        clock.now_ms(), observed_clock.now_ms(), is_connected=True
+    )
     record = table.get(SERVER)
     assert record is not None
     assert not table.is_unreachable(record), "the node itself was paused"
-    for now_ms in range(60_000, 70_000, 50):
-        table.advance_clock(now_ms, is_connected=False)
+    observed_clock.tick()
+    advance(10_000, is_connected=False)
     assert not table.is_unreachable(record), "the node was partitioned"
-    advance_clock(table, 70_000, 73_000)
+    advance(UNREACHABLE_AFTER_MS, is_connected=True)
     assert table.is_unreachable(record)
 
 
--- a/lagooncrank/core/groups/tests/builders.py
+++ b/lagooncrank/core/groups/tests/builders.py
@@ -49,7 +49,7 @@
     """Returns a table of a long-connected node with these new reports."""
     table = fleet.ServerTable(UNREACHABLE_AFTER_MS)
     for now_ms in range(0, 10_001, 50):
-        table.advance_clock(now_ms, is_connected=True)
+        table.advance_clock(now_ms, now_ms, is_connected=True)
     for report in reports:
         table.put(report, 10_000)
     return table
--- a/lagooncrank/core/groups/tests/emulated_fleet.py
+++ b/lagooncrank/core/groups/tests/emulated_fleet.py
@@ -94,7 +94,9 @@
             for engine in self._engines.values():
                 engine.advance(self._now_ms)
             for table in self._tables:
-                table.advance_clock(self._now_ms, is_connected=True)
+                table.advance_clock(
+                    self._now_ms, self._now_ms, is_connected=True
+                )
             self._forward_reports()
             self._apply_commits()
             if self._leader not in self._down:
@@ -203,7 +205,7 @@
 
     def _new_table(self) -> fleet.ServerTable:
         table = fleet.ServerTable(builders.UNREACHABLE_AFTER_MS)
-        table.advance_clock(self._now_ms, is_connected=True)
+        table.advance_clock(self._now_ms, self._now_ms, is_connected=True)
         return table
 
     def _is_cut(self, server_id: str) -> bool:
--- a/lagooncrank/core/groups/tests/test_dissolving_after_restart.py
+++ b/lagooncrank/core/groups/tests/test_dissolving_after_restart.py
@@ -17,7 +17,7 @@
     for report in reports:
         peer.put(report, 0)
     table = fleet.ServerTable(builders.UNREACHABLE_AFTER_MS)
-    table.advance_clock(OUTAGE_MS, is_connected=True)
+    table.advance_clock(OUTAGE_MS, OUTAGE_MS, is_connected=True)
     table.merge(peer.snapshot(OUTAGE_MS), OUTAGE_MS)
     return table
 
@@ -38,7 +38,7 @@
     assert not phases(group, table, OUTAGE_MS)
     end_ms = OUTAGE_MS + builders.UNREACHABLE_AFTER_MS
     for now_ms in range(OUTAGE_MS, end_ms + 1, 50):
-        table.advance_clock(now_ms, is_connected=True)
+        table.advance_clock(now_ms, now_ms, is_connected=True)
     assert phases(group, table, end_ms) == [model.GroupPhase.DISSOLVING]
 
 
--- a/lagooncrank/core/groups/tests/test_restart_of_all_nodes.py
+++ b/lagooncrank/core/groups/tests/test_restart_of_all_nodes.py
@@ -18,7 +18,7 @@
 def table_connected_for(connected_ms: int) -> fleet.ServerTable:
     table = fleet.ServerTable(builders.UNREACHABLE_AFTER_MS)
     for now_ms in range(0, connected_ms + 1, 50):
-        table.advance_clock(now_ms, is_connected=True)
+        table.advance_clock(now_ms, now_ms, is_connected=True)
     return table
 
 
--- a/lagooncrank/server/seeded/_connectivity.py
+++ b/lagooncrank/server/seeded/_connectivity.py
@@ -40,8 +40,13 @@
         self._log = log
         self._missing = ""
 
-    def update(self, now_ms: int) -> None:
-        """Adds the time since the last call, unless a dependency is missing."""
+    def update(self, now_ms: int, observed_ms: int) -> None:
+        """Adds the time since the last call, unless a dependency is missing.
+
+        Args:
+            now_ms: Monotonic time in milliseconds.
+            observed_ms: Time in which this node could read reports.
+        """
         missing = self._missing_dependency()
         if missing != self._missing:
             self._log_dependency(decisions.Event.REGAINED, self._missing)
@@ -50,7 +55,7 @@
         if missing == _CONTROL_NODES:
             # The last totals of the other entries are outdated.
             self._loads.set_fleet_totals({})
-        self._table.advance_clock(now_ms, is_connected=not missing)
+        self._table.advance_clock(now_ms, observed_ms, is_connected=not missing)
 
     def _missing_dependency(self) -> str:
         """Returns what this node lacks to receive reports; empty if nothing."""
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -145,7 +145,7 @@
         """Does what is due by now; parts that fail stop no other."""
         now_ms = self._clock.now_ms()
         for part, action in (
-            ("connectivity", self.connectivity.update),
+            ("connectivity", self._update_connectivity),
             ("expired reports", self.table.evict_expired),
             ("stalls", self._check_stalls),
             ("reports", self.reports.forward_updates),
@@ -153,6 +153,9 @@
         ):
             self._guard.run(part, functools.partial(action, now_ms))
 
+    def _update_connectivity(self, now_ms: int) -> None:
+        self.connectivity.update(now_ms, self._observed_clock.now_ms())
+
     def _publish_due_notice(self, now_ms: int) -> None:
         interval_ms = notice_interval_ms(self.entry_count)
         if now_ms - self._notice_sent_ms >= interval_ms:
--- a/lagooncrank/server/seeded/tests/fleet_node.py
+++ b/lagooncrank/server/seeded/tests/fleet_node.py
@@ -75,7 +75,7 @@
             self.clock.advance(TICK_MS)
             self.observed_clock.tick()
             now_ms = self.clock.now_ms()
-            self.view.connectivity.update(now_ms)
+            self.view.connectivity.update(now_ms, self.observed_clock.now_ms())
             self.view.table.evict_expired(now_ms)
 
 
