Soak: a kind of fault that holds up all control nodes

`stutter-controls` suspends the processes of all control nodes for 0.6 to 2 s again and again, each by itself, with turns of 20 to 400 ms between: control nodes of a machine that is short of processor time. Existing kinds suspend one node once, or entries.

It is not one of PAUSE_FAULTS, which pause entries only.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -26,7 +26,7 @@
 CUT_DURATION_FACTOR: Final = 4
 FLAP_INTERVAL_S: Final = 2.0
 STUTTER_DURATION_FACTOR: Final = 2
-#: Shortest and longest pause of an entry, and the same of its turns.
+#: Shortest and longest pause of a node, and the same of its turns.
 STUTTER_PAUSE_S: Final = (0.6, 2.0)
 STUTTER_TURN_S: Final = (0.02, 0.4)
 CUT_ALL_PROBABILITY: Final = 0.1
@@ -123,8 +123,29 @@
 ) -> None:
     """Suspends an entry again and again, as if processor time were short."""
     node = random_.choice(deployment.entries)
+    await _stutter(node, random_, STUTTER_DURATION_FACTOR * duration_s)
+
+
+@FAULTS.register("stutter-controls")
+async def pause_controls_repeatedly(
+    deployment: _deployment.Deployment,
+    random_: random.Random,
+    duration_s: float,
+) -> None:
+    """Suspends all control nodes again and again, each by itself."""
+    await asyncio.gather(
+        *(
+            _stutter(node, random.Random(random_.random()), duration_s)
+            for node in deployment.controls
+        )
+    )
+
+
+async def _stutter(
+    node: _nodes.Node, random_: random.Random, duration_s: float
+) -> None:
     loop = asyncio.get_running_loop()
-    end_s = loop.time() + STUTTER_DURATION_FACTOR * duration_s
+    end_s = loop.time() + duration_s
     while loop.time() < end_s:
         node.send_signal(signal.SIGSTOP)
         await asyncio.sleep(random_.uniform(*STUTTER_PAUSE_S))
