Elections: a late control node takes its own standstill for others' silence

No node was gone and no link was down.

- A follower's election deadline, the refusal of votes and the leader's check of its quorum counted time in which their own process stood still, and the check ran before what had arrived was read.
- Quorum contact counted only while the leader lease (500 ms from the sending of a round) held.

Now the timers of elections count observed time (observed_time.ObservedClock), and the leader judges a voter by when it read its last reply. Contact needs a leader with a reply of a quorum in its term, not its lease.

Safety: - Leases are as before: 500 ms of the system's boot-time clock from the sending of a round, whoever stands still. - A voter refuses votes for 600 ms of that clock after each contact as before, and beyond that while its observed silence is shorter. Observed time never passes faster than real time, so votes are granted later than before or at the same moment, never sooner; a candidate needs as many of them as before. - A leader that steps down later holds no lease by then; its term cannot have another leader, and a voter that has moved to a higher term no longer confirms its rounds. - Contact at time T: a quorum answered a round sent at T in the leader's term, so no voter of it had moved to a higher term at T; a newer leader needs one of them to commit. All that was committed by then is in the leader's log, and an entry of its own term is committed. The lease is no part of this argument; who reads contact checks its age, in real time. - A voter is replaced after 3 s of observed silence, so a leader that stood still does not replace sound voters now that it stays leader.

Start of a process: its time counts as before (it is no evidence of silence, but after a loss of power all nodes would wait for it).

--- a/lagooncrank/core/consensus/_election.py
+++ b/lagooncrank/core/consensus/_election.py
@@ -20,7 +20,9 @@
         state = self._state
         if state.role is _node_state.Role.LEADER:
             return False
-        if now_ms < state.election_deadline_ms or not state.is_voter:
+        if not state.is_voter:
+            return False
+        if state.observed_ms(now_ms) < state.election_deadline_ms:
             return False
         state.role = _node_state.Role.PRE_CANDIDATE
         state.leader = None
--- a/lagooncrank/core/consensus/_follower_role.py
+++ b/lagooncrank/core/consensus/_follower_role.py
@@ -59,7 +59,7 @@
         if term < state.term:
             return False
         state.become_follower(term, leader, now_ms)
-        state.leader_last_seen_ms = now_ms
+        state.record_leader(now_ms)
         return True
 
     def _advance_commit_index(self, index: int) -> None:
--- a/lagooncrank/core/consensus/_leader_role.py
+++ b/lagooncrank/core/consensus/_leader_role.py
@@ -1,5 +1,6 @@
 """Leader duties: replication, commits, leader lease, read confirmation."""
 
+from collections.abc import Sequence
 import dataclasses
 
 from lagooncrank.core.consensus import _messages
@@ -18,6 +19,8 @@
     acked_round: int = 0
     #: When that round was sent, by the leader's clock.
     acked_sent_ms: int = 0
+    #: When the leader read that reply, in observed time.
+    heard_ms: int = 0
     snapshot_sent_ms: int | None = None
 
 
@@ -27,6 +30,7 @@
     def __init__(self, state: _node_state.NodeState, now_ms: int) -> None:
         self._state = state
         self._started_ms = now_ms
+        self._started_observed_ms = state.observed_ms(now_ms)
         self._progress: dict[_messages.Voter, FollowerProgress] = {}
         self._round = 0
         self._last_heartbeat_ms = now_ms
@@ -61,8 +65,7 @@
     def tick(self, now_ms: int) -> None:
         """Sends due heartbeats, and steps down without quorum contact."""
         state = self._state
-        contact_age_ms = now_ms - self.contact_ms(now_ms)
-        if contact_age_ms >= state.timing.election_timeout_min_ms:
+        if self._silence_ms(now_ms) >= state.timing.election_timeout_min_ms:
             state.become_follower(state.term, None, now_ms)
             return
         if now_ms - self._last_heartbeat_ms >= state.timing.heartbeat_ms:
@@ -90,6 +93,7 @@
         if reply.round > progress.acked_round:
             progress.acked_round = reply.round
             progress.acked_sent_ms = reply.sent_ms
+            progress.heard_ms = self._state.observed_ms(now_ms)
         if reply.accepted:
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(
@@ -108,14 +112,18 @@
             now_ms if v == self._state.own_voter else self._contact_ms_of(v)
             for v in self._voters().voters
         ]
-        return sorted(contact_times_ms, reverse=True)[self._voters().quorum - 1]
+        return self._of_quorum(contact_times_ms)
+
+    def has_contact(self) -> bool:
+        """Whether a quorum has replied in this term."""
+        return self._quorum_round() > 0 or self._voters().quorum == 1
 
     def has_leader_lease(self, now_ms: int) -> bool:
         """Whether no other node can have been elected yet.
 
         A new leader holds no lease until a quorum has replied.
         """
-        if self._quorum_round() == 0 and self._voters().quorum > 1:
+        if not self.has_contact():
             return False
         lease_ms = self._state.timing.lease_ms
         return now_ms - self.contact_ms(now_ms) < lease_ms
@@ -157,10 +165,13 @@
         match_index = self._progress_of(voter).match_index
         return match_index >= self._state.commit_index
 
-    def has_replied_since(self, voter: _messages.Voter, since_ms: int) -> bool:
-        """Whether a follower answered a round sent at `since_ms` or later."""
+    def has_replied_within(
+        self, voter: _messages.Voter, duration_ms: int, now_ms: int
+    ) -> bool:
+        """Whether a follower replied within a duration of observed time."""
         progress = self._progress_of(voter)
-        return progress.acked_round > 0 and progress.acked_sent_ms >= since_ms
+        silence_ms = self._state.observed_ms(now_ms) - progress.heard_ms
+        return progress.acked_round > 0 and silence_ms <= duration_ms
 
     def _send_heartbeats(self, now_ms: int) -> None:
         self._round += 1
@@ -224,7 +235,7 @@
             else self._progress_of(v).match_index
             for v in self._voters().voters
         ]
-        index = sorted(match_indexes, reverse=True)[self._voters().quorum - 1]
+        index = self._of_quorum(match_indexes)
         # Entries of earlier terms are committed only together with the first
         # entry of this term (Raft, section 5.4.2).
         if state.log.term_at(index) == state.term:
@@ -237,7 +248,22 @@
             else self._progress_of(v).acked_round
             for v in self._voters().voters
         ]
-        return sorted(acked_rounds, reverse=True)[self._voters().quorum - 1]
+        return self._of_quorum(acked_rounds)
+
+    def _silence_ms(self, now_ms: int) -> int:
+        """Returns for how long no quorum has replied, in observed time."""
+        observed_ms = self._state.observed_ms(now_ms)
+        heard_times_ms = [
+            observed_ms
+            if v == self._state.own_voter
+            else max(self._progress_of(v).heard_ms, self._started_observed_ms)
+            for v in self._voters().voters
+        ]
+        return observed_ms - self._of_quorum(heard_times_ms)
+
+    def _of_quorum(self, values: Sequence[int]) -> int:
+        """Returns the highest value that a quorum of the voters reaches."""
+        return sorted(values, reverse=True)[self._voters().quorum - 1]
 
     def _contact_ms_of(self, voter: _messages.Voter) -> int:
         progress = self._progress_of(voter)
--- a/lagooncrank/core/consensus/_node.py
+++ b/lagooncrank/core/consensus/_node.py
@@ -59,7 +59,13 @@
             started_ms = now_ms
         log = _log.Log(durable)
         self._state = _node_state.NodeState(
-            own_voter, timing, random_float, log, durable.hard_state, started_ms
+            own_voter,
+            timing,
+            random_float,
+            log,
+            durable.hard_state,
+            started_ms,
+            started_ms,
         )
         self._state.commit_index = log.snapshot_index
         self._state.set_first_election_deadline(now_ms)
@@ -89,6 +95,17 @@
                 self._on_append_reply(message, now_ms)
         self._step_down_if_needed()
 
+    def observe(self, missed_ms: int) -> None:
+        """Sets the time in which this process stood still, in all.
+
+        Call it before `receive` and `tick`. Silence of others in that time is
+        not held against them; leader leases run on.
+
+        Args:
+            missed_ms: As of an `ObservedClock`; it never decreases.
+        """
+        self._state.missed_ms = missed_ms
+
     def tick(self, now_ms: int) -> None:
         """Runs due timers; call it at least every `Timing.heartbeat_ms`."""
         if self._leader_role is not None:
@@ -217,11 +234,12 @@
 
         Returns:
             Time at which the newest heartbeat round that a quorum answered
-            was sent; None when this node does not hold the leader lease, or
-            does not yet know all that earlier leaders committed.
+            was sent; no newer leader had committed an entry then. None when
+            this node does not lead, no quorum has answered yet, or it does not
+            yet know all that earlier leaders committed.
         """
         leader_role = self._leader_role
-        if leader_role is None or not leader_role.has_leader_lease(now_ms):
+        if leader_role is None or not leader_role.has_contact():
             return None
         if not leader_role.has_committed_in_term():
             return None
@@ -233,13 +251,21 @@
             voter
         )
 
-    def has_replied_since(self, voter: _messages.Voter, since_ms: int) -> bool:
-        """Whether this node leads and `voter` has replied since `since_ms`."""
+    def has_replied_within(
+        self, voter: _messages.Voter, duration_ms: int, now_ms: int
+    ) -> bool:
+        """Whether this node leads and `voter` replied within a duration.
+
+        Args:
+            voter: Another voter or this one.
+            duration_ms: Duration in which this process could read replies.
+            now_ms: Monotonic time.
+        """
         if voter == self._state.own_voter:
             return self._leader_role is not None
         return (
             self._leader_role is not None
-            and self._leader_role.has_replied_since(voter, since_ms)
+            and self._leader_role.has_replied_within(voter, duration_ms, now_ms)
         )
 
     @property
--- a/lagooncrank/core/consensus/_node_state.py
+++ b/lagooncrank/core/consensus/_node_state.py
@@ -51,7 +51,12 @@
     #: When a leader last made contact. The start of the process counts as
     #: contact: leader leases that this node granted before are not stored.
     leader_last_seen_ms: int
+    #: The same in observed time, see `observed_ms`.
+    leader_last_observed_ms: int
+    #: In observed time: only what a node could have read shows silence.
     election_deadline_ms: int = 0
+    #: Time in which this process stood still, in all.
+    missed_ms: int = 0
     role: Role = Role.FOLLOWER
     leader: _messages.Voter | None = None
     commit_index: int = 0
@@ -70,15 +75,26 @@
         voters = self.log.voters
         return voters is not None and self.own_voter in voters.voters
 
+    def observed_ms(self, now_ms: int) -> int:
+        """Returns the time in which this process could read messages."""
+        return now_ms - self.missed_ms
+
+    def record_leader(self, now_ms: int) -> None:
+        """Records that the leader of this term has made contact."""
+        self.leader_last_seen_ms = now_ms
+        self.leader_last_observed_ms = self.observed_ms(now_ms)
+
     def may_have_live_leader(self, now_ms: int) -> bool:
         """Whether a leader may hold a lease that this node must respect.
 
-        While this holds, the node grants no vote.
+        While this holds, the node grants no vote. It also holds while the
+        silence of the leader may be a standstill of this process.
         """
-        return (
-            now_ms - self.leader_last_seen_ms
-            < self.timing.election_timeout_min_ms
-        )
+        timeout_ms = self.timing.election_timeout_min_ms
+        if now_ms - self.leader_last_seen_ms < timeout_ms:
+            return True
+        silence_ms = self.observed_ms(now_ms) - self.leader_last_observed_ms
+        return silence_ms < timeout_ms
 
     def send(self, to: _messages.Voter, message: _messages.Message) -> None:
         """Queues a message for the node of a voter."""
@@ -98,7 +114,7 @@
         wait_ms = timing.election_timeout_min_ms + int(
             self.random_float() * spread_ms
         )
-        self.election_deadline_ms = now_ms + wait_ms
+        self.election_deadline_ms = self.observed_ms(now_ms) + wait_ms
 
     def set_first_election_deadline(self, now_ms: int) -> None:
         """Schedules the first election of this node.
@@ -112,7 +128,7 @@
             wait_ms = int(
                 self.random_float() * self.timing.first_election_jitter_ms
             )
-            self.election_deadline_ms = now_ms + wait_ms
+            self.election_deadline_ms = self.observed_ms(now_ms) + wait_ms
 
     def become_follower(
         self, term: int, leader: _messages.Voter | None, now_ms: int
--- a/lagooncrank/core/consensus/_participant.py
+++ b/lagooncrank/core/consensus/_participant.py
@@ -123,6 +123,14 @@
         """Returns the age of the last quorum contact; None before the first."""
         return self._contact.age_ms(now_ms)
 
+    def observe(self, missed_ms: int) -> None:
+        """Sets the time in which this process stood still, in all.
+
+        Call it before `receive` and `tick`.
+        """
+        if self._voter_membership is not None:
+            self._voter_membership.observe(missed_ms)
+
     def tick(self, now_ms: int) -> None:
         """Runs due timers; call it about every 50 ms."""
         if self._started_ms is None:
--- a/lagooncrank/core/consensus/_voter_membership.py
+++ b/lagooncrank/core/consensus/_voter_membership.py
@@ -52,9 +52,11 @@
         #: Linked nodes, to which join requests are sent in addition to the
         #: voters of the settings.
         self.peers: frozenset[model.NodeId] = frozenset()
-        #: When this node became leader, or None; which voters were unresponsive
-        #: before that time is unknown.
+        #: When this node became leader, in observed time, or None; which voters
+        #: were unresponsive before that time is unknown.
         self._leader_since_ms: int | None = None
+        #: Time in which this process stood still, in all.
+        self._missed_ms = 0
         self._unsaved_initial_voters: _messages.VoterSet | None = None
         #: Disks that request to join, with the time of the latest request.
         self._joining: dict[_messages.Voter, int] = {}
@@ -62,6 +64,11 @@
         self._last_change_check_ms = 0
         self._outbox: list[tuple[model.NodeId, Any]] = []
 
+    def observe(self, missed_ms: int) -> None:
+        """Sets the time in which this process stood still, in all."""
+        self._missed_ms = missed_ms
+        self._node.observe(missed_ms)
+
     def tick(self, now_ms: int) -> None:
         """Runs due timers."""
         self._node.tick(now_ms)
@@ -78,7 +85,7 @@
             self._leader_since_ms = None
             return
         if self._leader_since_ms is None:
-            self._leader_since_ms = now_ms
+            self._leader_since_ms = now_ms - self._missed_ms
         self._change_voters(now_ms)
 
     def receive(self, sender: model.NodeId, body: Any, now_ms: int) -> None:
@@ -136,14 +143,15 @@
         """Returns the nodes that should vote."""
         if self._target_voter_count is None:
             return self._voter_node_ids
-        since_ms = max(now_ms - REPLACE_AFTER_MS, 0)
-        leader_since_ms = self._leader_since_ms or now_ms
-        is_new_leader = now_ms - leader_since_ms < REPLACE_AFTER_MS
+        observed_ms = now_ms - self._missed_ms
+        leader_since_ms = self._leader_since_ms or observed_ms
+        is_new_leader = observed_ms - leader_since_ms < REPLACE_AFTER_MS
         return _voter_changes.select_voters(
             current,
             tuple(self._joining),
             lambda v: (
-                is_new_leader or self._node.has_replied_since(v, since_ms)
+                is_new_leader
+                or self._node.has_replied_within(v, REPLACE_AFTER_MS, now_ms)
             ),
             self._target_voter_count,
         )
@@ -166,8 +174,8 @@
             self._target_node_ids(current, now_ms),
             tuple(self._joining),
             self._node.is_caught_up,
-            lambda v: self._node.has_replied_since(
-                v, now_ms - REPLY_TIMEOUT_MS
+            lambda v: self._node.has_replied_within(
+                v, REPLY_TIMEOUT_MS, now_ms
             ),
         )
         if change is not None:
--- a/lagooncrank/core/consensus/tests/mutations.py
+++ b/lagooncrank/core/consensus/tests/mutations.py
@@ -111,6 +111,11 @@
         _constant(True),
     ),
     "vote_not_stored": (node_cluster.Disk, "write", _write_without_vote),
+    "own_standstill_taken_for_silence": (
+        _node_state.NodeState,
+        "observed_ms",
+        lambda _, now_ms: now_ms,
+    ),
     "possible_leader_lease_ignored": (
         _node_state.NodeState,
         "may_have_live_leader",
--- a/lagooncrank/core/consensus/tests/simulated_cluster.py
+++ b/lagooncrank/core/consensus/tests/simulated_cluster.py
@@ -7,7 +7,9 @@
 import random
 from typing import Any
 
+from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import results
 from lagooncrank.core import consensus
 from lagooncrank.core import state
@@ -86,6 +88,8 @@
         self.incarnation += 1
         self.up = True
         self.paused = False
+        self.clock = clocks.ManualClock(self.now_ms)
+        self.observed_clock = observed_time.ObservedClock(self.clock)
         self.applier = Applier()
         self.calls = at_most_once_calls.OwnedCalls(self)
         self.applier.listeners.append(self.calls.on_applied)
@@ -116,15 +120,22 @@
     def now_ms(self) -> int:
         return self.cluster.now_ms + self.clock_offset_ms
 
+    def observe(self) -> None:
+        self.clock.advance(self.now_ms - self.clock.now_ms())
+        self.participant.observe(self.observed_clock.missed_ms)
+
     @property
     def is_running(self) -> bool:
         return self.up and not self.paused
 
     def tick(self) -> None:
+        self.observe()
+        self.observed_clock.tick()
         self.participant.tick(self.now_ms)
         self.process_output()
 
     def receive(self, sender: model.NodeId, body: Any) -> None:
+        self.observe()
         self.participant.receive(sender, body, self.now_ms)
         self.process_output()
 
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -14,6 +14,7 @@
 
 from lagooncrank import clock
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.core import consensus
@@ -54,6 +55,7 @@
         random_float: Callable[[], float] = random.random,
         timing: consensus.Timing = TIMING,
         started_ms: int | None = None,
+        observed_clock: observed_time.ObservedClock | None = None,
     ) -> None:
         """Initializes the service.
 
@@ -65,6 +67,8 @@
             random_float: Returns the next random number from 0.0 to 1.0.
             timing: Durations of the consensus protocol.
             started_ms: When the process started; defaults to now.
+            observed_clock: Time in which this process could read messages;
+                defaults to one of its own.
 
         Raises:
             UnknownCommandError: The log contains a command of a newer
@@ -75,6 +79,11 @@
         self._config = config
         self._links = links
         self._clock = clock_
+        self._observed_clock = observed_clock or observed_time.ObservedClock(
+            clock_
+        )
+        #: What the process missed before its first event; the start counts.
+        self._missed_at_start_ms: int | None = None
         self._store = store
         self._state_applier = _state_applier.StateApplier()
         now_ms = clock_.now_ms()
@@ -268,14 +277,24 @@
 
     def tick(self) -> None:
         """Runs the due timers of the consensus protocol and flushes."""
+        self._observed_clock.tick()
         if self.failure is None:
+            self._observe()
             self._run_guarded(
                 lambda: self._participant.tick(self._clock.now_ms())
             )
             self._flush()
 
+    def _observe(self) -> None:
+        """Tells the participant for how long this process stood still."""
+        missed_ms = self._observed_clock.missed_ms
+        if self._missed_at_start_ms is None:
+            self._missed_at_start_ms = missed_ms
+        self._participant.observe(missed_ms - self._missed_at_start_ms)
+
     def _receive(self, sender: model.NodeId, body: Any) -> None:
         if self.failure is None:
+            self._observe()
             now_ms = self._clock.now_ms()
             self._run_guarded(
                 lambda: self._participant.receive(sender, body, now_ms)
--- a/lagooncrank/server/seeded/_node.py
+++ b/lagooncrank/server/seeded/_node.py
@@ -101,6 +101,7 @@
             clock,
             store,
             started_ms=started_ms,
+            observed_clock=self.observed_clock,
         )
         self.documents = _documents.DocumentStore(
             self.shared, document_codec, self.decision_log
