Elections: a leader that has stepped down need not wait for its own lease

A leader whose voters run late hears of no quorum for 600 ms and steps down. When it asked for votes, its voters refused: they took it for a live leader that may hold a lease, until 600 ms had passed in which they could read messages.

A voter now refuses a candidate for the sake of a live leader only if that leader is another node. Its test failed before: is_vote_granted(node, "b") is False for the leader "b" itself.

Safety: the leader that a voter follows is the one whose contact it recorded last, of the voter's term T. Its request for a term above T was sent after it led T, thus after it had stepped down, as a leader asks for no votes; it holds no lease of T then. By induction over elections no third node has a lease either: when it was elected in T, those of earlier leaders had expired, and the voters of that election have confirmed none since. A late copy of an older request has a term of T or below and is refused as before.

--- a/lagooncrank/core/consensus/_election.py
+++ b/lagooncrank/core/consensus/_election.py
@@ -66,7 +66,7 @@
         state = self._state
         if request.term < state.term or state.log.voters is None:
             return False
-        if self._must_refuse_votes(now_ms):
+        if self._must_refuse_votes(request.candidate, now_ms):
             return False
         is_up_to_date = state.log.is_candidate_up_to_date(
             request.last_index, request.last_term
@@ -83,11 +83,17 @@
         state.reset_election_deadline(now_ms)
         return True
 
-    def _must_refuse_votes(self, now_ms: int) -> bool:
+    def _must_refuse_votes(
+        self, candidate: _messages.Voter, now_ms: int
+    ) -> bool:
+        state = self._state
         # A leader grants no votes; it steps down when it loses quorum contact.
-        if self._state.role is _node_state.Role.LEADER:
+        if state.role is _node_state.Role.LEADER:
             return True
-        return self._state.may_have_live_leader(now_ms)
+        # A leader that has stepped down holds no lease any more.
+        if candidate == state.leader:
+            return False
+        return state.may_have_live_leader(now_ms)
 
     def _request_votes(self, now_ms: int, *, pre_vote: bool) -> bool:
         state = self._state
--- a/lagooncrank/core/consensus/tests/test_late_nodes.py
+++ b/lagooncrank/core/consensus/tests/test_late_nodes.py
@@ -141,6 +141,13 @@
     assert is_vote_granted(node, "c", now_ms)
 
 
+# Guards against: a leader that has stepped down waits for its own lease.
+def test_leader_that_stepped_down_gets_votes_at_once() -> None:
+    node, now_ms = elected_follower()
+    assert not is_vote_granted(node, "c", now_ms)
+    assert is_vote_granted(node, "b", now_ms)
+
+
 def keep_leader() -> None:
     test_voters_that_all_run_late_keep_their_leader((300, 600), 0)
 
