Name the group of a lost run

`order` names the group and its epoch, `run_lost` named the server only, so the two could be matched by their times alone.

Fix: the target of an attempt carries the epoch of its group, and `run_lost` has `group` and `epoch` (null for a plain service). Why a group dissolves is in the line `group` already.

--- a/lagooncrank/core/dispatch/_types.py
+++ b/lagooncrank/core/dispatch/_types.py
@@ -21,6 +21,8 @@
     born_ms: int = 0
     #: Whether the target is another entry, which the request is delegated to.
     is_entry: bool = False
+    #: Epoch of that group; 0 for a plain service.
+    epoch: int = 0
 
     @property
     def process(self) -> tuple[model.BackendServerId, int]:
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -93,6 +93,8 @@
         "request",
         "server",
         "born_ms",
+        "group",
+        "epoch",
         "events",
         "run_ms",
         "parts",
--- a/lagooncrank/server/seeded/_attempt_outcomes.py
+++ b/lagooncrank/server/seeded/_attempt_outcomes.py
@@ -104,6 +104,8 @@
                 decisions.Event.RUN_LOST,
                 server=target.server_id,
                 born_ms=target.born_ms,
+                group=target.group or None,
+                epoch=target.epoch or None,
                 events=exchange.run_events if has_begun else None,
                 run_ms=now_ms - exchange.run_began_ms if has_begun else None,
                 parts=exchange.request_head.shared_parts,
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -305,7 +305,7 @@
             head = group.head
             record = self._view.table.get(head.server_id)
             if record is not None and record.report.born_ms == head.born_ms:
-                yield _target(record.report, group.name)
+                yield _target(record.report, group)
             else:
                 yield self._unreported_head(group)
 
@@ -320,22 +320,26 @@
             0 if catalog is None else catalog.engine_slots(group.service),
             group.name,
             group.head.born_ms,
+            epoch=group.epoch,
         )
 
     def _ready_servers(
         self, service: model.ServiceName
     ) -> Iterator[dispatch.Target]:
         for record in self._view.table.ready(service):
-            yield _target(record.report, "")
+            yield _target(record.report, None)
 
 
-def _target(report: model.ServerReport, group: str) -> dispatch.Target:
+def _target(
+    report: model.ServerReport, group: model.Group | None
+) -> dispatch.Target:
     return dispatch.Target(
         report.server_id,
         report.address,
         report.service,
         report.failure_domain,
         report.slots,
-        group,
+        "" if group is None else group.name,
         report.born_ms,
+        epoch=0 if group is None else group.epoch,
     )
