Abort a closing head's requests only if they make no progress

Cause: an engine that has deregistered reports no more, so it counted as lost after 2.75 s, and a head of a group that lacks a member had 3 s. Its silence is no evidence: by PROTOCOL.md it remains while the head has work, for 10 s at most. If the head itself had deregistered, its members were told to leave after 2.75 s.

Fix: one rule for all closing heads (GroupLifecycle._may_abort): requests are aborted after 10 s, or as soon as a member is out of its place (restarted, replaced, lost, left, broken) and no entry has seen events of the head for a second beyond what entries report as working. An engine that has deregistered is in its place. The rule holds for whole groups, for members of a silent head (they keep their places while entries see it work) and for heads that no group holds, which were aborted at once whatever they did. The 3 s are gone: a group without a member and without progress is aborted at once, so repair is faster there; it is slower only while a head has work. A head that reports ready or no group goes on at once, as before.

TWO: no member is released or joins another group while its head is open or closing; that part is unchanged (emulated fleets pass). PARTIAL and DRAIN: a closing head takes no new requests, with either order. A head that has itself deregistered doesn't hold up the planner.

--- a/bench/_repair_fleet.py
+++ b/bench/_repair_fleet.py
@@ -176,6 +176,7 @@
             self._table,
             self._groups,
             self._last_epoch,
+            (),
             self._now_ms,
         )
         for order in list(stray_orders):
--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -29,11 +29,11 @@
     #: How long a closing head may continue its requests before they are
     #: aborted. An engine that drains waits as long for its group's.
     close_timeout_ms: int = 10_000
-    #: The same if the group lacks a member, so that they make no progress.
-    stalled_close_timeout_ms: int = 3_000
     #: How long a group that was dissolved for a silent member is left alone, as
     #: that one may go on. It counts as silent after a second or so.
     return_timeout_ms: int = 1_000
+    #: The same for a head whose responses are not seen progressing any more.
+    progress_timeout_ms: int = 1_000
 
 
 class GroupLifecycle:
@@ -45,11 +45,14 @@
         self._sent_ms: dict[tuple[int, str, str], int] = {}
         #: When this leader first saw each dissolving group, by epoch.
         self._dissolving_since_ms: dict[int, int] = {}
+        #: When entries last saw a head's responses progress, by epoch.
+        self._progress_ms: dict[int, int] = {}
 
     def clear(self) -> None:
         """Discards all state, as another leader may have acted meanwhile."""
         self._sent_ms.clear()
         self._dissolving_since_ms.clear()
+        self._progress_ms.clear()
 
     def next_actions(
         self,
@@ -71,6 +74,7 @@
             size: Number of engines that groups of its model have; None if
                 there is no such model.
         """
+        self._record_progress(group, active_heads, now_ms)
         match group.phase:
             case model.GroupPhase.FORMING:
                 yield from self._advance_forming(group, table, now_ms)
@@ -90,6 +94,7 @@
         table: fleet.ServerTable,
         groups: Mapping[str, model.Group],
         last_epoch: int,
+        active_heads: Collection[str],
         now_ms: int,
     ) -> Iterator[_actions.Order]:
         """Yields orders to engines in groups that do not hold them any more.
@@ -104,6 +109,7 @@
             groups: Groups that exist, in any phase.
             last_epoch: Epoch of the newest group that this node knows of. A
                 membership of a later one is not a stray.
+            active_heads: Heads whose responses entries see progressing.
             now_ms: Monotonic time.
         """
         for record in table.ready(service):
@@ -124,10 +130,13 @@
                 (member,),
                 model.GroupPhase.DISSOLVING,
             )
-            kind = _actions.OrderKind.LEAVE
-            if membership.state in _SERVING_STATES:
-                kind = _actions.OrderKind.CLOSE_NOW
-            yield from self._order(kind, group, member, now_ms)
+            if membership.state not in _SERVING_STATES:
+                kind = _actions.OrderKind.LEAVE
+                yield from self._order(kind, group, member, now_ms)
+                continue
+            # No other engine is in the group, but it may need no other.
+            self._record_progress(group, active_heads, now_ms)
+            yield from self._close(group, now_ms, has_stalled=True)
 
     def _advance_forming(
         self, group: model.Group, table: fleet.ServerTable, now_ms: int
@@ -189,7 +198,7 @@
     def _advance_dissolving(
         self, group: model.Group, table: fleet.ServerTable, now_ms: int
     ) -> Iterator[_actions.Action]:
-        since_ms = self._dissolving_since_ms.setdefault(group.epoch, now_ms)
+        self._dissolving_since_ms.setdefault(group.epoch, now_ms)
         record = _evidence.current_record(group.head, table)
         stop_reason = _head_stop_reason(group, record, table)
         if stop_reason:
@@ -203,34 +212,61 @@
             yield _actions.PhaseChange(group, None, "the head is unreachable")
             return
         if is_head_unreachable:
-            yield from self._release_members(group, table, now_ms)
+            # One that has deregistered reports no more, but serves on.
+            if self._may_abort(group, now_ms, has_stalled=True):
+                yield from self._release_members(group, table, now_ms)
             return
         if record is None or table.is_unreachable(record):
             # It may be finishing requests; its report has not arrived yet.
             return
         state = _member_state(group, group.head, table)
         if state in _SERVING_STATES:
-            waited_ms = now_ms - since_ms
-            timeout_ms = self._close_timeout_ms(group, table)
-            kind = _actions.OrderKind.CLOSE_NOW
-            if waited_ms < timeout_ms:
-                kind = _actions.OrderKind.CLOSE
-            yield from self._order(kind, group, group.head, now_ms)
+            has_stalled = _lacks_member(group, table)
+            yield from self._close(group, now_ms, has_stalled=has_stalled)
             return
         # A head that has left refuses a delayed order to open: it is in no
         # group, and a delayed join has a lower fencing token.
         kind = _actions.OrderKind.LEAVE
         yield from self._order(kind, group, group.head, now_ms)
 
-    def _close_timeout_ms(
-        self, group: model.Group, table: fleet.ServerTable
-    ) -> int:
-        if not group.waits_for_work:
-            return 0
-        all_alive = all(_is_alive(m, table) for m in group.members)
-        if all_alive and not _membership_problem(group, table):
-            return self._timing.close_timeout_ms
-        return self._timing.stalled_close_timeout_ms
+    def _close(
+        self, group: model.Group, now_ms: int, *, has_stalled: bool
+    ) -> Iterator[_actions.Order]:
+        """Yields the order to a head that is to serve no more requests."""
+        kind = _actions.OrderKind.CLOSE
+        if self._may_abort(group, now_ms, has_stalled=has_stalled):
+            kind = _actions.OrderKind.CLOSE_NOW
+        yield from self._order(kind, group, group.head, now_ms)
+
+    def _may_abort(
+        self, group: model.Group, now_ms: int, *, has_stalled: bool
+    ) -> bool:
+        """Returns whether the requests of a closing head may be aborted.
+
+        They end by themselves, unless they run for too long or make no
+        progress.
+
+        Args:
+            group: The group.
+            now_ms: Monotonic time.
+            has_stalled: Whether the group lacks what it needs to run requests,
+                as far as reports tell. It does not if entries see them run.
+        """
+        since_ms = self._dissolving_since_ms.setdefault(group.epoch, now_ms)
+        if now_ms - since_ms >= self._timing.close_timeout_ms:
+            return True
+        progress_ms = self._progress_ms.get(group.epoch)
+        has_progressed = (
+            progress_ms is not None
+            and now_ms - progress_ms < self._timing.progress_timeout_ms
+        )
+        return has_stalled and not has_progressed
+
+    def _record_progress(
+        self, group: model.Group, active_heads: Collection[str], now_ms: int
+    ) -> None:
+        if group.head.server_id in active_heads:
+            self._progress_ms[group.epoch] = now_ms
 
     def _release_members(
         self, group: model.Group, table: fleet.ServerTable, now_ms: int
@@ -403,6 +439,24 @@
     return state in (model.MemberState.READY, model.MemberState.OPEN)
 
 
+def _lacks_member(group: model.Group, table: fleet.ServerTable) -> bool:
+    """Returns whether a member has certainly left its place in a group."""
+    is_any_gone = any(_is_gone(m, table) for m in group.members)
+    return is_any_gone or bool(_membership_problem(group, table))
+
+
+def _is_gone(member: model.GroupMember, table: fleet.ServerTable) -> bool:
+    record = _evidence.current_record(member, table)
+    if record is None:
+        return table.is_warmed_up
+    if record.report.born_ms != member.born_ms or table.is_replaced(record):
+        return True
+    if record.report.state is model.ServerState.GONE:
+        # It reports no more, but remains while its head has work.
+        return False
+    return table.is_lost(record)
+
+
 def _is_alive(member: model.GroupMember, table: fleet.ServerTable) -> bool:
     record = _evidence.current_record(member, table)
     if record is None or record.report.born_ms != member.born_ms:
--- a/lagooncrank/core/groups/tests/emulated_fleet.py
+++ b/lagooncrank/core/groups/tests/emulated_fleet.py
@@ -306,6 +306,7 @@
             table,
             self._machine.groups,
             self._machine.last_epoch,
+            active_heads,
             self._now_ms,
         )
         for order in list(stray_orders):
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -152,6 +152,7 @@
             self._view.table,
             state_view.groups,
             state_view.last_epoch,
+            self._view.nodes.working(now_ms),
             now_ms,
         )
         for order in stray_orders:
--- a/soak/_lasting_server.py
+++ b/soak/_lasting_server.py
@@ -33,36 +33,6 @@
     def on_passed(self, attempt_id: str, arrived_s: float) -> None:
         """Called when an arrived request was not rejected with 421."""
 
-    def on_left(self) -> None:
-        """Called when a control node has acknowledged that this one leaves."""
-
-    async def deregister(self) -> None:
-        """Leaves the system without any notice before; serves on."""
-        if self._reporting is not None:
-            self._reporting.cancel()
-        async with aiohttp.ClientSession() as session:
-            while not await self._send_deregistration(session):  # noqa: ASYNC110 - the answer, no event
-                await asyncio.sleep(fake_server.REPORT_INTERVAL_S)
-        self.on_left()
-
-    async def _send_deregistration(
-        self, session: aiohttp.ClientSession
-    ) -> bool:
-        for control in self._control_addresses:
-            url = f"http://{control}/-/instances/{self.server_id}/deregister"
-            timeout = aiohttp.ClientTimeout(total=1.0)
-            body = {"born": self.born, "sequence": self._sequence + 1}
-            try:
-                async with session.post(
-                    url, json=body, timeout=timeout
-                ) as response:
-                    if response.status == web.HTTPOk.status_code:
-                        return True
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                # The next control node is asked.
-                continue
-        return False
-
     async def _send_report(
         self, session: aiohttp.ClientSession, control: str
     ) -> bool:
