Soak: an entry that was paused gives up no sound server

With the kind stutter alone all servers are sound. The soak now reads from the entries' logs which streams were given up as silent (given_up_for: pause, stall or lost path), and reports each as a violation (SOUND), unless the soak's own process, in which the servers run, was late before. The test of callers that left a paused entry has the same run; it still fails for all that it failed for before.

What callers see today: nothing is cut, but each such stream costs a repeat, a slot and the budget that a true failure needs.

Free slots matter: a stream without one is not given up.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 from typing import Final
 
@@ -13,6 +14,7 @@
 from soak import _deadlines
 from soak import _disturbances
 from soak import _drain
+from soak import _given_up
 from soak import _history
 from soak import _left_callers
 from soak import _lost
@@ -70,7 +72,8 @@
         self.config = _config_history.ConfigHistory(bounds.config)
         self.left_callers = _left_callers.LeftCallers()
         #: Whether pauses of entries are all that happens: links pass on at
-        #: once that a caller has left, so that this counts at any time.
+        #: once that a caller has left, so that this counts at any time, and
+        #: no server is silent.
         self.has_pauses_only = False
         self.left_servers = _drain.LeftServers(DRAIN_S)
         #: Requests whose connections ended without a whole answer.
@@ -135,13 +138,17 @@
         )
 
     def finish(
-        self, charges: Mapping[str, int], noticed_ms: Mapping[str, int]
+        self,
+        charges: Mapping[str, int],
+        noticed_ms: Mapping[str, int],
+        given_up: Sequence[_given_up.GivenUpRun],
     ) -> list[str]:
         """Returns all violations; call it once, after the end.
 
         Args:
             charges: How often each request was charged.
             noticed_ms: When entries noticed that callers had left.
+            given_up: Streams that entries gave up as silent.
         """
         now_s = self.now_s()
         changes = self.config.changes()
@@ -153,6 +160,7 @@
             *self.config.rate_violations(),
             *self.left_servers.violations(self._was_entry_in_touch),
             *self.left_callers.violations(noticed_ms, self._counts_as_left),
+            *_given_up.violations(given_up, self._was_given_up_sound),
             *self._excesses(),
         ):
             self.history.record_violation(violation)
@@ -175,11 +183,25 @@
         # which run here, read late then.
         entry = self.history.request(late.attempt_id).entry
         owner = "" if self.has_pauses_only else entry
-        offset_s = self.now_s() - _wall_ms() / _MS_PER_S
-        left_s = late.left_ms / _MS_PER_S + offset_s
-        arrived_s = late.arrived_ms / _MS_PER_S + offset_s
+        left_s = self._seconds_at(late.left_ms)
+        arrived_s = self._seconds_at(late.arrived_ms)
         return self.disturbances.is_in_touch(owner, left_s, arrived_s)
 
+    def _was_given_up_sound(self, run: _given_up.GivenUpRun) -> bool:
+        """Whether all servers went on before an entry gave one up.
+
+        With pauses of entries alone only delays of this process, in which the
+        servers run, can have kept them from it.
+        """
+        at_s = self._seconds_at(run.at_ms)
+        return self.has_pauses_only and self.disturbances.is_in_touch(
+            "", at_s, at_s
+        )
+
+    def _seconds_at(self, wall_ms: int) -> float:
+        """Returns a time of the wall clock on the clock of this process."""
+        return self.now_s() - (_wall_ms() - wall_ms) / _MS_PER_S
+
     def _was_entry_in_touch(self, attempt_id: str, now_s: float) -> bool:
         entry = self.history.request(attempt_id).entry
         return self.disturbances.is_in_touch(entry, now_s, now_s)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -16,6 +16,7 @@
 from soak import _charges
 from soak import _deployment
 from soak import _faults
+from soak import _given_up
 from soak import _left_callers
 from soak import _nodes
 from soak import _planned_faults
@@ -137,9 +138,10 @@
     noticed_ms = _left_callers.read_departures(
         e.log_file for e in deployment.entries
     )
+    given_up = _given_up.read_given_up(e.log_file for e in deployment.entries)
     return SeedReport(
         config.seed,
-        tuple(deployment.checks.finish(charges, noticed_ms)),
+        tuple(deployment.checks.finish(charges, noticed_ms, given_up)),
         tuple(faults),
         deployment.callers.served,
         deployment.operator.acknowledged,
@@ -149,6 +151,7 @@
             collections.Counter(n.started_build.name for n in deployment.nodes)
         ),
         f"{deployment.checks.summary(charges)}, "
+        f"{len(given_up)} streams given up as silent, "
         f"{deployment.lag.delays} own delays of "
         f"up to {deployment.lag.longest_s:.2f} s",
     )
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -149,4 +149,31 @@
 async def test_nothing_is_sent_for_callers_that_left_a_paused_entry(
     tmp_path: pathlib.Path,
 ) -> None:
-    await check_seed(series_of(("stutter",), entries=3), tmp_path)
+    report = await _run.run_seed(series_of(("stutter",), entries=3), tmp_path)
+    # The next test is about servers that are given up.
+    others = [v for v in report.violations if not v.startswith("SOUND: ")]
+    assert not others
+    assert report.served
+
+
+PAUSES_DURATION_S = 10.0
+#: Short enough that several entries are paused at a time.
+PAUSES_INTERVAL_S = 0.6
+#: Enough for streams to find free slots elsewhere.
+PAUSES_ENGINES = 12
+
+
+# Guards against: an entry that got no processor time took that for the silence
+# of its servers, all of which were sound, and sent their streams once more.
+async def test_paused_entries_give_up_no_sound_server(
+    tmp_path: pathlib.Path,
+) -> None:
+    config = _run.SeedConfig(
+        1,
+        PAUSES_DURATION_S,
+        entries=4,
+        engines=PAUSES_ENGINES,
+        kinds=("stutter",),
+        max_interval_s=PAUSES_INTERVAL_S,
+    )
+    await check_seed(config, tmp_path)
