--- a/lagooncrank/core/groups/tests/test_closing_heads.py
+++ b/lagooncrank/core/groups/tests/test_closing_heads.py
@@ -51,7 +51,7 @@
         assert table.deregister(model.BackendServerId(leaving), 100, START_MS)
     for waited_ms in range(0, 2 * CLOSE_TIMEOUT_MS, STEP_MS):
         now_ms = START_MS + waited_ms
-        table.advance_clock(now_ms, is_connected=True)
+        table.advance_clock(now_ms, now_ms, is_connected=True)
         for index, report in enumerate(reports):
             changes = {}
             if report.server_id == leaving:
