Readiness of an entry: a pause is time that was not observed

Readiness took a gap of 1.5 s between two of its checks for a pause of the process, with a constant of its own, so it had to be checked often. It asks the observed clock for how long the process stood still: an entry that missed more than a warm-up lasts warms up again. The daemon ticks such a clock; the ticks are a service of their own, which the loop watch of seeded nodes extends.

--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -9,6 +9,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import settings
 from lagooncrank.core import admission
 from lagooncrank.core import membership
@@ -29,6 +30,7 @@
 from lagooncrank.server import _interfaces
 from lagooncrank.server import _lifecycle
 from lagooncrank.server import _metrics
+from lagooncrank.server import _observed_ticks
 from lagooncrank.server import _orders
 from lagooncrank.server import _placement
 from lagooncrank.server import _plain_calls
@@ -92,6 +94,7 @@
         self._shared = shared
         self._links = links
         self._clock = clock
+        self._observed_clock = observed_time.ObservedClock(clock)
         self._first_services = first_services
         self._incarnation = incarnation
         #: Revision that was last passed to the services of this node.
@@ -136,6 +139,7 @@
 
     def _services(self) -> Iterator[mode.Service]:
         yield from self._first_services
+        yield _observed_ticks.ObservedTicks(self._observed_clock)
         yield self.watchdog
         yield self.pools
         yield self.admission_service
@@ -214,7 +218,7 @@
         self.directory = _entries.EntryDirectory(
             self._process,
             self.lifecycle,
-            _readiness.Readiness(self._shared, clock),
+            _readiness.Readiness(self._shared, clock, self._observed_clock),
             self._links,
             clock,
         )
--- a/lagooncrank/server/_readiness.py
+++ b/lagooncrank/server/_readiness.py
@@ -3,12 +3,12 @@
 from typing import Final
 
 from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank.server import _interfaces
 
-#: Time in which a started or resumed entry learns of all backend servers.
+#: Time in which a started or resumed entry learns of all backend servers; what
+#: one that stood still for longer has learned before is outdated.
 WARM_UP_MS: Final = 1_500
-#: A longer gap between checks means that the process was paused.
-MAX_CHECK_GAP_MS: Final = 1_500
 
 
 class Readiness:
@@ -19,21 +19,24 @@
     """
 
     def __init__(
-        self, shared: _interfaces.SharedState, clock: clocks.Clock
+        self,
+        shared: _interfaces.SharedState,
+        clock: clocks.Clock,
+        observed_clock: observed_time.ObservedClock,
     ) -> None:
         self._shared = shared
         self._clock = clock
+        self._observed_clock = observed_clock
         self._lease_since_ms: int | None = None
-        self._checked_ms = clock.now_ms()
+        #: Time that this process had stood still at the last check.
+        self._missed_ms = observed_clock.missed_ms
 
     def check(self) -> bool:
-        """Returns whether the entry has warmed up.
-
-        It must be called more often than every `MAX_CHECK_GAP_MS`.
-        """
+        """Returns whether the entry has warmed up."""
         now_ms = self._clock.now_ms()
-        was_paused = now_ms - self._checked_ms > MAX_CHECK_GAP_MS
-        self._checked_ms = now_ms
+        missed_ms = self._observed_clock.missed_ms
+        was_paused = missed_ms - self._missed_ms > WARM_UP_MS
+        self._missed_ms = missed_ms
         if not self._may_accept_work():
             self._lease_since_ms = None
             return False
--- a/lagooncrank/server/seeded/_loop_watch.py
+++ b/lagooncrank/server/seeded/_loop_watch.py
@@ -1,14 +1,13 @@
 """Measures how long the event loop does not look at its connections."""
 
-import asyncio
 from typing import Final
 
-import mode
 import prometheus_client
 
 from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import observed_time
+from lagooncrank.server import _observed_ticks
 from lagooncrank.server.seeded import _decision_log
 
 #: A longer delay is logged: it holds up heartbeats and callers' streams.
@@ -22,7 +21,7 @@
 )
 
 
-class LoopWatch(mode.Service):  # type: ignore[misc, unused-ignore]
+class LoopWatch(_observed_ticks.ObservedTicks):
     """Ticks regularly; a late tick shows that the loop was busy or paused."""
 
     def __init__(
@@ -38,12 +37,10 @@
             observed_clock: Is told of each tick.
             log: Receives a line for each late tick.
         """
-        super().__init__()
+        super().__init__(observed_clock)
         self._clock = clock
-        self._observed_clock = observed_clock
         self._log = log
         self._due_ms = clock.now_ms() + observed_time.TICK_MS
-        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def lag_ms(self) -> int:
@@ -53,27 +50,13 @@
     async def on_start(self) -> None:
         """Starts to tick."""
         self._due_ms = self._clock.now_ms() + observed_time.TICK_MS
-        self._schedule()
-
-    async def on_stop(self) -> None:
-        """Ends the ticks."""
-        if self._timer is not None:
-            self._timer.cancel()
+        await super().on_start()
 
     def tick(self) -> None:
         """Records the delay of this tick."""
         lag_ms = self.lag_ms
         self._due_ms = self._clock.now_ms() + observed_time.TICK_MS
-        self._observed_clock.tick()
+        super().tick()
         _LAG_S.observe(lag_ms / clocks.MS_PER_S)
         if lag_ms > LOGGED_LAG_MS:
             self._log.write(decisions.Event.LOOP_LATE, lag_ms=lag_ms)
-
-    def _schedule(self) -> None:
-        loop = asyncio.get_running_loop()
-        delay_s = observed_time.TICK_MS / clocks.MS_PER_S
-        self._timer = loop.call_later(delay_s, self._on_tick)
-
-    def _on_tick(self) -> None:
-        self.tick()
-        self._schedule()
