Wait for model engines and readers in observed time

The daemon's streams at engines (first byte, between bytes), and its callers that read slowly, were given up by real time: after a standstill the timer ran before what had arrived was read, the engine counted as unresponsive and its connections were dropped. The adaptive timeouts also learned the standstill as time of the engine.

The watchdog has two limits for each wait: the caller's deadline in monotonic time, and the silence of the other side in observed time; the wait for the head of a response uses the observed timer. Found by reading; no run of real processes shows it.

--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -193,12 +193,13 @@
 
     def _build_clients(self, engine_bounds: EngineBounds) -> None:
         clock = self._clock
-        self.watchdog = _watchdog.Watchdog(clock)
+        self.watchdog = _watchdog.Watchdog(clock, self._observed_clock)
         self.pools = _pools.ConnectionPools()
         self.engine_client = _engine_client.EngineClient(
             self.pools,
             self.watchdog,
             clock,
+            self._observed_clock,
             engine_bounds.first_byte,
             engine_bounds.between_bytes,
         )
--- a/lagooncrank/server/_engine_client.py
+++ b/lagooncrank/server/_engine_client.py
@@ -9,6 +9,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import retry
 from lagooncrank.core import timeouts
 from lagooncrank.server import _attempts
@@ -55,12 +56,14 @@
         pools: _pools.ConnectionPools,
         watchdog: _watchdog.Watchdog,
         clock: clocks.Clock,
+        observed_clock: observed_time.ObservedClock,
         first_byte: timeouts.TimeoutBounds = FIRST_BYTE_BOUNDS,
         between_bytes: timeouts.TimeoutBounds = BETWEEN_BYTES_BOUNDS,
     ) -> None:
         self._pools = pools
         self._watchdog = watchdog
         self._clock = clock
+        self._observed_clock = observed_clock
         self._timeouts = timeouts.AdaptiveTimeouts(first_byte, between_bytes)
         self._draining: set[asyncio.Task[None]] = set()
 
@@ -75,6 +78,7 @@
             self._timeouts.first_byte(kind),
             self._timeouts.between_bytes(kind),
             self._clock,
+            self._observed_clock,
         )
 
     @contextlib.asynccontextmanager
--- a/lagooncrank/server/_engine_stream.py
+++ b/lagooncrank/server/_engine_stream.py
@@ -7,11 +7,13 @@
 import msgspec
 
 from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank.core import retry
 from lagooncrank.core import streams
 from lagooncrank.core import timeouts
 from lagooncrank.server import _attempts
 from lagooncrank.server import _bounded_http
+from lagooncrank.server import _observed_timer
 from lagooncrank.server import _watchdog
 
 #: Statuses with which an engine refuses a request without running it.
@@ -34,16 +36,19 @@
         first_byte: timeouts.AdaptiveTimeout,
         between_bytes: timeouts.AdaptiveTimeout,
         clock: clocks.Clock,
+        observed_clock: observed_time.ObservedClock,
     ) -> None:
         self._first_byte = first_byte
         self._between_bytes = between_bytes
         self._clock = clock
+        self._observed_clock = observed_clock
         self.watch = _watchdog.Watch(self._on_timeout)
         #: When the caller stops waiting, on the entry's clock.
         self.deadline_ms = clocks.NEVER_MS
         self._response: aiohttp.ClientResponse | None = None
         self._opening: asyncio.Timeout | None = None
         self._interruption: Exception | None = None
+        #: Observed time at which the request was sent.
         self._sent_ms = 0
         self._first_byte_received = False
         self._partial_line = b""
@@ -58,12 +63,18 @@
                 request, or did not respond in time.
             DeadlinePassedError: The caller's deadline passed.
         """
-        self._sent_ms = self._clock.now_ms()
-        expires_ms = self._sent_ms + self._first_byte.timeout_ms
-        due_ms = min(expires_ms, self.deadline_ms)
-        timeout_s = (due_ms - self._sent_ms) / 1_000
+        self._sent_ms = self._observed_clock.now_ms()
+        remaining_ms = self.deadline_ms - self._clock.now_ms()
+        silence = _observed_timer.timeout(
+            self._observed_clock, self._first_byte.timeout_ms
+        )
         try:
-            async with asyncio.timeout(timeout_s) as self._opening:
+            async with (
+                asyncio.timeout(
+                    remaining_ms / clocks.MS_PER_S
+                ) as self._opening,
+                silence,
+            ):
                 self._response = await session.post(
                     url, data=body, headers=HEADERS
                 )
@@ -137,12 +148,13 @@
 
     async def _read_bytes(self) -> bytes:
         assert self._response is not None
-        waiting_from_ms = self._clock.now_ms()
+        waiting_from_ms = self._observed_clock.now_ms()
         if self._first_byte_received:
             expires_ms = waiting_from_ms + self._between_bytes.timeout_ms
         else:
             expires_ms = self._sent_ms + self._first_byte.timeout_ms
-        self.watch.due_ms = min(expires_ms, self.deadline_ms)
+        self.watch.silent_due_ms = expires_ms
+        self.watch.due_ms = self.deadline_ms
         try:
             data = await self._response.content.readany()
         except _bounded_http.ResponseTooLargeError as error:
@@ -152,17 +164,17 @@
             kind = retry.FailureKind.CONNECTION_LOST
             raise _failed(kind, repr(error)) from error
         finally:
-            self.watch.due_ms = 0
+            self.watch.clear()
         self._record_wait(waiting_from_ms)
         return data
 
     def _record_wait(self, waiting_from_ms: int) -> None:
-        now_ms = self._clock.now_ms()
+        observed_ms = self._observed_clock.now_ms()
         if self._first_byte_received:
-            self._between_bytes.record(now_ms - waiting_from_ms)
+            self._between_bytes.record(observed_ms - waiting_from_ms)
             return
         self._first_byte_received = True
-        self._first_byte.record(now_ms - self._sent_ms)
+        self._first_byte.record(observed_ms - self._sent_ms)
 
     def _on_timeout(self) -> None:
         self.interrupt(self._timeout_error())
--- a/lagooncrank/server/http/_completions.py
+++ b/lagooncrank/server/http/_completions.py
@@ -112,7 +112,6 @@
         event_stream = _event_stream.EventStream(
             request,
             self._limits,
-            self._context.clock,
             self._watchdog,
             self._context.metrics,
         )
--- a/lagooncrank/server/http/_event_stream.py
+++ b/lagooncrank/server/http/_event_stream.py
@@ -5,7 +5,6 @@
 from aiohttp import abc
 from aiohttp import web
 
-from lagooncrank import clock as clocks
 from lagooncrank import results
 from lagooncrank import settings
 from lagooncrank.server import _metrics
@@ -26,13 +25,11 @@
         self,
         request: web.Request,
         limits: settings.LimitSettings,
-        clock: clocks.Clock,
         watchdog: _watchdog.Watchdog,
         metrics: _metrics.Metrics,
     ) -> None:
         self._request = request
         self._limits = limits
-        self._clock = clock
         self._watchdog = watchdog
         self._metrics = metrics
         self._watch = _watchdog.Watch(self._abort_slow_reader)
@@ -73,9 +70,9 @@
             self._writer = await self._response.prepare(self._request)
             assert self._writer is not None
         timeout_ms = self._limits.reader_timeout_ms
-        self._watch.due_ms = self._clock.now_ms() + timeout_ms
+        self._watchdog.limit_silence(self._watch, timeout_ms)
         await self._writer.write(event)
-        self._watch.due_ms = 0
+        self._watch.clear()
 
     async def write_error(self, refusal: results.Refusal) -> None:
         """Sends an error as the last event."""
@@ -86,9 +83,9 @@
     async def finish(self) -> web.StreamResponse:
         """Sends the end of the response."""
         timeout_ms = self._limits.reader_timeout_ms
-        self._watch.due_ms = self._clock.now_ms() + timeout_ms
+        self._watchdog.limit_silence(self._watch, timeout_ms)
         await self._response.write_eof()
-        self._watch.due_ms = 0
+        self._watch.clear()
         return self._response
 
     def _abort_slow_reader(self) -> None:
--- a/lagooncrank/server/tests/test_endless_responses.py
+++ b/lagooncrank/server/tests/test_endless_responses.py
@@ -7,6 +7,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank.core import placement
 from lagooncrank.core import retry
 from lagooncrank.core import timeouts
@@ -89,10 +90,12 @@
 
 
 def new_stream() -> _engine_stream.EngineStream:
+    clock = clocks.SystemClock()
     return _engine_stream.EngineStream(
         timeouts.AdaptiveTimeout(FIRST_BYTE),
         timeouts.AdaptiveTimeout(FIRST_BYTE),
-        clocks.SystemClock(),
+        clock,
+        observed_time.ObservedClock(clock),
     )
 
 
