Read what arrived before a deadline that passed in a standstill ends a wait

A request whose deadline passed while its entry stood still ended with 504 although its answer was waiting in the socket: the timer ran before it was read. A booking's outcome was unknown then, and its server charged with a timeout.

The waits for the head of a response, its body, the next part of a stream and another entry end at the deadline still, but some passes of the event loop later, in which what has arrived reaches its reader. A wait that starts after the deadline gets no such passes, so that a stream does not go on for good.

--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -1,16 +1,15 @@
 """Makes one attempt of a request: at a backend server or another entry."""
 
-import asyncio
 from collections.abc import Iterator
 import contextlib
 import enum
 from typing import Final
 
-from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.core import holds
+from lagooncrank.server import _deadlines
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _attempt_parts
@@ -137,11 +136,11 @@
     ) -> _attempt.BackendResponse:
         """Delegates a request to another entry."""
         began_ms = self._clock.now_ms()
-        remaining_ms = max(exchange.remaining_ms(self._clock), 0)
+        remaining_ms = exchange.remaining_ms(self._clock)
         try:
             # The other entry retries at silent servers; once it may have done
             # so, nothing is left for an attempt elsewhere.
-            async with asyncio.timeout(remaining_ms / clocks.MS_PER_S):
+            async with _deadlines.after(remaining_ms):
                 backend_response = await self._delegator.open(exchange, target)
             if (leaving := exchange.leaving_server) is not None:
                 # The caller gets the response of that server from this entry.
@@ -192,10 +191,10 @@
                 silence_failure(self._clock.now_ms() - sent_ms),
             )
         )
-        remaining_ms = max(exchange.remaining_ms(self._clock), 0)
+        remaining_ms = exchange.remaining_ms(self._clock)
         try:
             with self._limit_silence(exchange, target, silence):
-                async with asyncio.timeout(remaining_ms / clocks.MS_PER_S):
+                async with _deadlines.after(remaining_ms):
                     backend_response = await self._client.open(
                         target,
                         exchange.request_head,
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -1,6 +1,5 @@
 """Relays a backend server's response to its caller."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -15,6 +14,7 @@
 from lagooncrank import results
 from lagooncrank.core import dispatch
 from lagooncrank.server import _buffer_budget
+from lagooncrank.server import _deadlines
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
@@ -186,9 +186,9 @@
         backend_response: _attempt.BackendResponse,
         buffer: _buffer_budget.Buffer,
     ) -> bytes:
-        remaining_ms = max(exchange.remaining_ms(self._clock), 0)
+        remaining_ms = exchange.remaining_ms(self._clock)
         try:
-            async with asyncio.timeout(remaining_ms / clocks.MS_PER_S):
+            async with _deadlines.after(remaining_ms):
                 body = await _body_reader.read(backend_response, buffer)
         except TimeoutError as error:
             raise _attempt.AttemptFailedError(
--- a/lagooncrank/server/seeded/_stream_run.py
+++ b/lagooncrank/server/seeded/_stream_run.py
@@ -8,6 +8,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank.core import dispatch
 from lagooncrank.server import _buffer_budget
+from lagooncrank.server import _deadlines
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _event_sequence
 from lagooncrank.server.seeded import _events
@@ -87,7 +88,7 @@
             AttemptFailedError: The run has ended, or its time is over.
         """
         try:
-            async with asyncio.timeout_at(self._deadline_s) as timeout:
+            async with _deadlines.deadline(self._deadline_s) as timeout:
                 with (
                     self._forwarder.register_wait(
                         self._exchange, self.target, timeout
