Charge nobody with a deadline that passed in this entry's standstill

A request whose deadline passed while the entry stood still was counted as a timeout of its server: the server is avoided for 0.5 s and more, its group is suspected by all nodes for a second, and the leader probes its members. All requests of one standstill are charged at one moment, to all their sound servers. If the request was delegated, the other entry is avoided.

Cause: deadlines are real time, and stay so; but that one has passed says nothing about the server if what it sent was not read.

Fix: a timeout at a deadline is recorded against the server, its group or the other entry only if this entry did not stand still since they were last heard or asked. The caller gets 504 as before, and the run counts as before.

--- a/lagooncrank/server/seeded/_attempt_outcomes.py
+++ b/lagooncrank/server/seeded/_attempt_outcomes.py
@@ -82,7 +82,7 @@
         error: _attempt.AttemptFailedError,
     ) -> None:
         """Records that a response broke off, or that its server is silent."""
-        if target.is_entry:
+        if target.is_entry and not self._is_own_delay(exchange, error):
             self._delegator.record_failure(target, error)
         self._record_failure(exchange, target, error)
         self._record_lost(exchange, target, error, has_begun=True)
@@ -127,9 +127,26 @@
             return
         if error.failure is not _attempt.FailureKind.CONNECT:
             exchange.has_arrived = True
+        if self._is_own_delay(exchange, error):
+            return
         if error.failure is not _attempt.FailureKind.SERVER_ERROR:
             self._target_selector.record_failure(target)
         if error.failure is _attempt.FailureKind.TIMED_OUT and target.group:
             self._view.stall_detector.record_timeout(
                 target.server_id, self._clock.now_ms()
             )
+
+    def _is_own_delay(
+        self,
+        exchange: _exchange.Exchange,
+        error: _attempt.AttemptFailedError,
+    ) -> bool:
+        """Returns whether a deadline passed while this entry stood still.
+
+        Deadlines count all time; what the server sent may not have been read.
+        """
+        return (
+            error.failure is _attempt.FailureKind.TIMED_OUT
+            and exchange.remaining_ms(self._clock) <= 0
+            and exchange.was_missed(self._observed_clock.missed_ms)
+        )
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -151,7 +151,8 @@
             failure = _attempt.AttemptFailedError(
                 _attempt.FailureKind.TIMED_OUT, "no response of an entry"
             )
-            self._delegator.record_failure(target, failure)
+            if not exchange.was_missed(self._observed_clock.missed_ms):
+                self._delegator.record_failure(target, failure)
             self._count_unseen_runs(exchange, began_ms)
             raise failure from error
         except _attempt.AttemptFailedError as error:
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -137,6 +137,14 @@
         """
         self.missed_before_ms = missed_ms
 
+    def was_missed(self, missed_ms: int) -> bool:
+        """Returns whether this entry stood still since the silence began.
+
+        Args:
+            missed_ms: Time so far that this entry stood still.
+        """
+        return missed_ms > self.missed_before_ms
+
     def give_up(self, reason: str, missed_ms: int) -> None:
         """Records that the run is taken for silent.
 
