Links: nodes that dial each other at the same time keep the same link

Control nodes and entries that find each other through seeds dial each other. When both have lost their link, both dial, and there are two new ones. Each node kept the one that it saw last and aborted the other. Where a handshake takes longer than the two dials are apart, the nodes see the links in different orders: each aborts what the other keeps, both are gone, and both dial again after the same wait. Nothing breaks the symmetry: no message passes between two sound nodes, and a control node that has lost all its links finds no quorum. A busy machine or the way between two regions makes handshakes slow.

Now both keep the link that the node with the lower id dialled, in whatever order they see the two. A new link still replaces one that the same node had dialled, and one that is known to be lost. If the old link is lost without a sign at the lower node alone, it is closed as before when no frame arrives for 1.2 s, and until then the dial of the other one is refused.

--- a/lagooncrank/server/links/_channel.py
+++ b/lagooncrank/server/links/_channel.py
@@ -173,11 +173,21 @@
             self.abort()
             await asyncio.wait([writer])
 
+    @property
+    def is_dialer(self) -> bool:
+        """Whether this node opened the connection."""
+        return self._session.is_dialer
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is not known to be lost."""
+        return not self._connection.connection_lost_waiter.done()
+
     def abort(self) -> None:
         """Closes the connection without waiting for an unresponsive peer."""
         # asyncio raises AttributeError if a transport is aborted after it was
         # closed with unwritten bytes and has lost its connection since.
-        if not self._connection.connection_lost_waiter.done():
+        if self.is_connected:
             self._connection.transport.abort()
 
     async def _read(
--- a/lagooncrank/server/links/_handshake.py
+++ b/lagooncrank/server/links/_handshake.py
@@ -74,6 +74,8 @@
         self, key: bytes, dialer: Hello, acceptor: Hello, *, is_dialer: bool
     ) -> None:
         transcript = model.to_cbor([dialer, acceptor])
+        #: Whether this node opened the connection.
+        self.is_dialer = is_dialer
         own_label, peer_label = (b"dialer", b"acceptor")
         if not is_dialer:
             own_label, peer_label = peer_label, own_label
--- a/lagooncrank/server/links/_links.py
+++ b/lagooncrank/server/links/_links.py
@@ -301,6 +301,10 @@
     async def _run_channel(self, channel: _channel.Channel) -> None:
         """Handles the messages of a new link until it closes."""
         previous = self._channels.get(channel.peer)
+        if previous is not None and self._has_precedence(previous, channel):
+            _metrics.LINKS_CLOSED.labels("replaced").inc()
+            channel.abort()
+            return
         self._channels[channel.peer] = channel
         if previous is not None:
             _metrics.LINKS_CLOSED.labels("replaced").inc()
@@ -315,6 +319,22 @@
             _metrics.LINKS_CLOSED.labels("closed").inc()
             self._remove_channel(channel)
 
+    def _has_precedence(
+        self, previous: _channel.Channel, channel: _channel.Channel
+    ) -> bool:
+        """Whether an earlier link to a peer is kept instead of a new one.
+
+        Two nodes that dial each other at the same time have two links, and see
+        them made in different orders. Both keep the one that the node with the
+        lower id dialled. Else the new one counts: who dials has none any more.
+        """
+        is_lower = self._node_id < channel.peer
+        return (
+            previous.is_connected
+            and previous.is_dialer is is_lower
+            and channel.is_dialer is not is_lower
+        )
+
     async def _receive(self, peer: model.NodeId, payload: bytes) -> None:
         """Passes a message to the handler of its kind.
 
