Resume streams that a stopping entry has begun while there is time

Cause: the stop asks of every attempt whether it surely ends before the cut. That is right for a request that can be refused as not run. A stream that has begun cannot be: a refusal cuts it, for the fear that the stop might.

Fix: a stream that has begun, and arrived while the stop served everything (2.8 s of 8), may be resumed until 1.8 s before the cut (the shortest duration and one pause of a server, as for other requests). A resumed stream is paid for as any repeat, and at worst is cut later, with more of it delivered.

--- a/lagooncrank/core/drain/_stop_plan.py
+++ b/lagooncrank/core/drain/_stop_plan.py
@@ -48,6 +48,14 @@
             started_ms + int(grace_ms * CUT_FRACTION),
         )
 
+    @property
+    def latest_resume_ms(self) -> int:
+        """Until when a stream that has begun may be resumed, whatever is left.
+
+        Later, not even the shortest rest would end before the cut.
+        """
+        return self.cut_ms - MIN_DURATION_MS - MAX_PAUSE_MS
+
     def latest_start_ms(self, deadline_ms: int, longest_ms: int | None) -> int:
         """Returns until when a request may be sent to a backend server.
 
--- a/lagooncrank/server/seeded/_stop_gate.py
+++ b/lagooncrank/server/seeded/_stop_gate.py
@@ -155,7 +155,11 @@
         if longest_ms is not None:
             # A stream that is resumed has only its rest left.
             longest_ms -= exchange.streamed_ms
-        return plan.latest_start_ms(exchange.deadline_ms, longest_ms)
+        latest_ms = plan.latest_start_ms(exchange.deadline_ms, longest_ms)
+        if _was_accepted(exchange, plan):
+            # A refusal would cut it for certain.
+            latest_ms = max(latest_ms, plan.latest_resume_ms)
+        return latest_ms
 
     def _longest_ms(self, exchange: _exchange.Exchange) -> int | None:
         """Returns how long a request takes at most; None if nothing tells."""
@@ -171,3 +175,12 @@
         if longest_ms is not None:
             return longest_ms
         return self._by_service.longest_ms(exchange.service, tokens, now_ms)
+
+
+def _was_accepted(exchange: _exchange.Exchange, plan: drain.StopPlan) -> bool:
+    """Returns whether a stream has begun that the stop lets run until its cut.
+
+    One that came later was accepted only as it seemed to end before the cut.
+    """
+    has_begun = exchange.first_event_ms is not None
+    return has_begun and exchange.arrived_ms <= plan.serves_all_until_ms
