--- a/lagooncrank/server/_deadlines.py
+++ b/lagooncrank/server/_deadlines.py
@@ -9,6 +9,8 @@
 import contextlib
 from typing import Final
 
+from lagooncrank import clock as clocks
+
 #: Passes of the event loop in which what has arrived reaches its reader.
 READ_PASSES: Final = 10
 
@@ -67,4 +69,4 @@
         remaining_ms: The duration; negative if the deadline has passed.
     """
     now_s = asyncio.get_running_loop().time()
-    return deadline(now_s + max(remaining_ms, 0) / 1_000)
+    return deadline(now_s + max(remaining_ms, 0) / clocks.MS_PER_S)
