Keep what other nodes said through this node's own standstill

A control node that stood still for 2 s had no notice that counted any more. The first thing that it did then was to tell its followers: no open entry, no request in flight at any server, no entry without a path, and only itself and the voters as control nodes. Entries forget the loads of all others, and find nobody to delegate to, until it has read the notices that wait. Links to other control nodes are dropped.

Cause: a notice counts for 2 s by the clock, and the timer that sends the summary runs before the links are read.

Fix: notices count for observed time. A node that says nothing is removed 2 s of observed time later, as before.

Evidence: the test failed before: "assert [] == ['10.0.0.9:80']", and for the summary that is sent the same.

Left: the list of entries that an entry passes on to callers goes by the clock (10 s): callers rely on its age.

--- a/lagooncrank/core/fleet/_nodes.py
+++ b/lagooncrank/core/fleet/_nodes.py
@@ -93,7 +93,11 @@
 
 
 class NodeTable:
-    """Newest notice of each node; each is valid for the time of a lease."""
+    """Newest notice of each node; each is valid for the time of a lease.
+
+    All times are observed time of this node: while it stands still it receives
+    no notices.
+    """
 
     def __init__(self, lease_ms: int) -> None:
         self._lease_ms = lease_ms
--- a/lagooncrank/server/seeded/_fleet_view.py
+++ b/lagooncrank/server/seeded/_fleet_view.py
@@ -35,7 +35,7 @@
 NOTICE_INTERVAL_PER_ENTRY_MS: Final = 12
 MIN_NOTICE_INTERVAL_MS: Final = 100
 MAX_NOTICE_INTERVAL_MS: Final = 700
-#: A node that sent no notice for this long is removed.
+#: A node that sent no notice for this long, in observed time, is removed.
 NOTICE_TTL_MS: Final = 2_000
 #: Report intervals without a report after which a backend server counts as
 #: unreachable.
@@ -174,8 +174,11 @@
     def open_entries(self, now_ms: int) -> Sequence[fleet.OpenEntry]:
         """Returns the entries that callers may be directed to."""
         if self.is_control:
-            entries = self.nodes.open_entries(now_ms)
-            return fleet.without_cut_off(entries, self.nodes.cut_off(now_ms))
+            observed_ms = self._observed_clock.now_ms()
+            return fleet.without_cut_off(
+                self.nodes.open_entries(observed_ms),
+                self.nodes.cut_off(observed_ms),
+            )
         own_address = self._settings.listen.callers
         entries = self._cached_entries.entries_for_callers(
             now_ms, "" if self.is_open else own_address
@@ -253,7 +256,7 @@
             and self.table.ready_services().issubset(self.unreached),
         )
         if self.is_control:
-            self.nodes.put(notice, now_ms)
+            self.nodes.put(notice, self._observed_clock.now_ms())
             self._pending_notices[notice.node_id] = notice
             self._forward_notices(now_ms)
             return
@@ -264,7 +267,9 @@
         batch = fleet.NodeNotices(tuple(self._pending_notices.values()))
         self._pending_notices.clear()
         self._links.send_all(self._control_nodes.others(), _NOTICES, batch)
-        summary = self.nodes.summary(now_ms, self._control_nodes.voters())
+        summary = self.nodes.summary(
+            self._observed_clock.now_ms(), self._control_nodes.voters()
+        )
         self._record_entry_count(summary, now_ms)
         summary = dataclasses.replace(
             summary, sharing_entries=self.sharing_entries.count(now_ms) or 0
@@ -275,19 +280,19 @@
     def _on_notices(
         self, sender: model.NodeId, batch: fleet.NodeNotices
     ) -> None:
-        now_ms = self._clock.now_ms()
-        before = self.nodes.stalled(now_ms)
+        observed_ms = self._observed_clock.now_ms()
+        before = self.nodes.stalled(observed_ms)
         has_closed = False
         for notice in batch.notices:
-            was_open = self.nodes.is_open(notice.node_id, now_ms)
-            if self.nodes.put(notice, now_ms):
+            was_open = self.nodes.is_open(notice.node_id, observed_ms)
+            if self.nodes.put(notice, observed_ms):
                 self._pending_notices[notice.node_id] = notice
                 has_closed |= was_open and not notice.is_open
-        has_stalled = not self.nodes.stalled(now_ms) <= before
+        has_stalled = not self.nodes.stalled(observed_ms) <= before
         if has_stalled or has_closed:
             # Callers must not be directed to an entry that is stopping, and
             # entries avoid stalled servers: both are urgent.
-            self._forward_notices(now_ms)
+            self._forward_notices(self._clock.now_ms())
         if has_stalled:
             for listener in self.listeners:
                 listener()
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -48,6 +48,7 @@
         self._view = view
         self._documents = documents
         self._clock = clock
+        self._observed_clock = observed_clock
         self._log = log
         self._guard = _step_guard.StepGuard(log)
         self._lifecycle = groups.GroupLifecycle()
@@ -96,7 +97,7 @@
             return
         now_ms = self._clock.now_ms()
         self._probes.start_due(now_ms)
-        working = self._view.nodes.working(now_ms)
+        working = self._view.nodes.working(self._observed_clock.now_ms())
         for group in self._actions.unchanging_groups():
             self._guard.run(
                 "group",
@@ -171,7 +172,7 @@
         catalog = self._documents.catalog
         if catalog is None or self._actions.is_changing:
             return
-        is_startup = not self._has_served_requests(now_ms)
+        is_startup = not self._has_served_requests()
         for service in catalog.services.values():
             self._guard.run(
                 "plan",
@@ -218,10 +219,10 @@
         """Runs work of its own task; an error in it ends nothing else."""
         self.add_future(self._guard.watch(part, work))
 
-    def _has_served_requests(self, now_ms: int) -> bool:
+    def _has_served_requests(self) -> bool:
         """Returns whether any entry has received a request since its start."""
         if not self._has_served:
-            live = self._view.nodes.live(now_ms)
+            live = self._view.nodes.live(self._observed_clock.now_ms())
             self._has_served = any(n.has_served for n in live)
         return self._has_served
 
--- a/lagooncrank/server/seeded/_stall_probes.py
+++ b/lagooncrank/server/seeded/_stall_probes.py
@@ -63,7 +63,8 @@
             if epoch in epochs
         }
         nodes = self._view.nodes
-        stalled = nodes.stalled(now_ms) | nodes.suspected(now_ms)
+        observed_ms = self._observed_clock.now_ms()
+        stalled = nodes.stalled(observed_ms) | nodes.suspected(observed_ms)
         if not stalled:
             return
         for group in current_groups.values():
--- a/lagooncrank/server/seeded/tests/fleet_node.py
+++ b/lagooncrank/server/seeded/tests/fleet_node.py
@@ -22,6 +22,9 @@
     def on_connected(self, _: object) -> None:
         pass
 
+    def add_peer(self, *_: object) -> None:
+        pass
+
     def send_all(self, *_: object) -> None:
         pass
 
@@ -34,6 +37,10 @@
         self.has_quorum = True
         self.upstream = UPSTREAM
         self.followers: frozenset[model.NodeId] = frozenset()
+        self.voters = None
+
+    def set_peers(self, *_: object) -> None:
+        pass
 
 
 class _Log:
