Daemon's connections: give up after observed time as well

The daemon's connections to plain services and engines were given up after 1 s, although the kernel had set them up while the process stood still.

Evidence: a script with the loop held for 1.2 s, on the code as found: CONNECT_FAILED, "Connection timeout to host", of a repeatable call and of one that runs once.

--- a/lagooncrank/server/_at_most_once_calls.py
+++ b/lagooncrank/server/_at_most_once_calls.py
@@ -6,6 +6,7 @@
 import urllib.parse
 
 from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank import results
 from lagooncrank.core import routing
 from lagooncrank.core import state
@@ -57,13 +58,14 @@
         targets: TargetChooser,
         lookup_client: _plain_client.PlainClient,
         recorder: _call_recorder.CallRecorder,
+        observed_clock: observed_time.ObservedClock,
     ) -> None:
         self._shared = shared
         self._clock = clock
         self._targets = targets
         self._lookup_client = lookup_client
         self._recorder = recorder
-        self._client = _at_most_once_client.AtMostOnceClient()
+        self._client = _at_most_once_client.AtMostOnceClient(observed_clock)
 
     async def run(
         self, call: _plain_calls.PlainCall
--- a/lagooncrank/server/_at_most_once_client.py
+++ b/lagooncrank/server/_at_most_once_client.py
@@ -6,21 +6,20 @@
 import socket
 from types import SimpleNamespace
 from typing import Any
-from typing import Final
 
 import aiohttp
 import multidict
 
+from lagooncrank import observed_time
 from lagooncrank.core import retry
 from lagooncrank.server import _attempts
 from lagooncrank.server import _bounded_http
+from lagooncrank.server import _observed_connector
 from lagooncrank.server import _plain_client
 from lagooncrank.server import _pools
 from lagooncrank.server import _request_targets
 from lagooncrank.server import _sockets
 
-CONNECT_TIMEOUT_S: Final = _pools.CONNECT_TIMEOUT_S
-
 
 class SecondConnectionError(Exception):
     """Raised to prevent the HTTP library from sending a call again."""
@@ -34,7 +33,12 @@
     refused.
     """
 
-    def __init__(self, before_write: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        observed_clock: observed_time.ObservedClock,
+        before_write: Callable[[], None],
+    ) -> None:
+        self._observed_clock = observed_clock
         self._before_write = before_write
         self._opened = False
         self._sockets: list[socket.socket] = []
@@ -46,14 +50,14 @@
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_start.append(self._on_create_start)
         trace.on_connection_create_end.append(self._on_create_end)
-        connector = _bounded_http.BoundedConnector(
+        connector = _observed_connector.ObservedConnector(
+            self._observed_clock,
+            _pools.CONNECT_TIMEOUT_MS,
             force_close=True,
             socket_factory=self._new_socket,
             happy_eyeballs_delay=None,
         )
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        )
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=None)
         return _bounded_http.open_session(
             connector, timeout, trace_configs=[trace]
         )
@@ -92,6 +96,9 @@
 class AtMostOnceClient:
     """Sends calls that must run at most once."""
 
+    def __init__(self, observed_clock: observed_time.ObservedClock) -> None:
+        self._observed_clock = observed_clock
+
     async def send(
         self,
         address: str,
@@ -113,7 +120,7 @@
             AttemptFailedError: No complete response was received; states
                 whether any byte may have been written.
         """
-        connection = _Connection(before_write)
+        connection = _Connection(self._observed_clock, before_write)
         try:
             async with (
                 asyncio.timeout(timeout_ms / 1_000),
--- a/lagooncrank/server/_daemon.py
+++ b/lagooncrank/server/_daemon.py
@@ -194,7 +194,7 @@
     def _build_clients(self, engine_bounds: EngineBounds) -> None:
         clock = self._clock
         self.watchdog = _watchdog.Watchdog(clock, self._observed_clock)
-        self.pools = _pools.ConnectionPools()
+        self.pools = _pools.ConnectionPools(self._observed_clock)
         self.engine_client = _engine_client.EngineClient(
             self.pools,
             self.watchdog,
@@ -261,7 +261,12 @@
         )
         plain_calls = self._plain_calls()
         at_most_once_calls = _at_most_once_calls.AtMostOnceCallRunner(
-            shared, clock, plain_calls, self.plain_client, self.call_recorder
+            shared,
+            clock,
+            plain_calls,
+            self.plain_client,
+            self.call_recorder,
+            self._observed_clock,
         )
         yield _services.ServiceHandlers(
             gate, plain_calls, at_most_once_calls, limits, ids, clock
--- a/lagooncrank/server/tests/test_at_most_once_calls.py
+++ b/lagooncrank/server/tests/test_at_most_once_calls.py
@@ -11,6 +11,7 @@
 
 from lagooncrank import clock as clocks
 from lagooncrank import model
+from lagooncrank import observed_time
 from lagooncrank import results
 from lagooncrank.core import routing
 from lagooncrank.core import state
@@ -159,7 +160,9 @@
         self.clock = clocks.ManualClock(wall_offset_ms=1_000_000)
         self.service = FakeService()
         self.targets = OrderedTargets([])
-        self.pools = _pools.ConnectionPools()
+        self.pools = _pools.ConnectionPools(
+            observed_time.ObservedClock(clocks.SystemClock())
+        )
         self.recorders: list[_call_recorder.CallRecorder] = []
 
     def new_entry(
@@ -175,6 +178,7 @@
             self.targets,
             _plain_client.PlainClient(self.pools),
             recorder,
+            observed_time.ObservedClock(self.clock),
         )
 
     async def record_pending(self) -> None:
--- a/lagooncrank/server/tests/test_endless_responses.py
+++ b/lagooncrank/server/tests/test_endless_responses.py
@@ -39,7 +39,9 @@
 # Guards against responses without end that hold a call to its timeout.
 @pytest.mark.parametrize("sort", RESPONSES)
 async def test_endless_response_to_a_repeatable_call_fails(sort: str) -> None:
-    pools = _pools.ConnectionPools()
+    pools = _pools.ConnectionPools(
+        observed_time.ObservedClock(clocks.SystemClock())
+    )
     client = _plain_client.PlainClient(pools)
     async with endless_server.running(RESPONSES[sort]) as server:
         with pytest.raises(_attempts.AttemptFailedError) as caught:
@@ -55,7 +57,9 @@
 async def test_endless_response_to_a_call_that_runs_once_fails(
     sort: str,
 ) -> None:
-    client = _at_most_once_client.AtMostOnceClient()
+    client = _at_most_once_client.AtMostOnceClient(
+        observed_time.ObservedClock(clocks.SystemClock())
+    )
     async with endless_server.running(RESPONSES[sort]) as server:
         with pytest.raises(_attempts.AttemptFailedError) as caught:
             await client.send(server.address, REQUEST, TIMEOUT_MS, lambda: None)
@@ -122,7 +126,9 @@
     stream = new_stream()
     async with (
         endless_server.running(endless) as server,
-        _pools.open_session(force_close=True) as session,
+        _pools.open_session(
+            observed_time.ObservedClock(clocks.SystemClock()), force_close=True
+        ) as session,
     ):
         with pytest.raises(_attempts.AttemptFailedError) as caught:
             await read_events(stream, session, server.address)
@@ -137,7 +143,9 @@
     stream = new_stream()
     async with (
         endless_server.running(RESPONSES["length_too_large"]) as server,
-        _pools.open_session(force_close=True) as session,
+        _pools.open_session(
+            observed_time.ObservedClock(clocks.SystemClock()), force_close=True
+        ) as session,
     ):
         url = f"http://{server.address}/v1/generate"
         await stream.open(session, url, b"{}")
--- a/lagooncrank/server/tests/test_pools.py
+++ b/lagooncrank/server/tests/test_pools.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from lagooncrank import clock as clocks
+from lagooncrank import observed_time
 from lagooncrank.server import _pools
 from lagooncrank.server import _sockets
 from standins import _process
@@ -52,7 +54,9 @@
     listener = _process.bind_loopback(0)
     address = _process.bound_address(listener)
     close = await _process.serve(server.app(), listener)
-    pools = _pools.ConnectionPools()
+    pools = _pools.ConnectionPools(
+        observed_time.ObservedClock(clocks.SystemClock())
+    )
     await fetch(pools, address)
     await fetch(pools, address)
     first_count = len(server.peers)
@@ -94,7 +98,9 @@
     listener = _process.bind_loopback(0)
     address = _process.bound_address(listener)
     close = await _process.serve(server.app(), listener)
-    pools = _pools.ConnectionPools()
+    pools = _pools.ConnectionPools(
+        observed_time.ObservedClock(clocks.SystemClock())
+    )
     server.may_respond.clear()
     async with (
         pools.session(address) as session,
