--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -173,3 +173,26 @@
         max_interval_s=PAUSES_INTERVAL_S,
     )
     await check_seed(config, tmp_path)
+
+
+#: Signals of several kinds, at times while an earlier one still lasts. None is
+#: a signal to reload during a start, which KNOWN-RED.txt has (issue 2).
+SIGNAL_KINDS = (
+    "cut-stop-short",
+    "reload-after-start",
+    "stop-at-once",
+    "stutter",
+)
+SIGNALS_DURATION_S = 8.0
+
+
+# Guards against: stops, kills, restarts, reloads and pauses of processes that
+# overlap each other, beside changes, end requests of callers that use their
+# connections until the process is gone.
+async def test_overlapping_series_of_signals_end_no_request(
+    tmp_path: pathlib.Path,
+) -> None:
+    config = _run.SeedConfig(
+        1, SIGNALS_DURATION_S, entries=3, kinds=SIGNAL_KINDS
+    )
+    await check_seed(config, tmp_path)
