Tell a head that is closing to close only once

Orders are priced.

Cause: an order is sent again until its effect is seen, but the effect that was waited for was the end of the work, not its beginning.

Fix: a head that reports 'closing' is told nothing until its requests may be aborted. If a late order has opened it again, it reports 'open' and is told.

Test: failed before ([['close'], ['close'], ['close']]).

--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -136,7 +136,9 @@
                 continue
             # No other engine is in the group, but it may need no other.
             self._record_progress(group, active_heads, now_ms)
-            yield from self._close(group, now_ms, has_stalled=True)
+            yield from self._close(
+                group, membership.state, now_ms, has_stalled=True
+            )
 
     def _advance_forming(
         self, group: model.Group, table: fleet.ServerTable, now_ms: int
@@ -222,7 +224,9 @@
         state = _member_state(group, group.head, table)
         if state in _SERVING_STATES:
             has_stalled = _lacks_member(group, table)
-            yield from self._close(group, now_ms, has_stalled=has_stalled)
+            yield from self._close(
+                group, state, now_ms, has_stalled=has_stalled
+            )
             return
         # A head that has left refuses a delayed order to open: it is in no
         # group, and a delayed join has a lower fencing token.
@@ -230,13 +234,27 @@
         yield from self._order(kind, group, group.head, now_ms)
 
     def _close(
-        self, group: model.Group, now_ms: int, *, has_stalled: bool
+        self,
+        group: model.Group,
+        state: model.MemberState | None,
+        now_ms: int,
+        *,
+        has_stalled: bool,
     ) -> Iterator[_actions.Order]:
-        """Yields the order to a head that is to serve no more requests."""
-        kind = _actions.OrderKind.CLOSE
+        """Yields the order that is due to a head that is to serve no more.
+
+        Args:
+            group: The group.
+            state: State that the head reports.
+            now_ms: Monotonic time.
+            has_stalled: As for `_may_abort`.
+        """
         if self._may_abort(group, now_ms, has_stalled=has_stalled):
             kind = _actions.OrderKind.CLOSE_NOW
-        yield from self._order(kind, group, group.head, now_ms)
+            yield from self._order(kind, group, group.head, now_ms)
+        elif state is not model.MemberState.CLOSING:
+            kind = _actions.OrderKind.CLOSE
+            yield from self._order(kind, group, group.head, now_ms)
 
     def _may_abort(
         self, group: model.Group, now_ms: int, *, has_stalled: bool
--- a/lagooncrank/core/groups/tests/test_closing_heads.py
+++ b/lagooncrank/core/groups/tests/test_closing_heads.py
@@ -161,3 +161,18 @@
     assert not stray_kinds(lifecycle, table, (), START_MS + 900)
     later = stray_kinds(lifecycle, table, (), START_MS + 1_000)
     assert later == ["close_now"]
+
+
+# Guards against: a head that is closing is told so each second while it works.
+def test_head_that_is_closing_is_not_told_again() -> None:
+    group = builders.group(1, 2, phase=model.GroupPhase.DISSOLVING)
+    told = []
+    for state in (OPEN, model.MemberState.CLOSING, OPEN):
+        table = builders.server_table(
+            *builders.member_reports(group, [state, READY])
+        )
+        lifecycle = groups.GroupLifecycle()
+        told.append(
+            kinds(list(lifecycle.next_actions(group, table, (), START_MS)))
+        )
+    assert told == [["close"], [], ["close"]]
