Ask for the heads that work in observed time in one place

The orders to heads in no group still asked with the monotonic time, for which each notice was outdated: a head that worked was told to abort at once. One question a step serves both.

The test failed before: ['close_now'] instead of ['close'].

--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -105,7 +105,7 @@
                 group.name,
             )
         self._guard.run("obsolete groups", self._dissolve_obsolete)
-        self._order_strays(now_ms)
+        self._order_strays(working, now_ms)
         self._plan_groups(now_ms)
 
     def _advance_group(
@@ -135,25 +135,32 @@
         for change in groups.obsolete_changes(unchanging, catalog.services):
             self._execute(change)
 
-    def _order_strays(self, now_ms: int) -> None:
+    def _order_strays(self, working: Collection[str], now_ms: int) -> None:
         catalog = self._documents.catalog
         if catalog is None:
             return
         for service in catalog.services.values():
             self._guard.run(
                 "strays",
-                functools.partial(self._order_strays_of, service.name, now_ms),
+                functools.partial(
+                    self._order_strays_of, service.name, working, now_ms
+                ),
                 service.name,
             )
 
-    def _order_strays_of(self, service: model.ServiceName, now_ms: int) -> None:
+    def _order_strays_of(
+        self,
+        service: model.ServiceName,
+        working: Collection[str],
+        now_ms: int,
+    ) -> None:
         state_view = self._shared.view
         stray_orders = self._lifecycle.stray_orders(
             service,
             self._view.table,
             state_view.groups,
             state_view.last_epoch,
-            self._view.nodes.working(now_ms),
+            working,
             now_ms,
         )
         for order in stray_orders:
