Abort a head's requests only after more than a server's pause without progress

Cause: work that was seen is held against an order for a second only, and sound servers fall silent for a second or so.

Fix: two seconds.

--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -32,8 +32,9 @@
     #: How long a group that was dissolved for a silent member is left alone, as
     #: that one may go on. It counts as silent after a second or so.
     return_timeout_ms: int = 1_000
-    #: The same for a head whose responses are not seen progressing any more.
-    progress_timeout_ms: int = 1_000
+    #: The same for a head whose responses are not seen progressing any more;
+    #: longer than sound engines fall silent.
+    progress_timeout_ms: int = 2_000
 
 
 class GroupLifecycle:
