Deadlines: a busy event loop does not hold up the end of a wait

Since each wait of a request ends ten passes of the event loop after its deadline, whether the process stood still or not.

The test of an answer that waits in the socket is run with the fewest passes too.

--- a/lagooncrank/server/_deadlines.py
+++ b/lagooncrank/server/_deadlines.py
@@ -13,6 +13,10 @@
 
 #: Passes of the event loop in which what has arrived reaches its reader.
 READ_PASSES: Final = 10
+#: Passes that it needs at least, however long they take.
+MIN_READ_PASSES: Final = 4
+#: Time after which there are no more of them: callers wait for an answer.
+MAX_READ_S: Final = 0.1
 
 
 class _LateExpiry:
@@ -21,17 +25,22 @@
     def __init__(self, limit: asyncio.Timeout, due_s: float) -> None:
         self._limit = limit
         self._loop = asyncio.get_running_loop()
-        self._handle: asyncio.Handle = self._loop.call_at(
-            due_s, self._on_pass, READ_PASSES
-        )
+        #: When the passes end, once they have begun.
+        self._read_until_s = 0.0
+        self._handle: asyncio.Handle = self._loop.call_at(due_s, self._on_due)
 
     def cancel(self) -> None:
         """Ends the wait; the timeout does not expire."""
         self._handle.cancel()
 
-    def _on_pass(self, passes_left: int) -> None:
-        if passes_left:
-            self._handle = self._loop.call_soon(self._on_pass, passes_left - 1)
+    def _on_due(self) -> None:
+        self._read_until_s = self._loop.time() + MAX_READ_S
+        self._on_pass(0)
+
+    def _on_pass(self, passes: int) -> None:
+        is_late = self._loop.time() >= self._read_until_s
+        if passes < (MIN_READ_PASSES if is_late else READ_PASSES):
+            self._handle = self._loop.call_soon(self._on_pass, passes + 1)
         elif not self._limit.expired():
             self._limit.reschedule(self._loop.time())
 
--- a/lagooncrank/server/tests/test_deadlines.py
+++ b/lagooncrank/server/tests/test_deadlines.py
@@ -24,7 +24,11 @@
 
 # Guards against: an answer that had arrived in time was replaced by an error,
 # as the timer of the deadline ran before it was read.
-async def test_what_arrived_in_a_standstill_is_read() -> None:
+@pytest.mark.parametrize("max_read_s", [0.0, _deadlines.MAX_READ_S])
+async def test_what_arrived_in_a_standstill_is_read(
+    max_read_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_deadlines, "MAX_READ_S", max_read_s)
     loop = asyncio.get_running_loop()
     near, far = socket.socketpair()
     with near, far:
@@ -37,6 +41,27 @@
         assert await receiving == b"answer"
 
 
+# Guards against: callers of a busy entry get no answer until long after their
+# deadlines, as each pass of its event loop takes long.
+async def test_long_passes_hold_up_no_deadline() -> None:
+    loop = asyncio.get_running_loop()
+    passes = 0
+
+    def work() -> None:
+        nonlocal passes
+        passes += 1
+        time.sleep(_deadlines.MAX_READ_S / 2)
+        if passes < 3 * _deadlines.READ_PASSES:
+            loop.call_soon(work)
+
+    loop.call_soon(work)
+    with pytest.raises(TimeoutError):
+        async with _deadlines.after(1):
+            await asyncio.Event().wait()
+    # One before the deadline, and those of the timeout itself.
+    assert passes <= _deadlines.MIN_READ_PASSES + 4
+
+
 async def test_wait_ends_at_its_deadline() -> None:
     with pytest.raises(TimeoutError):
         async with _deadlines.after(1):
