Test of stalls: a pause of the entry does not begin a silence anew

The test got an event after the pause when the times became observed time, so that it no longer showed that the silence before the pause counts.

--- a/lagooncrank/core/dispatch/tests/test_dispatch.py
+++ b/lagooncrank/core/dispatch/tests/test_dispatch.py
@@ -137,9 +137,9 @@
     observed_clock.tick()
     resumed_ms = observed_clock.now_ms()
     progress.begin("other", 2, resumed_ms)
-    progress.record_event("head", 1, resumed_ms, clock.now_ms())
-    assert not progress.stalled(resumed_ms + 349)
-    assert progress.stalled(resumed_ms + 350) == {"head"}
+    # The silence before the pause counts: it did not begin anew.
+    assert not progress.stalled(449)
+    assert progress.stalled(450) == {"head"}
     assert progress.stalled(resumed_ms + 1_000) == {"head", "other"}
 
 
