Judge the progress of heads in the leader's observed time

Seen: by a review, and a script with a leader that stands still for 0.45 s between steps: it told a head to abort after 1.1 s of its clock, 0.5 s of which it could read what entries saw. The times to return, to make progress and to finish are compared with each other only; all of them are observed time now, taken once a step.

The test failed before: a standstill of 20 s, and ['close', 'close_now'] instead of ['close'].

--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -42,6 +42,7 @@
 
     def __init__(self, timing: GroupTiming = GroupTiming()) -> None:
         self._timing = timing
+        # All times are observed time.
         #: When each order was last sent, by epoch, server id and kind.
         self._sent_ms: dict[tuple[int, str, str], int] = {}
         #: When this leader first saw each dissolving group, by epoch.
@@ -60,7 +61,7 @@
         group: model.Group,
         table: fleet.ServerTable,
         active_heads: Collection[str],
-        now_ms: int,
+        observed_ms: int,
         size: int | None = None,
     ) -> Iterator[_actions.Action]:
         """Yields the actions for one group that are due now.
@@ -71,23 +72,40 @@
             active_heads: Heads whose responses entries see progressing. If
                 members of their groups do not report, they are only cut off
                 from this node and have not failed.
-            now_ms: Monotonic time.
+            observed_ms: Time in which this node could read reports.
             size: Number of engines that groups of its model have; None if
                 there is no such model.
         """
-        self._record_progress(group, active_heads, now_ms)
+        self._record_progress(group, active_heads, observed_ms)
+        for action in self._due_actions(
+            group, table, active_heads, observed_ms, size
+        ):
+            yield action
+
+    def _due_actions(
+        self,
+        group: model.Group,
+        table: fleet.ServerTable,
+        active_heads: Collection[str],
+        observed_ms: int,
+        size: int | None,
+    ) -> Iterator[_actions.Action]:
         match group.phase:
             case model.GroupPhase.FORMING:
-                yield from self._advance_forming(group, table, now_ms)
+                yield from self._advance_forming(group, table, observed_ms)
             case model.GroupPhase.SERVING:
                 yield from self._advance_serving(
-                    group, table, active_heads, now_ms
+                    group, table, active_heads, observed_ms
                 )
             case model.GroupPhase.DISSOLVING:
                 if size == len(group.members) and _may_return(group, table):
-                    yield from self._advance_suspended(group, table, now_ms)
+                    yield from self._advance_suspended(
+                        group, table, observed_ms
+                    )
                 else:
-                    yield from self._advance_dissolving(group, table, now_ms)
+                    yield from self._advance_dissolving(
+                        group, table, observed_ms
+                    )
 
     def stray_orders(
         self,
@@ -96,7 +114,7 @@
         groups: Mapping[str, model.Group],
         last_epoch: int,
         active_heads: Collection[str],
-        now_ms: int,
+        observed_ms: int,
     ) -> Iterator[_actions.Order]:
         """Yields orders to engines in groups that do not hold them any more.
 
@@ -111,7 +129,7 @@
             last_epoch: Epoch of the newest group that this node knows of. A
                 membership of a later one is not a stray.
             active_heads: Heads whose responses entries see progressing.
-            now_ms: Monotonic time.
+            observed_ms: Time in which this node could read reports.
         """
         for record in table.ready(service):
             report = record.report
@@ -133,16 +151,16 @@
             )
             if membership.state not in _SERVING_STATES:
                 kind = _actions.OrderKind.LEAVE
-                yield from self._order(kind, group, member, now_ms)
+                yield from self._order(kind, group, member, observed_ms)
                 continue
             # No other engine is in the group, but it may need no other.
-            self._record_progress(group, active_heads, now_ms)
+            self._record_progress(group, active_heads, observed_ms)
             yield from self._close(
-                group, membership.state, now_ms, has_stalled=True
+                group, membership.state, observed_ms, has_stalled=True
             )
 
     def _advance_forming(
-        self, group: model.Group, table: fleet.ServerTable, now_ms: int
+        self, group: model.Group, table: fleet.ServerTable, observed_ms: int
     ) -> Iterator[_actions.Action]:
         problem = _availability_problem(group, table)
         if problem:
@@ -156,14 +174,14 @@
         for member in group.members:
             if _may_join(member, table):
                 kind = _actions.OrderKind.JOIN
-                yield from self._order(kind, group, member, now_ms)
+                yield from self._order(kind, group, member, observed_ms)
 
     def _advance_serving(
         self,
         group: model.Group,
         table: fleet.ServerTable,
         active_heads: Collection[str],
-        now_ms: int,
+        observed_ms: int,
     ) -> Iterator[_actions.Action]:
         phase = model.GroupPhase.DISSOLVING
         is_head_active = group.head.server_id in active_heads
@@ -181,27 +199,29 @@
         head_state = _member_state(group, group.head, table)
         if head_state is model.MemberState.READY:
             kind = _actions.OrderKind.OPEN
-            yield from self._order(kind, group, group.head, now_ms)
+            yield from self._order(kind, group, group.head, observed_ms)
 
     def _advance_suspended(
-        self, group: model.Group, table: fleet.ServerTable, now_ms: int
+        self, group: model.Group, table: fleet.ServerTable, observed_ms: int
     ) -> Iterator[_actions.Action]:
         """Gives a silent member some time, as orders cannot be taken back.
 
         Meanwhile nobody sends requests to the group.
         """
-        since_ms = self._dissolving_since_ms.setdefault(group.epoch, now_ms)
+        since_ms = self._dissolving_since_ms.setdefault(
+            group.epoch, observed_ms
+        )
         if all(_is_alive(m, table) for m in group.members):
             del self._dissolving_since_ms[group.epoch]
             phase = model.GroupPhase.SERVING
             yield _actions.PhaseChange(group, phase, "all members are back")
-        elif now_ms - since_ms >= self._timing.return_timeout_ms:
-            yield from self._advance_dissolving(group, table, now_ms)
+        elif observed_ms - since_ms >= self._timing.return_timeout_ms:
+            yield from self._advance_dissolving(group, table, observed_ms)
 
     def _advance_dissolving(
-        self, group: model.Group, table: fleet.ServerTable, now_ms: int
+        self, group: model.Group, table: fleet.ServerTable, observed_ms: int
     ) -> Iterator[_actions.Action]:
-        self._dissolving_since_ms.setdefault(group.epoch, now_ms)
+        self._dissolving_since_ms.setdefault(group.epoch, observed_ms)
         record = _evidence.current_record(group.head, table)
         stop_reason = _head_stop_reason(group, record, table)
         if stop_reason:
@@ -216,8 +236,8 @@
             return
         if is_head_unreachable:
             # One that has deregistered reports no more, but serves on.
-            if self._may_abort(group, now_ms, has_stalled=True):
-                yield from self._release_members(group, table, now_ms)
+            if self._may_abort(group, observed_ms, has_stalled=True):
+                yield from self._release_members(group, table, observed_ms)
             return
         if record is None or table.is_unreachable(record):
             # It may be finishing requests; its report has not arrived yet.
@@ -226,19 +246,19 @@
         if state in _SERVING_STATES:
             has_stalled = _lacks_member(group, table)
             yield from self._close(
-                group, state, now_ms, has_stalled=has_stalled
+                group, state, observed_ms, has_stalled=has_stalled
             )
             return
         # A head that has left refuses a delayed order to open: it is in no
         # group, and a delayed join has a lower fencing token.
         kind = _actions.OrderKind.LEAVE
-        yield from self._order(kind, group, group.head, now_ms)
+        yield from self._order(kind, group, group.head, observed_ms)
 
     def _close(
         self,
         group: model.Group,
         state: model.MemberState | None,
-        now_ms: int,
+        observed_ms: int,
         *,
         has_stalled: bool,
     ) -> Iterator[_actions.Order]:
@@ -247,18 +267,18 @@
         Args:
             group: The group.
             state: State that the head reports.
-            now_ms: Monotonic time.
+            observed_ms: Time in which this node could read reports.
             has_stalled: As for `_may_abort`.
         """
-        if self._may_abort(group, now_ms, has_stalled=has_stalled):
+        if self._may_abort(group, observed_ms, has_stalled=has_stalled):
             kind = _actions.OrderKind.CLOSE_NOW
-            yield from self._order(kind, group, group.head, now_ms)
+            yield from self._order(kind, group, group.head, observed_ms)
         elif state is not model.MemberState.CLOSING:
             kind = _actions.OrderKind.CLOSE
-            yield from self._order(kind, group, group.head, now_ms)
+            yield from self._order(kind, group, group.head, observed_ms)
 
     def _may_abort(
-        self, group: model.Group, now_ms: int, *, has_stalled: bool
+        self, group: model.Group, observed_ms: int, *, has_stalled: bool
     ) -> bool:
         """Returns whether the requests of a closing head may be aborted.
 
@@ -267,28 +287,33 @@
 
         Args:
             group: The group.
-            now_ms: Monotonic time.
+            observed_ms: Time in which this node could read reports.
             has_stalled: Whether the group lacks what it needs to run requests,
                 as far as reports tell. It does not if entries see them run.
         """
-        since_ms = self._dissolving_since_ms.setdefault(group.epoch, now_ms)
-        if now_ms - since_ms >= self._timing.close_timeout_ms:
+        since_ms = self._dissolving_since_ms.setdefault(
+            group.epoch, observed_ms
+        )
+        if observed_ms - since_ms >= self._timing.close_timeout_ms:
             return True
         progress_ms = self._progress_ms.get(group.epoch)
         has_progressed = (
             progress_ms is not None
-            and now_ms - progress_ms < self._timing.progress_timeout_ms
+            and observed_ms - progress_ms < self._timing.progress_timeout_ms
         )
         return has_stalled and not has_progressed
 
     def _record_progress(
-        self, group: model.Group, active_heads: Collection[str], now_ms: int
+        self,
+        group: model.Group,
+        active_heads: Collection[str],
+        observed_ms: int,
     ) -> None:
         if group.head.server_id in active_heads:
-            self._progress_ms[group.epoch] = now_ms
+            self._progress_ms[group.epoch] = observed_ms
 
     def _release_members(
-        self, group: model.Group, table: fleet.ServerTable, now_ms: int
+        self, group: model.Group, table: fleet.ServerTable, observed_ms: int
     ) -> Iterator[_actions.Action]:
         """Releases the members of a group whose head is unreachable.
 
@@ -304,7 +329,7 @@
                 departed.append(member.server_id)
                 continue
             kind = _actions.OrderKind.LEAVE
-            yield from self._order(kind, group, member, now_ms)
+            yield from self._order(kind, group, member, observed_ms)
         if departed:
             yield _actions.MemberRelease(group, tuple(departed))
 
@@ -313,17 +338,17 @@
         kind: _actions.OrderKind,
         group: model.Group,
         member: model.GroupMember,
-        now_ms: int,
+        observed_ms: int,
     ) -> Iterator[_actions.Order]:
         """Yields an order unless it was sent within the resend interval."""
         key = (group.epoch, member.server_id, kind.value)
         sent_ms = self._sent_ms.get(key)
         if (
             sent_ms is not None
-            and now_ms - sent_ms < self._timing.resend_interval_ms
+            and observed_ms - sent_ms < self._timing.resend_interval_ms
         ):
             return
-        self._sent_ms[key] = now_ms
+        self._sent_ms[key] = observed_ms
         yield _actions.Order(kind, group, member)
 
 
--- a/lagooncrank/server/seeded/_group_driver.py
+++ b/lagooncrank/server/seeded/_group_driver.py
@@ -97,25 +97,28 @@
             return
         now_ms = self._clock.now_ms()
         self._probes.start_due(now_ms)
-        working = self._view.nodes.working(self._observed_clock.now_ms())
+        observed_ms = self._observed_clock.now_ms()
+        working = self._view.nodes.working(observed_ms)
         for group in self._actions.unchanging_groups():
             self._guard.run(
                 "group",
-                functools.partial(self._advance_group, group, working, now_ms),
+                functools.partial(
+                    self._advance_group, group, working, observed_ms
+                ),
                 group.name,
             )
         self._guard.run("obsolete groups", self._dissolve_obsolete)
-        self._order_strays(working, now_ms)
+        self._order_strays(working, observed_ms)
         self._plan_groups(now_ms)
 
     def _advance_group(
-        self, group: model.Group, working: Collection[str], now_ms: int
+        self, group: model.Group, working: Collection[str], observed_ms: int
     ) -> None:
         actions = self._lifecycle.next_actions(
             group,
             self._view.table,
             working,
-            now_ms,
+            observed_ms,
             self._size_now(group),
         )
         for action in actions:
@@ -135,7 +138,7 @@
         for change in groups.obsolete_changes(unchanging, catalog.services):
             self._execute(change)
 
-    def _order_strays(self, working: Collection[str], now_ms: int) -> None:
+    def _order_strays(self, working: Collection[str], observed_ms: int) -> None:
         catalog = self._documents.catalog
         if catalog is None:
             return
@@ -143,7 +146,7 @@
             self._guard.run(
                 "strays",
                 functools.partial(
-                    self._order_strays_of, service.name, working, now_ms
+                    self._order_strays_of, service.name, working, observed_ms
                 ),
                 service.name,
             )
@@ -152,7 +155,7 @@
         self,
         service: model.ServiceName,
         working: Collection[str],
-        now_ms: int,
+        observed_ms: int,
     ) -> None:
         state_view = self._shared.view
         stray_orders = self._lifecycle.stray_orders(
@@ -161,7 +164,7 @@
             state_view.groups,
             state_view.last_epoch,
             working,
-            now_ms,
+            observed_ms,
         )
         for order in stray_orders:
             self._execute(order)
--- a/lagooncrank/server/seeded/tests/test_heads_in_no_group.py
+++ b/lagooncrank/server/seeded/tests/test_heads_in_no_group.py
@@ -43,35 +43,58 @@
     )
 
 
+class Leader:
+    """The group driver of a leader, and an open head that no group holds."""
+
+    def __init__(self) -> None:
+        removed = builders.group(1)
+        reports = builders.member_reports(removed, [model.MemberState.OPEN])
+        service = builders.SERVICE_CONFIG
+        shared = types.SimpleNamespace(
+            term=1,
+            is_leader=True,
+            lease_holds=lambda: True,
+            on_applied=lambda _: None,
+            view=types.SimpleNamespace(groups={}, last_epoch=removed.epoch),
+        )
+        self.clock = clocks.ManualClock(START_MS)
+        self.nodes = fleet.NodeTable(NOTICE_TTL_MS)
+        self.engines = RecordingEngines()
+        self.driver = driver_builder.build_driver(
+            shared,
+            self.engines,
+            builders.server_table(*reports),
+            documents=types.SimpleNamespace(
+                catalog=types.SimpleNamespace(services={service.name: service})
+            ),
+            nodes=self.nodes,
+            clock=self.clock,
+        )
+        self.nodes.put(
+            notice_of_work(removed.head.server_id),
+            self.driver._observed_clock.now_ms(),
+        )
+
+    async def step(self) -> None:
+        self.driver.step()
+        await asyncio.gather(*self.driver._futures)
+
+
 # Guards against: the leader took notices for outdated, and told a head to abort
 # responses that entries saw progressing.
 async def test_head_in_no_group_that_works_is_not_told_to_abort() -> None:
-    removed = builders.group(1)
-    reports = builders.member_reports(removed, [model.MemberState.OPEN])
-    service = builders.SERVICE_CONFIG
-    shared = types.SimpleNamespace(
-        term=1,
-        is_leader=True,
-        lease_holds=lambda: True,
-        on_applied=lambda _: None,
-        view=types.SimpleNamespace(groups={}, last_epoch=removed.epoch),
-    )
-    clock = clocks.ManualClock(START_MS)
-    nodes = fleet.NodeTable(NOTICE_TTL_MS)
-    engines = RecordingEngines()
-    driver = driver_builder.build_driver(
-        shared,
-        engines,
-        builders.server_table(*reports),
-        documents=types.SimpleNamespace(
-            catalog=types.SimpleNamespace(services={service.name: service})
-        ),
-        nodes=nodes,
-        clock=clock,
-    )
-    nodes.put(
-        notice_of_work(removed.head.server_id), driver._observed_clock.now_ms()
-    )
-    driver.step()
-    await asyncio.gather(*driver._futures)
-    assert engines.kinds == ["close"]
+    leader = Leader()
+    await leader.step()
+    assert leader.engines.kinds == ["close"]
+
+
+# Guards against: the leader's own standstill counts as time in which a head
+# made no progress.
+async def test_standstill_of_the_leader_is_no_lack_of_progress() -> None:
+    leader = Leader()
+    await leader.step()
+    leader.nodes = fleet.NodeTable(NOTICE_TTL_MS)
+    leader.driver._view.nodes = leader.nodes
+    leader.clock.advance(20_000)
+    await leader.step()
+    assert leader.engines.kinds == ["close"]
