Give a head of a removed group its time when it comes back

Seen: by a review, and a script: when a group of one engine was removed as its head was unreachable, the leader kept the time at which it had begun to dissolve. A head that came back more than 10 s later, with work, was told to abort at once. Now that time is forgotten with the group. The test failed before: ['close_now'] instead of ['close'].

--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -80,6 +80,9 @@
         for action in self._due_actions(
             group, table, active_heads, observed_ms, size
         ):
+            if isinstance(action, _actions.PhaseChange) and not action.phase:
+                # Its head may come back in no group, and has its time then.
+                self._dissolving_since_ms.pop(group.epoch, None)
             yield action
 
     def _due_actions(
--- a/lagooncrank/core/groups/tests/test_closing_heads.py
+++ b/lagooncrank/core/groups/tests/test_closing_heads.py
@@ -183,3 +183,17 @@
             kinds(list(lifecycle.next_actions(group, table, (), START_MS)))
         )
     assert told == [["close"], [], ["close"]]
+
+
+# Guards against: a head that comes back after its group was removed is told to
+# abort its responses at once, as the group had begun to dissolve long before.
+def test_head_of_a_removed_group_has_its_time_when_it_comes_back() -> None:
+    group = builders.group(1, phase=model.GroupPhase.DISSOLVING)
+    lost = builders.server_table()
+    lifecycle = groups.GroupLifecycle()
+    (removal,) = lifecycle.next_actions(group, lost, (), START_MS, 1)
+    assert isinstance(removal, groups.PhaseChange)
+    assert removal.phase is None
+    table = builders.server_table(*builders.member_reports(group, [OPEN]))
+    now_ms = START_MS + 2 * CLOSE_TIMEOUT_MS
+    assert stray_kinds(lifecycle, table, ("s1",), now_ms) == ["close"]
