Soak: judge the time of all repeats, rests and requests that crash servers

All callers state a time limit now, so that what streams hand over is judged as well; a server may ask for rest while requests are under way to it, and get none; a request, or a part of a prompt, that crashes engines must be known after three and five crashes. The length of silences and the number of callers are options. The report says how full the fullest window of the budget was.

A stand-in that turned full while a request ran used to refuse it as not run; it decides once now, when the request arrives.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,6 +42,12 @@
     controls: int = typer.Option(
         _deployment.DEFAULT_CONTROLS, help="Number of control nodes."
     ),
+    hush_s: tuple[float, float] = typer.Option(
+        _deployment.HUSH_S, help="Shortest and longest silence of servers."
+    ),
+    callers: int = typer.Option(
+        _deployment.CALLER_COUNT, help="Callers that send one after the other."
+    ),
     at_once: int = typer.Option(1, help="Number of seeds to run in parallel."),
 ) -> None:
     """Runs seeds; exits with status 1 if any guarantee was violated."""
@@ -56,6 +62,8 @@
             max_interval_s,
             _budget.BudgetRules(ratio=retry_ratio, extra=retry_extra),
             controls,
+            hush_s,
+            callers,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_budget.py
+++ b/soak/_budget.py
@@ -15,6 +15,10 @@
     ratio: float = 0.2
     extra: int = 100
 
+    def allowed(self, requests: int) -> float:
+        """Returns how many repeats a window with some requests may have."""
+        return self.ratio * requests + self.extra
+
 
 #: Rules that the load of the soak reaches.
 BINDING_RULES: Final = BudgetRules(extra=8)
@@ -55,18 +59,40 @@
         self, service: str, end_s: float, rules: BudgetRules
     ) -> tuple[float, str]:
         """Returns by how much the window up to a repeat exceeds the budget."""
+        repeats, requests = self._window(service, end_s, rules)
+        allowed = rules.allowed(requests)
+        text = (
+            f"BUDGET: {service} got {repeats} repeats in {rules.window_s} s up "
+            f"to {end_s:.1f}, {allowed:.1f} allowed with {requests} requests"
+        )
+        return repeats - allowed, text
+
+    def _window(
+        self, service: str, end_s: float, rules: BudgetRules
+    ) -> tuple[int, int]:
+        """Returns the repeats of the window up to a time, and its requests."""
         window_s = rules.window_s
         repeats = _count(self._repeats_s[service], end_s, window_s)
         requests = max(
             _count(self._requests_s[service], end_s - shift_s, window_s)
             for shift_s in (0.0, window_s / 2, window_s)
         )
-        allowed = rules.ratio * requests + rules.extra
-        text = (
-            f"BUDGET: {service} got {repeats} repeats in {window_s} s up to "
-            f"{end_s:.1f}, {allowed:.1f} allowed with {requests} requests"
+        return repeats, requests
+
+    def fullest(self, rules: BudgetRules) -> float:
+        """Returns the highest part of what is allowed that any window had."""
+        windows = (
+            self._window(service, end_s, rules)
+            for service, repeats_s in self._repeats_s.items()
+            for end_s in repeats_s
+        )
+        return max(
+            (
+                repeats / rules.allowed(requests)
+                for repeats, requests in windows
+            ),
+            default=0.0,
         )
-        return repeats - allowed, text
 
     def repeats(self) -> dict[str, int]:
         """Returns the number of repeats of each service."""
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -19,8 +19,8 @@
 TIMEOUT: Final = aiohttp.ClientTimeout(total=10.0)
 #: Counted in place of an HTTP status for a request without a response.
 NO_STATUS: Final = 0
-#: Time limit that callers state for requests to plain servers.
-DESK_LIMIT_MS: Final = 1_500
+#: Time limits that callers state, by service.
+LIMITS_MS: Final = {"writers": 8_000, "desk": 1_500}
 #: Path, whether the request may run more than once, and its service.
 REQUEST_KINDS: Final = (
     ("/draft/a", True, "writers"),
@@ -63,11 +63,11 @@
         attempt_id = f"a{next(self._attempt_numbers)}"
         entry = self._random.choice(self._entries)
         headers = provider_protocol.request_headers(path, attempt_id)
-        if service == "desk":
-            headers[provider_protocol.LIMIT_HEADER] = str(DESK_LIMIT_MS)
-            self._checks.deadlines.record_request(
-                attempt_id, DESK_LIMIT_MS / 1_000, self._checks.now_s()
-            )
+        limit_ms = LIMITS_MS[service]
+        headers[provider_protocol.LIMIT_HEADER] = str(limit_ms)
+        self._checks.deadlines.record_request(
+            attempt_id, limit_ms / 1_000, self._checks.now_s()
+        )
         self._checks.record_request(
             _history.SentRequest(attempt_id, is_retry_safe, entry.ip, service)
         )
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -11,6 +11,7 @@
 from soak import _budget
 from soak import _charges
 from soak import _config_history
+from soak import _crashes
 from soak import _deadlines
 from soak import _disturbances
 from soak import _drain
@@ -18,6 +19,7 @@
 from soak import _history
 from soak import _left_callers
 from soak import _lost
+from soak import _rests
 
 DRAIN_S: Final = 2.0
 #: Requests that may run on more servers than their route allows.
@@ -68,6 +70,8 @@
         self.arrivals = _budget.Arrivals()
         self.account = _charges.Account()
         self.deadlines = _deadlines.Deadlines()
+        self.rests = _rests.Rests()
+        self.crashes = _crashes.Crashes()
         self.planned_work = _lost.PlannedWork(disturbances, bounds.loss)
         self.config = _config_history.ConfigHistory(bounds.config)
         self.left_callers = _left_callers.LeftCallers()
@@ -99,10 +103,29 @@
         self.arrivals.record_arrival(service, attempt_id, now_s)
         self.left_callers.record_arrival(attempt_id, _wall_ms())
         self.deadlines.record_arrival(attempt_id, limit_ms, now_s)
+        self.crashes.record_arrival(attempt_id, now_s)
+        self.rests.record_arrival(
+            server_id, self.history.request(attempt_id).entry, attempt_id, now_s
+        )
         self.account.record_arrival(
             _charges.Arrival(attempt_id, service, server_id, now_s)
         )
 
+    def record_crash(self, attempt_id: str) -> None:
+        """Records that a request has crashed a server."""
+        self.crashes.record_crash(attempt_id, self.now_s())
+
+    def record_rest(
+        self, server_id: str, attempt_id: str, rest_s: float
+    ) -> None:
+        """Records that a server has answered a request with a wish for rest."""
+        self.rests.record_refusal(
+            server_id,
+            self.history.request(attempt_id).entry,
+            rest_s,
+            self.now_s(),
+        )
+
     def record_left(self, attempt_id: str) -> None:
         """Records that a caller has just closed its connection."""
         self.left_callers.record_left(attempt_id, _wall_ms())
@@ -159,6 +182,8 @@
             *self.deadlines.violations(),
             *self.config.rate_violations(),
             *self.left_servers.violations(self._was_entry_in_touch),
+            *self.rests.violations(self._was_entry_in_touch),
+            *self.crashes.violations(self._was_entry_in_touch),
             *self.left_callers.violations(noticed_ms, self._counts_as_left),
             *_given_up.violations(given_up, self._was_given_up_sound),
             *self._excesses(),
@@ -173,6 +198,8 @@
             f"{len(self.cuts)} cut requests, "
             f"{self.planned_work.known_cuts} in stops of older builds, "
             f"repeats {self.arrivals.repeats()}, "
+            f"fullest window {self.arrivals.fullest(self.bounds.budget):.2f}, "
+            f"{self.rests.summary()}, {self.crashes.summary()}, "
             f"{self.left_callers.left} callers left of which "
             f"{self.left_callers.late} were served late,"
             f" {self.probes} probes of which {self.probes_in_touch} in touch"
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -24,6 +24,8 @@
 from standins import ports
 
 DEFAULT_CONTROLS: Final = 3
+#: Shortest and longest time for which servers do nothing at all.
+HUSH_S: Final = (0.9, 1.3)
 CALLER_COUNT: Final = 8
 #: All callers run in this process, which has one processor.
 LEAVING_CALLERS: Final = 4
@@ -48,6 +50,7 @@
         production: Build that all nodes start on; the one at hand if None.
         budget: Repeats that the operator allows.
         controls: Number of control nodes.
+        hush_s: Shortest and longest time for which servers do nothing.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         production: _builds.Build | None = None,
         budget: _budget.BudgetRules = _budget.BINDING_RULES,
         controls: int = DEFAULT_CONTROLS,
+        hush_s: tuple[float, float] = HUSH_S,
     ) -> None:
+        self.hush_s = hush_s
         self.random = random.Random(seed)
         #: Build at hand, to which upgrades lead.
         self.current_build = _builds.Build.current()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -47,6 +47,9 @@
         "quiet",
         "hush",
         "hush-all",
+        "rest",
+        "crash-request",
+        "crash-part",
     }
 )
 
--- a/soak/_kept_callers.py
+++ b/soak/_kept_callers.py
@@ -160,6 +160,9 @@
             attempt_id, is_retry_safe, entry.ip, service
         )
         self._checks.record_request(request)
+        self._checks.deadlines.record_request(
+            attempt_id, LIMIT_S, self._checks.now_s()
+        )
         is_kept = connection.answered > 0
         sent_s = self._checks.now_s()
         leaves = self._random.random() < self._kind.leaves
--- a/soak/_lasting_server.py
+++ b/soak/_lasting_server.py
@@ -22,6 +22,8 @@
     quiet_until_s = 0.0
     #: Whether it does nothing at all, like a process that does not run.
     is_held = False
+    #: Time that it takes over a refusal.
+    refusal_delay_s = 0.0
 
     async def _wait_while_quiet(self) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -56,10 +58,20 @@
             self.on_passed(attempt_id, arrived_s)
         return response
 
-    async def _respond(self, request: web.Request) -> web.StreamResponse:
+    async def _run(
+        self, request: web.Request, attempt_id: str
+    ) -> web.StreamResponse:
         if not self.is_full:
-            await asyncio.sleep(float(request.headers.get(WORK_HEADER, "0")))
-        return await super()._respond(request)
+            return await super()._run(request, attempt_id)
+        headers = self._response_headers(request)
+        await asyncio.sleep(self.refusal_delay_s)
+        return self._refuse(headers)
+
+    async def _respond(self, request: web.Request) -> web.StreamResponse:
+        # What has begun to run is not refused any more.
+        await asyncio.sleep(float(request.headers.get(WORK_HEADER, "0")))
+        headers = self._response_headers(request)
+        return await self._respond_to_run(request, headers)
 
     async def _respond_with_events(
         self, request: web.Request, headers: dict[str, str]
--- a/soak/_planned_faults.py
+++ b/soak/_planned_faults.py
@@ -31,8 +31,6 @@
 ACK_TIMEOUT_S: Final = 10.0
 #: Shortest and longest time for which a sound server sends nothing.
 QUIET_S: Final = (0.8, 1.5)
-#: Shortest and longest time for which servers do nothing at all.
-HUSH_S: Final = (0.9, 1.3)
 #: Services that fall silent, and the parts of their servers that do.
 HUSHED_SERVICES: Final = ("writers", "writers", "desk")
 HUSHED_SHARES: Final = (1.0, 0.6)
@@ -202,7 +200,7 @@
     for server, proxy in zip(hushed, proxies, strict=True):
         server.is_held = True
         proxy.hold()
-    await asyncio.sleep(random_.uniform(*HUSH_S))
+    await asyncio.sleep(random_.uniform(*deployment.hush_s))
     for server, proxy in zip(hushed, proxies, strict=True):
         server.is_held = False
         await proxy.release()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -20,6 +20,7 @@
 from soak import _left_callers
 from soak import _nodes
 from soak import _planned_faults
+from soak import _repeat_faults as _repeat_faults  # registers its kinds
 from soak import _upgrades
 
 #: Longest time from the end of the last fault until the system serves again.
@@ -57,6 +58,9 @@
     #: Repeats that the operator allows.
     budget: _budget.BudgetRules = _budget.BINDING_RULES
     controls: int = _deployment.DEFAULT_CONTROLS
+    #: Shortest and longest time for which servers do nothing at all.
+    hush_s: tuple[float, float] = _deployment.HUSH_S
+    callers: int = _deployment.CALLER_COUNT
 
     def names(self) -> tuple[str, ...]:
         """Returns the kinds of faults to choose from."""
@@ -112,13 +116,14 @@
         production,
         config.budget,
         config.controls,
+        config.hush_s,
     )
     deployment.checks.has_pauses_only = bool(
         config.kinds
     ) and _faults.PAUSE_FAULTS.issuperset(config.kinds)
     faults: list[str] = []
     try:
-        await deployment.start()
+        await deployment.start(config.callers)
         await _wait_until_serving(deployment, "the start")
         await _inject_faults(deployment, config, faults)
         await _wait_until_serving(deployment, "the last fault")
--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -3,7 +3,11 @@
 from collections.abc import Mapping
 from typing import Final
 
+from aiohttp import web
+from lagooncrank_platform.tests import provider_protocol
+
 from soak import _checks
+from soak import _crashes
 from soak import _disturbances
 from soak import _history
 from soak import _lasting_server
@@ -47,6 +51,8 @@
             # An engine turns away what does not fit.
             self.free_slots = SLOTS
         self.is_running = True
+        self.crashing_body = _crashes.CRASHING_BODY
+        self.crashing_part = _crashes.CRASHING_PART
         self._checks = checks
         #: Records what the soak does to this server.
         self.watch: _disturbances.Watch | None = None
@@ -109,6 +115,27 @@
                 self.server_id, attempt_id, arrived_s
             )
 
+    def _refuse(self, headers: dict[str, str]) -> web.Response:
+        rest = headers.get("Retry-After")
+        if self._checks is not None and rest is not None:
+            self._checks.record_rest(
+                self.server_id,
+                provider_protocol.response_attempt_id(headers) or "",
+                float(rest),
+            )
+        return super()._refuse(headers)
+
+    async def _respond_with_crash(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        response = await super()._respond_with_crash(request)
+        attempt_id = provider_protocol.response_attempt_id(request.headers)
+        if self._checks is not None and attempt_id is not None:
+            self._checks.record_crash(attempt_id)
+        if self.watch is not None:
+            self.watch.add()
+        return response
+
     def on_left(self) -> None:
         """Records that the system knows of the leaving."""
         if self._checks is not None:
--- a/soak/tests/test_budget.py
+++ b/soak/tests/test_budget.py
@@ -46,3 +46,9 @@
     for _ in range(9):
         recorded.record_request("writers", 1.0)
     assert list(recorded.violations(RULES))
+
+
+# Guards against: nobody sees how close repeats came to the bound.
+def test_fullest_window() -> None:
+    assert arrivals([], []).fullest(RULES) == 0.0
+    assert arrivals([], [1, 2, 30]).fullest(RULES) == 1.0
