Tests that fail: repeats of silent requests go to silent servers

Callers saw nothing of it: a server that wakes reads a repeat with the time limit that was right when it was sent, and works on for somebody who has left.

--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from soak import _budget
 from soak import _faults
 from soak import _run
 from soak import _upgrades
@@ -37,6 +38,7 @@
 
 
 CUT_DURATION_S = 15.0
+LONG_SILENCES_DURATION_S = 20.0
 
 
 async def check_seed(config: _run.SeedConfig, folder: pathlib.Path) -> None:
@@ -196,3 +198,22 @@
         1, SIGNALS_DURATION_S, entries=3, kinds=SIGNAL_KINDS
     )
     await check_seed(config, tmp_path)
+
+
+# Guards against: repeats of requests at servers that are silent for some
+# seconds come to others that are silent as well; they read them late, with more
+# time than is left.
+async def test_repeats_in_long_silences_get_the_time_that_is_left(
+    tmp_path: pathlib.Path,
+) -> None:
+    config = _run.SeedConfig(
+        9911,
+        LONG_SILENCES_DURATION_S,
+        entries=6,
+        engines=12,
+        kinds=("hush", "hush-all"),
+        max_interval_s=5.0,
+        budget=_budget.BudgetRules(extra=100),
+        hush_s=(2.0, 3.0),
+    )
+    await check_seed(config, tmp_path)
