Log how long ago an entry heard of the server that a repeat goes to

Entries keep the time of each server's last sign (a response, an event, an answered health check), in observed time. Health checks of a service are a module of their own now, for a second user of them; nothing sends more of them yet.

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -33,6 +33,7 @@
         self._view = parts.view
         self._next_attempts = next_attempts
         self._crash_guard = parts.crash_guard
+        self._live_servers = parts.reach_monitor.live_servers
         self._delegator = parts.delegator
         self._metrics = parts.metrics
         self._clock = parts.clock
@@ -160,6 +161,7 @@
             failure=last_error.failure if last_error else None,
             charged=is_charged,
             entries=self._view.sharing_entries.count(self._clock.now_ms()),
+            heard_ago_ms=self._live_servers.heard_ago_ms(target),
             **exchange.log_fields(self._clock),
         )
 
--- a/lagooncrank/server/seeded/_attempt_outcomes.py
+++ b/lagooncrank/server/seeded/_attempt_outcomes.py
@@ -29,9 +29,7 @@
         exchange.begin_silence(self._observed_clock.missed_ms)
         if target.is_entry:
             return
-        self._reach_monitor.silence.record_heard(
-            (exchange.number, target.server_id)
-        )
+        self._reach_monitor.record_event(exchange.number, target.server_id)
         self._view.stall_detector.progress.record_event(
             target.server_id,
             exchange.number,
--- a/lagooncrank/server/seeded/_reach_metrics.py
+++ b/lagooncrank/server/seeded/_reach_metrics.py
@@ -14,6 +14,13 @@
             ("outcome",),
             registry=registry,
         )
+        self._life_probes = prometheus_client.Counter(
+            "lagooncrank_life_probes",
+            "Health checks of servers that a silent request may be repeated "
+            "at, by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
         self._changes = prometheus_client.Counter(
             "lagooncrank_reach_changes",
             "Services that this entry lost its path to, or regained.",
@@ -37,6 +44,10 @@
         """Counts a probe."""
         self._probes.labels(outcome).inc()
 
+    def count_life_probe(self, outcome: str) -> None:
+        """Counts a probe for a request that was silent elsewhere."""
+        self._life_probes.labels(outcome).inc()
+
     def count_change(self, *, is_reached: bool) -> None:
         """Counts a confirmed change of a service."""
         self._changes.labels("reached" if is_reached else "unreached").inc()
--- a/lagooncrank/server/seeded/_reach_monitor.py
+++ b/lagooncrank/server/seeded/_reach_monitor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Hashable
 import random
 from typing import Final
 
@@ -16,13 +17,12 @@
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _documents
 from lagooncrank.server.seeded import _fleet_view
+from lagooncrank.server.seeded import _health_probes
+from lagooncrank.server.seeded import _live_servers
 from lagooncrank.server.seeded import _reach_metrics
 from lagooncrank.server.seeded import _step_guard
 
 CHECK_INTERVAL_S: Final = 0.05
-PROBE_TIMEOUT_MS: Final = 400
-#: Health path of a service that the document does not contain any more.
-DEFAULT_HEALTH_PATH: Final = "/"
 
 
 class ReachMonitor(mode.Service):  # type: ignore[misc, unused-ignore]
@@ -41,7 +41,6 @@
         super().__init__()
         self._view = view
         self._client = client
-        self._documents = documents
         self._metrics = metrics
         self._clock = clock
         self._observed_clock = observed_clock
@@ -49,12 +48,33 @@
         self._guard = _step_guard.StepGuard(log)
         self.detector = reach.ReachDetector()
         self.silence = reach.SilenceWatch(observed_clock.now_ms())
+        self._signs = reach.LifeSigns()
+        self._health_probes = self._new_probes(documents, metrics.count_probe)
+        #: Servers that read what they are sent.
+        self.live_servers = _live_servers.LiveServers(
+            self._signs,
+            self._new_probes(documents, metrics.count_life_probe),
+            observed_clock,
+            self._guard,
+        )
         #: Called with the servers of services that became unreached while no
         #: server was heard.
         self.silence_listeners: list[Callable[[frozenset[str]], None]] = []
         self._probes: set[asyncio.Task[None]] = set()
         self.detector.listeners.append(self._on_change)
 
+    def _new_probes(
+        self, documents: _documents.DocumentStore, count: Callable[[str], None]
+    ) -> _health_probes.HealthProbes:
+        return _health_probes.HealthProbes(
+            self._client,
+            documents,
+            self.silence,
+            self._signs,
+            self._observed_clock,
+            count,
+        )
+
     def observe(self, server_id: str) -> "ConnectionObserver":
         """Returns an observer of one attempt at a server."""
         return ConnectionObserver(self.silence, server_id)
@@ -65,9 +85,23 @@
         """Records that the head of a response arrived."""
         observer.end()
         self.silence.record_heard()
+        self._record_sign(observer.server_id)
         if observer.is_new_connection:
             self.detector.record_connected(service, self._clock.now_ms())
 
+    def record_event(self, request: Hashable, server_id: str) -> None:
+        """Records an event of a stream.
+
+        Args:
+            request: Identifies the stream.
+            server_id: Server that it comes from.
+        """
+        self.silence.record_heard((request, server_id))
+        self._record_sign(server_id)
+
+    def _record_sign(self, server_id: str) -> None:
+        self._signs.record(server_id, self._observed_clock.now_ms())
+
     def record_failure(
         self,
         service: model.ServiceName,
@@ -97,6 +131,7 @@
         for probe in self._probes:
             probe.cancel()
         await asyncio.gather(*self._probes, return_exceptions=True)
+        await self.live_servers.stop()
 
     @mode.Service.timer(CHECK_INTERVAL_S)  # type: ignore[misc, unused-ignore]
     async def _check_periodically(self) -> None:
@@ -132,27 +167,20 @@
             self.detector.record_connected(service, self._clock.now_ms())
             return
         server = random.choice(untested or servers)
-        outcome = await self._client.probe(
-            server.address, self._health_path(service), PROBE_TIMEOUT_MS
+        outcome = await self._health_probes.probe(
+            service, server.server_id, server.address
         )
-        self._metrics.count_probe(outcome)
         now_ms = self._clock.now_ms()
         if outcome is _attempt.ProbeOutcome.RESPONSE:
-            self.silence.record_heard()
             self.detector.record_connected(service, now_ms)
         elif (
             outcome is _attempt.ProbeOutcome.FAILURE
-            or self.silence.heard_ago_ms >= PROBE_TIMEOUT_MS
+            or self.silence.heard_ago_ms >= _health_probes.PROBE_TIMEOUT_MS
         ):
             # A timeout while servers are heard may only mean that this one is
             # busy.
             self.detector.record_probe_failed(service, server.server_id, now_ms)
 
-    def _health_path(self, service: model.ServiceName) -> str:
-        catalog = self._documents.catalog
-        config = None if catalog is None else catalog.services.get(service)
-        return DEFAULT_HEALTH_PATH if config is None else config.health_path
-
     def _on_change(self, change: reach.ServiceChange) -> None:
         self._log.write(
             decisions.Event.SERVICE_REACHED
