Repeat a request that was silent only at a server that is live

What callers saw: nothing directly; servers worked for callers who had left.

Cause: a run is given up for a silence, and the next one goes to the least loaded server that is not known to have failed. What silences one server often silences others at the same moment; the kernel of a process that stands still accepts the repeat, and the process reads it when it goes on, with the limit that was right when it was sent. Nothing that is sent can tell, so the choice of the server has to.

Now a run is given up for a silence only if some server that may take it has sent something in the last 200 ms of observed time: less than any silence for which runs are given up, so that servers which fell silent with the first are known by then. If none has, up to two are asked by a health check; who answers is live, and the request goes there 25 ms later. Until then the first server is waited for, and its retry, its slot and its run are not spent. A request that was delegated for a silence carries that along: the other entry waits in the same way.

Ruled out as the whole cause: streams whose heads all stalled at this entry, as stalled heads were passed over before; repeats after errors and lost connections, which say nothing of a silence and go on as before.

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -55,6 +55,7 @@
         if entry is None:
             self._check_accusations(exchange, last_error)
             await self._wait_for_admission(exchange, last_error)
+            await self._wait_for_live_server(exchange)
             # The path to the servers may have been lost during the wait.
             entry = self._choose_entry(exchange, last_error)
         # Nothing is charged, and no slot is taken, for a caller that has left.
@@ -101,7 +102,10 @@
     ) -> dispatch.Target:
         self._check_accusations(exchange, last_error)
         target = self._target_selector.choose(
-            exchange.service, exchange.request_head.model_name, exchange.tried
+            exchange.service,
+            exchange.request_head.model_name,
+            exchange.tried,
+            self._live_servers.is_live if exchange.needs_live_server else None,
         )
         if target is None and self._is_limited(exchange):
             raise _refusals.ForwardingError(
@@ -196,6 +200,24 @@
                 _startup_wait.wait_limit_ms(remaining_ms),
             )
 
+    async def _wait_for_live_server(self, exchange: _exchange.Exchange) -> None:
+        """Waits until a server is live, if the last one fell silent.
+
+        Another attempt that stands still as well would be in vain.
+        """
+        if exchange.needs_live_server and not self._has_live_target(exchange):
+            await _startup_wait.wait_until(
+                lambda: self._has_live_target(exchange),
+                max(exchange.remaining_ms(self._clock), 0),
+            )
+
+    def _has_live_target(self, exchange: _exchange.Exchange) -> bool:
+        """Returns whether no wait for a live target is needed."""
+        untried = self._target_selector.untried(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+        return not untried or bool(self._live_servers.find(untried))
+
     def _is_limited(self, exchange: _exchange.Exchange) -> bool:
         """Returns whether all targets of a request limit their requests."""
         return self._target_selector.is_limited(
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -61,6 +61,9 @@
         self._response_waits = _response_waits.ResponseWaits()
         parts.view.stall_detector.listeners.append(self._expire_waits)
         parts.reach_monitor.silence_listeners.append(self._expire_silent_waits)
+        parts.reach_monitor.live_servers.listeners.append(
+            self._expire_stalled_waits
+        )
 
     def begin(
         self, exchange: _exchange.Exchange, target: dispatch.Target
@@ -327,6 +330,14 @@
             ),
         )
 
+    def _expire_stalled_waits(self) -> None:
+        """Expires waits that went on for want of a server that is live."""
+        self._expire_waits(
+            frozenset(
+                self._view.stall_detector.stalled_servers(self._clock.now_ms())
+            )
+        )
+
     def _expire_silent_waits(self, servers: frozenset[str]) -> None:
         """Expires waits at servers that this entry has lost its path to."""
         self._response_waits.expire(
@@ -340,7 +351,7 @@
         self, exchange: _exchange.Exchange, reason: GivenUpFor
     ) -> bool:
         """Returns whether a silent run is given up, and notes why."""
-        if not self._next_attempts.try_reserve(exchange):
+        if not self._next_attempts.try_reserve(exchange, is_silent=True):
             return False
         exchange.give_up(reason, self._observed_clock.missed_ms)
         self._metrics.count_silent_run(reason, was_late=exchange.missed_ms > 0)
--- a/lagooncrank/server/seeded/_delegated_request.py
+++ b/lagooncrank/server/seeded/_delegated_request.py
@@ -63,6 +63,9 @@
     #: Token of notices of further runs; earlier builds state none and would
     #: pass the notices on.
     notice_token: str = ""
+    #: Whether its last run was given up for a silence of its server; earlier
+    #: builds do not state it.
+    needs_live_server: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagooncrank/server/seeded/_delegation_server.py
+++ b/lagooncrank/server/seeded/_delegation_server.py
@@ -133,6 +133,7 @@
             possible_runs=delegated.possible_runs,
             delegated_by=delegated.sender,
             notice_token=delegated.notice_token,
+            needs_live_server=delegated.needs_live_server,
         )
         if not self._stop_gate.is_open(exchange):
             raise _refusals.ForwardingError(_refusal("this entry is stopping"))
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -191,6 +191,7 @@
                 exchange.request_head, exchange.body
             ),
             exchange.notice_token,
+            exchange.needs_live_server,
         )
 
     def _check_outcome(
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -80,6 +80,9 @@
     #: For how long this entry itself stood still in the silence that this run
     #: was given up for; its server may have sent meanwhile.
     missed_ms: int = 0
+    #: Whether the last run was given up for a silence of its server: the next
+    #: one goes to a server that is not silent as well.
+    needs_live_server: bool = False
     #: `ObservedClock.missed_ms` when the silence began.
     missed_before_ms: int = 0
     #: Time that the request waited for a slot of a group.
@@ -128,6 +131,7 @@
         self.is_run_sound = False
         self.given_up_for = ""
         self.missed_ms = 0
+        self.needs_live_server = False
 
     def begin_silence(self, missed_ms: int) -> None:
         """Records that a server was heard, or asked, just now.
@@ -153,6 +157,7 @@
             missed_ms: Time so far that this entry stood still.
         """
         self.given_up_for = reason
+        self.needs_live_server = True
         self.missed_ms = missed_ms - self.missed_before_ms
 
     def record_lost_run(self) -> None:
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -120,7 +120,7 @@
         if (
             is_error
             and not target.is_entry
-            and self._next_attempts.try_reserve(exchange)
+            and self._next_attempts.try_reserve(exchange, is_silent=False)
         ):
             return await self._open_instead(
                 exchange, (target, response), rejections
--- a/lagooncrank/server/seeded/_next_attempt.py
+++ b/lagooncrank/server/seeded/_next_attempt.py
@@ -1,5 +1,7 @@
 """Whether another attempt of a request is possible before one is given up."""
 
+from collections.abc import Sequence
+
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _exchange
@@ -19,15 +21,23 @@
         self._retry_budget = parts.retry_budget
         self._crash_guard = parts.crash_guard
         self._delegator = parts.delegator
+        self._live_servers = parts.reach_monitor.live_servers
         self._stop_gate = parts.stop_gate
         self._clock = parts.clock
 
-    def try_reserve(self, exchange: _exchange.Exchange) -> bool:
+    def try_reserve(
+        self, exchange: _exchange.Exchange, *, is_silent: bool
+    ) -> bool:
         """Reserves the next attempt of a request whose current one may run.
 
         Reserved are a retry of the budget and, unless another entry serves the
         request, a slot: what is checked in the same moment sees it as taken.
 
+        Args:
+            exchange: The request.
+            is_silent: Whether the server of the current attempt is silent; the
+                next one must not be silent as well.
+
         Returns:
             Whether the request may be attempted again at once.
         """
@@ -36,7 +46,7 @@
             return False
         server_id = ""
         if self._delegator.choose(exchange) is None:
-            target = self._find_free_server(exchange)
+            target = self._find_free_server(exchange, is_silent=is_silent)
             if target is None:
                 return False
             server_id = target.server_id
@@ -86,10 +96,13 @@
         )
 
     def _find_free_server(
-        self, exchange: _exchange.Exchange
+        self, exchange: _exchange.Exchange, *, is_silent: bool
     ) -> dispatch.Target | None:
         if self._delegator.must_refuse(exchange):
             return None
-        return self._target_selector.find_free(
+        free: Sequence[dispatch.Target] = self._target_selector.free_targets(
             exchange.service, exchange.request_head.model_name, exchange.tried
         )
+        if is_silent:
+            free = self._live_servers.find(free)
+        return self._target_selector.least_loaded(free)
--- a/lagooncrank/server/seeded/_silence_limit.py
+++ b/lagooncrank/server/seeded/_silence_limit.py
@@ -10,7 +10,10 @@
 from lagooncrank import observed_time
 from lagooncrank.server import _observed_timer
 
-#: Interval at which a request at a silent server is checked again.
+#: Time until a request at a silent server is checked again for the first time:
+#: a sound server answers a health check well within it.
+FIRST_RECHECK_MS: Final = 25
+#: Interval of the checks after that.
 RECHECK_MS: Final = 100
 
 
@@ -118,5 +121,6 @@
             self._timer = None
             timeout.reschedule(asyncio.get_running_loop().time())
             return
+        recheck_ms = RECHECK_MS if self._is_overdue else FIRST_RECHECK_MS
         self._is_overdue = True
-        self._wait(RECHECK_MS)
+        self._wait(recheck_ms)
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -1,6 +1,8 @@
 """Selects the backend server for an attempt."""
 
+from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import random
@@ -52,12 +54,21 @@
         service: model.ServiceName,
         model_name: str,
         tried: Collection[str],
+        is_usable: Callable[[dispatch.Target], bool] | None = None,
     ) -> dispatch.Target | None:
         """Returns the best target, or None if there is none.
 
         If the target limits its requests, this uses a permit for it.
+
+        Args:
+            service: Service of a request.
+            model_name: Its model; empty if it names none.
+            tried: Servers that it was sent to already.
+            is_usable: Whether it may go to a target; None for any.
         """
-        candidates = self._untried(service, model_name, tried)
+        candidates = self.untried(service, model_name, tried)
+        if is_usable is not None:
+            candidates = [t for t in candidates if is_usable(t)]
         limited = self._limited(candidates)
         avoided = self._avoided()
         target = dispatch.choose_target(
@@ -87,7 +98,7 @@
         """Returns whether all untried targets limit their requests."""
         if not self._limits.has_limits:
             return False
-        candidates = self._untried(service, model_name, tried)
+        candidates = self.untried(service, model_name, tried)
         return bool(candidates) and self._limited(candidates) == candidates
 
     def permit_wait_ms(
@@ -97,7 +108,7 @@
         tried: Collection[str],
     ) -> int:
         """Returns the estimated time until any untried target has a permit."""
-        return self._limits.wait_ms(self._untried(service, model_name, tried))
+        return self._limits.wait_ms(self.untried(service, model_name, tried))
 
     def request_permits(
         self, service: model.ServiceName, model_name: str, needed: int
@@ -115,12 +126,13 @@
             return []
         return [t for t in targets if self._limits.is_limited(t)]
 
-    def _untried(
+    def untried(
         self,
         service: model.ServiceName,
         model_name: str,
         tried: Collection[str],
     ) -> list[dispatch.Target]:
+        """Returns the targets of a pool that were not tried yet."""
         candidates = self._candidates(service, model_name)
         return [t for t in candidates if t.server_id not in tried]
 
@@ -153,27 +165,28 @@
         tried: Collection[str],
     ) -> bool:
         """Returns whether there is a target that was not tried yet."""
-        return bool(self._untried(service, model_name, tried))
+        return bool(self.untried(service, model_name, tried))
 
-    def find_free(
+    def free_targets(
         self,
         service: model.ServiceName,
         model_name: str,
         tried: Collection[str],
-    ) -> dispatch.Target | None:
-        """Returns the least loaded untried target that is sound and not full.
-
-        Returns:
-            None if there is none.
-        """
+    ) -> list[dispatch.Target]:
+        """Returns the untried targets that are sound and not full."""
         avoided = self._avoided()
-        free = [
+        return [
             target
-            for target in self._untried(service, model_name, tried)
+            for target in self.untried(service, model_name, tried)
             if target.server_id not in avoided and self._has_free_slot(target)
         ]
+
+    def least_loaded(
+        self, targets: Iterable[dispatch.Target]
+    ) -> dispatch.Target | None:
+        """Returns the least loaded of some targets; None if there is none."""
         return min(
-            free,
+            targets,
             key=lambda t: self._view.loads.in_flight(t.server_id),
             default=None,
         )
