--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -102,7 +102,7 @@
         now_s = self.now_s()
         self.arrivals.record_arrival(service, attempt_id, now_s)
         self.left_callers.record_arrival(attempt_id, _wall_ms())
-        self.deadlines.record_arrival(attempt_id, limit_ms, now_s)
+        self.deadlines.record_arrival(attempt_id, limit_ms, now_s, server_id)
         self.crashes.record_arrival(attempt_id, now_s)
         self.rests.record_arrival(
             server_id, self.history.request(attempt_id).entry, attempt_id, now_s
--- a/soak/_deadlines.py
+++ b/soak/_deadlines.py
@@ -12,6 +12,8 @@
 #: that were, and of all that were sent again late.
 ALLOWED: Final = 20
 ALLOWED_FRACTION: Final = 0.2
+#: Requests that a text names.
+MAX_NAMED: Final = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +24,8 @@
     #: When its first server gives up, and when that read the request.
     first_end_s: float = math.inf
     first_s: float = math.inf
+    #: What each server read, for those who trace it.
+    arrivals: list[str] = dataclasses.field(default_factory=list)
 
 
 class Deadlines:
@@ -40,7 +44,11 @@
         self._sent[attempt_id] = _Sent(limit_s, now_s + limit_s)
 
     def record_arrival(
-        self, attempt_id: str, limit_ms: int | None, now_s: float
+        self,
+        attempt_id: str,
+        limit_ms: int | None,
+        now_s: float,
+        server_id: str = "",
     ) -> None:
         """Records the time limit that a server has read.
 
@@ -48,11 +56,13 @@
             attempt_id: The request; one that no caller limited is ignored.
             limit_ms: Time limit; None for none.
             now_s: Current time.
+            server_id: The server.
         """
         sent = self._sent.get(attempt_id)
         if sent is None:
             return
         limit_s = math.inf if limit_ms is None else limit_ms / 1_000
+        sent.arrivals.append(f"{server_id}@{now_s:.2f}+{limit_s:.2f}")
         is_too_long = limit_s > sent.limit_s + SLACK_S
         if sent.first_s == math.inf:
             sent.first_s, sent.first_end_s = now_s, now_s + limit_s
@@ -70,12 +80,20 @@
         if too_long > ALLOWED and too_long > ALLOWED_FRACTION * judged:
             yield (
                 f"BUDGET: {too_long} requests of {judged} came with more time "
-                f"than was left: {self._too_long[:10]}"
+                f"than was left: {self._describe()}"
             )
 
+    def _describe(self) -> str:
+        """Returns what the first of those requests were given, and when."""
+        return "; ".join(
+            f"{attempt_id} until {self._sent[attempt_id].ends_s:.2f}: "
+            + " ".join(self._sent[attempt_id].arrivals)
+            for attempt_id in self._too_long[:MAX_NAMED]
+        )
+
     def summary(self) -> str:
         """Returns how many requests were judged."""
         return (
-            f"{len(self._too_long)} deadlines too late, "
+            f"{len(self._too_long)} deadlines too late ({self._describe()}), "
             f"{self._sent_again.total()} repeats after {SLACK_S} s"
         )
