Ignore signals once a node has stopped, until its process is gone

Nothing was lost; a supervisor sees a crash.

Cause: the event loop restores the default action of a signal when it is closed, and that of SIGHUP and SIGTERM ends the process.

Why it works: the handlers are taken off by the node itself, while the signals are blocked, and they are ignored from then on; the loop has none left to restore.

--- a/lagooncrank/server/seeded/_runner.py
+++ b/lagooncrank/server/seeded/_runner.py
@@ -59,6 +59,21 @@
     await asyncio.gather(*(runner.cleanup() for runner in runners))
     node.decision_log.write(decisions.Event.STOPPED)
     await node.stop()
+    _ignore_signals(loop)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignores the signals of a node that has stopped.
+
+    The event loop would restore their default actions when it is closed, and
+    those end the process.
+    """
+    numbers = (signal.SIGHUP, signal.SIGTERM)
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    for number in numbers:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
 
 
 def _log_crash(node: _node.Node) -> None:
