Charge attempts that a silent server reads late when it reads them

A request that was silent at one server and is served by another has two arrivals; the second one, at the silent server, comes when that goes on. It was charged when the request was sent again, so what a long silence held back comes on top of the ten seconds after it.

Now an attempt that was given up at a server which is not live is remembered for up to ten seconds, and charged once more when that server sends something again. The account may owe; it earns before it retries. A server that never comes back is charged for nothing.

--- a/lagooncrank/core/dispatch/__init__.py
+++ b/lagooncrank/core/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Request dispatch of an entry: target choice, queueing and retry budget."""
 
 from lagooncrank.core.dispatch._failure_backoff import FailureBackoff
+from lagooncrank.core.dispatch._late_arrivals import LateArrivals
 from lagooncrank.core.dispatch._loads import has_accurate_loads
 from lagooncrank.core.dispatch._loads import InFlightTracker
 from lagooncrank.core.dispatch._loads import OVERCOMMIT_FACTOR
@@ -25,6 +26,7 @@
     "QUEUE_DISCIPLINES",
     "FailureBackoff",
     "InFlightTracker",
+    "LateArrivals",
     "Pool",
     "QueuedRequest",
     "RecentUse",
--- a/lagooncrank/core/dispatch/_retry_budget.py
+++ b/lagooncrank/core/dispatch/_retry_budget.py
@@ -35,7 +35,8 @@
     #: Retries, or parts of one, that the requests have paid for.
     paid: float
     #: Part of this entry's share of a window's fixed number that is saved up.
-    #: The share itself may change with the number of entries.
+    #: The share itself may change with the number of entries. It is negative
+    #: while late arrivals have not been paid for.
     saved: float
     updated_ms: int
 
@@ -86,13 +87,10 @@
             Whether the budget allows the retry.
         """
         account = self._account(service)
-        share = 0.0
-        if entry_count is None:
-            entry_count = self._assumed_entries
-        if entry_count is not None:
-            share = self._rules.extra / max(entry_count, 1)
+        share = self._share(entry_count)
         self._refill(account, share, now_ms)
         self._limit_paid(account, now_ms)
+        _pay_debt(account, share)
         # What the requests have paid for is lost with them: it is used first.
         from_paid = min(account.paid, 1.0)
         missing = 1.0 - from_paid
@@ -103,6 +101,40 @@
             account.saved = max(account.saved - missing / share, 0.0)
         return True
 
+    def charge_late(
+        self,
+        service: model.ServiceName,
+        count: int,
+        entry_count: int | None,
+        now_ms: int,
+    ) -> None:
+        """Charges attempts that a server reads long after they were paid for.
+
+        They count in the window in which they arrive. What the account lacks
+        has to be earned before the next retry.
+
+        Args:
+            service: Service of the server.
+            count: Number of attempts.
+            entry_count: As for `try_acquire`.
+            now_ms: Monotonic time in milliseconds.
+        """
+        account = self._account(service)
+        share = self._share(entry_count)
+        self._refill(account, share, now_ms)
+        if share:
+            account.saved -= count / share
+        else:
+            account.paid -= count
+
+    def _share(self, entry_count: int | None) -> float:
+        """Returns this entry's share of a window's fixed number."""
+        if entry_count is None:
+            entry_count = self._assumed_entries
+        if entry_count is None:
+            return 0.0
+        return self._rules.extra / max(entry_count, 1)
+
     def _limit_paid(self, account: _Account, now_ms: int) -> None:
         allowance = self._rules.ratio * account.requests.count(now_ms)
         account.paid = min(account.paid, SAVED_FRACTION * allowance)
@@ -129,3 +161,11 @@
             )
             self._accounts[service] = account
         return account
+
+
+def _pay_debt(account: _Account, share: float) -> None:
+    """Pays for late arrivals with what the requests have paid for."""
+    if share and account.saved < 0 and account.paid > 0:
+        payment = min(account.paid, -account.saved * share)
+        account.paid -= payment
+        account.saved += payment / share
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -57,6 +57,7 @@
         "failure",
         "charged",
         "entries",
+        "heard_ago_ms",
         "queued_ms",
         "tried",
         "age_ms",
@@ -74,6 +75,13 @@
         "tried",
         "age_ms",
     )
+    READ_LATE = (
+        "attempts_read_late",
+        "A server that was silent goes on, and reads attempts given up there.",
+        "server",
+        "service",
+        "attempts",
+    )
     RUN_KEPT = (
         "silent_run_kept",
         "A request goes on with its silent run: it sends again, or no other "
--- a/lagooncrank/server/seeded/_forwarding.py
+++ b/lagooncrank/server/seeded/_forwarding.py
@@ -171,6 +171,8 @@
         ) as opening:
             await _attempt_task.wait_for_any(starting.task, opening.task)
             if opening.has_succeeded:
+                if not starting.is_done:
+                    self._next_attempts.record_abandoned(exchange, target)
                 return opening.take()
             if not starting.is_done:
                 self._record_kept(exchange, opening)
--- a/lagooncrank/server/seeded/_next_attempt.py
+++ b/lagooncrank/server/seeded/_next_attempt.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from lagooncrank import decisions
 from lagooncrank.core import dispatch
 from lagooncrank.server.seeded import _attempt_parts
 from lagooncrank.server.seeded import _exchange
@@ -24,6 +25,9 @@
         self._live_servers = parts.reach_monitor.live_servers
         self._stop_gate = parts.stop_gate
         self._clock = parts.clock
+        self._log = parts.log
+        self._late_arrivals = dispatch.LateArrivals()
+        parts.reach_monitor.sign_listeners.append(self._charge_late_arrivals)
 
     def try_reserve(
         self, exchange: _exchange.Exchange, *, is_silent: bool
@@ -74,6 +78,33 @@
             return True
         return self._spend_retry(exchange)
 
+    def record_abandoned(
+        self, exchange: _exchange.Exchange, target: dispatch.Target
+    ) -> None:
+        """Records an attempt without a response that another one replaced.
+
+        A silent server may not have read it yet.
+        """
+        if not target.is_entry and not self._live_servers.is_live(target):
+            self._late_arrivals.add(
+                target.server_id, exchange.service, self._clock.now_ms()
+            )
+
+    def _charge_late_arrivals(self, server_id: str) -> None:
+        """Charges what a server reads that has just gone on."""
+        now_ms = self._clock.now_ms()
+        arrivals = self._late_arrivals.take(server_id, now_ms)
+        for service, count in arrivals.items():
+            self._retry_budget.charge_late(
+                service, count, self._view.sharing_entries.count(now_ms), now_ms
+            )
+            self._log.write(
+                decisions.Event.READ_LATE,
+                server=server_id,
+                service=service,
+                attempts=count,
+            )
+
     def _spend_retry(self, exchange: _exchange.Exchange) -> bool:
         now_ms = self._clock.now_ms()
         return self._retry_budget.try_acquire(
--- a/lagooncrank/server/seeded/_reach_monitor.py
+++ b/lagooncrank/server/seeded/_reach_monitor.py
@@ -60,6 +60,8 @@
         #: Called with the servers of services that became unreached while no
         #: server was heard.
         self.silence_listeners: list[Callable[[frozenset[str]], None]] = []
+        #: Called with a server that has just sent something.
+        self.sign_listeners: list[Callable[[str], None]] = []
         self._probes: set[asyncio.Task[None]] = set()
         self.detector.listeners.append(self._on_change)
 
@@ -101,6 +103,8 @@
 
     def _record_sign(self, server_id: str) -> None:
         self._signs.record(server_id, self._observed_clock.now_ms())
+        for listener in self.sign_listeners:
+            listener(server_id)
 
     def record_failure(
         self,
