Prefer live servers for the repeats of requests that did not fall silent

Cause: the same as for silent requests, without a silence behind it: nothing in the choice of the next server said who reads. It need not wait here, nor ask, as nothing speaks for a silence; but of the servers that have room, those heard in the last 200 ms go first.

The test failed before: [repeat] chose the server that nothing is known of.

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -1,5 +1,6 @@
 """Chooses where the next attempt of a request goes, and when."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import Final
@@ -105,7 +106,7 @@
             exchange.service,
             exchange.request_head.model_name,
             exchange.tried,
-            self._live_servers.is_live if exchange.needs_live_server else None,
+            self._usable(exchange),
         )
         if target is None and self._is_limited(exchange):
             raise _refusals.ForwardingError(
@@ -120,6 +121,23 @@
         exchange.tried.append(target.server_id)
         return target
 
+    def _usable(
+        self, exchange: _exchange.Exchange
+    ) -> Callable[[dispatch.Target], bool] | None:
+        """Returns whether a request may go to a target; None for any.
+
+        Of the servers for a repeat those are preferred that are known to read.
+        """
+        if exchange.needs_live_server:
+            return self._live_servers.is_live
+        if not exchange.has_arrived:
+            return None
+        free = self._target_selector.free_targets(
+            exchange.service, exchange.request_head.model_name, exchange.tried
+        )
+        live = {t.server_id for t in free if self._live_servers.is_live(t)}
+        return (lambda target: target.server_id in live) if live else None
+
     def _no_target_refusal(
         self,
         exchange: _exchange.Exchange,
