--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -217,3 +217,16 @@
         hush_s=(2.0, 3.0),
     )
     await check_seed(config, tmp_path)
+
+
+# Guards against: servers that ask for rest get more, and requests or parts of
+# prompts that crash engines run again and again, in series that overlap.
+async def test_rests_and_crashes_are_respected(tmp_path: pathlib.Path) -> None:
+    config = _run.SeedConfig(
+        9951,
+        PLANNED_DURATION_S,
+        entries=3,
+        kinds=("rest", "crash-request", "crash-part"),
+        max_interval_s=2.0,
+    )
+    await check_seed(config, tmp_path)
