--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import dataclasses
 import os
 import pathlib
@@ -23,6 +24,10 @@
 START_POLL_S: Final = 0.1
 NO_PIDFD: Final = -1
 MS_PER_S: Final = 1_000
+#: Loaded before any fork, after which imports are not safe.
+_LIBC: Final = ctypes.CDLL(None)
+#: Option of prctl(2): signal that a process gets when its parent ends.
+_PR_SET_PDEATHSIG: Final = 1
 #: What a node or its proxies listen on at ports of their own; "proxy" is for
 #: callers or operators, and "public" is what it forwards to.
 ADDRESS_NAMES: Final = (
@@ -192,6 +197,7 @@
                     stdout=log,
                     stderr=log,
                     env=environment,
+                    preexec_fn=_end_with_parent,
                 )
             )
 
@@ -352,6 +358,14 @@
         temporary.replace(self._settings_file)
 
 
+def _end_with_parent() -> None:
+    """Makes the kernel end this process when its parent ends, however it does.
+
+    Called between the fork and the start of the program.
+    """
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def _reload_action(pid: int) -> str:
     """Returns what a process does on a signal to reload its settings.
 
--- a/soak/tests/test_ended_early.py
+++ b/soak/tests/test_ended_early.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
+import signal
+import sys
 from typing import Final
 
 import pytest
@@ -12,6 +15,7 @@
 KINDS: Final = ("kill", "restart")
 #: Long enough to be ended before.
 DURATION_S: Final = 60.0
+TIMEOUT_S: Final = 30.0
 
 
 def processes_of(folder: pathlib.Path) -> list[int]:
@@ -45,3 +49,33 @@
     with pytest.raises(asyncio.CancelledError):
         await task
     assert not processes_of(tmp_path)
+
+
+# Guards against: nodes run on without a parent after their soak was ended in a
+# way that it cannot notice.
+async def test_soak_that_is_killed_leaves_no_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    arguments = ["--duration-s", str(DURATION_S), "--kinds", "kill"]
+    soak = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "soak",
+        *arguments,
+        env={
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(sys.path),
+            "TMPDIR": str(tmp_path),
+        },
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    nodes = tmp_path / "soak-"
+    try:
+        await wait_for_processes(nodes, 3)
+    finally:
+        soak.send_signal(signal.SIGKILL)
+        await soak.wait()
+    async with asyncio.timeout(TIMEOUT_S):
+        while processes_of(nodes):  # noqa: ASYNC110 - processes of nobody
+            await asyncio.sleep(0.05)
