--- a/lagooncrank/core/groups/_lifecycle.py
+++ b/lagooncrank/core/groups/_lifecycle.py
@@ -16,6 +16,7 @@
 from lagooncrank.core import fleet
 from lagooncrank.core.groups import _actions
 from lagooncrank.core.groups import _evidence
+from lagooncrank.core.groups import _reported_state
 
 _SERVING_STATES: Final = (model.MemberState.OPEN, model.MemberState.CLOSING)
 
@@ -101,7 +102,9 @@
                     group, table, active_heads, observed_ms
                 )
             case model.GroupPhase.DISSOLVING:
-                if size == len(group.members) and _may_return(group, table):
+                if size == len(group.members) and _reported_state.may_return(
+                    group, table
+                ):
                     yield from self._advance_suspended(
                         group, table, observed_ms
                     )
@@ -139,7 +142,7 @@
             membership = report.membership
             if membership is None or membership.epoch > last_epoch:
                 continue
-            if _holds(groups, report):
+            if _reported_state.holds(groups, report):
                 continue
             member = model.GroupMember(
                 report.server_id, report.born_ms, report.address
@@ -165,17 +168,21 @@
     def _advance_forming(
         self, group: model.Group, table: fleet.ServerTable, observed_ms: int
     ) -> Iterator[_actions.Action]:
-        problem = _availability_problem(group, table)
+        problem = _reported_state.availability_problem(group, table)
         if problem:
             # The head was never ordered to open, so it has no requests.
             yield _actions.PhaseChange(group, None, problem)
             return
-        ready_members = [m for m in group.members if _is_ready(group, m, table)]
+        ready_members = [
+            m
+            for m in group.members
+            if _reported_state.is_ready(group, m, table)
+        ]
         if len(ready_members) == len(group.members):
             yield _ready_change(group, table)
             return
         for member in group.members:
-            if _may_join(member, table):
+            if _reported_state.may_join(member, table):
                 kind = _actions.OrderKind.JOIN
                 yield from self._order(kind, group, member, observed_ms)
 
@@ -188,18 +195,20 @@
     ) -> Iterator[_actions.Action]:
         phase = model.GroupPhase.DISSOLVING
         is_head_active = group.head.server_id in active_heads
-        problem = _availability_problem(
+        problem = _reported_state.availability_problem(
             group, table, allow_unreachable=is_head_active
         )
         if not problem:
-            problem = _membership_problem(group, table)
+            problem = _reported_state.membership_problem(group, table)
         if problem:
-            all_alive = all(_is_alive(m, table) for m in group.members)
+            all_alive = all(
+                _reported_state.is_alive(m, table) for m in group.members
+            )
             yield _actions.PhaseChange(
                 group, phase, problem, waits_for_work=all_alive
             )
             return
-        head_state = _member_state(group, group.head, table)
+        head_state = _reported_state.member_state(group, group.head, table)
         if head_state is model.MemberState.READY:
             kind = _actions.OrderKind.OPEN
             yield from self._order(kind, group, group.head, observed_ms)
@@ -214,7 +223,7 @@
         since_ms = self._dissolving_since_ms.setdefault(
             group.epoch, observed_ms
         )
-        if all(_is_alive(m, table) for m in group.members):
+        if all(_reported_state.is_alive(m, table) for m in group.members):
             del self._dissolving_since_ms[group.epoch]
             phase = model.GroupPhase.SERVING
             yield _actions.PhaseChange(group, phase, "all members are back")
@@ -226,7 +235,7 @@
     ) -> Iterator[_actions.Action]:
         self._dissolving_since_ms.setdefault(group.epoch, observed_ms)
         record = _evidence.current_record(group.head, table)
-        stop_reason = _head_stop_reason(group, record, table)
+        stop_reason = _reported_state.head_stop_reason(group, record, table)
         if stop_reason:
             yield _actions.PhaseChange(group, None, stop_reason)
             return
@@ -245,9 +254,9 @@
         if record is None or table.is_unreachable(record):
             # It may be finishing requests; its report has not arrived yet.
             return
-        state = _member_state(group, group.head, table)
+        state = _reported_state.member_state(group, group.head, table)
         if state in _SERVING_STATES:
-            has_stalled = _lacks_member(group, table)
+            has_stalled = _reported_state.lacks_member(group, table)
             yield from self._close(
                 group, state, observed_ms, has_stalled=has_stalled
             )
@@ -328,7 +337,7 @@
             record = _evidence.current_record(member, table)
             if record is None or table.is_unreachable(record):
                 continue
-            if _member_state(group, member, table) is None:
+            if _reported_state.member_state(group, member, table) is None:
                 departed.append(member.server_id)
                 continue
             kind = _actions.OrderKind.LEAVE
@@ -355,20 +364,6 @@
         yield _actions.Order(kind, group, member)
 
 
-def _may_return(group: model.Group, table: fleet.ServerTable) -> bool:
-    """Returns whether a dissolving group lacks nothing but words of members.
-
-    None that is dissolved for another reason returns: it waits for its work, or
-    has loaded weights.
-    """
-    if group.waits_for_work or group.is_preload:
-        return False
-    is_open = _member_state(group, group.head, table) is model.MemberState.OPEN
-    all_ready = all(_is_ready(group, m, table) for m in group.members)
-    problem = _availability_problem(group, table, allow_unreachable=True)
-    return is_open and all_ready and not problem
-
-
 def _ready_change(
     group: model.Group, table: fleet.ServerTable
 ) -> _actions.PhaseChange:
@@ -381,131 +376,3 @@
         phase = model.GroupPhase.DISSOLVING
         reason = "the weights are loaded"
     return _actions.PhaseChange(group, phase, reason, ready_sequences=sequences)
-
-
-def _holds(
-    groups: Mapping[str, model.Group], report: model.ServerReport
-) -> bool:
-    """Returns whether the group that an engine reports still holds it."""
-    membership = report.membership
-    if membership is None:
-        return False
-    group = groups.get(membership.group)
-    if group is None or group.epoch != membership.epoch:
-        return False
-    return any(m.server_id == report.server_id for m in group.members)
-
-
-def _may_join(member: model.GroupMember, table: fleet.ServerTable) -> bool:
-    """Returns whether a member of a forming group shows that it is in none.
-
-    Otherwise the head of another group that it is in may be open.
-    """
-    report = _evidence.current_report(member, table)
-    return report is not None and report.membership is None
-
-
-def _availability_problem(
-    group: model.Group,
-    table: fleet.ServerTable,
-    *,
-    allow_unreachable: bool = False,
-) -> str:
-    """Returns why a member is unavailable, or an empty string."""
-    for member in group.members:
-        record = _evidence.current_record(member, table)
-        if record is None:
-            if not table.is_warmed_up:
-                continue
-            return f"member {member.server_id} is unknown"
-        if record.report.born_ms != member.born_ms:
-            return f"member {member.server_id} has restarted"
-        if table.is_leaving(record):
-            return f"member {member.server_id} is leaving"
-        if table.is_lost(record) and not allow_unreachable:
-            return f"member {member.server_id} is unreachable"
-    return ""
-
-
-def _head_stop_reason(
-    group: model.Group,
-    record: fleet.ServerRecord | None,
-    table: fleet.ServerTable,
-) -> str:
-    """Returns why the head has certainly stopped serving.
-
-    The string is empty if the head may still be serving. A refused connection
-    is no proof that it has stopped, as a firewall may refuse it as well.
-    """
-    if record is None:
-        return ""
-    if record.report.born_ms != group.head.born_ms:
-        return "the head has restarted"
-    if table.is_replaced(record):
-        return "another server has started at the head's address"
-    membership = record.report.membership
-    if membership is None or membership.epoch != group.epoch:
-        return "the head has left the group"
-    if membership.state is model.MemberState.BROKEN:
-        return "the head is broken"
-    return ""
-
-
-def _membership_problem(group: model.Group, table: fleet.ServerTable) -> str:
-    for member in group.members:
-        state = _member_state(group, member, table)
-        is_known = _evidence.current_record(member, table) is not None
-        if state is None and is_known:
-            return f"member {member.server_id} is not in the group"
-        if state is model.MemberState.BROKEN:
-            return f"member {member.server_id} is broken"
-    return ""
-
-
-def _member_state(
-    group: model.Group, member: model.GroupMember, table: fleet.ServerTable
-) -> model.MemberState | None:
-    """Returns the state in the group that a member itself reported."""
-    report = _evidence.current_report(member, table)
-    if report is None:
-        return None
-    membership = report.membership
-    if (
-        membership is None
-        or membership.epoch != group.epoch
-        or membership.group != group.name
-    ):
-        return None
-    return membership.state
-
-
-def _is_ready(
-    group: model.Group, member: model.GroupMember, table: fleet.ServerTable
-) -> bool:
-    state = _member_state(group, member, table)
-    return state in (model.MemberState.READY, model.MemberState.OPEN)
-
-
-def _lacks_member(group: model.Group, table: fleet.ServerTable) -> bool:
-    """Returns whether a member has certainly left its place in a group."""
-    is_any_gone = any(_is_gone(m, table) for m in group.members)
-    return is_any_gone or bool(_membership_problem(group, table))
-
-
-def _is_gone(member: model.GroupMember, table: fleet.ServerTable) -> bool:
-    record = _evidence.current_record(member, table)
-    if record is None:
-        return table.is_warmed_up
-    if record.report.born_ms != member.born_ms or table.is_replaced(record):
-        return True
-    if record.report.state is model.ServerState.GONE:
-        # It reports no more, but remains while its head has work.
-        return False
-    return table.is_lost(record)
-
-
-def _is_alive(member: model.GroupMember, table: fleet.ServerTable) -> bool:
-    record = _evidence.current_record(member, table)
-    if record is None or record.report.born_ms != member.born_ms:
-        return False
-    return not table.is_unreachable(record)
