--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -59,6 +59,8 @@
         self._observed_clock = parts.observed_clock
         self._log = parts.log
         self._response_waits = _response_waits.ResponseWaits()
+        #: Servers that have stalled, of which some may have gone on since.
+        self._stalled: frozenset[str] = frozenset()
         parts.view.stall_detector.listeners.append(self._expire_waits)
         parts.reach_monitor.silence_listeners.append(self._expire_silent_waits)
         parts.reach_monitor.live_servers.listeners.append(
@@ -319,6 +321,7 @@
 
         Only overdue requests that may still be retried are affected.
         """
+        self._stalled |= servers
         observed_ms = self._observed_clock.now_ms()
         self._response_waits.expire(
             servers,
@@ -332,11 +335,10 @@
 
     def _expire_stalled_waits(self) -> None:
         """Expires waits that went on for want of a server that is live."""
-        self._expire_waits(
-            frozenset(
-                self._view.stall_detector.stalled_servers(self._clock.now_ms())
-            )
-        )
+        now_ms = self._clock.now_ms()
+        still_stalled = self._view.stall_detector.stalled_servers(now_ms)
+        self._stalled &= still_stalled
+        self._expire_waits(self._stalled)
 
     def _expire_silent_waits(self, servers: frozenset[str]) -> None:
         """Expires waits at servers that this entry has lost its path to."""
