--- a/lagooncrank/core/dispatch/_late_arrivals.py
+++ b/lagooncrank/core/dispatch/_late_arrivals.py
@@ -33,6 +33,9 @@
         self._forget_old(now_ms)
         self._abandoned.setdefault(server_id, []).append((now_ms, service))
 
+    def __contains__(self, server_id: str) -> bool:
+        return server_id in self._abandoned
+
     def take(
         self, server_id: str, now_ms: int
     ) -> collections.Counter[model.ServiceName]:
--- a/lagooncrank/server/seeded/_next_attempt.py
+++ b/lagooncrank/server/seeded/_next_attempt.py
@@ -92,6 +92,8 @@
 
     def _charge_late_arrivals(self, server_id: str) -> None:
         """Charges what a server reads that has just gone on."""
+        if server_id not in self._late_arrivals:
+            return
         now_ms = self._clock.now_ms()
         arrivals = self._late_arrivals.take(server_id, now_ms)
         for service, count in arrivals.items():
