An answered health check is a sign of life for the retry budget, too

By reading: a server that goes on and answers a health check first was live for the choice of servers, but what it read late was charged only with its next response or event. One function records a sign now, whatever shows it.

--- a/lagooncrank/server/seeded/_health_probes.py
+++ b/lagooncrank/server/seeded/_health_probes.py
@@ -4,8 +4,6 @@
 from typing import Final
 
 from lagooncrank import model
-from lagooncrank import observed_time
-from lagooncrank.core import reach
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _documents
 
@@ -21,9 +19,7 @@
         self,
         client: _attempt.BackendClient,
         documents: _documents.DocumentStore,
-        silence: reach.SilenceWatch,
-        signs: reach.LifeSigns,
-        observed_clock: observed_time.ObservedClock,
+        record_sign: Callable[[str], None],
         count: Callable[[str], None],
     ) -> None:
         """Creates the probes.
@@ -31,16 +27,12 @@
         Args:
             client: Sends them.
             documents: State the health path of each service.
-            silence: Is told of responses.
-            signs: Are told of responses.
-            observed_clock: Observed time of this entry.
+            record_sign: Records that a server has sent something.
             count: Counts an outcome.
         """
         self._client = client
         self._documents = documents
-        self._silence = silence
-        self._signs = signs
-        self._observed_clock = observed_clock
+        self._record_sign = record_sign
         self._count = count
 
     async def probe(
@@ -52,8 +44,7 @@
         )
         self._count(outcome)
         if outcome is _attempt.ProbeOutcome.RESPONSE:
-            self._silence.record_heard()
-            self._signs.record(server_id, self._observed_clock.now_ms())
+            self._record_sign(server_id)
         return outcome
 
     def _health_path(self, service: model.ServiceName) -> str:
--- a/lagooncrank/server/seeded/_reach_monitor.py
+++ b/lagooncrank/server/seeded/_reach_monitor.py
@@ -69,12 +69,7 @@
         self, documents: _documents.DocumentStore, count: Callable[[str], None]
     ) -> _health_probes.HealthProbes:
         return _health_probes.HealthProbes(
-            self._client,
-            documents,
-            self.silence,
-            self._signs,
-            self._observed_clock,
-            count,
+            self._client, documents, self._record_response_sign, count
         )
 
     def observe(self, server_id: str) -> "ConnectionObserver":
@@ -86,8 +81,7 @@
     ) -> None:
         """Records that the head of a response arrived."""
         observer.end()
-        self.silence.record_heard()
-        self._record_sign(observer.server_id)
+        self._record_response_sign(observer.server_id)
         if observer.is_new_connection:
             self.detector.record_connected(service, self._clock.now_ms())
 
@@ -101,6 +95,10 @@
         self.silence.record_heard((request, server_id))
         self._record_sign(server_id)
 
+    def _record_response_sign(self, server_id: str) -> None:
+        self.silence.record_heard()
+        self._record_sign(server_id)
+
     def _record_sign(self, server_id: str) -> None:
         self._signs.record(server_id, self._observed_clock.now_ms())
         for listener in self.sign_listeners:
