--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -321,7 +321,10 @@
 
         Only overdue requests that may still be retried are affected.
         """
-        self._stalled |= servers
+        still_stalled = self._view.stall_detector.stalled_servers(
+            self._clock.now_ms()
+        )
+        self._stalled = (self._stalled | servers) & still_stalled
         observed_ms = self._observed_clock.now_ms()
         self._response_waits.expire(
             servers,
@@ -335,9 +338,6 @@
 
     def _expire_stalled_waits(self) -> None:
         """Expires waits that went on for want of a server that is live."""
-        now_ms = self._clock.now_ms()
-        still_stalled = self._view.stall_detector.stalled_servers(now_ms)
-        self._stalled &= still_stalled
         self._expire_waits(self._stalled)
 
     def _expire_silent_waits(self, servers: frozenset[str]) -> None:
