Say that the deadline passed when no server has shown life in time

By reading: a request that waits for a live server until its deadline was refused as if its service had no serving replica; on-call engineers would look for groups. No test of its own: the wait needs another entry, or a refusal, beside a silence of all servers.

--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -143,6 +143,11 @@
         exchange: _exchange.Exchange,
         last_error: _attempt.AttemptFailedError | None,
     ) -> results.Refusal:
+        is_over = exchange.remaining_ms(self._clock) <= 0
+        if exchange.needs_live_server and is_over:
+            # No server has shown that it is live in time.
+            code = results.ResultCode.DEADLINE_EXCEEDED
+            return _refusals.final_refusal(exchange, code, last_error)
         rest_ms = self._target_selector.rest_ms(
             exchange.service, exchange.request_head.model_name
         )
