--- a/soak/_kept_callers.py
+++ b/soak/_kept_callers.py
@@ -83,15 +83,23 @@
 
     async def run(self) -> None:
         """Sends requests until it is cancelled."""
-        async with aiohttp.ClientSession(timeout=RESOLVE_TIMEOUT) as session:
-            while True:
-                connection = await self._connect(session)
-                if connection is None:
-                    await asyncio.sleep(IDLE_S)
-                    continue
-                await self._send_request(connection)
-                pause_s = self._random.uniform(0.0, MAX_PAUSE_S)
-                await asyncio.sleep(pause_s)
+        try:
+            async with aiohttp.ClientSession(
+                timeout=RESOLVE_TIMEOUT
+            ) as session:
+                while True:
+                    await self._take_turn(session)
+        finally:
+            self._close()
+
+    async def _take_turn(self, session: aiohttp.ClientSession) -> None:
+        """Sends a request, unless no entry can be connected to, and waits."""
+        connection = await self._connect(session)
+        if connection is None:
+            await asyncio.sleep(IDLE_S)
+            return
+        await self._send_request(connection)
+        await asyncio.sleep(self._random.uniform(0.0, MAX_PAUSE_S))
 
     async def _connect(
         self, session: aiohttp.ClientSession
