--- a/lagooncrank/server/seeded/_attempt_chooser.py
+++ b/lagooncrank/server/seeded/_attempt_chooser.py
@@ -126,11 +126,13 @@
     ) -> Callable[[dispatch.Target], bool] | None:
         """Returns whether a request may go to a target; None for any.
 
-        Of the servers for a repeat those are preferred that are known to read.
+        Of the servers for a repeat those with room are preferred that are known
+        to read. With many entries, each of them hears only a few servers, and
+        does not know which ones have room.
         """
         if exchange.needs_live_server:
             return self._live_servers.is_live
-        if not exchange.has_arrived:
+        if not exchange.has_arrived or not self._target_selector.knows_loads:
             return None
         free = self._target_selector.free_targets(
             exchange.service, exchange.request_head.model_name, exchange.tried
--- a/lagooncrank/server/seeded/_target_selector.py
+++ b/lagooncrank/server/seeded/_target_selector.py
@@ -78,9 +78,7 @@
             tried,
             self._failure_domain,
             (random.random(), random.random()),
-            has_accurate_loads=dispatch.has_accurate_loads(
-                self._view.entry_count
-            ),
+            has_accurate_loads=self.knows_loads,
         )
         if limited:
             if target is not None:
@@ -194,7 +192,7 @@
     def _has_free_slot(self, target: dispatch.Target) -> bool:
         if self._limits.has_limits and self._limits.is_limited(target):
             return bool(self._limits.permits(target))
-        if not dispatch.has_accurate_loads(self._view.entry_count):
+        if not self.knows_loads:
             return True
         in_flight = self._view.loads.in_flight(target.server_id)
         return not target.slots or in_flight < target.slots
@@ -223,6 +221,11 @@
         budget = self._unlimited_budget(targets)
         return dispatch.SlotBudget(budget.slots + permits, budget.reserved)
 
+    @property
+    def knows_loads(self) -> bool:
+        """Whether the loads of targets are nearly accurate."""
+        return dispatch.has_accurate_loads(self._view.entry_count)
+
     def has_slots(self, service: model.ServiceName, model_name: str) -> bool:
         """Returns whether the slots of targets without a limit are known.
 
@@ -230,9 +233,7 @@
             service: Service of a request.
             model_name: Its model; empty if it names none.
         """
-        return self._is_for_engines(
-            service, model_name
-        ) and dispatch.has_accurate_loads(self._view.entry_count)
+        return self._is_for_engines(service, model_name) and self.knows_loads
 
     def _unlimited_budget(
         self, heads: Sequence[dispatch.Target]
