--- a/soak/_repeat_faults.py
+++ b/soak/_repeat_faults.py
@@ -105,7 +105,7 @@
     headers = provider_protocol.request_headers(PATH, attempt_id)
     if kind.parts:
         parts = [*kind.parts, f"own{number}"]
-        headers["Prompt-Prefix"] = ",".join(f"{p}:10" for p in parts)
+        headers |= provider_protocol.prompt_headers(parts)
     deployment.checks.record_request(
         _history.SentRequest(attempt_id, True, entry.ip, "writers")
     )
