Take only bytes with the status line of a response for one

Callers got what was no answer: status 000, 001, 042 and 099 reached them as "HTTP/1.1 0", "1", "42" and "99", with the server's signature and body, on lookups, bookings and streams; 101 as "101 Switching Protocols"; 600 and 999 as they were; "HTTP/2.0 200 OK", "HTTP/0.9 200 OK" and a reason with a control byte as an answer of ours. A resumed stream went on with the events of the latter ones.

Cause: nothing of ours judged a status line. The parsers of the HTTP library take any three digits (the compiled one fewer, with other versions), our protocol took each status below 200 but 101 as interim, and the library only 100 and 102 to 199: after 000 both sides of one connection disagreed about whether its head was still to come.

Now a head is held until its empty line, each line is checked as it arrives, and only a valid head reaches the parser, for whoever reads from the connection. Status 100 to 599 but 101 (we ask for no upgrade), version 1.0 or 1.1, a reason without control bytes (RFC 9112, section 4; RFC 9110, section 15: 600 and above are invalid and count like a server's error). Interim heads are checked likewise and not passed on: the library dropped them anyway, and with a length its compiled parser took the start of the next head for their body. Empty lines before a head are ignored as before.

A malformed answer counts as lost, not as a broken connection: it is no evidence that a request crashes servers, nor that a path is gone. Before, those that the library rejected were: after three of them a stream was refused instead of being sent elsewhere. Log: response_malformed, with a quote of 80 bytes at most; counter: lagooncrank_malformed_responses_total.

--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -110,6 +110,16 @@
         "tried",
         "age_ms",
     )
+    MALFORMED = (
+        "response_malformed",
+        "Bytes that a server sent for an attempt are no response.",
+        "request",
+        "server",
+        "problem",
+        "received",
+        "tried",
+        "age_ms",
+    )
     RETAINED_FAILED = (
         "retained_state_failed",
         "What should outlast a restart could not be read or saved.",
--- a/lagooncrank/server/_at_most_once_client.py
+++ b/lagooncrank/server/_at_most_once_client.py
@@ -159,7 +159,7 @@
     kind = retry.FailureKind.CONNECTION_LOST
     if not written:
         kind = retry.FailureKind.CONNECT_FAILED
-    elif isinstance(error, _bounded_http.ResponseTooLargeError):
+    elif isinstance(error, _bounded_http.UnusableResponseError):
         kind = retry.FailureKind.PROTOCOL_ERROR
     elif isinstance(error, TimeoutError):
         kind = retry.FailureKind.FIRST_BYTE_TIMEOUT
--- a/lagooncrank/server/_bounded_http.py
+++ b/lagooncrank/server/_bounded_http.py
@@ -1,5 +1,8 @@
 """HTTP client connections that close when a server sends more than a response.
 
+Nothing but a valid head reaches the parser of the HTTP library, so that bytes
+which are no response are none for every reader of responses.
+
 The HTTP library limits the length of a line and pauses a body that is not
 read. It does not limit interim responses, chunk extensions, trailers and the
 bytes after a response, which a faulty server may send without end. It keeps a
@@ -11,27 +14,26 @@
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import functools
-import re
 from typing import Any
 from typing import Final
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
 from aiohttp import http_parser
 from aiohttp import streams
+import prometheus_client
 
 from lagooncrank.server import _bounded_reads
 from lagooncrank.server import _connection_end
 from lagooncrank.server import _idle_connections
+from lagooncrank.server import _response_heads
 from lagooncrank.server import _sockets
 
 #: Limit of all bytes before the body, with interim responses.
 MAX_HEAD_BYTES: Final = 65_536
 #: A server sends one or two before its response.
 MAX_INTERIM_RESPONSES: Final = 16
-#: Part of a head that is parsed before the limits are checked; most heads are
-#: shorter.
-HEAD_PART_BYTES: Final = 4_096
 #: Limit of the bytes of a chunked body that are not content (chunk sizes,
 #: extensions and trailers), beside one for some bytes of content. An event of
 #: 20 bytes in a chunk of its own has 6; each chunk costs some microseconds.
@@ -41,22 +43,36 @@
 READ_BUFFER_BYTES: Final = 8_192
 #: Bytes of a body that are processed in one turn of the event loop.
 TURN_BYTES: Final = 8_192
-_FIRST_FINAL_STATUS: Final = 200
-_SWITCHING_PROTOCOLS: Final = 101
-#: End of a head; the library also accepts lines that end without CR.
-_BLANK_LINE: Final = re.compile(rb"\r?\n\r?\n")
-#: Bytes of a head that may be the start of its end.
-_HEAD_TAIL_BYTES: Final = 3
 #: End of a chunked body, with or without trailers, and the same with an empty
 #: line that follows the body.
 _CHUNKED_END: Final = b"\r\n\r\n"
 _CHUNKED_END_AND_MORE: Final = b"\r\n\r\n\r\n"
 
+MALFORMED_RESPONSES: Final = prometheus_client.Counter(
+    "lagooncrank_malformed_responses",
+    "Bytes of servers that are no response, by why.",
+    ["problem"],
+)
+
 _Message = tuple[http_parser.RawResponseMessage, streams.StreamReader]
 
 
-class ResponseTooLargeError(aiohttp.ClientPayloadError):
-    """A response exceeds a limit; its connection is closed."""
+class UnusableResponseError(aiohttp.ClientPayloadError):
+    """What a server sent is not used; its connection is closed."""
+
+
+class ResponseTooLargeError(UnusableResponseError):
+    """A response exceeds a limit."""
+
+
+class MalformedResponseError(UnusableResponseError):
+    """A server sent bytes that are no response."""
+
+    def __init__(self, problem: _response_heads.Problem, received: str) -> None:
+        self.problem = problem
+        #: Description of these bytes; it may quote them.
+        self.received = received
+        super().__init__(f"malformed response: {problem.meaning}")
 
 
 class BoundedConnector(aiohttp.TCPConnector):
@@ -174,16 +190,18 @@
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
         self._awaits_head = False
-        self._head_bytes = 0
+        self._head = _response_heads.HeadReader()
+        #: Bytes received of interim responses.
+        self._interim_bytes = 0
         self._interim_responses = 0
         #: Bytes received since the head, with chunk sizes and trailers.
         self._body_bytes = 0
         #: Stated length of the body; None if it has chunks or no length.
         self._body_length: int | None = None
         self._is_chunked = False
-        #: Last bytes of the head, or of a chunked body, as received so far.
+        #: Last bytes of a chunked body, as received so far.
         self._tail_bytes = b""
-        self._limit_error: ResponseTooLargeError | None = None
+        self._failure: UnusableResponseError | None = None
         self._heard_s = loop.time()
         #: Longest idle time by the server's word; None if not stated.
         self._max_idle_s: float | None = None
@@ -208,7 +226,8 @@
     def set_response_params(self, **params: Any) -> None:
         """Prepares for the response to the next request."""
         self._awaits_head = True
-        self._head_bytes = 0
+        self._head = _response_heads.HeadReader()
+        self._interim_bytes = 0
         self._interim_responses = 0
         self._body_bytes = 0
         self._tail_bytes = b""
@@ -226,16 +245,12 @@
         super().close()
 
     def feed_data(self, data: _Message, size: int = 0) -> None:
-        """Accepts a complete head."""
+        """Accepts the head of the final response from the parser."""
         if not self._awaits_head:
-            self._fail("the server sent a further response")
+            self._exceed("the server sent a further response")
             return
-        status = data[0].code
-        if status >= _FIRST_FINAL_STATUS or status == _SWITCHING_PROTOCOLS:
-            self._awaits_head = False
-            self._read_framing(data[0])
-        else:
-            self._interim_responses += 1
+        self._awaits_head = False
+        self._read_framing(data[0])
         super().feed_data(data, size)
 
     def _read_framing(self, message: http_parser.RawResponseMessage) -> None:
@@ -255,70 +270,83 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser within the limits."""
-        if self._limit_error is not None:
+        if self._failure is not None:
             return
         self._heard_s = self._loop.time()
         if not self._awaits_head:
             self._receive_body(data)
             return
         while data and self._awaits_head and self.exception() is None:
-            part, is_whole = self._cut_head(data)
-            data = data[len(part) :]
-            self._receive_head(part)
-            if not self._awaits_head and not is_whole:
-                # The parser has seen another end, and bytes after it.
-                self.force_close()
+            data = data[self._receive_head(data) :]
         if data and self.exception() is None:
             self._receive_body(data)
 
-    def _cut_head(self, data: bytes) -> tuple[bytes, bool]:
-        """Returns the bytes to parse next, and whether a head ends there."""
-        earlier = self._tail_bytes
-        part = data[:HEAD_PART_BYTES]
-        found = _BLANK_LINE.search(earlier + part)
-        if found is None:
-            self._tail_bytes = (earlier + part)[-_HEAD_TAIL_BYTES:]
-            return part, False
-        self._tail_bytes = b""
-        return part[: found.end() - len(earlier)], True
+    def _receive_head(self, data: bytes) -> int:
+        """Accepts bytes of a head, and passes it on once it is complete.
 
-    def _receive_head(self, part: bytes) -> None:
-        self._head_bytes += len(part)
-        super().data_received(part)
+        Interim responses are not passed on, as nobody reads them; with a length
+        or chunks, parsers would take the start of the next head for their body.
+
+        Returns:
+            The number of bytes that belong to the head.
+        """
+        head = self._head
+        try:
+            head_bytes = head.feed(data)
+        except _response_heads.MalformedHeadError as error:
+            self._reject(error.problem, repr(error.excerpt))
+            return 0
+        if self._interim_bytes + head.size_bytes > MAX_HEAD_BYTES:
+            self._exceed(f"the head exceeds {MAX_HEAD_BYTES} bytes")
+        elif head.is_complete and head.is_interim:
+            self._skip_interim()
+        elif head.is_complete:
+            self._parse(head.content)
+        return head_bytes
+
+    def _skip_interim(self) -> None:
+        self._interim_responses += 1
+        self._interim_bytes += self._head.size_bytes
+        self._head = _response_heads.HeadReader()
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            self._exceed(f"over {MAX_INTERIM_RESPONSES} interim responses")
+
+    def _parse(self, head: bytes) -> None:
+        super().data_received(head)
         if self._payload is not None:
             self._end_malformed(self._payload)
-        if not self._awaits_head or self.exception() is not None:
-            return
-        if self._head_bytes >= MAX_HEAD_BYTES:
-            self._fail(f"the head exceeds {MAX_HEAD_BYTES} bytes")
-        elif self._interim_responses > MAX_INTERIM_RESPONSES:
-            self._fail(f"over {MAX_INTERIM_RESPONSES} interim responses")
+        if self._awaits_head and self.exception() is None:
+            self._reject(_response_heads.Problem.SYNTAX, "no end of the head")
 
     def set_exception(self, exc: BaseException, *causes: BaseException) -> None:
-        """Ends the wait for a head; an exceeded limit is not overwritten."""
-        if self._limit_error is None:
-            super().set_exception(exc, *causes)
+        """Ends the wait for a head; why it failed first is not overwritten."""
+        if self._failure is not None:
+            super().set_exception(self._failure)
+        elif isinstance(exc, http_exceptions.HttpProcessingError):
+            super().set_exception(
+                _malformed(_response_heads.Problem.SYNTAX, repr(exc))
+            )
         else:
-            super().set_exception(self._limit_error)
+            super().set_exception(exc, *causes)
 
     def _receive_body(self, data: bytes) -> None:
         payload = self._payload
         if payload is None or payload.is_eof():
             # An empty chunk only continues the parser after a pause.
             if data:
-                self._fail("bytes follow the response")
+                self._exceed("bytes follow the response")
             return
         data = self._cut_body(data)
         self._body_bytes += len(data)
         super().data_received(data)
         self._end_malformed(payload)
         if self._is_chunked and payload.is_eof() and not self._ends_in_order():
-            self._fail("bytes follow the response")
+            self._exceed("bytes follow the response")
             return
         framing_bytes = self._body_bytes - payload.total_raw_bytes
         allowed = payload.total_raw_bytes // BODY_BYTES_PER_FRAMING_BYTE
         if framing_bytes > MAX_FRAMING_BYTES + allowed:
-            self._fail("the chunk sizes and trailers exceed their limit")
+            self._exceed("the chunk sizes and trailers exceed their limit")
 
     def _cut_body(self, data: bytes) -> bytes:
         """Returns the bytes that belong to the body, as far as that shows."""
@@ -344,11 +372,21 @@
         error = self.exception()
         if error is None or payload.is_eof() or payload.exception() is not None:
             return
-        payload.set_exception(aiohttp.ClientPayloadError(repr(error)))
+        if not isinstance(error, UnusableResponseError):
+            error = aiohttp.ClientPayloadError(repr(error))
+        payload.set_exception(error)
+
+    def _exceed(self, detail: str) -> None:
+        """Ends a response that exceeds a limit."""
+        self._fail(ResponseTooLargeError(detail))
+
+    def _reject(self, problem: _response_heads.Problem, received: str) -> None:
+        """Ends a response that is none."""
+        self._fail(_malformed(problem, received))
 
-    def _fail(self, detail: str) -> None:
+    def _fail(self, error: UnusableResponseError) -> None:
         """Closes the connection, and ends the response if it is incomplete."""
-        error = self._limit_error = ResponseTooLargeError(detail)
+        self._failure = error
         payload = self._payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
@@ -357,3 +395,11 @@
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
+
+
+def _malformed(
+    problem: _response_heads.Problem, received: str
+) -> MalformedResponseError:
+    """Returns the error of a response that is none, and counts it."""
+    MALFORMED_RESPONSES.labels(problem).inc()
+    return MalformedResponseError(problem, received)
--- a/lagooncrank/server/_engine_stream.py
+++ b/lagooncrank/server/_engine_stream.py
@@ -85,7 +85,7 @@
         ) as error:
             kind = retry.FailureKind.CONNECT_FAILED
             raise _failed(kind, str(error), bytes_written=False) from error
-        except _bounded_http.ResponseTooLargeError as error:
+        except _bounded_http.UnusableResponseError as error:
             kind = retry.FailureKind.PROTOCOL_ERROR
             raise _failed(kind, str(error)) from error
         except (aiohttp.ClientError, ConnectionError) as error:
@@ -157,7 +157,7 @@
         self.watch.due_ms = self.deadline_ms
         try:
             data = await self._response.content.readany()
-        except _bounded_http.ResponseTooLargeError as error:
+        except _bounded_http.UnusableResponseError as error:
             kind = retry.FailureKind.PROTOCOL_ERROR
             raise _failed(kind, str(error)) from error
         except (aiohttp.ClientError, ConnectionError) as error:
--- a/lagooncrank/server/_plain_client.py
+++ b/lagooncrank/server/_plain_client.py
@@ -116,7 +116,7 @@
         raise _failed(kind, error, bytes_written=False) from error
     except TimeoutError as error:
         raise _failed(retry.FailureKind.FIRST_BYTE_TIMEOUT, error) from error
-    except _bounded_http.ResponseTooLargeError as error:
+    except _bounded_http.UnusableResponseError as error:
         raise _failed(retry.FailureKind.PROTOCOL_ERROR, error) from error
     except (aiohttp.ClientError, ConnectionError) as error:
         raise _failed(retry.FailureKind.CONNECTION_LOST, error) from error
--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -80,10 +80,14 @@
         failure: FailureKind,
         detail: str,
         *,
+        received: str = "",
         is_disconnect: bool = False,
     ) -> None:
         self.failure = failure
         self.detail = detail[:MAX_DETAIL_CHARS]
+        #: What the server sent that is no response, for the log; empty if that
+        #: is not the failure. Unlike `detail`, callers never get it.
+        self.received = received[:MAX_DETAIL_CHARS]
         #: Whether the server ended the connection while it ran the request.
         self.is_disconnect = is_disconnect
         #: Head of the response, if it is for this request. What it says of its
@@ -114,10 +118,8 @@
         try:
             async for chunk in _bounded_http.read_chunks(self.response):
                 yield chunk
-        except _bounded_http.ResponseTooLargeError as error:
-            raise AttemptFailedError(
-                FailureKind.TOO_LARGE, str(error)
-            ) from error
+        except _bounded_http.UnusableResponseError as error:
+            raise _unusable(error) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise AttemptFailedError(
                 FailureKind.RESPONSE_LOST, repr(error), is_disconnect=True
@@ -295,10 +297,8 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             raise AttemptFailedError(FailureKind.CONNECT, str(error)) from error
-        except _bounded_http.ResponseTooLargeError as error:
-            raise AttemptFailedError(
-                FailureKind.TOO_LARGE, str(error)
-            ) from error
+        except _bounded_http.UnusableResponseError as error:
+            raise _unusable(error) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if context is not None and context.prevented is not None:
                 raise context.prevented from error
@@ -361,6 +361,17 @@
     return _send_context.GuardedBody(body, context)
 
 
+def _unusable(
+    error: _bounded_http.UnusableResponseError,
+) -> AttemptFailedError:
+    """Returns the failure of an attempt whose response is not used."""
+    if isinstance(error, _bounded_http.MalformedResponseError):
+        return AttemptFailedError(
+            FailureKind.RESPONSE_LOST, str(error), received=error.received
+        )
+    return AttemptFailedError(FailureKind.TOO_LARGE, str(error))
+
+
 def _check_owner(
     head: _adapter.ResponseHead, request_head: _adapter.RequestHead
 ) -> None:
--- a/lagooncrank/server/seeded/_attempt_outcomes.py
+++ b/lagooncrank/server/seeded/_attempt_outcomes.py
@@ -121,6 +121,14 @@
         error: _attempt.AttemptFailedError,
     ) -> None:
         self._metrics.count_failure(error.failure)
+        if error.received:
+            self._log.write(
+                decisions.Event.MALFORMED,
+                server=target.server_id,
+                problem=error.detail,
+                received=error.received,
+                **exchange.log_fields(self._clock),
+            )
         if target.is_entry:
             return
         if error.failure is not _attempt.FailureKind.CONNECT:
--- /dev/null
+++ b/lagooncrank/server/tests/test_response_heads.py
@@ -0,0 +1,114 @@
+"""Which bytes are the head of a response."""
+
+import itertools
+
+import pytest
+
+from lagooncrank.server import _response_heads
+from lagooncrank.server._response_heads import Problem
+
+OK = b"HTTP/1.1 200 OK\r\n"
+#: Status lines, and why none of them begins a response; None if one does.
+STATUS_LINES = {
+    b"HTTP/1.1 200 OK": None,
+    b"HTTP/1.0 200 OK": None,
+    b"HTTP/1.1 200 ": None,
+    b"HTTP/1.1 200": None,
+    b"HTTP/1.1 299 Sehr \xfc\tgut": None,
+    b"HTTP/1.1 599 ;:(\x80": None,
+    b"HTTP/1.1 100 Continue": None,
+    b"HTTP/1.1 199 ": None,
+    b"HTTP/1.1 099 Odd": Problem.STATUS,
+    b"HTTP/1.1 000": Problem.STATUS,
+    b"HTTP/1.1 101 Switching Protocols": Problem.STATUS,
+    b"HTTP/1.1 600 Odd": Problem.STATUS,
+    b"HTTP/1.1 999 Odd": Problem.STATUS,
+    b"HTTP/1.1 20 OK": Problem.STATUS_LINE,
+    b"HTTP/1.1 2000 OK": Problem.STATUS_LINE,
+    b"HTTP/1.1 +20 OK": Problem.STATUS_LINE,
+    b"HTTP/1.1 2\xb20 OK": Problem.STATUS_LINE,
+    b"HTTP/1.1 200\tOK": Problem.STATUS_LINE,
+    b"HTTP/1.1 200 O\x00K": Problem.STATUS_LINE,
+    b"HTTP/1.1 200 O\rK": Problem.STATUS_LINE,
+    b"HTTP/1.1 200 O\x7fK": Problem.STATUS_LINE,
+    b"HTTP/1.1  200 OK": Problem.STATUS_LINE,
+    b"HTTP/1.2 200 OK": Problem.STATUS_LINE,
+    b"HTTP/2 200 OK": Problem.STATUS_LINE,
+    b"HTTP/2.0 200 OK": Problem.STATUS_LINE,
+    b" HTTP/1.1 200 OK": Problem.STATUS_LINE,
+    b"http/1.1 200 OK": Problem.STATUS_LINE,
+    b"HTT": Problem.STATUS_LINE,
+    b"done": Problem.STATUS_LINE,
+}
+
+
+def read(*parts: bytes) -> Problem | None:
+    """Returns what is wrong with a head; None if it is complete and valid."""
+    reader = _response_heads.HeadReader()
+    try:
+        for part in parts:
+            assert reader.feed(part) == len(part)
+    except _response_heads.MalformedHeadError as error:
+        return error.problem
+    assert reader.is_complete
+    assert reader.content == b"".join(parts).lstrip(b"\r\n")
+    return None
+
+
+@pytest.mark.parametrize("ending", [b"\r\n", b"\n"])
+@pytest.mark.parametrize(("line", "problem"), STATUS_LINES.items())
+def test_status_line(
+    line: bytes, problem: Problem | None, ending: bytes
+) -> None:
+    whole = line + ending + b"A: b" + ending + ending
+    assert read(whole) is problem
+    assert read(*(bytes([byte]) for byte in whole)) is problem
+
+
+def test_statuses() -> None:
+    valid = {
+        status
+        for status in range(1_000)
+        if read(b"HTTP/1.1 %03d Odd\r\n\r\n" % status) is None
+    }
+    assert valid == {*range(100, 600)} - {101}
+
+
+@pytest.mark.parametrize("status", [100, 102, 103, 199, 200, 204, 304, 599])
+def test_head_tells_whether_another_one_follows(status: int) -> None:
+    reader = _response_heads.HeadReader()
+    reader.feed(b"HTTP/1.1 %d Odd\r\n\r\n" % status)
+    assert reader.is_interim is (status < 200)
+
+
+# Guards against: an answer was taken for one by how its bytes arrived.
+@pytest.mark.parametrize("start", [b"", b"\r\n", b"\n\r\n"])
+def test_head_ends_at_its_empty_line_however_it_arrives(start: bytes) -> None:
+    head = start + OK + b"A: b\nC:d\r\n\r\n"
+    rest = b"body\r\n\r\n"
+    for cuts in itertools.combinations(range(1, len(head)), 2):
+        reader = _response_heads.HeadReader()
+        used = sum(
+            reader.feed((head + rest)[begin:end])
+            for begin, end in itertools.pairwise((0, *cuts, None))
+            if not reader.is_complete
+        )
+        assert used == len(head)
+        assert reader.size_bytes == len(head)
+        assert reader.content == head[len(start) :]
+
+
+# Guards against: a server that sends no line end was waited for.
+@pytest.mark.parametrize("start", [b"d", b"HTTP/2", b"\r\nHTX", b"\x00"])
+def test_bytes_that_start_no_status_line_are_rejected_at_once(
+    start: bytes,
+) -> None:
+    assert read(start) is Problem.STATUS_LINE
+
+
+def test_error_quotes_a_bounded_part_of_the_line() -> None:
+    reader = _response_heads.HeadReader()
+    with pytest.raises(_response_heads.MalformedHeadError) as caught:
+        reader.feed(b"HTTP/1.1 000 " + b"x" * 10_000 + b"\r\n")
+    assert len(caught.value.excerpt) == _response_heads.EXCERPT_BYTES
+    assert caught.value.excerpt.startswith(b"HTTP/1.1 000 x")
