Reject heads with a line that begins with no valid name

Callers got answers in whose head the name of a field held a blank, with that line or with a body that was not the server's: "Content-Length : 2" was passed on, and the body was cut to two bytes by it; "Connection x: 2", "Upgrade : 2" and "Connection : 2" were passed on; with " Content-Length: 2" as the first line the body was cut to two bytes, too, and the line dropped; " X-Oddity: 2" became a part of the value before, the signature's among them. The same lines stood in interim heads.

Cause: the compiled parser of the HTTP library is lenient with responses. It drops a blank at the start of the first line, joins later lines that begin with one, and for names that it knows (Content-Length, Transfer-Encoding, Connection, Upgrade) takes a blank, and what follows it, for a part of the name. The parser in Python rejects most of these and joins lines, too. Other invalid names were rejected by both (502, or served elsewhere): the tests keep these.

Each line of a head now has to begin with a token and a colon (RFC 9110, section 5.1 and 5.6.2; RFC 9112, section 5). Lines that continue the one before are rejected as well: RFC 9112, section 5.2, lets a gateway answer 502 to them, and nothing tells them from a name that begins with a blank.

--- a/lagooncrank/server/_response_heads.py
+++ b/lagooncrank/server/_response_heads.py
@@ -21,6 +21,9 @@
 _STATUS_LINE: Final = re.compile(
     rb"HTTP/1\.[01] ([0-9]{3})(?: [\t -~\x80-\xff]*)?"
 )
+#: A name (a token of RFC 9110, section 5.6.2), a colon without a blank before
+#: it, and a value. Another first byte would also continue the line before.
+_HEADER_LINE: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*", re.DOTALL)
 #: Part of an invalid line that is kept for the log.
 EXCERPT_BYTES: Final = 80
 
@@ -39,6 +42,7 @@
 
     STATUS_LINE = "status_line", "its first line is no status line"
     STATUS = "status", "its status is not one of a response to a request"
+    HEADER_NAME = "header_name", "a line of its head begins with no valid name"
     SYNTAX = "syntax", "the HTTP parser rejects it"
 
 
@@ -119,9 +123,15 @@
             raise MalformedHeadError(Problem.STATUS_LINE, line)
 
     def _check_line(self, line: bytes) -> None:
-        if self._status is not None:
-            self.is_complete = not line
-        elif line:
+        if self._status is None:
+            self._check_first_line(line)
+        elif not line:
+            self.is_complete = True
+        elif _HEADER_LINE.fullmatch(line) is None:
+            raise MalformedHeadError(Problem.HEADER_NAME, line)
+
+    def _check_first_line(self, line: bytes) -> None:
+        if line:
             self._status = _parse_status(line)
         else:
             self._head_start = self._line_start
--- a/lagooncrank/server/tests/test_response_heads.py
+++ b/lagooncrank/server/tests/test_response_heads.py
@@ -1,6 +1,7 @@
 """Which bytes are the head of a response."""
 
 import itertools
+import string
 
 import pytest
 
@@ -40,6 +41,27 @@
     b"HTT": Problem.STATUS_LINE,
     b"done": Problem.STATUS_LINE,
 }
+#: Lines of a head, and why none of them is one; None if one is.
+HEADER_LINES = {
+    b"A:": None,
+    b"a: b": None,
+    b"X-Odd-1_2!#$%&'*+.^`|~: b": None,
+    b"A: b:c: d ": None,
+    b" A: b": Problem.HEADER_NAME,
+    b"\tA: b": Problem.HEADER_NAME,
+    b"A : b": Problem.HEADER_NAME,
+    b"A\t: b": Problem.HEADER_NAME,
+    b"A b: c": Problem.HEADER_NAME,
+    b": b": Problem.HEADER_NAME,
+    b"A": Problem.HEADER_NAME,
+    b" ": Problem.HEADER_NAME,
+    b"A\xc3\xa4: b": Problem.HEADER_NAME,
+}
+#: All but the one that ends a line.
+BYTES = {*range(256)} - {ord("\n")}
+TOKEN_BYTES = (
+    b"!#$%&'*+-.^_`|~" + (string.digits + string.ascii_letters).encode()
+)
 
 
 def read(*parts: bytes) -> Problem | None:
@@ -65,6 +87,30 @@
     assert read(*(bytes([byte]) for byte in whole)) is problem
 
 
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early\r\n"])
+@pytest.mark.parametrize("later", [b"", b"X: y\r\n"])
+@pytest.mark.parametrize(("line", "problem"), HEADER_LINES.items())
+def test_header_line(
+    line: bytes, problem: Problem | None, later: bytes, interim: bytes
+) -> None:
+    start = interim or OK
+    assert read(start + line + b"\r\n" + later + b"\r\n") is problem
+    assert read(start + later + line + b"\n\r\n") is problem
+
+
+# Guards against: parsers take some bytes for others, or leave them out.
+@pytest.mark.parametrize(
+    "line", [b"%cA: b", b"A%cB: c", b"A%c: b", b"Content-Length%c: 2"]
+)
+def test_bytes_of_a_name(line: bytes) -> None:
+    # A colon ends the name.
+    colon = b"" if line.startswith(b"%c") else b":"
+    valid = {
+        byte for byte in BYTES if read(OK + line % byte + b"\r\n\r\n") is None
+    }
+    assert valid == set(TOKEN_BYTES + colon)
+
+
 def test_statuses() -> None:
     valid = {
         status
