Reject heads with a control byte in a value

Callers of a lookup or a booking got no answer at all, their connection was closed, when a value in the head of a server's answer held a control byte: "X-Odd: a", 0x01, "b", or the same in Content-Type or the signature. With such a byte in a field that is not passed on (Keep-Alive, an interim head) the answer reached its caller.

Cause: both parsers of the library take control bytes in values of responses (the one in Python all but NUL, CR and LF), its writer refuses them: the error came when the head was to be written to the caller.

A value may now hold tabs, blanks, visible characters and bytes above 0x7f (RFC 9110, section 5.5), as the reason may; such an answer is lost like the others.

--- a/lagooncrank/server/_response_heads.py
+++ b/lagooncrank/server/_response_heads.py
@@ -21,9 +21,11 @@
 _STATUS_LINE: Final = re.compile(
     rb"HTTP/1\.[01] ([0-9]{3})(?: [\t -~\x80-\xff]*)?"
 )
-#: A name (a token of RFC 9110, section 5.6.2), a colon without a blank before
-#: it, and a value. Another first byte would also continue the line before.
-_HEADER_LINE: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*", re.DOTALL)
+#: A name (a token of RFC 9110, section 5.6.2) and a colon, with no blank before
+#: either: one at the start would also continue the line before.
+_HEADER_NAME: Final = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):")
+#: A value: no control bytes but tabs (RFC 9110, section 5.5).
+_HEADER_VALUE: Final = re.compile(rb"[\t -~\x80-\xff]*")
 #: Part of an invalid line that is kept for the log.
 EXCERPT_BYTES: Final = 80
 
@@ -43,6 +45,7 @@
     STATUS_LINE = "status_line", "its first line is no status line"
     STATUS = "status", "its status is not one of a response to a request"
     HEADER_NAME = "header_name", "a line of its head begins with no valid name"
+    HEADER_VALUE = "header_value", "a value in its head has a control byte"
     SYNTAX = "syntax", "the HTTP parser rejects it"
 
 
@@ -127,8 +130,8 @@
             self._check_first_line(line)
         elif not line:
             self.is_complete = True
-        elif _HEADER_LINE.fullmatch(line) is None:
-            raise MalformedHeadError(Problem.HEADER_NAME, line)
+        else:
+            _check_header(line)
 
     def _check_first_line(self, line: bytes) -> None:
         if line:
@@ -137,6 +140,19 @@
             self._head_start = self._line_start
 
 
+def _check_header(line: bytes) -> None:
+    """Checks a line of a head after the first.
+
+    Raises:
+        MalformedHeadError: It is no name with a value.
+    """
+    name = _HEADER_NAME.match(line)
+    if name is None:
+        raise MalformedHeadError(Problem.HEADER_NAME, line)
+    if _HEADER_VALUE.fullmatch(line, name.end()) is None:
+        raise MalformedHeadError(Problem.HEADER_VALUE, line)
+
+
 def _parse_status(line: bytes) -> int:
     """Returns the status of a response to a request.
 
--- a/lagooncrank/server/tests/test_response_heads.py
+++ b/lagooncrank/server/tests/test_response_heads.py
@@ -47,6 +47,13 @@
     b"a: b": None,
     b"X-Odd-1_2!#$%&'*+.^`|~: b": None,
     b"A: b:c: d ": None,
+    b"A:\tb\tc\t": None,
+    b'A:"b, ; c\xe9\x80\xff': None,
+    b"A: b\rc": Problem.HEADER_VALUE,
+    b"A: b\r\r": Problem.HEADER_VALUE,
+    b"A: \x00": Problem.HEADER_VALUE,
+    b"A:\x01b": Problem.HEADER_VALUE,
+    b"A: b\x7f": Problem.HEADER_VALUE,
     b" A: b": Problem.HEADER_NAME,
     b"\tA: b": Problem.HEADER_NAME,
     b"A : b": Problem.HEADER_NAME,
@@ -111,6 +118,14 @@
     assert valid == set(TOKEN_BYTES + colon)
 
 
+@pytest.mark.parametrize("line", [b"A:%cb", b"A: b%cc", b"A: b%c"])
+def test_bytes_of_a_value(line: bytes) -> None:
+    valid = {
+        byte for byte in BYTES if read(OK + line % byte + b" c\r\n\r\n") is None
+    }
+    assert valid == {ord("\t"), *range(0x20, 0x7F), *range(0x80, 0x100)}
+
+
 def test_statuses() -> None:
     valid = {
         status
