Answer with one whole failure if a head cannot be written

If the head of an answer cannot be written to its caller, for whatever reason, callers of lookups and bookings had their connection closed without an answer, and callers of streams got "500" with "Content-Length: 97" and 108 bytes: the failure with its length, framed as chunks, because the connection's writer had been set to chunks for the answer before it. Its text was that of the exception, which may quote what a server sent.

Cause: a failure to begin an answer was handled like one in its middle, and the HTTP library sets the framing of a connection before it writes a head.

Nothing is written when a head fails, so the failure that the entry already has for its own errors takes the place of the answer: 500, outcome unknown, in one framing. Its text is the meaning of the code; the exception stands in the log (request_failed).

Evidence: test_head_that_cannot_be_written_is_one_whole_failure adds a control byte behind the codec, as no answer of a server can hold one any more.

--- a/lagooncrank/server/seeded/_caller_server.py
+++ b/lagooncrank/server/seeded/_caller_server.py
@@ -127,9 +127,12 @@
         except Exception as error:
             code = results.ResultCode.INTERNAL_ERROR
             refusal = results.Refusal(
-                code, repr(error), results.ExecutionStatus.UNKNOWN
+                code, code.meaning, results.ExecutionStatus.UNKNOWN
+            )
+            # The error may quote what a server sent: it is for the log only.
+            return self.refuse(
+                exchange.request_head, refusal, exchange, problem=repr(error)
             )
-            return self.refuse(exchange.request_head, refusal, exchange)
 
     def read_head(self, request: web.BaseRequest) -> _adapter.RequestHead:
         """Decodes the head of a request.
@@ -251,10 +254,20 @@
         request_head: _adapter.RequestHead | None,
         refusal: results.Refusal,
         exchange: _exchange.Exchange | None = None,
+        problem: str = "",
     ) -> web.Response:
-        """Returns the response that refuses a request, and logs it."""
+        """Returns the response that refuses a request, and logs it.
+
+        Args:
+            request_head: The request; None if it is malformed.
+            refusal: Why; its reason is the body of the response.
+            exchange: State of the request, if it was admitted.
+            problem: Logged instead of the reason.
+        """
         self._metrics.count_refusal(refusal.code)
-        self._log_refusal(request_head, refusal, exchange)
+        self._log_refusal(
+            request_head, refusal, exchange, problem or refusal.reason
+        )
         headers = self._codec.refusal_headers(request_head, refusal)
         response = web.Response(
             status=refusal.code.http_status,
@@ -288,15 +301,16 @@
         request_head: _adapter.RequestHead | None,
         refusal: results.Refusal,
         exchange: _exchange.Exchange | None,
+        reason: str,
     ) -> None:
         if exchange is None or refusal.ran is results.ExecutionStatus.NOT_RUN:
             request = request_head.attempt_id if request_head else ""
-            self._log.record_refusal(refusal.code.name, refusal.reason, request)
+            self._log.record_refusal(refusal.code.name, reason, request)
             return
         self._log.write(
             decisions.Event.FAILED,
             code=refusal.code.name,
-            reason=refusal.reason,
+            reason=reason,
             **exchange.log_fields(self._clock),
         )
 
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 import aiohttp
+from aiohttp import http_writer
 from aiohttp import web
 
 from lagooncrank import clock as clocks
@@ -128,8 +129,8 @@
         response: web.Response,
     ) -> web.Response:
         """Writes a response; its body is held until the caller has read it."""
+        await _write_head(request, response)
         with self._recording_ends(request, exchange) as end:
-            await response.prepare(request)
             await response.write_eof()
             end.is_reached = True
         if end.is_reached:
@@ -214,7 +215,7 @@
         if _accepts_chunks(request):
             response.enable_chunked_encoding()
         try:
-            await response.prepare(request)
+            await _write_head(request, response)
         except BaseException:
             backend_response.close()
             self._forwarder.close(exchange, target)
@@ -273,6 +274,22 @@
         )
 
 
+async def _write_head(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Begins a response; if that fails, another one may take its place."""
+    try:
+        await response.prepare(request)
+    except BaseException:
+        # Nothing was written, but the connection would frame the next response
+        # like this one.
+        writer = request.writer
+        assert isinstance(writer, http_writer.StreamWriter)
+        writer.chunked = False
+        writer.length = None
+        raise
+
+
 def _is_stream(
     exchange: _exchange.Exchange, backend_response: _attempt.BackendResponse
 ) -> bool:
