Reject heads that do not tell where their body ends

Where the compiled part of the HTTP library is missing, callers got a body cut by the first of two lengths (two lines, "Content-Length: 2" beside 21), or another one by a second; with "Transfer-Encoding: chunked" twice they got an answer on both parsers, and a booking's 502 quoted the server's body. The daemon with a static list took a body with a coding other than chunks for the whole one.

Cause: which framing lines a parser rejects is left to it: the one in Python is lax with responses about a header that comes twice, the compiled one about the coding; only entries with seeds looked at codings, after the parser.

The head of a final response may have one length, digits only, or the coding "chunked", once (RFC 9112, section 6.3); both or others are rejected before a parser sees them. A length of an interim head is no framing.

--- a/lagooncrank/server/_response_heads.py
+++ b/lagooncrank/server/_response_heads.py
@@ -26,6 +26,10 @@
 _HEADER_NAME: Final = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):")
 #: A value: no control bytes but tabs (RFC 9110, section 5.5).
 _HEADER_VALUE: Final = re.compile(rb"[\t -~\x80-\xff]*")
+#: Length of a body. Longer numbers are beyond each limit on bodies.
+_LENGTH: Final = re.compile(rb"[0-9]{1,18}")
+#: The only coding that responses may have, as requests ask for no other.
+_CODING: Final = b"chunked"
 #: Part of an invalid line that is kept for the log.
 EXCERPT_BYTES: Final = 80
 
@@ -46,6 +50,7 @@
     STATUS = "status", "its status is not one of a response to a request"
     HEADER_NAME = "header_name", "a line of its head begins with no valid name"
     HEADER_VALUE = "header_value", "a value in its head has a control byte"
+    FRAMING = "framing", "its head does not tell where the body ends"
     SYNTAX = "syntax", "the HTTP parser rejects it"
 
 
@@ -75,6 +80,9 @@
         self._head_start = 0
         self._line_start = 0
         self._status: int | None = None
+        #: Values of the headers that frame the body.
+        self._lengths: list[bytes] = []
+        self._codings: list[bytes] = []
         #: Whether the empty line at the end of the head was received.
         self.is_complete = False
 
@@ -128,10 +136,36 @@
     def _check_line(self, line: bytes) -> None:
         if self._status is None:
             self._check_first_line(line)
-        elif not line:
-            self.is_complete = True
+        elif line:
+            self._check_header(line)
         else:
-            _check_header(line)
+            self._check_framing()
+            self.is_complete = True
+
+    def _check_header(self, line: bytes) -> None:
+        found = _HEADER_NAME.match(line)
+        if found is None:
+            raise MalformedHeadError(Problem.HEADER_NAME, line)
+        if _HEADER_VALUE.fullmatch(line, found.end()) is None:
+            raise MalformedHeadError(Problem.HEADER_VALUE, line)
+        name = found[1].lower()
+        if name == b"content-length":
+            self._lengths.append(line[found.end() :].strip(b" \t"))
+        elif name == b"transfer-encoding":
+            self._codings.append(line[found.end() :].strip(b" \t").lower())
+
+    def _check_framing(self) -> None:
+        """Checks that all recipients see the same end of the body.
+
+        An interim response has no body, whatever its head states (RFC 9112,
+        section 6.3).
+        """
+        framing = (*self._lengths, *self._codings)
+        if self.is_interim or not framing:
+            return
+        is_length = bool(self._lengths) and _LENGTH.fullmatch(framing[0])
+        if len(framing) > 1 or not (is_length or self._codings == [_CODING]):
+            raise MalformedHeadError(Problem.FRAMING, b", ".join(framing))
 
     def _check_first_line(self, line: bytes) -> None:
         if line:
@@ -140,19 +174,6 @@
             self._head_start = self._line_start
 
 
-def _check_header(line: bytes) -> None:
-    """Checks a line of a head after the first.
-
-    Raises:
-        MalformedHeadError: It is no name with a value.
-    """
-    name = _HEADER_NAME.match(line)
-    if name is None:
-        raise MalformedHeadError(Problem.HEADER_NAME, line)
-    if _HEADER_VALUE.fullmatch(line, name.end()) is None:
-        raise MalformedHeadError(Problem.HEADER_VALUE, line)
-
-
 def _parse_status(line: bytes) -> int:
     """Returns the status of a response to a request.
 
