Quote nothing that a server sent in a failure of ours

A caller's 502 held what a server had sent: some 250 bytes of a chunk that has no size, or of a broken head, as the HTTP library's error shows them, and the attempt id of an answer to another request.

Cause: the text of a failed attempt served both the log and the caller.

What a server sent that is no response, or none to the request, now stands beside that text, bounded, and is logged only (response_malformed); the caller reads what was wrong in our own words.

--- a/lagooncrank/server/seeded/_attempt.py
+++ b/lagooncrank/server/seeded/_attempt.py
@@ -383,7 +383,8 @@
     if request_head.attempt_id and head.attempt_id != request_head.attempt_id:
         raise AttemptFailedError(
             FailureKind.RESPONSE_LOST,
-            f"the response is for attempt {head.attempt_id!r}",
+            "the response is for another attempt",
+            received=f"attempt id {head.attempt_id!r}",
         )
 
 
--- a/lagooncrank/server/seeded/_delegator.py
+++ b/lagooncrank/server/seeded/_delegator.py
@@ -248,7 +248,9 @@
         return _delegated_request.Outcome.decode(texts[-1] if texts else "")
     except _delegated_request.DelegationError as error:
         raise _attempt.AttemptFailedError(
-            _attempt.FailureKind.RESPONSE_LOST, str(error)
+            _attempt.FailureKind.RESPONSE_LOST,
+            "the response states no outcome of another entry",
+            received=str(error),
         ) from error
 
 
--- a/lagooncrank/server/seeded/_event_sequence.py
+++ b/lagooncrank/server/seeded/_event_sequence.py
@@ -55,7 +55,8 @@
         if self._misplaced is not None:
             raise _attempt.AttemptFailedError(
                 _attempt.FailureKind.RESPONSE_LOST,
-                f"after event {self._last_id}, the stream continues with "
+                "the stream continues with an event that does not fit",
+                received=f"after event {self._last_id}: "
                 f"{self._misplaced.raw[: _attempt.MAX_DETAIL_CHARS]!r}",
             )
 
