Tests: no reader of a daemon takes broken bytes for an answer

The daemon with a static list passed the same bytes to callers: of twelve answers whose head is none, a repeatable call and a booking returned ten with the compiled parser and eight with the one in Python on, a booking's was stored for the repeats of the call, orders to engines counted eleven and eight as failed (no answer at all is "unanswered": it may have been carried out), and streams of engines began with some.

--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -42,6 +42,8 @@
         #: Whether connections are aborted between the run of a call and its
         #: response.
         self.drops_responses = False
+        #: Bytes that are written instead of responses; None for none.
+        self.raw_response: bytes | None = None
 
     def app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -81,6 +83,10 @@
         if self.drops_responses and request.transport is not None:
             request.transport.abort()
             await asyncio.Event().wait()
+        if self.raw_response is not None and request.transport is not None:
+            request.transport.write(self.raw_response)
+            request.transport.close()
+            await asyncio.Event().wait()
         await self.may_respond.wait()
         response_body = {
             "server": self._backend_server_id,
