Command line: read entries' answers like everything else does

Operators' commands took broken bytes for an entry's answer: a status of 000, a blank in a name, a length that is not one. A change (POST) was then reported as "cannot connect", not run, though the entry may have made it.

Cause: the command line opened a session of the HTTP library of its own.

It uses the connections that all other readers use; such an answer is lost: the next entry is asked after a read, and a change has an unknown outcome.

--- a/lagooncrank/cli/_client.py
+++ b/lagooncrank/cli/_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from lagooncrank import results
+from lagooncrank.server import _bounded_http
 
 #: Longest wait for one response of one entry.
 RESPONSE_TIMEOUT_S = 10.0
@@ -68,8 +69,10 @@
 
     async def _request(self, method: str, path: str, body: Any) -> Any:
         failures: list[_Failure] = []
-        async with aiohttp.ClientSession(
-            headers=self._headers, timeout=self._timeout
+        async with _bounded_http.open_session(
+            _bounded_http.BoundedConnector(),
+            self._timeout,
+            headers=self._headers,
         ) as session:
             for entry in self._entries:
                 response = await self._send_to_entry(
