--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -319,6 +319,7 @@
         "model",
         "server",
         "status",
+        "problem",
     )
     STEP_FAILED = (
         "step_failed",
--- a/lagooncrank/server/seeded/_adapter.py
+++ b/lagooncrank/server/seeded/_adapter.py
@@ -183,3 +183,5 @@
 
     #: HTTP status; 0 if there was no response.
     status: int
+    #: Why there was no response; empty if there was one.
+    problem: str = ""
--- a/lagooncrank/server/seeded/_group_actions.py
+++ b/lagooncrank/server/seeded/_group_actions.py
@@ -210,6 +210,7 @@
             model=order.model_name,
             server=order.member.server_id,
             status=outcome.status,
+            problem=outcome.problem,
         )
 
     async def _send(
@@ -230,4 +231,5 @@
             epoch=order.group.epoch,
             server=order.member.server_id,
             status=outcome.status,
+            problem=outcome.problem,
         )
