Return values of headers with the bytes that the server sent

A byte above 0x7f that is no UTF-8 was missing from the value that a caller got: "X-Odd: caf", 0xe9 arrived as "X-Odd: caf", a signature of such a byte empty. With the library's writer in Python the head could not be written at all.

Cause: the HTTP library decodes values as UTF-8 and keeps other bytes as surrogates, which its compiled writer leaves out. Such bytes are allowed and opaque to those in between (RFC 9110, section 5.5).

Heads of relayed responses whose values are not all ASCII are encoded the same way back, checked like a head that we read, and written as one. Other heads are written by the library as before.

--- a/lagooncrank/server/_bounded_http.py
+++ b/lagooncrank/server/_bounded_http.py
@@ -284,8 +284,7 @@
     def _receive_head(self, data: bytes) -> int:
         """Accepts bytes of a head, and passes it on once it is complete.
 
-        Interim responses are not passed on, as nobody reads them; with a length
-        or chunks, parsers would take the start of the next head for their body.
+        Interim responses are not passed on, as nobody reads them.
 
         Returns:
             The number of bytes that belong to the head.
--- a/lagooncrank/server/http/_services.py
+++ b/lagooncrank/server/http/_services.py
@@ -14,6 +14,7 @@
 from lagooncrank import settings
 from lagooncrank.server import _plain_calls
 from lagooncrank.server import _plain_client
+from lagooncrank.server import _relayed_responses
 from lagooncrank.server.http import _auth
 from lagooncrank.server.http import _body
 from lagooncrank.server.http import _completions
@@ -73,7 +74,7 @@
                 response = await self._repeatable.run(call)
             else:
                 response = await self._run_at_most_once(call)
-        return web.Response(
+        return _relayed_responses.RelayedResponse(
             status=response.status,
             headers=multidict.CIMultiDict(response.headers),
             body=response.body,
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -16,6 +16,7 @@
 from lagooncrank.core import dispatch
 from lagooncrank.server import _buffer_budget
 from lagooncrank.server import _deadlines
+from lagooncrank.server import _relayed_responses
 from lagooncrank.server import _sockets
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
@@ -114,7 +115,7 @@
             )
             if is_success and backend_response.is_framed:
                 self._forwarder.outcomes.record_complete(exchange, target)
-            response = web.Response(
+            response = _relayed_responses.RelayedResponse(
                 status=backend_response.head.status, body=body
             )
             _set_headers(response, backend_response, exchange, target)
@@ -207,7 +208,9 @@
         backend_response: _attempt.BackendResponse,
         is_closing: Callable[[], bool],
     ) -> web.StreamResponse:
-        response = web.StreamResponse(status=backend_response.head.status)
+        response = _relayed_responses.RelayedStream(
+            status=backend_response.head.status
+        )
         _set_headers(response, backend_response, exchange, target)
         if is_closing():
             response.force_close()
