--- a/conftest.py
+++ b/conftest.py
@@ -8,6 +8,8 @@
 
 import pathlib
 
+from aiohttp import client_proto
+from aiohttp import http_parser
 import hypothesis
 import pytest
 
@@ -44,3 +46,15 @@
                 reason="listed in KNOWN-RED.txt", strict=item.nodeid in always
             )
             item.add_marker(mark)
+
+
+@pytest.fixture(
+    # The same class where the compiled parser is missing.
+    params=[http_parser.HttpResponseParser, http_parser.HttpResponseParserPy],
+    ids=["default", "python"],
+)
+def each_parser(
+    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Lets clients use one of the parsers of the HTTP library."""
+    monkeypatch.setattr(client_proto, "HttpResponseParser", request.param)
--- a/lagooncrank/cli/tests/test_malformed_responses.py
+++ b/lagooncrank/cli/tests/test_malformed_responses.py
@@ -1,7 +1,5 @@
 """What commands make of bytes that are no response of an entry."""
 
-from aiohttp import client_proto
-from aiohttp import http_parser
 import pytest
 
 from lagooncrank import results
@@ -9,21 +7,11 @@
 from lagooncrank.server.tests import malformed_heads
 from lagooncrank.server.tests import raw_server
 
+pytestmark = pytest.mark.usefixtures("each_parser")
 ANSWERS = malformed_heads.ANSWERS
 Code = results.ResultCode
 
 
-@pytest.fixture(
-    autouse=True,
-    params=[http_parser.HttpResponseParser, http_parser.HttpResponseParserPy],
-    ids=["default", "python"],
-)
-def _parser(
-    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    monkeypatch.setattr(client_proto, "HttpResponseParser", request.param)
-
-
 # Guards against: an operator's command took them for an entry's answer.
 @pytest.mark.parametrize("name", ANSWERS)
 async def test_command_of_an_operator(name: str) -> None:
--- a/lagooncrank/server/tests/test_malformed_responses.py
+++ b/lagooncrank/server/tests/test_malformed_responses.py
@@ -3,8 +3,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from aiohttp import client_proto
-from aiohttp import http_parser
 import pytest
 
 from lagooncrank import clock as clocks
@@ -29,22 +27,12 @@
 TIMEOUT_MS = 30_000
 FIRST_BYTE = timeouts.TimeoutBounds(TIMEOUT_MS, TIMEOUT_MS, TIMEOUT_MS)
 REQUEST = _plain_client.PlainRequest("GET", "/x", (), b"")
+pytestmark = pytest.mark.usefixtures("each_parser")
 ANSWERS = malformed_heads.ANSWERS
 Code = results.ResultCode
 Call = Callable[[str], Awaitable[None]]
 
 
-@pytest.fixture(
-    autouse=True,
-    params=[http_parser.HttpResponseParser, http_parser.HttpResponseParserPy],
-    ids=["default", "python"],
-)
-def _parser(
-    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    monkeypatch.setattr(client_proto, "HttpResponseParser", request.param)
-
-
 def new_server(name: str) -> raw_server.RawServer:
     return raw_server.RawServer([ANSWERS[name]], resets=False)
 
