--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -97,7 +97,7 @@
     )
     RUN_LOST = (
         "run_lost",
-        "A connection broke before the response was complete.",
+        "A response was lost: its connection broke, or it was malformed.",
         "request",
         "server",
         "born_ms",
