--- a/review/common2/client.py
+++ b/review/common2/client.py
@@ -136,3 +136,52 @@
         "tenants": [{"name": "acme", "api_keys": [KEY], "priority": 1}],
         **changes,
     }
+
+
+def with_drafts(base: dict[str, object]) -> dict[str, object]:
+    """Returns a document with a service of model runners beside the others.
+
+    Figures are those of the sheets; groups have two runners.
+    """
+    routes = base["routes"]
+    services = base["services"]
+    assert isinstance(routes, list)
+    assert isinstance(services, list)
+    draft = routes[0] | {
+        "name": "draft",
+        "path_prefix": "/draft/",
+        "type": "streaming",
+        "timeout_ms": 6_000,
+        "target_latency_ms": 300,
+        "service": "writers",
+        "session_affinity": True,
+        "resumable": True,
+        "gap_aim_ms": 200,
+    }
+    engine = {
+        "slots": 13,
+        "kv_capacity_tokens": 700_000,
+        "stride": 5,
+        "models": [
+            {
+                "name": "m0",
+                "size": 2,
+                "share": 1.0,
+                "pace": 1.0,
+                "load_s": 12.0,
+                "warm_s": 1.6,
+            }
+        ],
+        "step_ms": 6.07,
+        "per_seq_ms": 0.482,
+        "read_per_s": 46_000.0,
+        "loads_per_s": 4.0,
+        "loads_at_once": 6,
+        "usual": {"prompt": 1_076, "answer": 116},
+    }
+    writers = services[0] | {
+        "name": "writers",
+        "max_connections": 394,
+        "engine": engine,
+    }
+    return base | {"routes": [*routes, draft], "services": [*services, writers]}
