--- a/review/common2/server.py
+++ b/review/common2/server.py
@@ -49,12 +49,35 @@
 
     async def start(self) -> None:
         """Starts to listen and to report."""
+        await self._listen()
+        self._reporting = asyncio.create_task(self._report_periodically())
+
+    async def crash(self, down_s: float, first_ping_s: float) -> None:
+        """Ends the process; it starts again under its id and address.
+
+        Args:
+            down_s: Time until it is back.
+            first_ping_s: Time from its return until its first ping arrives.
+        """
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.born_ms = int(time.time() * 1_000)
+        self._sequence = 0
+        await self._listen()
+        self._reporting = asyncio.create_task(
+            self._report_periodically(first_ping_s)
+        )
+
+    async def _listen(self) -> None:
+        host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(
-            self._serve, self._deployment.server_ip, 0
+            self._serve,
+            host or self._deployment.server_ip,
+            int(port or 0),
+            reuse_address=True,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
-        self._reporting = asyncio.create_task(self._report_periodically())
 
     async def stop(self) -> None:
         """Stops without a word."""
@@ -64,7 +87,7 @@
             self._server.close()
         for task in tuple(self._tasks):
             task.cancel()
-        await asyncio.sleep(0)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def report(self) -> dict[str, object]:
         """Returns the next report."""
@@ -81,11 +104,16 @@
             "born": self.born_ms,
         }
 
+    def rest_for(self, writer: asyncio.StreamWriter) -> float | None:
+        """Returns the rest to ask a caller for; None to run its request."""
+        return None
+
     async def send_report(self) -> bool:
         """Sends a report to one node after the other until one takes it."""
         return await send_report(self._deployment, self.server_id, self.report())
 
-    async def _report_periodically(self) -> None:
+    async def _report_periodically(self, first_ping_s: float = 0.0) -> None:
+        await asyncio.sleep(first_ping_s)
         while True:
             await self.send_report()
             await asyncio.sleep(REPORT_INTERVAL_S)
@@ -120,6 +148,11 @@
             line = "HTTP/1.1 421 Misdirected Request"
             writer.write(wire.encode(line, headers, b""))
             return
+        if (rest_s := self.rest_for(writer)) is not None:
+            headers |= {"Not-Executed": "1", "Retry-After": f"{rest_s:g}"}
+            line = "HTTP/1.1 503 Service Unavailable"
+            writer.write(wire.encode(line, headers, b""))
+            return
         self.runs.append(attempt_id)
         self._record.write(f"{self.server_id} runs {attempt_id}")
         await asyncio.sleep(self._work(request))
