--- a/review/10/case.py
+++ b/review/10/case.py
@@ -137,7 +137,7 @@
     try:
         has_trouble = os.environ.get("TROUBLE", "1") != "0"
         return asyncio.run(run(record, has_trouble=has_trouble))
-    except (*nodes.ERRORS, AssertionError) as error:
+    except (*nodes.ERRORS, AssertionError, KeyboardInterrupt) as error:
         record.write(f"the case could not run: {error!r}")
         return 2
     finally:
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -100,8 +100,9 @@
     )
     for outcome in lost:
         record.write(
-            f"LOST: {outcome.attempt_id} sent {outcome.sent_s - stopped_s:.2f} s "
-            f"after SIGTERM, passed on to a sound server, ended "
+            f"LOST: {outcome.attempt_id} sent "
+            f"{outcome.sent_s - stopped_s:.2f} s after SIGTERM, passed on to a "
+            "sound server, ended "
             f"{outcome.ended_s - stopped_s:.2f} s after it without an answer"
         )
     if not has_trouble and len(served) < LONG_COUNT:
@@ -109,9 +110,7 @@
     return 1 if lost else 0
 
 
-def _is_lost(
-    outcome: clients.Outcome, ran: set[str], stopped_s: float
-) -> bool:
+def _is_lost(outcome: clients.Outcome, ran: set[str], stopped_s: float) -> bool:
     """Returns whether a request counts as lost by the rule and its excuses."""
     was_passed_on = outcome.attempt_id in ran
     has_time_left = outcome.ended_s - outcome.sent_s < LIMIT_MS / 1_000 - 0.5
@@ -132,7 +131,7 @@
     try:
         has_trouble = os.environ.get("TROUBLE", "1") != "0"
         return asyncio.run(run(record, has_trouble=has_trouble))
-    except (*nodes.ERRORS, AssertionError) as error:
+    except (*nodes.ERRORS, AssertionError, KeyboardInterrupt) as error:
         record.write(f"the case could not run: {error!r}")
         return 2
     finally:
--- a/review/common2/client.py
+++ b/review/common2/client.py
@@ -115,8 +115,13 @@
         "version": version,
         "routes": [
             route
-            | {"name": "book", "path_prefix": "/book/", "type": "non_idempotent"},
-            route | {"name": "look", "path_prefix": "/look/", "type": "idempotent"},
+            | {
+                "name": "book",
+                "path_prefix": "/book/",
+                "type": "non_idempotent",
+            },
+            route
+            | {"name": "look", "path_prefix": "/look/", "type": "idempotent"},
         ],
         "services": [
             {
--- a/review/common2/engine.py
+++ b/review/common2/engine.py
@@ -1,4 +1,4 @@
-"""Sound model runner: joins groups on orders, and streams if its group is open."""
+"""Sound model runner: joins groups on orders, streams if its group is open."""
 
 import asyncio
 from collections.abc import Callable
--- a/review/common2/nodes.py
+++ b/review/common2/nodes.py
@@ -146,14 +146,22 @@
     """Control nodes and entries on loopback addresses of their own."""
 
     def __init__(
-        self, controls: int = 3, entries: int = 2, retry_extra: int = RETRY_EXTRA
+        self,
+        controls: int = 3,
+        entries: int = 2,
+        retry_extra: int = RETRY_EXTRA,
     ) -> None:
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._temporary.name)
         self.retry_extra = retry_extra
         names = (
-            "callers", "readiness", "operators", "directory", "metrics",
-            "peers", "delegation",
+            "callers",
+            "readiness",
+            "operators",
+            "directory",
+            "metrics",
+            "peers",
+            "delegation",
         )
         count = controls + entries
         while True:
@@ -163,7 +171,9 @@
             ips = [f"{network}.{i + 1}" for i in range(count)]
             if all(_is_free(ip, self.ports) for ip in ips):
                 break
-        self.seeds = [f"{ip}:{self.ports['operators']}" for ip in ips[:controls]]
+        self.seeds = [
+            f"{ip}:{self.ports['operators']}" for ip in ips[:controls]
+        ]
         self.controls = [Node(self, "control", ip) for ip in ips[:controls]]
         self.entries = [Node(self, "entry", ip) for ip in ips[controls:]]
         #: Last byte of further addresses in the network of the deployment.
--- a/review/common2/server.py
+++ b/review/common2/server.py
@@ -110,7 +110,9 @@
 
     async def send_report(self) -> bool:
         """Sends a report to one node after the other until one takes it."""
-        return await send_report(self._deployment, self.server_id, self.report())
+        return await send_report(
+            self._deployment, self.server_id, self.report()
+        )
 
     async def _report_periodically(self, first_ping_s: float = 0.0) -> None:
         await asyncio.sleep(first_ping_s)
--- a/review/common2/wire.py
+++ b/review/common2/wire.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 messages on streams, as clients and servers of the pages use them."""
+"""HTTP/1.1 messages on streams, as clients and servers use them."""
 
 import asyncio
 import dataclasses
@@ -68,7 +68,9 @@
             await reader.readuntil(b"\n")
             if not size:
                 return bytes(body)
-    return await reader.readexactly(int(head.headers.get("content-length", "0")))
+    return await reader.readexactly(
+        int(head.headers.get("content-length", "0"))
+    )
 
 
 async def read_message(reader: asyncio.StreamReader) -> Message | None:
