--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,12 +5,12 @@
 """
 
 import asyncio
-import os
 import pathlib
 import signal
 import sys
 
 from review.common2 import client as clients
+from review.common2 import main
 from review.common2 import nodes
 from review.common2 import record as records
 from review.common2 import server as servers
@@ -125,18 +125,5 @@
     )
 
 
-def main() -> int:
-    """Runs the case; returns 1 if the rule was broken, 0 if not, 2 if unrun."""
-    record = records.Record(FOLDER)
-    try:
-        has_trouble = os.environ.get("TROUBLE", "1") != "0"
-        return asyncio.run(run(record, has_trouble=has_trouble))
-    except (*nodes.ERRORS, AssertionError, KeyboardInterrupt) as error:
-        record.write(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main.main(FOLDER, run))
