Accept late in a planned stop only what must end before the cut

Cause: a request was accepted late if 1.5 times the longest recent duration of its route fitted into what was left. Requests before it bound nothing; the plan took the later of that guess and the deadline's bound, so the guess won.

Ruled out: the servers (they answer at 7.9 s), the drain (it waits until the cut), the time limit (8 s, over at 11.3 s).

The deadline alone decides now, for each kind of request, and the module that learned durations is gone.

A request that was accepted early and has no response shortly before the cut now gets one whole failure, 502, instead of a closed connection; and responses are awaited until 7.6 s of 8 s, as the end of the process needs about 0.2 s.

Tests: 4 of 8 rows of test_request_that_may_be_cut_is_refused_as_not_run and 4 of 4 of test_request_without_a_response_at_the_end_is_told_so failed before. Replaced: test_durations.py, the rows with learned durations and test_durations_are_learned_from_responses_of_the_same_service required the guess itself; what ends in time is now served on all four paths, with and without a size. test_accepted_requests_are_answered_during_a_planned_stop sent look-ups of 20 s and required that none is refused; with 1.5 s that still holds, and those of 20 s are answered or refused.

--- a/lagooncrank/core/drain/__init__.py
+++ b/lagooncrank/core/drain/__init__.py
@@ -1,11 +1,9 @@
 """Planned stops: which requests still end before their connections are cut."""
 
-from lagooncrank.core.drain._durations import RecentDurations
 from lagooncrank.core.drain._stop_plan import MAX_PAUSE_MS
 from lagooncrank.core.drain._stop_plan import StopPlan
 
 __all__ = [
     "MAX_PAUSE_MS",
-    "RecentDurations",
     "StopPlan",
 ]
--- a/lagooncrank/core/drain/_stop_plan.py
+++ b/lagooncrank/core/drain/_stop_plan.py
@@ -3,15 +3,20 @@
 import dataclasses
 from typing import Final
 
-#: Fraction of the grace period after which what still runs is cut. The rest of
-#: it is for the end of the process itself.
-CUT_FRACTION: Final = 0.93
-#: Fraction for which each request is served; streams that began then mostly end
-#: before the cut.
+#: Time before the end of the grace period at which what still runs is cut. The
+#: connections are closed and the process ends in it.
+END_RESERVE_MS: Final = 300
+#: Fraction of a short grace period after which it is cut.
+MIN_CUT_FRACTION: Final = 0.93
+#: Time before the cut at which the wait for responses ends, so that their
+#: callers are still told.
+ANSWER_RESERVE_MS: Final = 100
+#: Fraction of a short grace period for which responses are awaited.
+MIN_ANSWER_FRACTION: Final = 0.9
+#: Fraction of the grace period for which each request is served, and new
+#: connections are accepted. Streams that began then mostly end before the cut;
+#: later a refused connection sends callers to another entry at once.
 SERVE_ALL_FRACTION: Final = 0.35
-#: Fraction for which new connections are accepted: few requests fit later, and
-#: the entry is back sooner if it ends.
-ACCEPT_FRACTION: Final = 0.5
 #: Shortest duration that is expected of any request.
 MIN_DURATION_MS: Final = 300
 #: Longest time for which a sound backend server falls silent and goes on.
@@ -23,14 +28,14 @@
     """Times of one planned stop.
 
     >>> plan = StopPlan.from_grace(0, grace_ms=8_000)
-    >>> plan.serves_all_until_ms, plan.accepts_until_ms, plan.cut_ms
-    (2800, 4000, 7440)
+    >>> plan.serves_all_until_ms, plan.answers_until_ms, plan.cut_ms
+    (2800, 7600, 7700)
     """
 
-    #: Until then each request is served.
+    #: Until then each request is served, and connections are accepted.
     serves_all_until_ms: int
-    #: Until then new connections are accepted.
-    accepts_until_ms: int
+    #: When requests without a response are ended, and their callers told.
+    answers_until_ms: int
     #: When the remaining requests are cut.
     cut_ms: int
 
@@ -42,10 +47,17 @@
             started_ms: Current time.
             grace_ms: Time after which the process is killed.
         """
+        cut_after_ms = max(
+            grace_ms - END_RESERVE_MS, int(grace_ms * MIN_CUT_FRACTION)
+        )
+        answer_after_ms = max(
+            cut_after_ms - ANSWER_RESERVE_MS,
+            int(grace_ms * MIN_ANSWER_FRACTION),
+        )
         return cls(
             started_ms + int(grace_ms * SERVE_ALL_FRACTION),
-            started_ms + int(grace_ms * ACCEPT_FRACTION),
-            started_ms + int(grace_ms * CUT_FRACTION),
+            started_ms + answer_after_ms,
+            started_ms + cut_after_ms,
         )
 
     @property
@@ -56,21 +68,18 @@
         """
         return self.cut_ms - MIN_DURATION_MS - MAX_PAUSE_MS
 
-    def latest_start_ms(self, deadline_ms: int, longest_ms: int | None) -> int:
+    def latest_start_ms(self, deadline_ms: int) -> int:
         """Returns until when a request may be sent to a backend server.
 
-        A request with an early deadline ends in any case before the cut, if it
-        is sent at once.
+        Only its deadline tells how long a request takes at most: those before
+        it may have been shorter. One that must be complete before the cut is
+        not cut, whatever its server does.
 
         Args:
             deadline_ms: When its response must be complete.
-            longest_ms: Time that it takes at most while its server does not
-                pause, as far as is known.
         """
-        latest_ms = self.serves_all_until_ms
-        if longest_ms is not None:
-            needed_ms = max(longest_ms, MIN_DURATION_MS) + MAX_PAUSE_MS
-            latest_ms = max(latest_ms, self.cut_ms - needed_ms)
-        if deadline_ms <= self.cut_ms:
-            latest_ms = max(latest_ms, self.cut_ms - MIN_DURATION_MS)
-        return latest_ms
+        if deadline_ms > self.answers_until_ms:
+            return self.serves_all_until_ms
+        return max(
+            self.serves_all_until_ms, self.answers_until_ms - MIN_DURATION_MS
+        )
--- a/lagooncrank/server/seeded/_entry.py
+++ b/lagooncrank/server/seeded/_entry.py
@@ -183,8 +183,8 @@
         """Withdraws from the directory, then drains the requests in flight.
 
         Callers with a cached address are served on, as long as their requests
-        end before the cut. After a crash of a component
-        no new ones are accepted.
+        must end before the cut. After a crash of a component no new ones are
+        accepted.
         """
         grace_ms = self.settings.timing.stop_grace_ms
         plan = drain.StopPlan.from_grace(self.clock.now_ms(), grace_ms)
@@ -195,7 +195,7 @@
         self._stop_gate.begin(plan)
         self.decision_log.write(decisions.Event.STOPPING, grace_ms=grace_ms)
         if not self.crashed:
-            await asyncio.sleep(self._seconds_until(plan.accepts_until_ms))
+            await asyncio.sleep(self._seconds_until(plan.serves_all_until_ms))
         self._caller_connections.stop_accepting()
         await self._caller_connections.drain(self._seconds_until(plan.cut_ms))
         # Nothing may arrive on open connections while the rest stops.
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -100,13 +100,6 @@
             return self.account.priority
         return self.route.priority
 
-    @property
-    def streamed_ms(self) -> int:
-        """Time between the first and the newest event; 0 without any."""
-        if self.first_event_ms is None or self.newest_event_ms is None:
-            return 0
-        return self.newest_event_ms - self.first_event_ms
-
     @property
     def is_resumable(self) -> bool:
         """Whether another run can go on after the events passed to the caller.
--- a/lagooncrank/server/seeded/_response_relay.py
+++ b/lagooncrank/server/seeded/_response_relay.py
@@ -95,21 +95,14 @@
         is_closing: Callable[[], bool],
     ) -> web.StreamResponse:
         with self._buffers.open() as buffer:
-            while True:
-                target, backend_response = await self._forwarder.open(exchange)
-                if _is_stream(exchange, backend_response):
-                    return await self._relay_stream(
-                        request,
-                        exchange,
-                        target,
-                        backend_response,
-                        is_closing,
-                    )
-                body = await self._read_attempt(
-                    exchange, target, backend_response, buffer
+            async with self._stop_gate.limit_response(exchange):
+                target, backend_response, body = await self._open(
+                    exchange, buffer
+                )
+            if body is None:
+                return await self._relay_stream(
+                    request, exchange, target, backend_response, is_closing
                 )
-                if body is not None:
-                    break
             is_success = (
                 backend_response.head.status < _adapter.FIRST_ERROR_STATUS
             )
@@ -123,6 +116,27 @@
                 response.force_close()
             return await self._write_whole(request, exchange, response)
 
+    async def _open(
+        self, exchange: _exchange.Exchange, buffer: _buffer_budget.Buffer
+    ) -> tuple[dispatch.Target, _attempt.BackendResponse, bytes | None]:
+        """Makes attempts until there is something to write to the caller.
+
+        Returns:
+            The target, its response, and the whole body; None for a stream.
+
+        Raises:
+            ForwardingError: There is no response.
+        """
+        while True:
+            target, backend_response = await self._forwarder.open(exchange)
+            if _is_stream(exchange, backend_response):
+                return target, backend_response, None
+            body = await self._read_attempt(
+                exchange, target, backend_response, buffer
+            )
+            if body is not None:
+                return target, backend_response, body
+
     async def _write_whole(
         self,
         request: web.BaseRequest,
@@ -261,8 +275,6 @@
         self, exchange: _exchange.Exchange, status: int
     ) -> None:
         first_ms = exchange.first_event_ms or self._clock.now_ms()
-        if status < _adapter.FIRST_ERROR_STATUS:
-            self._stop_gate.record_answered(exchange, first_ms)
         self._metrics.observe_response(
             exchange.service, first_ms - exchange.arrived_ms
         )
--- a/soak/_kept_callers.py
+++ b/soak/_kept_callers.py
@@ -17,6 +17,11 @@
 
 LIMIT_S: Final = 15.0
 MAX_PAUSE_S: Final = 0.3
+#: Work of most plain requests, for each event that they draw.
+SHORT_WORK_S: Final = 0.01
+#: Work of those that draw `LONG_WORK_EVENTS`, one booking in ten.
+LONG_WORK_S: Final = 4.0
+LONG_WORK_EVENTS: Final = 10
 #: How long a caller waits if no entry answers.
 IDLE_S: Final = 0.3
 RESOLVE_TIMEOUT: Final = aiohttp.ClientTimeout(total=1.0)
@@ -160,7 +165,7 @@
             provider_protocol.LIMIT_HEADER: str(int(LIMIT_S * 1_000)),
             _lasting_server.EVENTS_HEADER: str(events),
             _lasting_server.WORK_HEADER: (
-                str(events / 10) if service == "desk" else "0"
+                str(_work_s(events)) if service == "desk" else "0"
             ),
         }
         entry = self._entries[self._address]
@@ -224,3 +229,10 @@
             self._checks.history.record_violation(
                 f"ORDER: {request.attempt_id} got events {found} of {events}"
             )
+
+
+def _work_s(events: int) -> float:
+    """Returns how long a plain request runs, unlike most before it."""
+    if events >= LONG_WORK_EVENTS:
+        return LONG_WORK_S
+    return SHORT_WORK_S * events
