Keep what a server asks for before the first report of its process

Cause: a response does not tell its process, so the rest was booked on the one that the request was meant for, the newest with a report. The next report brought a process that had asked for nothing.

Evidence: the log books the rest on the old `born_ms`, and requests go on at the report of the new one; without the crash the same answers hold. Ruled out: a shortened rest (the longest counts), another id (it is the same one).

A statement now holds for each process that may have made it: the one that was meant, and any that began before the response arrived. Leaving is the same word and had the same fault. The two log lines tell the latest start.

Servers of the soak state their starts in Unix time, as real ones do.

--- a/lagooncrank/clock.py
+++ b/lagooncrank/clock.py
@@ -39,6 +39,26 @@
         return time.time_ns() // NS_PER_MS
 
 
+class LatestUnixTime:
+    """Upper bound of the Unix time, whichever way the wall clock was set.
+
+    >>> clock = ManualClock(wall_offset_ms=1_000)
+    >>> latest = LatestUnixTime(clock)
+    >>> clock.set_wall_offset(400)
+    >>> latest.now_ms()
+    1000
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._first_offset_ms = clock.wall_ms() - clock.now_ms()
+
+    def now_ms(self) -> int:
+        """Returns milliseconds since the Unix epoch, rather more than less."""
+        expected_ms = self._clock.now_ms() + self._first_offset_ms
+        return max(self._clock.wall_ms(), expected_ms)
+
+
 class ManualClock:
     """Clock for tests that advances only on request.
 
@@ -60,6 +80,10 @@
         """Returns the monotonic time plus the wall offset."""
         return self._now_ms + self._wall_offset_ms
 
+    def set_wall_offset(self, wall_offset_ms: int) -> None:
+        """Sets the wall clock."""
+        self._wall_offset_ms = wall_offset_ms
+
     def advance(self, duration_ms: int) -> None:
         """Advances the clock.
 
--- a/lagooncrank/core/holds/__init__.py
+++ b/lagooncrank/core/holds/__init__.py
@@ -3,13 +3,11 @@
 from lagooncrank.core.holds._holds import MAX_REST_MS
 from lagooncrank.core.holds._holds import ServerHolds
 from lagooncrank.core.holds._types import NOTHING_STATED
-from lagooncrank.core.holds._types import Process
 from lagooncrank.core.holds._types import StatedAvailability
 
 __all__ = [
     "MAX_REST_MS",
     "NOTHING_STATED",
-    "Process",
     "ServerHolds",
     "StatedAvailability",
 ]
--- a/lagooncrank/core/holds/_types.py
+++ b/lagooncrank/core/holds/_types.py
@@ -3,11 +3,6 @@
 import dataclasses
 from typing import Final
 
-from lagooncrank import model
-
-#: A process of a server: its id and start time.
-Process = tuple[model.BackendServerId, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatedAvailability:
--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -157,6 +157,7 @@
         "A backend server asked for a pause; it gets no requests meanwhile.",
         "server",
         "born_ms",
+        "latest_start_ms",
         "rest_ms",
     )
     SERVER_LEAVING = (
@@ -164,6 +165,7 @@
         "A backend server said in a response that it leaves.",
         "server",
         "born_ms",
+        "latest_start_ms",
     )
     SERVICE_UNREACHED = (
         "service_unreached",
--- a/lagooncrank/server/seeded/_attempt_runner.py
+++ b/lagooncrank/server/seeded/_attempt_runner.py
@@ -5,10 +5,12 @@
 import enum
 from typing import Final
 
+from lagooncrank import clock as clocks
 from lagooncrank import decisions
 from lagooncrank import model
 from lagooncrank.core import dispatch
 from lagooncrank.core import holds
+from lagooncrank.core import responders
 from lagooncrank.server import _deadlines
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
@@ -56,6 +58,7 @@
         self._next_attempts = next_attempts
         self._metrics = parts.metrics
         self._clock = parts.clock
+        self._unix_time = clocks.LatestUnixTime(parts.clock)
         self._observed_clock = parts.observed_clock
         self._log = parts.log
         self._response_waits = _response_waits.ResponseWaits()
@@ -246,11 +249,19 @@
         self._record_availability(target.process, head.availability)
 
     def _record_availability(
-        self, process: holds.Process, stated: holds.StatedAvailability
+        self, process: responders.Process, stated: holds.StatedAvailability
     ) -> None:
-        """Records whether a server takes new requests, by its own word."""
+        """Records whether a server takes new requests, by its own word.
+
+        Args:
+            process: Process that the request was meant for.
+            stated: What the response says.
+        """
+        responder = responders.Responder.at_time(
+            process, self._unix_time.now_ms()
+        )
         is_new = self._target_selector.holds.record(
-            process, stated, self._clock.now_ms()
+            responder, stated, self._clock.now_ms()
         )
         if not is_new:
             return
@@ -261,6 +272,7 @@
                 decisions.Event.SERVER_LEAVING,
                 server=server_id,
                 born_ms=born_ms,
+                latest_start_ms=responder.latest_start_ms,
             )
         if stated.rest_ms:
             self._metrics.count_hold("rest")
@@ -268,6 +280,7 @@
                 decisions.Event.SERVER_RESTING,
                 server=server_id,
                 born_ms=born_ms,
+                latest_start_ms=responder.latest_start_ms,
                 rest_ms=stated.rest_ms,
             )
 
--- a/lagooncrank/server/seeded/_delegated_request.py
+++ b/lagooncrank/server/seeded/_delegated_request.py
@@ -17,7 +17,7 @@
 
 from lagooncrank import model
 from lagooncrank import results
-from lagooncrank.core import holds
+from lagooncrank.core import responders
 from lagooncrank.server.seeded import _adapter
 
 #: Name of the header of a delegated request.
@@ -80,7 +80,7 @@
     ran: results.ExecutionStatus = results.ExecutionStatus.RAN
     retry_after_ms: int | None = None
     #: Process that the response comes from, if it says that it is leaving.
-    leaving_server: holds.Process | None = None
+    leaving_server: responders.Process | None = None
     #: Whether a backend server may have received it from that entry; earlier
     #: builds do not state it.
     has_arrived: bool = False
--- a/lagooncrank/server/seeded/_exchange.py
+++ b/lagooncrank/server/seeded/_exchange.py
@@ -9,7 +9,7 @@
 from lagooncrank import clock as clocks
 from lagooncrank import model
 from lagooncrank.core import dispatch
-from lagooncrank.core import holds
+from lagooncrank.core import responders
 from lagooncrank.server import _peer_presence
 from lagooncrank.server.seeded import _adapter
 
@@ -74,7 +74,7 @@
     #: delegated request; empty if the one that delegates reads none.
     notice_token: str = ""
     #: Process whose response to the delegated request says that it leaves.
-    leaving_server: holds.Process | None = None
+    leaving_server: responders.Process | None = None
     #: Why the last run that was given up was taken for silent; empty if none.
     given_up_for: str = ""
     #: For how long this entry itself stood still in the silence that this run
--- a/lagooncrank/server/seeded/tests/test_outcome_of_older_builds.py
+++ b/lagooncrank/server/seeded/tests/test_outcome_of_older_builds.py
@@ -8,13 +8,13 @@
 import pytest
 
 from lagooncrank import model
-from lagooncrank.core import holds
+from lagooncrank.core import responders
 from lagooncrank.server.seeded import _adapter
 from lagooncrank.server.seeded import _attempt
 from lagooncrank.server.seeded import _delegated_request
 from lagooncrank.server.seeded import _delegator
 
-LEAVING: holds.Process = (model.BackendServerId("s1"), 1)
+LEAVING: responders.Process = (model.BackendServerId("s1"), 1)
 
 
 # Guards against: an entry of an older build passed on a 503 of a server that
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -190,7 +190,7 @@
             self.servers,
             self.checks,
         )
-        server.born = self._started_servers
+        server.born = server.next_start()
         await server.start()
         listen_address = f"127.0.0.1:{ports.free_port()}"
         proxy = _proxy.Proxy(listen_address, server.address, server.watch)
--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from lagooncrank_platform.tests import provider_protocol
 
+from lagooncrank import clock as clocks
 from soak import _checks
 from soak import _crashes
 from soak import _disturbances
@@ -61,6 +62,10 @@
                 checks.disturbances, server_id, checks.now_s
             )
 
+    def next_start(self) -> int:
+        """Returns the Unix time, as real servers state it."""
+        return clocks.SystemClock().wall_ms()
+
     def was_ready_in_epoch(self, epoch: int) -> bool:
         """Whether this server was ever ready in a group's epoch."""
         return epoch in self._ready_epochs
