Keep a limit that a server stated before the first report of its process

What servers may see: one that has started again and states `Server-Limit` in its responses is without a limit for all entries from the first report of its process until the next response: requests that are under way, and those that are sent meanwhile, are not counted.

A limit is booked on the process that the request was meant for, and the report brings another one.

When a newer process of a limited server is reported, it takes over a limit that was stated after its start, until it says something else itself. A process that began later has no limit, as before.

--- a/lagooncrank/core/limits/_limit_table.py
+++ b/lagooncrank/core/limits/_limit_table.py
@@ -69,6 +69,32 @@
             return False
         return self._put(process, None, sent_ms)
 
+    def adopt(self, process: _types.Process, started_ms: int) -> bool:
+        """Takes over a limit that a process may have stated itself.
+
+        A process that has no report yet states it in responses to requests that
+        were meant for the process before it.
+
+        Args:
+            process: Process of which nothing is known.
+            started_ms: When it started at the earliest, in monotonic time.
+
+        Returns:
+            Whether it has a limit now.
+        """
+        if process in self._known:
+            return False
+        server_id, _ = process
+        stated = [
+            self._known[other]
+            for other in self._limited
+            if other[0] == server_id
+        ]
+        newest = max(stated, key=lambda known: known.at_ms, default=None)
+        if newest is None or newest.at_ms < started_ms:
+            return False
+        return self._put(process, newest.rate_per_s, newest.at_ms)
+
     def report(
         self, process: _types.Process, now_ms: int
     ) -> _types.LimitReport:
--- a/lagooncrank/core/limits/tests/test_limit_table.py
+++ b/lagooncrank/core/limits/tests/test_limit_table.py
@@ -51,6 +51,33 @@
     assert table.limited == {PROCESS: 2.0}
 
 
+# Guards against: a server stated a limit before the first report of its process
+# and was without one from that report until its next response.
+@pytest.mark.parametrize(
+    ("started_ms", "expected"),
+    [
+        pytest.param(400, 2.0, id="may-have-stated-it"),
+        pytest.param(1_000, 2.0, id="just-started"),
+        pytest.param(1_001, None, id="started-later"),
+    ],
+)
+def test_new_process_has_the_limit_that_it_may_have_stated(
+    started_ms: int, expected: float | None
+) -> None:
+    table = limited_table()
+    assert table.adopt(RESTARTED, started_ms) is (expected is not None)
+    assert table.rate_per_s(RESTARTED) == expected
+    assert not table.adopt(RESTARTED, started_ms)
+
+
+def test_process_that_is_known_adopts_nothing() -> None:
+    table = limited_table()
+    table.record_response(RESTARTED, rate(9.0), 900, 950)
+    assert not table.adopt(RESTARTED, 0)
+    assert not table.adopt((model.BackendServerId("s2"), 8), 0)
+    assert table.limited == {PROCESS: 2.0, RESTARTED: 9.0}
+
+
 def test_responses_without_a_limit_take_no_memory() -> None:
     table = limits.LimitTable()
     assert not table.record_response(PROCESS, limits.UNLIMITED, 900, 1_000)
--- a/lagooncrank/server/seeded/_server_limits.py
+++ b/lagooncrank/server/seeded/_server_limits.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Final
 
 import mode
@@ -18,6 +19,7 @@
 from lagooncrank import observed_time
 from lagooncrank.core import dispatch
 from lagooncrank.core import limits
+from lagooncrank.core import responders
 from lagooncrank.server import links as peer_links
 from lagooncrank.server.seeded import _decision_log
 from lagooncrank.server.seeded import _fleet_view
@@ -49,6 +51,7 @@
         self._view = view
         self._links = links
         self._clock = clock
+        self._unix_time = clocks.LatestUnixTime(clock)
         self._observed_clock = observed_clock
         self._log = log
         self._guard = _step_guard.StepGuard(log)
@@ -70,6 +73,7 @@
         links.on_message(_REQUESTS, limits.PermitRequests, self._on_requests)
         links.on_message(_GRANTS, limits.PermitGrants, self._on_grants)
         links.on_connected(self._on_connected)
+        view.listeners.append(self._adopt_limits)
 
     def record_response(
         self,
@@ -247,6 +251,28 @@
             )
         self._notify()
 
+    def _adopt_limits(self) -> None:
+        """Limits new processes that may have stated a limit already."""
+        adopted = [p for p in self._new_processes() if self._may_adopt(p)]
+        if adopted:
+            self._on_changed(adopted)
+            self._publish()
+
+    def _new_processes(self) -> Iterator[limits.Process]:
+        """Yields the newest processes of servers that had a limit before."""
+        for server_id, born_ms in tuple(self.table.limited):
+            record = self._view.table.get(server_id)
+            if record is not None and record.report.born_ms > born_ms:
+                yield server_id, record.report.born_ms
+
+    def _may_adopt(self, process: limits.Process) -> bool:
+        _, born_ms = process
+        age_ms = self._unix_time.now_ms() - born_ms
+        started_ms = self._clock.now_ms() - age_ms
+        return self.table.adopt(
+            process, started_ms - responders.CLOCK_TOLERANCE_MS
+        )
+
     def _notify(self) -> None:
         for listener in self.listeners:
             listener()
