Bound the statements that are remembered of one server

A server that is started again and again under one id, and says each time that it leaves, left one statement for each of its processes: they were dropped only when one of them was replaced or ran out, and the table of servers bounds servers, not statements. The oldest are forgotten beyond 32 of one server, far more than the processes a server has within the longest rest.

The test makes 320 of them: 320 were kept before, 32 are kept now, and the process that spoke last is held at each step. Ruled out: dropping by age, since a word to leave has no age within its process.

A look-up of a server that said nothing returns at once.

--- a/lagooncrank/core/drain/__init__.py
+++ b/lagooncrank/core/drain/__init__.py
@@ -1,4 +1,4 @@
-"""Planned stops: which requests still end before their connections are cut."""
+"""Planned stops: which requests must end before their connections are cut."""
 
 from lagooncrank.core.drain._stop_plan import MAX_PAUSE_MS
 from lagooncrank.core.drain._stop_plan import StopPlan
--- a/lagooncrank/core/holds/_holds.py
+++ b/lagooncrank/core/holds/_holds.py
@@ -26,6 +26,8 @@
 UNCERTAIN_LEAVING_MS: Final = 60_000
 #: Servers that are remembered; the oldest are forgotten beyond it.
 MAX_SERVERS: Final = 4_096
+#: Statements of one server that are remembered, likewise.
+MAX_HOLDS_OF_SERVER: Final = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,7 +127,7 @@
                 hold = hold.merged(earlier)
             elif earlier.until_ms > now_ms:
                 kept.append(earlier)
-        self._holds[server_id] = (*kept, hold)
+        self._holds[server_id] = (*kept, hold)[-MAX_HOLDS_OF_SERVER:]
         self._holds.move_to_end(server_id)
         if len(self._holds) > MAX_SERVERS:
             self._holds.popitem(last=False)
@@ -136,8 +138,9 @@
 
     def remaining_ms(self, process: responders.Process, now_ms: int) -> int:
         """Returns the time for which a process is held, or 0."""
-        end_ms = max(self._ends_ms(process), default=0)
-        return max(end_ms - now_ms, 0)
+        if process[0] not in self._holds:
+            return 0
+        return max(max(self._ends_ms(process)) - now_ms, 0)
 
     def first_free_ms(
         self, processes: Iterable[responders.Process], now_ms: int
--- a/lagooncrank/core/holds/tests/test_holds.py
+++ b/lagooncrank/core/holds/tests/test_holds.py
@@ -103,6 +103,16 @@
     assert table.first_free_ms([], 58_000) is None
 
 
+def test_statements_of_a_server_that_restarts_for_ever_are_bounded() -> None:
+    table = holds.ServerHolds()
+    for number in range(10 * _holds.MAX_HOLDS_OF_SERVER):
+        born_ms = 1_000 * number
+        said = responder(restarted(born_ms), born_ms)
+        assert table.record(said, LEAVING, born_ms)
+        assert table.is_held(restarted(born_ms), born_ms)
+    assert len(table._holds[SERVER]) == _holds.MAX_HOLDS_OF_SERVER
+
+
 # A report of another writer may name a start that the server has not had.
 def test_statement_to_a_process_that_never_was_holds_the_real_one() -> None:
     table = holds.ServerHolds()
