Fake servers: reports are sent by a class of its own

ReportSender sends, stops, resumes and deregisters; servers say through a protocol what a report holds and whether one may be sent.

--- a/soak/_lasting_server.py
+++ b/soak/_lasting_server.py
@@ -1,9 +1,9 @@
 """Fake backend servers whose work lasts, and which leave as announced."""
 
 import asyncio
+from typing import Any
 from typing import Final
 
-import aiohttp
 from aiohttp import web
 from lagooncrank_platform.tests import fake_server
 from lagooncrank_platform.tests import provider_protocol
@@ -35,16 +35,14 @@
     def on_passed(self, attempt_id: str, arrived_s: float) -> None:
         """Called when an arrived request was not rejected with 421."""
 
-    async def _send_report(
-        self, session: aiohttp.ClientSession, control: str
-    ) -> bool:
-        if self.is_held:
-            return False
-        state = self.state
-        is_acknowledged = await super()._send_report(session, control)
-        if is_acknowledged and state == "draining":
+    def may_report(self) -> bool:
+        """Returns whether this server does anything at all."""
+        return not self.is_held
+
+    def on_acknowledged(self, report: dict[str, Any]) -> None:
+        """Notices that the system knows of a departure."""
+        if report["state"] == "draining":
             self.on_left()
-        return is_acknowledged
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         attempt_id = (
