--- a/lagooncrank/server/seeded/tests/test_own_permits.py
+++ b/lagooncrank/server/seeded/tests/test_own_permits.py
@@ -41,6 +41,7 @@
         sharing_entries=sharing,
         connected_control_nodes=list,
         news_recipients=frozenset,
+        listeners=[],
     )
     links: Any = types.SimpleNamespace(
         on_message=lambda *_: None,
