Soak: a node that is forked as its soak is killed ends too

Cause: the node asks the kernel for a signal when its parent ends, but between the fork and that call the parent may have ended; then none comes. It now looks after the call whether its parent is still the one that forked it.

--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -4,6 +4,7 @@
 import contextlib
 import ctypes
 import dataclasses
+import functools
 import os
 import pathlib
 import shutil
@@ -197,7 +198,7 @@
                     stdout=log,
                     stderr=log,
                     env=environment,
-                    preexec_fn=_end_with_parent,
+                    preexec_fn=functools.partial(_end_with_parent, os.getpid()),
                 )
             )
 
@@ -358,12 +359,18 @@
         temporary.replace(self._settings_file)
 
 
-def _end_with_parent() -> None:
+def _end_with_parent(parent_pid: int) -> None:
     """Makes the kernel end this process when its parent ends, however it does.
 
-    Called between the fork and the start of the program.
+    Called between the fork and the start of the program. The kernel does not
+    tell of a parent that has ended already.
+
+    Args:
+        parent_pid: Process that forked this one.
     """
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() != parent_pid:
+        os.kill(os.getpid(), signal.SIGKILL)
 
 
 def _reload_action(pid: int) -> str:
--- a/soak/tests/test_ended_early.py
+++ b/soak/tests/test_ended_early.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import pathlib
 import signal
@@ -10,6 +11,7 @@
 
 import pytest
 
+from soak import _nodes
 from soak import _run
 
 KINDS: Final = ("kill", "restart")
@@ -79,3 +81,20 @@
     async with asyncio.timeout(TIMEOUT_S):
         while processes_of(nodes):  # noqa: ASYNC110 - processes of nobody
             await asyncio.sleep(0.05)
+
+
+# Guards against: a node that was forked just as its soak was killed ran on for
+# good, as the kernel tells nothing of a parent that has ended before.
+async def test_node_whose_soak_has_ended_before_it_starts_does_not_run() -> (
+    None
+):
+    ended = await asyncio.create_subprocess_exec(sys.executable, "-c", "")
+    await ended.wait()
+    node = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        f"import time; time.sleep({DURATION_S})",
+        preexec_fn=functools.partial(_nodes._end_with_parent, ended.pid),
+    )
+    async with asyncio.timeout(TIMEOUT_S):
+        assert await node.wait() == -signal.SIGKILL
