--- a/lagooncrank/core/holds/tests/test_holds.py
+++ b/lagooncrank/core/holds/tests/test_holds.py
@@ -103,6 +103,8 @@
     assert table.first_free_ms([], 58_000) is None
 
 
+# Guards against: each process of a server that restarted again and again left
+# a statement that was never dropped.
 def test_statements_of_a_server_that_restarts_for_ever_are_bounded() -> None:
     table = holds.ServerHolds()
     for number in range(10 * _holds.MAX_HOLDS_OF_SERVER):
