--- /dev/null
+++ b/review/common3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and a small deployment for the scripts of the third review."""
--- /dev/null
+++ b/review/common3/deployment.py
@@ -0,0 +1,285 @@
+"""A small deployment: the project's programs as processes on loopback."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+from typing import Any
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+CONTROL_PORT = 8229
+CALLERS_PORT = 8080
+READINESS_PORT = 8081
+DIRECTORY_PORT = 8082
+METRICS_PORT = 9464
+
+_SETTINGS = """\
+role: {role}
+ip: {ip}
+failure_domain_id: {domain}
+peer_port: 7340
+delegation_port: 7341
+seeds: {seeds}
+shared_key: review
+is_first_start: {first}
+data_folder: "{folder}"
+tolerated_disk_losses: {tolerated}
+memory_limit_mb: 300
+listen:
+  callers: "{callers}"
+  readiness: "{readiness}"
+  operators: "{operators}"
+  directory: "{directory}"
+  metrics: "{ip}:9464"
+timing:
+  report_interval_ms: {report_interval_ms}
+  stop_grace_ms: 8000
+retry:
+  window_ms: 10000
+  ratio: 0.2
+  extra: 136
+loads:
+  window_ms: 5000
+"""
+
+
+class Process:
+    """One process of the deployment."""
+
+    def __init__(self, name: str, settings_file: pathlib.Path, log: Any) -> None:
+        self.name = name
+        self._settings_file = settings_file
+        self._log = log
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts the process as the deploy file does."""
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "LAGOONCRANK_BOOT": str(self._settings_file),
+        }
+        self._popen = subprocess.Popen(
+            ["python3", "-S", "platform/run.py"],
+            cwd=ROOT,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        if self._popen is not None:
+            self.signal(signal.SIGCONT)
+            self._popen.kill()
+            self._popen.wait()
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code; None while the process runs."""
+        return None if self._popen is None else self._popen.poll()
+
+
+class Deployment:
+    """Control nodes and entries, each with an address of its own."""
+
+    def __init__(self, controls: int, entries: int) -> None:
+        self.net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        self.control_ips = [f"{self.net}.{i + 1}" for i in range(controls)]
+        self.entry_ips = [f"{self.net}.{i + 101}" for i in range(entries)]
+        self.processes: dict[str, Process] = {}
+        #: The same in the settings of all nodes.
+        self.report_interval_ms = 1_200
+        self._seeds = [f"{s}:{CONTROL_PORT}" for s in self.control_ips[:3]]
+        self._tolerated = (controls - 1) // 2
+        for number, ip in enumerate(self.control_ips):
+            self._define(f"control{number}", "control", ip, number)
+        for number, ip in enumerate(self.entry_ips):
+            self._define(f"entry{number}", "entry", ip, number)
+
+    def add_control(self) -> str:
+        """Defines a further control node with an empty disk.
+
+        Returns:
+            Its name; it isn't started.
+        """
+        number = len(self.control_ips)
+        ip = f"{self.net}.{number + 1}"
+        self.control_ips.append(ip)
+        name = f"control{number}"
+        self._define(name, "control", ip, number, is_first_start=False)
+        return name
+
+    def _define(
+        self,
+        name: str,
+        role: str,
+        ip: str,
+        number: int,
+        *,
+        is_first_start: bool = True,
+    ) -> None:
+        is_control = role == "control"
+        data = self.folder / name
+        if is_control:
+            data.mkdir()
+        text = _SETTINGS.format(
+            role=role,
+            ip=ip,
+            domain="abc"[number % 3],
+            seeds=json.dumps(self._seeds),
+            first="true" if is_first_start else "false",
+            folder=data if is_control else "",
+            tolerated=self._tolerated,
+            callers="" if is_control else f"{ip}:{CALLERS_PORT}",
+            readiness="" if is_control else f"{ip}:{READINESS_PORT}",
+            operators=f"{ip}:{CONTROL_PORT}" if is_control else "",
+            directory="" if is_control else f"{ip}:{DIRECTORY_PORT}",
+            report_interval_ms=self.report_interval_ms,
+        )
+        if not is_control:
+            text += f"source_ip: {ip}\n"
+        file = self.folder / f"{name}.yaml"
+        file.write_text(text)
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = Process(name, file, log)
+
+    def start(self) -> None:
+        """Starts all processes."""
+        for process in self.processes.values():
+            process.start()
+
+    def stop(self) -> None:
+        """Kills all processes, and removes their files."""
+        for process in self.processes.values():
+            process.kill()
+        if os.environ.get("KEEP"):
+            print("kept", self.folder)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def wait_until_ready(self, timeout_s: float = 20) -> None:
+        """Waits until all entries say that they are ready.
+
+        Raises:
+            TimeoutError: They do not in time.
+        """
+        async with asyncio.timeout(timeout_s):
+            for ip in self.entry_ips:
+                while await call(ip, READINESS_PORT, "GET", "/-/readyz") != 200:
+                    await asyncio.sleep(0.1)
+
+    async def read(self) -> dict[str, int | None]:
+        """Returns the version that each control node reads back, if any."""
+        versions = {}
+        for ip in self.control_ips:
+            versions[ip] = await read_version(ip)
+        return versions
+
+    async def put(self, document: dict[str, Any], timeout_s: float = 20) -> None:
+        """Sends a manifest until it is acknowledged.
+
+        Raises:
+            TimeoutError: It is not in time.
+        """
+        body = json.dumps(document).encode()
+        async with asyncio.timeout(timeout_s):
+            while True:
+                for ip in self.control_ips:
+                    status = await call(
+                        ip, CONTROL_PORT, "POST", "/-/config/replace", body
+                    )
+                    if status == 200:
+                        return
+                await asyncio.sleep(0.2)
+
+
+async def call(
+    ip: str, port: int, method: str, path: str, body: bytes = b""
+) -> int:
+    """Returns the status of a call; 0 if there is no response in a second."""
+    writer = None
+    try:
+        async with asyncio.timeout(1):
+            reader, writer = await asyncio.open_connection(ip, port)
+            writer.write(
+                f"{method} {path} HTTP/1.1\r\nHost: {ip}\r\n"
+                "Content-Type: application/json\r\nConnection: close\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n".encode()
+                + body
+            )
+            line = await reader.readline()
+            return int(line.split()[1])
+    except (OSError, TimeoutError, IndexError, ValueError):
+        return 0
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def read_version(ip: str) -> int | None:
+    """Returns the manifest version that a control node reads back."""
+    writer = None
+    try:
+        async with asyncio.timeout(2):
+            reader, writer = await asyncio.open_connection(ip, CONTROL_PORT)
+            writer.write(
+                b"GET /-/config/describe HTTP/1.1\r\nHost: c\r\n"
+                b"Connection: close\r\n\r\n"
+            )
+            head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+            if head.split()[1] != b"200":
+                return None
+            return int(json.loads(body)["version"])
+    except (OSError, TimeoutError, IndexError, ValueError, KeyError):
+        return None
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def report(
+    control_ips: list[str], server_id: str, fields: dict[str, Any]
+) -> bool:
+    """Sends a server's report; returns whether it was acknowledged."""
+    path = f"/-/instances/{server_id}/heartbeat"
+    body = json.dumps(fields).encode()
+    for ip in control_ips:
+        if await call(ip, CONTROL_PORT, "POST", path, body) == 200:
+            return True
+    return False
+
+
+def plain_report(
+    service: str, address: str, born_ms: int, sequence: int
+) -> dict[str, Any]:
+    """Returns a report of a server that is no engine."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": sequence,
+        "born": born_ms,
+    }
+
+
+def now_ms() -> int:
+    """Returns the Unix time in milliseconds."""
+    return time.time_ns() // 1_000_000
