--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -171,6 +171,23 @@
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def leader(self) -> str:
+        """Returns the control node that leads by its log; empty if none."""
+        terms = {}
+        for name in self.processes:
+            for line in (self.folder / f"{name}.log").read_bytes().splitlines():
+                event = _decode(line)
+                if event.get("event") == "leader" and event.get("leads"):
+                    terms[event["term"]] = name
+        return terms[max(terms)] if terms else ""
+
+    async def terminate(self, name: str) -> None:
+        """Sends SIGTERM to a process, and waits until it has ended."""
+        process = self.processes[name]
+        process.signal(signal.SIGTERM)
+        while process.exit_code is None:
+            await asyncio.sleep(0.02)
+
     async def wait_until_ready(self, timeout_s: float = 20) -> None:
         """Waits until all entries say that they are ready.
 
@@ -207,6 +224,35 @@
                 await asyncio.sleep(0.2)
 
 
+def manifest(version: int) -> dict[str, Any]:
+    """Returns a manifest with one route to a booking service."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r1",
+                "hostname": "a.example",
+                "path_prefix": "/a/",
+                "type": "non_idempotent",
+                "timeout_ms": 800,
+                "service": "desk",
+            }
+        ],
+        "services": [{"name": "desk", "health_path": "/h"}],
+        "limits": {},
+        "tenants": [],
+    }
+
+
+def _decode(line: bytes) -> dict[str, Any]:
+    """Returns a line of a log; an empty event if it is none."""
+    try:
+        event = json.loads(line)
+    except ValueError:
+        return {}
+    return event if isinstance(event, dict) else {}
+
+
 async def call(
     ip: str, port: int, method: str, path: str, body: bytes = b""
 ) -> int:
