--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -177,7 +177,7 @@
         for name in self.processes:
             for line in (self.folder / f"{name}.log").read_bytes().splitlines():
                 event = _decode(line)
-                if event.get("event") == "leader" and event.get("leads"):
+                if event.get("event") == "leader_changed" and event.get("leads"):
                     terms[event["term"]] = name
         return terms[max(terms)] if terms else ""
 
