--- a/review/13/case.py
+++ b/review/13/case.py
@@ -22,10 +22,7 @@
         await asyncio.sleep(control_case.CATCH_UP_S)
         restarted, removed = (n for n in self.old if n != self.leader)
         if self.has_trouble:
-            self.kill(restarted, f"for {DOWN_S:g} s")
-            await asyncio.sleep(DOWN_S)
-            self.system.processes[restarted].start()
-            self.note(f"{restarted} is started again, with its disk")
+            await self.restart(restarted, DOWN_S)
             await asyncio.sleep(CALM_S)
             self.note(f"read back: {await self.system.read()}")
             await self.remove(removed)
--- a/review/common3/control_case.py
+++ b/review/common3/control_case.py
@@ -60,22 +60,40 @@
             raise TimeoutError("no control machine leads")
         self.note(f"{self.leader} leads")
 
-    async def add_control(self) -> str:
-        """Starts a control machine with an empty disk; returns its name."""
-        name = self.system.add_control()
+    async def add_control(self, *seeds: str) -> str:
+        """Starts a control machine with an empty disk.
+
+        Args:
+            *seeds: Its seeds; three machines of the list if there are none.
+
+        Returns:
+            Its name.
+        """
+        name = self.system.add_control(seeds)
         self.system.processes[name].start()
-        self.note(f"{name}, with an empty disk, is started")
+        of_seeds = f", with the seeds {', '.join(seeds)}" if seeds else ""
+        self.note(f"{name}, with an empty disk, is started{of_seeds}")
         return name
 
     async def remove(self, name: str) -> None:
         """Ends a machine with SIGTERM, for good."""
         await self.system.terminate(name)
+        self.system.removed.add(name)
         self.note(f"{name} has ended after SIGTERM, for good")
 
-    def kill(self, name: str, how: str = "for good") -> None:
-        """Kills a machine."""
+    def kill(self, name: str) -> None:
+        """Kills a machine for good."""
         self.system.processes[name].kill()
-        self.note(f"{name} is killed, {how}")
+        self.system.removed.add(name)
+        self.note(f"{name} is killed, for good")
+
+    async def restart(self, name: str, down_s: float) -> None:
+        """Kills a machine, and starts it again later with its disk."""
+        self.system.processes[name].kill()
+        self.note(f"{name} is killed")
+        await asyncio.sleep(down_s)
+        self.system.processes[name].start()
+        self.note(f"{name} is started again, with its disk")
 
     async def acknowledge(self) -> None:
         """Sends manifest 2 until it is acknowledged, and reads it back."""
--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment: the project's programs as processes on loopback."""
 
 import asyncio
+from collections.abc import Sequence
 import json
 import os
 import pathlib
@@ -103,32 +104,55 @@
         self.processes: dict[str, Process] = {}
         #: The same in the settings of all nodes.
         self.report_interval_ms = 1_200
-        self._seeds = [f"{s}:{CONTROL_PORT}" for s in self.control_ips[:3]]
+        #: Control machines that were removed for good.
+        self.removed: set[str] = set()
         self._tolerated = (controls - 1) // 2
+        seeds = self._seeds()
         for number, ip in enumerate(self.control_ips):
-            self._define(f"control{number}", "control", ip, number)
+            self._define(f"control{number}", "control", ip, number, seeds)
         for number, ip in enumerate(self.entry_ips):
-            self._define(f"entry{number}", "entry", ip, number)
+            self._define(f"entry{number}", "entry", ip, number, seeds)
 
-    def add_control(self) -> str:
+    def add_control(self, seeds: Sequence[str] = ()) -> str:
         """Defines a further control node with an empty disk.
 
+        Args:
+            seeds: Names of the control nodes that its settings name as seeds;
+                the first three that were not removed if empty.
+
         Returns:
             Its name; it isn't started.
         """
+        addresses = [f"{self._ip(name)}:{CONTROL_PORT}" for name in seeds]
+        addresses = addresses or self._seeds()
         number = len(self.control_ips)
         ip = f"{self.net}.{number + 1}"
         self.control_ips.append(ip)
         name = f"control{number}"
-        self._define(name, "control", ip, number, is_first_start=False)
+        self._define(
+            name, "control", ip, number, addresses, is_first_start=False
+        )
         return name
 
+    def _ip(self, name: str) -> str:
+        return self.control_ips[int(name.removeprefix("control"))]
+
+    def _seeds(self) -> list[str]:
+        """Returns three machines of the operator's list, without removed ones."""
+        listed = [
+            ip
+            for number, ip in enumerate(self.control_ips)
+            if f"control{number}" not in self.removed
+        ]
+        return [f"{ip}:{CONTROL_PORT}" for ip in listed[:3]]
+
     def _define(
         self,
         name: str,
         role: str,
         ip: str,
         number: int,
+        seeds: list[str],
         *,
         is_first_start: bool = True,
     ) -> None:
@@ -140,7 +164,7 @@
             role=role,
             ip=ip,
             domain="abc"[number % 3],
-            seeds=json.dumps(self._seeds),
+            seeds=json.dumps(seeds),
             first="true" if is_first_start else "false",
             folder=data if is_control else "",
             tolerated=self._tolerated,
