--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -2,30 +2,29 @@
 
 import asyncio
 from collections.abc import Sequence
+import dataclasses
+import itertools
 import json
 import os
 import pathlib
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
-import time
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-CONTROL_PORT = 8229
-CALLERS_PORT = 8080
-READINESS_PORT = 8081
-DIRECTORY_PORT = 8082
-METRICS_PORT = 9464
+#: Ports that are tried, below those that the kernel gives to callers.
+PORTS = range(20_000, 32_000)
 
 _SETTINGS = """\
 role: {role}
 ip: {ip}
 failure_domain_id: {domain}
-peer_port: 7340
-delegation_port: 7341
+peer_port: {ports.peer}
+delegation_port: {ports.delegation}
 seeds: {seeds}
 shared_key: review
 is_first_start: {first}
@@ -37,7 +36,7 @@
   readiness: "{readiness}"
   operators: "{operators}"
   directory: "{directory}"
-  metrics: "{ip}:9464"
+  metrics: "{ip}:{ports.metrics}"
 timing:
   report_interval_ms: {report_interval_ms}
   stop_grace_ms: 8000
@@ -50,10 +49,32 @@
 """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Ports of a deployment, the same on all of its addresses."""
+
+    control: int
+    callers: int
+    readiness: int
+    directory: int
+    metrics: int
+    peer: int
+    delegation: int
+
+    @classmethod
+    def find_free(cls) -> "Ports":
+        """Returns ports that nothing listens on at any address."""
+        numbers = random.sample(PORTS, len(PORTS))
+        free = itertools.islice(filter(_is_free, numbers), 7)
+        return cls(*free)
+
+
 class Process:
     """One process of the deployment."""
 
-    def __init__(self, name: str, settings_file: pathlib.Path, log: Any) -> None:
+    def __init__(
+        self, name: str, settings_file: pathlib.Path, log: Any
+    ) -> None:
         self.name = name
         self._settings_file = settings_file
         self._log = log
@@ -98,6 +119,7 @@
 
     def __init__(self, controls: int, entries: int) -> None:
         self.net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        self.ports = Ports.find_free()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.control_ips = [f"{self.net}.{i + 1}" for i in range(controls)]
         self.entry_ips = [f"{self.net}.{i + 101}" for i in range(entries)]
@@ -123,7 +145,7 @@
         Returns:
             Its name; it isn't started.
         """
-        addresses = [f"{self._ip(name)}:{CONTROL_PORT}" for name in seeds]
+        addresses = [f"{self._ip(name)}:{self.ports.control}" for name in seeds]
         addresses = addresses or self._seeds()
         number = len(self.control_ips)
         ip = f"{self.net}.{number + 1}"
@@ -138,13 +160,13 @@
         return self.control_ips[int(name.removeprefix("control"))]
 
     def _seeds(self) -> list[str]:
-        """Returns three machines of the operator's list, without removed ones."""
+        """Returns three machines of the list, without removed ones."""
         listed = [
             ip
             for number, ip in enumerate(self.control_ips)
             if f"control{number}" not in self.removed
         ]
-        return [f"{ip}:{CONTROL_PORT}" for ip in listed[:3]]
+        return [f"{ip}:{self.ports.control}" for ip in listed[:3]]
 
     def _define(
         self,
@@ -156,6 +178,7 @@
         *,
         is_first_start: bool = True,
     ) -> None:
+        ports = self.ports
         is_control = role == "control"
         data = self.folder / name
         if is_control:
@@ -163,15 +186,16 @@
         text = _SETTINGS.format(
             role=role,
             ip=ip,
+            ports=ports,
             domain="abc"[number % 3],
             seeds=json.dumps(seeds),
             first="true" if is_first_start else "false",
             folder=data if is_control else "",
             tolerated=self._tolerated,
-            callers="" if is_control else f"{ip}:{CALLERS_PORT}",
-            readiness="" if is_control else f"{ip}:{READINESS_PORT}",
-            operators=f"{ip}:{CONTROL_PORT}" if is_control else "",
-            directory="" if is_control else f"{ip}:{DIRECTORY_PORT}",
+            callers="" if is_control else f"{ip}:{ports.callers}",
+            readiness="" if is_control else f"{ip}:{ports.readiness}",
+            operators=f"{ip}:{ports.control}" if is_control else "",
+            directory="" if is_control else f"{ip}:{ports.directory}",
             report_interval_ms=self.report_interval_ms,
         )
         if not is_control:
@@ -201,7 +225,9 @@
         for name in self.processes:
             for line in (self.folder / f"{name}.log").read_bytes().splitlines():
                 event = _decode(line)
-                if event.get("event") == "leader_changed" and event.get("leads"):
+                if event.get("event") == "leader_changed" and event.get(
+                    "leads"
+                ):
                     terms[event["term"]] = name
         return terms[max(terms)] if terms else ""
 
@@ -220,17 +246,22 @@
         """
         async with asyncio.timeout(timeout_s):
             for ip in self.entry_ips:
-                while await call(ip, READINESS_PORT, "GET", "/-/readyz") != 200:
+                while (
+                    await call(ip, self.ports.readiness, "GET", "/-/readyz")
+                    != 200
+                ):
                     await asyncio.sleep(0.1)
 
     async def read(self) -> dict[str, int | None]:
         """Returns the version that each control node reads back, if any."""
         versions = {}
         for ip in self.control_ips:
-            versions[ip] = await read_version(ip)
+            versions[ip] = await read_version(ip, self.ports.control)
         return versions
 
-    async def put(self, document: dict[str, Any], timeout_s: float = 20) -> None:
+    async def put(
+        self, document: dict[str, Any], timeout_s: float = 20
+    ) -> None:
         """Sends a manifest until it is acknowledged.
 
         Raises:
@@ -241,7 +272,11 @@
             while True:
                 for ip in self.control_ips:
                     status = await call(
-                        ip, CONTROL_PORT, "POST", "/-/config/replace", body
+                        ip,
+                        self.ports.control,
+                        "POST",
+                        "/-/config/replace",
+                        body,
                     )
                     if status == 200:
                         return
@@ -300,12 +335,12 @@
             writer.close()
 
 
-async def read_version(ip: str) -> int | None:
+async def read_version(ip: str, port: int) -> int | None:
     """Returns the manifest version that a control node reads back."""
     writer = None
     try:
         async with asyncio.timeout(2):
-            reader, writer = await asyncio.open_connection(ip, CONTROL_PORT)
+            reader, writer = await asyncio.open_connection(ip, port)
             writer.write(
                 b"GET /-/config/describe HTTP/1.1\r\nHost: c\r\n"
                 b"Connection: close\r\n\r\n"
@@ -321,35 +356,11 @@
             writer.close()
 
 
-async def report(
-    control_ips: list[str], server_id: str, fields: dict[str, Any]
-) -> bool:
-    """Sends a server's report; returns whether it was acknowledged."""
-    path = f"/-/instances/{server_id}/heartbeat"
-    body = json.dumps(fields).encode()
-    for ip in control_ips:
-        if await call(ip, CONTROL_PORT, "POST", path, body) == 200:
-            return True
-    return False
-
-
-def plain_report(
-    service: str, address: str, born_ms: int, sequence: int
-) -> dict[str, Any]:
-    """Returns a report of a server that is no engine."""
-    return {
-        "service": service,
-        "address": address,
-        "zone": "a",
-        "version": "v1",
-        "slots": 6,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": sequence,
-        "born": born_ms,
-    }
-
-
-def now_ms() -> int:
-    """Returns the Unix time in milliseconds."""
-    return time.time_ns() // 1_000_000
+def _is_free(port: int) -> bool:
+    """Returns whether nothing listens on a port, at any address."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(("", port))
+        except OSError:
+            return False
+    return True
