--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Replaces both followers, and loses the leader; see claim.txt.
+# Loses a successor, and later another control machine; see claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
 exec python3 -m review.14.case
