--- a/review/common3/control_case.py
+++ b/review/common3/control_case.py
@@ -41,7 +41,7 @@
         try:
             await self._start()
             await self.play()
-            return await self._read_back()
+            return await self.judge()
         finally:
             self.system.stop()
 
@@ -101,7 +101,7 @@
         self.note("manifest 2 is acknowledged")
         self.note(f"read back: {await self.system.read()}")
 
-    async def _read_back(self) -> bool:
+    async def judge(self) -> bool:
         """Returns whether manifest 2 is read back in time."""
         end_s = time.monotonic() + self.read_back_s
         while time.monotonic() < end_s:
--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -145,7 +145,7 @@
         Returns:
             Its name; it isn't started.
         """
-        addresses = [f"{self._ip(name)}:{self.ports.control}" for name in seeds]
+        addresses = [f"{self.ip(name)}:{self.ports.control}" for name in seeds]
         addresses = addresses or self._seeds()
         number = len(self.control_ips)
         ip = f"{self.net}.{number + 1}"
@@ -156,7 +156,8 @@
         )
         return name
 
-    def _ip(self, name: str) -> str:
+    def ip(self, name: str) -> str:
+        """Returns the address of a control node."""
         return self.control_ips[int(name.removeprefix("control"))]
 
     def _seeds(self) -> list[str]:
