--- a/review/common3/control_case.py
+++ b/review/common3/control_case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 from typing import TextIO
@@ -12,6 +13,8 @@
 #: Time for which a successor runs before anything else is changed; longer than
 #: the `catch_up_s` of the pages (4 s), so that it does not count as lost.
 CATCH_UP_S = 5.0
+#: Exit code of a case that could not be played.
+COULD_NOT_RUN = 2
 #: Time in which the system, whose manifest is acknowledged, is left alone.
 SETTLE_S = 4.0
 
@@ -115,13 +118,15 @@
 
 def main(case_type: type[ControlCase], module_file: str) -> int:
     """Runs a case; returns the exit code of its script."""
+    # A script that is stopped early ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     path = pathlib.Path(module_file).with_name("record.txt")
     with path.open("w") as record:
         try:
             held = asyncio.run(case_type(record).run())
         except (OSError, TimeoutError) as error:
             print(f"the case couldn't run: {error!r}", file=record)
-            return 2
+            return COULD_NOT_RUN
         print("the rule held" if held else "the rule is broken", file=record)
     return 0 if held else 1
 
