--- a/review/13/case.py
+++ b/review/13/case.py
@@ -8,7 +8,7 @@
 from review.common3 import control_case
 
 #: For how long a machine is down; its disk is kept.
-DOWN_S = 5.0
+DOWN_S = 3.5
 #: Time after each change: over twice `catch_up_s`.
 CALM_S = 10.0
 
