--- a/lagooncrank/decisions.py
+++ b/lagooncrank/decisions.py
@@ -336,6 +336,12 @@
         "term",
         "leads",
     )
+    VOTERS = (
+        "voters_changed",
+        "The voter set in the log of this control node changed.",
+        "voters",
+        "learners",
+    )
     NODE = (
         "node_changed",
         "The set of known control nodes changed.",
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -14,6 +14,7 @@
 from lagooncrank.server.seeded import _group_driver
 from lagooncrank.server.seeded import _node
 from lagooncrank.server.seeded import _retained_state
+from lagooncrank.server.seeded import _voter_watch
 
 
 class ControlNode(_node.Node):
@@ -44,6 +45,9 @@
         self._disk_watch = _disk_watch.DiskWatch(
             self.shared, node_settings.data_folder
         )
+        self._voter_watch = _voter_watch.VoterWatch(
+            self.shared, self.decision_log
+        )
         self._driver = _group_driver.GroupDriver(
             node_settings,
             self.shared,
@@ -62,6 +66,7 @@
         await self.add_runtime_dependency(self._retained)
         await self.add_runtime_dependency(self._driver)
         await self.add_runtime_dependency(self._disk_watch)
+        await self.add_runtime_dependency(self._voter_watch)
 
     async def record_report(
         self, report: model.ServerReport
