--- a/lagooncrank/core/consensus/_leader_role.py
+++ b/lagooncrank/core/consensus/_leader_role.py
@@ -12,6 +12,8 @@
     """Replication state of one follower as known to the leader."""
 
     next_index: int
+    #: When the leader began to send to the follower, in observed time.
+    added_ms: int
     match_index: int = 0
     #: Commit index last sent to the follower.
     sent_commit_index: int = 0
@@ -31,6 +33,8 @@
         self._state = state
         self._started_ms = now_ms
         self._started_observed_ms = state.observed_ms(now_ms)
+        #: Observed time of the latest timer.
+        self._observed_ms = self._started_observed_ms
         self._progress: dict[_messages.Voter, FollowerProgress] = {}
         self._round = 0
         self._last_heartbeat_ms = now_ms
@@ -51,8 +55,18 @@
             log.last_index + 1, self._state.term, data, proposal, voters
         )
         log.append(entry)
+        if voters is not None:
+            self._forget_all_but(voters)
         return entry
 
+    def _forget_all_but(self, voters: _messages.VoterSet) -> None:
+        """Forgets removed members; one that returns is found out about anew."""
+        self._progress = {
+            voter: progress
+            for voter, progress in self._progress.items()
+            if voter in voters.members
+        }
+
     def read(self, read_id: int, now_ms: int) -> None:
         """Starts a read, confirmed by a new heartbeat round.
 
@@ -65,7 +79,11 @@
     def tick(self, now_ms: int) -> None:
         """Sends due heartbeats, and steps down without quorum contact."""
         state = self._state
-        if self._silence_ms(now_ms) >= state.timing.election_timeout_min_ms:
+        self._observed_ms = state.observed_ms(now_ms)
+        if (
+            self._quorum_silence_ms(now_ms)
+            >= state.timing.election_timeout_min_ms
+        ):
             state.become_follower(state.term, None, now_ms)
             return
         if now_ms - self._last_heartbeat_ms >= state.timing.heartbeat_ms:
@@ -165,6 +183,12 @@
         match_index = self._progress_of(voter).match_index
         return match_index >= self._state.commit_index
 
+    def silence_ms(self, voter: _messages.Voter, now_ms: int) -> int:
+        """Returns for how long a follower has not replied, in observed time."""
+        progress = self._progress_of(voter)
+        last_ms = max(progress.heard_ms, progress.added_ms)
+        return self._state.observed_ms(now_ms) - last_ms
+
     def has_replied_within(
         self, voter: _messages.Voter, duration_ms: int, now_ms: int
     ) -> bool:
@@ -250,7 +274,7 @@
         ]
         return self._of_quorum(acked_rounds)
 
-    def _silence_ms(self, now_ms: int) -> int:
+    def _quorum_silence_ms(self, now_ms: int) -> int:
         """Returns for how long no quorum has replied, in observed time."""
         observed_ms = self._state.observed_ms(now_ms)
         heard_times_ms = [
@@ -272,7 +296,9 @@
     def _progress_of(self, voter: _messages.Voter) -> FollowerProgress:
         if voter not in self._progress:
             next_index = self._state.log.last_index
-            self._progress[voter] = FollowerProgress(max(next_index, 1))
+            self._progress[voter] = FollowerProgress(
+                max(next_index, 1), self._observed_ms
+            )
         return self._progress[voter]
 
     def _voters(self) -> _messages.VoterSet:
--- a/lagooncrank/core/consensus/_node.py
+++ b/lagooncrank/core/consensus/_node.py
@@ -154,7 +154,7 @@
         log = self._state.log
         if leader_role is None or not leader_role.has_committed_in_term():
             return results.ResultCode.NOT_LEADER
-        if log.last_voter_change_index() > self._state.commit_index:
+        if self.has_uncommitted_voters:
             return results.ResultCode.NOT_LEADER
         current = log.voters
         changed = set(current.voters if current else ()) ^ set(voters.voters)
@@ -268,6 +268,22 @@
             and self._leader_role.has_replied_within(voter, duration_ms, now_ms)
         )
 
+    def silence_ms(self, voter: _messages.Voter, now_ms: int) -> int:
+        """Returns for how long this leader has had no reply of a member.
+
+        Counts observed time, from when the member was added or this node became
+        leader at the earliest; 0 for this node, or if it does not lead.
+        """
+        if self._leader_role is None or voter == self._state.own_voter:
+            return 0
+        return self._leader_role.silence_ms(voter, now_ms)
+
+    @property
+    def has_uncommitted_voters(self) -> bool:
+        """Whether a change of the voter set in the log is not yet committed."""
+        state = self._state
+        return state.log.last_voter_change_index() > state.commit_index
+
     @property
     def status(self) -> Status:
         """Current role, term and log position."""
@@ -301,10 +317,7 @@
         state = self._state
         if self._leader_role is None:
             return
-        is_change_committed = (
-            state.log.last_voter_change_index() <= state.commit_index
-        )
-        if is_change_committed and not state.is_voter:
+        if not self.has_uncommitted_voters and not state.is_voter:
             state.role = _node_state.Role.FOLLOWER
             state.leader = None
         if state.role is not _node_state.Role.LEADER:
--- a/lagooncrank/core/consensus/_voter_changes.py
+++ b/lagooncrank/core/consensus/_voter_changes.py
@@ -1,6 +1,9 @@
-"""Selects the next change of the voter set, one voter at a time."""
+"""Selects the next change of the voter set, one voter at a time.
+
+The states of a disk, and what moves it from one to the next, are described in
+`docs/design/voter-set.md`.
+"""
 
-from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 
@@ -15,89 +18,168 @@
     voter: _messages.Voter
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observations:
+    """What the leader has observed of the disks in and beside the voter set."""
+
+    #: Disks that request to be added.
+    joining: tuple[_messages.Voter, ...] = ()
+    #: Disks that replied recently.
+    responsive: frozenset[_messages.Voter] = frozenset()
+    #: Learners that hold all committed entries.
+    caught_up: frozenset[_messages.Voter] = frozenset()
+    #: Disks that have not replied for so long that they lose their place.
+    lost: frozenset[_messages.Voter] = frozenset()
+
+    def is_ready(self, learner: _messages.Voter) -> bool:
+        """Whether a learner could vote at once."""
+        return learner in self.responsive and learner in self.caught_up
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Goal:
+    """Which voters there should be."""
+
+    #: Number of voters; None for exactly the nodes of `node_ids`.
+    count: int | None
+    #: Nodes that the settings name as voters.
+    node_ids: Collection[model.NodeId] = ()
+
+    def admits(self, voter: _messages.Voter) -> bool:
+        """Whether a disk may be a member."""
+        return self.count is not None or voter.node_id in self.node_ids
+
+    def select(
+        self, current: _messages.VoterSet, seen: Observations
+    ) -> tuple[_messages.Voter, ...]:
+        """Returns the members that should vote.
+
+        A voter keeps its place until there is another disk to take it.
+        """
+        if self.count is not None:
+            return _in_order_of_rank(current, seen)[: self.count]
+        disks = {v.node_id: v for v in (*current.voters, *current.learners)}
+        return tuple(v for n, v in disks.items() if n in self.node_ids)
+
+
 def next_voter_set(
-    current: _messages.VoterSet,
-    target_node_ids: Collection[model.NodeId],
-    joining: Collection[_messages.Voter],
-    is_caught_up: Callable[[_messages.Voter], bool],
-    is_responsive: Callable[[_messages.Voter], bool],
+    current: _messages.VoterSet, goal: Goal, seen: Observations
 ) -> _messages.VoterSet | None:
-    """Returns the next voter set on the way to the target, or None.
+    """Returns the next voter set on the way to the goal, or None.
 
-    A joining disk is first added as a learner. Once it has caught up, the old
-    disk of its node is removed, and the new one becomes a voter. A voter is
-    removed only if a quorum of the remaining voters is responsive.
+    A joining disk becomes a learner at once, so that it holds the log when a
+    voter is lost. A voter is removed only if a quorum of the
+    remaining voters is responsive.
 
     Args:
         current: Voter set in force.
-        target_node_ids: Nodes that should be voters.
-        joining: Disks that requested to be added.
-        is_caught_up: Whether a learner holds all committed entries.
-        is_responsive: Whether a voter replied recently.
+        goal: Which voters there should be.
+        seen: What the leader has observed.
     """
-    for voter in joining:
-        if voter.node_id in target_node_ids and voter not in current.members:
-            others = _without_node(current.learners, voter.node_id)
-            return _messages.VoterSet(current.voters, (*others, voter))
-    retained = tuple(
-        v for v in current.learners if v.node_id in target_node_ids
-    )
-    if retained != current.learners:
-        return _messages.VoterSet(current.voters, retained)
-    ready = [
-        v for v in current.learners if is_caught_up(v) and is_responsive(v)
-    ]
-    for learner in ready:
-        remaining = _without_node(current.voters, learner.node_id)
-        if remaining == current.voters:
-            learners = _without_node(current.learners, learner.node_id)
-            return _messages.VoterSet((*current.voters, learner), learners)
-        if _has_responsive_quorum(remaining, is_responsive):
-            return _messages.VoterSet(remaining, current.learners)
-    return _next_removal(current, target_node_ids, is_responsive)
+    learners = _next_learners(current, goal, seen)
+    if learners != current.learners:
+        return _messages.VoterSet(current.voters, learners)
+    selected = goal.select(current, seen)
+    missing = [v for v in current.learners if v in selected]
+    ready = [v for v in missing if seen.is_ready(v)]
+    if not missing:
+        extra = [v for v in current.voters if v not in selected]
+        return _removal(current, extra, goal, seen)
+    if not ready:
+        return None
+    return _removal(
+        current, _useless_voters(current, selected, seen), goal, seen
+    ) or _promotion(current, ready)
 
 
-def select_voters(
-    current: _messages.VoterSet,
-    joining: Collection[_messages.Voter],
-    is_alive: Callable[[_messages.Voter], bool],
-    target_count: int,
+def _next_learners(
+    current: _messages.VoterSet, goal: Goal, seen: Observations
+) -> tuple[_messages.Voter, ...]:
+    """Returns the learners, with one that joins."""
+    learners = tuple(v for v in current.learners if goal.admits(v))
+    if learners != current.learners:
+        return learners
+    for voter in seen.joining:
+        if goal.admits(voter) and voter not in current.members:
+            return (*_without_node(learners, voter.node_id), voter)
+    return learners
+
+
+def _in_order_of_rank(
+    current: _messages.VoterSet, seen: Observations
+) -> tuple[_messages.Voter, ...]:
+    """Returns all members, those first that should rather vote."""
+    replaced_nodes = _replaced_nodes(current, seen)
+    kept, useless = [], []
+    for voter in current.voters:
+        if voter in seen.lost or voter.node_id in replaced_nodes:
+            useless.append(voter)
+        else:
+            kept.append(voter)
+    return (*kept, *current.learners, *useless)
+
+
+def _replaced_nodes(
+    current: _messages.VoterSet, seen: Observations
 ) -> frozenset[model.NodeId]:
-    """Returns the nodes that should vote, given only how many are needed.
+    """Returns the nodes that run with another disk than the one that votes."""
+    return frozenset(v.node_id for v in current.learners if seen.is_ready(v))
 
-    Live voters are kept. Joining nodes fill vacancies and replace unreachable
-    voters; an unreachable voter is kept until a node can replace it.
 
-    Args:
-        current: Voter set in force.
-        joining: Disks that requested to be added.
-        is_alive: Whether a voter replied recently enough not to be replaced.
-        target_count: Target number of voters.
+def _useless_voters(
+    current: _messages.VoterSet,
+    selected: Collection[_messages.Voter],
+    seen: Observations,
+) -> list[_messages.Voter]:
+    """Returns voters to remove before another is added.
+
+    These are disks that do not respond, and disks that were replaced. They
+    count for the quorum without being part of one, so a set without them
+    tolerates no less.
     """
-    target_node_ids = [v.node_id for v in current.voters if is_alive(v)]
-    candidates = (*current.learners, *joining)
-    target_node_ids += [
-        v.node_id for v in candidates if v.node_id not in target_node_ids
+    replaced_nodes = _replaced_nodes(current, seen)
+    return [
+        v
+        for v in current.voters
+        if v not in selected
+        and (v not in seen.responsive or v.node_id in replaced_nodes)
     ]
-    target_node_ids += [
-        v.node_id for v in current.voters if v.node_id not in target_node_ids
-    ]
-    return frozenset(list(dict.fromkeys(target_node_ids))[:target_count])
 
 
-def _next_removal(
+def _promotion(
+    current: _messages.VoterSet, ready: list[_messages.Voter]
+) -> _messages.VoterSet | None:
+    """Adds the first learner whose node has no voter."""
+    voter_nodes = {v.node_id for v in current.voters}
+    for learner in ready:
+        if learner.node_id not in voter_nodes:
+            learners = tuple(v for v in current.learners if v != learner)
+            return _messages.VoterSet((*current.voters, learner), learners)
+    return None
+
+
+def _removal(
     current: _messages.VoterSet,
-    target_node_ids: Collection[model.NodeId],
-    is_responsive: Callable[[_messages.Voter], bool],
+    candidates: Collection[_messages.Voter],
+    goal: Goal,
+    seen: Observations,
 ) -> _messages.VoterSet | None:
-    if current.learners:
-        return None
-    for voter in current.voters:
-        remaining = _without_node(current.voters, voter.node_id)
-        if voter.node_id not in target_node_ids and _has_responsive_quorum(
-            remaining, is_responsive
+    """Removes the first voter that the others do not need.
+
+    A removed voter that runs on becomes a learner.
+    """
+    for voter in candidates:
+        remaining = tuple(v for v in current.voters if v != voter)
+        if not _has_responsive_quorum(remaining, seen):
+            continue
+        learners = current.learners
+        if (
+            goal.admits(voter)
+            and voter in seen.responsive
+            and voter.node_id not in {v.node_id for v in learners}
         ):
-            return _messages.VoterSet(remaining)
+            learners = (*learners, voter)
+        return _messages.VoterSet(remaining, learners)
     return None
 
 
@@ -108,8 +190,7 @@
 
 
 def _has_responsive_quorum(
-    voters: tuple[_messages.Voter, ...],
-    is_responsive: Callable[[_messages.Voter], bool],
+    voters: tuple[_messages.Voter, ...], seen: Observations
 ) -> bool:
-    responsive = sum(1 for v in voters if is_responsive(v))
+    responsive = sum(1 for v in voters if v in seen.responsive)
     return bool(voters) and responsive >= len(voters) // 2 + 1
--- a/lagooncrank/core/consensus/_voter_membership.py
+++ b/lagooncrank/core/consensus/_voter_membership.py
@@ -1,6 +1,5 @@
 """Voter set membership of a node with a disk: bootstrap and joining."""
 
-from collections.abc import Collection
 from typing import Any
 from typing import Final
 
@@ -45,7 +44,9 @@
         self._own_voter = own_voter
         self._node = node
         self._voter_node_ids = config.voter_node_ids
-        self._target_voter_count = config.target_voter_count
+        self._goal = _voter_changes.Goal(
+            config.target_voter_count, config.voter_node_ids
+        )
         self._may_bootstrap = config.may_bootstrap
         self._bootstrap = _bootstrap.Bootstrap(
             own_voter, config.voter_node_ids, may_bootstrap=config.may_bootstrap
@@ -53,41 +54,30 @@
         #: Linked nodes, to which join requests are sent in addition to the
         #: voters of the settings.
         self.peers: frozenset[model.NodeId] = frozenset()
-        #: When this node became leader, in observed time, or None; which voters
-        #: were unresponsive before that time is unknown.
-        self._leader_since_ms: int | None = None
-        #: Time in which this process stood still, in all.
-        self._missed_ms = 0
         self._unsaved_initial_voters: _messages.VoterSet | None = None
         #: Disks that request to join, with the time of the latest request.
         self._joining: dict[_messages.Voter, int] = {}
-        self._last_join_request_ms = 0
+        self._last_request_ms = 0
         self._last_change_check_ms = 0
         self._outbox: list[tuple[model.NodeId, Any]] = []
 
     def observe(self, missed_ms: int) -> None:
         """Sets the time in which this process stood still, in all."""
-        self._missed_ms = missed_ms
         self._node.observe(missed_ms)
 
     def tick(self, now_ms: int) -> None:
         """Runs due timers."""
         self._node.tick(now_ms)
-        voters = self._node.status.voters
-        if voters is None:
+        if self._node.status.voters is None:
             self._outbox += self._bootstrap.due_requests(now_ms)
             self._unsaved_initial_voters = (
                 self._unsaved_initial_voters
                 or self._bootstrap.initial_voters(None)
             )
-        if self._is_excluded(voters):
+        if self._may_be_excluded():
             self._request_join(now_ms)
-        if self._node.status.role is not _node_state.Role.LEADER:
-            self._leader_since_ms = None
-            return
-        if self._leader_since_ms is None:
-            self._leader_since_ms = now_ms - self._missed_ms
-        self._change_voters(now_ms)
+        if self._node.status.role is _node_state.Role.LEADER:
+            self._change_voters(now_ms)
 
     def receive(self, sender: model.NodeId, body: Any, now_ms: int) -> None:
         """Handles a message; ignores messages of unknown type."""
@@ -100,7 +90,7 @@
         elif isinstance(body, _bootstrap.BootstrapReply):
             self._on_bootstrap_reply(body)
         elif isinstance(body, _voter_changes.JoinRequest):
-            self._joining[body.voter] = now_ms
+            self._on_join_request(body, now_ms)
             self._relay_to_leader(sender, body)
 
     def take_initial_voters(self) -> _messages.VoterSet | None:
@@ -125,22 +115,51 @@
             or self._bootstrap.initial_voters(reply)
         )
 
-    def _is_excluded(self, voters: _messages.VoterSet | None) -> bool:
-        if voters is None:
+    def _may_be_excluded(self) -> bool:
+        """Whether the voter set in force may lack this disk.
+
+        A disk that lost its place while it was unreachable was not told: in its
+        own log it still votes. The one sign is that no leader makes contact.
+        """
+        status = self._node.status
+        if status.voters is None:
             return self._bootstrap.is_excluded or not self._may_bootstrap
-        return self._own_voter not in voters.members
+        if self._own_voter not in status.voters.members:
+            return True
+        return status.leader is None
 
     def _request_join(self, now_ms: int) -> None:
-        if now_ms - self._last_join_request_ms < JOIN_REQUEST_INTERVAL_MS:
+        if now_ms - self._last_request_ms < JOIN_REQUEST_INTERVAL_MS:
             return
-        self._last_join_request_ms = now_ms
-        request = _voter_changes.JoinRequest(self._own_voter)
-        for node_id in self.peers.union(self._voter_node_ids):
+        self._last_request_ms = now_ms
+        self._send_to_known(_voter_changes.JoinRequest(self._own_voter))
+
+    def _send_to_known(self, body: Any) -> None:
+        """Sends a message to all nodes that may lead or vote."""
+        voters = self._node.status.voters
+        members = {v.node_id for v in voters.members} if voters else ()
+        for node_id in self.peers.union(self._voter_node_ids, members):
             if node_id != self._own_voter.node_id:
-                self._outbox.append((node_id, request))
+                self._outbox.append((node_id, body))
+
+    def _on_join_request(
+        self, request: _voter_changes.JoinRequest, now_ms: int
+    ) -> None:
+        """Records a request, in place of an earlier one of the same node.
+
+        A node that asks with another disk has lost the earlier one.
+        """
+        self._joining = {
+            voter: requested_ms
+            for voter, requested_ms in self._joining.items()
+            if voter.node_id != request.voter.node_id
+        }
+        self._joining[request.voter] = now_ms
 
     def _relay_to_leader(
-        self, sender: model.NodeId, request: _voter_changes.JoinRequest
+        self,
+        sender: model.NodeId,
+        request: _voter_changes.JoinRequest,
     ) -> None:
         """Passes a request on that came from the disk's own node.
 
@@ -153,46 +172,50 @@
         if sender == request.voter.node_id:
             self._outbox.append((status.leader, request))
 
-    def _target_node_ids(
+    def _observations(
         self, current: _messages.VoterSet, now_ms: int
-    ) -> Collection[model.NodeId]:
-        """Returns the nodes that should vote."""
-        if self._target_voter_count is None:
-            return self._voter_node_ids
-        observed_ms = now_ms - self._missed_ms
-        leader_since_ms = self._leader_since_ms or observed_ms
-        is_new_leader = observed_ms - leader_since_ms < REPLACE_AFTER_MS
-        return _voter_changes.select_voters(
-            current,
-            tuple(self._joining),
-            lambda v: (
-                is_new_leader
-                or self._node.has_replied_within(v, REPLACE_AFTER_MS, now_ms)
+    ) -> _voter_changes.Observations:
+        self._joining = _recent(self._joining, JOIN_TIMEOUT_MS, now_ms)
+        node = self._node
+        return _voter_changes.Observations(
+            joining=tuple(self._joining),
+            responsive=frozenset(
+                v
+                for v in current.members
+                if node.has_replied_within(v, REPLY_TIMEOUT_MS, now_ms)
+            ),
+            caught_up=frozenset(
+                v for v in current.learners if node.is_caught_up(v)
+            ),
+            lost=frozenset(
+                v
+                for v in current.members
+                if v not in self._joining
+                and node.silence_ms(v, now_ms) > REPLACE_AFTER_MS
             ),
-            self._target_voter_count,
         )
 
     def _change_voters(self, now_ms: int) -> None:
         if now_ms - self._last_change_check_ms < VOTER_CHANGE_INTERVAL_MS:
             return
         self._last_change_check_ms = now_ms
-        oldest_ms = now_ms - JOIN_TIMEOUT_MS
-        self._joining = {
-            voter: requested_ms
-            for voter, requested_ms in self._joining.items()
-            if requested_ms >= oldest_ms
-        }
         current = self._node.status.voters
         if current is None:
             return
         change = _voter_changes.next_voter_set(
-            current,
-            self._target_node_ids(current, now_ms),
-            tuple(self._joining),
-            self._node.is_caught_up,
-            lambda v: self._node.has_replied_within(
-                v, REPLY_TIMEOUT_MS, now_ms
-            ),
+            current, self._goal, self._observations(current, now_ms)
         )
         if change is not None:
             self._node.change_voters(change)
+
+
+def _recent(
+    requests: dict[_messages.Voter, int], timeout_ms: int, now_ms: int
+) -> dict[_messages.Voter, int]:
+    """Returns the requests that were repeated within a time."""
+    oldest_ms = now_ms - timeout_ms
+    return {
+        voter: requested_ms
+        for voter, requested_ms in requests.items()
+        if requested_ms >= oldest_ms
+    }
--- a/lagooncrank/core/consensus/tests/test_voter_changes.py
+++ b/lagooncrank/core/consensus/tests/test_voter_changes.py
@@ -88,15 +88,18 @@
     responsive: set[consensus.Voter],
     expected: consensus.VoterSet | None,
 ) -> None:
-    node_ids = [model.NodeId(n) for n in target_node_ids]
-    result = _voter_changes.next_voter_set(
-        current, node_ids, joining, lambda _: True, responsive.__contains__
+    goal = _voter_changes.Goal(None, [model.NodeId(n) for n in target_node_ids])
+    seen = _voter_changes.Observations(
+        joining,
+        responsive=frozenset(responsive),
+        caught_up=frozenset((*current.members, *joining)),
     )
-    assert result == expected
+    assert _voter_changes.next_voter_set(current, goal, seen) == expected
 
 
 def test_learner_that_lacks_entries_is_not_promoted() -> None:
-    result = _voter_changes.next_voter_set(
-        WITH_LEARNER, [model.NodeId("c")], (), lambda _: False, lambda _: True
+    seen = _voter_changes.Observations(
+        responsive=frozenset((A, B, C, C2)), caught_up=frozenset((A, B, C))
     )
-    assert result is None
+    goal = _voter_changes.Goal(None, [model.NodeId("c")])
+    assert _voter_changes.next_voter_set(WITH_LEARNER, goal, seen) is None
--- a/lagooncrank/core/consensus/tests/test_voter_replacement.py
+++ b/lagooncrank/core/consensus/tests/test_voter_replacement.py
@@ -17,51 +17,46 @@
 A, B, C, C2, D, E = (voter(n) for n in ("a1", "b1", "c1", "c2", "d1", "e1"))
 THREE_VOTERS = consensus.VoterSet((A, B, C))
 
+
+def with_learners(*learners: consensus.Voter) -> consensus.VoterSet:
+    return consensus.VoterSet((A, B, C), learners)
+
+
 CASES = {
-    "all_voters_responsive": (THREE_VOTERS, (), {A, B, C}, 3, "abc"),
+    "all_voters_responsive": (THREE_VOTERS, set(), 3, "abc"),
     "unreachable_voter_is_kept_without_a_replacement": (
         THREE_VOTERS,
-        (),
-        {A, B},
+        {C},
         3,
         "abc",
     ),
-    "responsive_voters_are_kept": (THREE_VOTERS, (D,), {A, B, C}, 3, "abc"),
-    "unreachable_voter_is_replaced": (THREE_VOTERS, (D,), {A, B}, 3, "abd"),
+    "responsive_voters_are_kept": (with_learners(D), set(), 3, "abc"),
+    "unreachable_voter_is_replaced": (with_learners(D), {C}, 3, "abd"),
     "new_disk_of_an_unreachable_voter_replaces_it": (
-        THREE_VOTERS,
-        (C2,),
-        {A, B},
+        with_learners(C2),
+        {C},
         3,
         "abc",
     ),
-    "vacancies_are_filled": (THREE_VOTERS, (D, E), {A, B, C}, 5, "abcde"),
-    "learner_replaces_an_unreachable_voter": (
-        consensus.VoterSet((A, B, C), (D,)),
-        (),
-        {A, B},
-        3,
-        "abd",
-    ),
+    "vacancies_are_filled": (with_learners(D, E), set(), 5, "abcde"),
+    "learner_replaces_an_unreachable_voter": (with_learners(D), {C}, 3, "abd"),
 }
 
 
 @pytest.mark.parametrize(
-    ("current", "joining", "responsive", "target_count", "expected"),
+    ("current", "lost", "target_count", "expected"),
     CASES.values(),
     ids=CASES.keys(),
 )
-def test_select_voters(
+def test_selected_voters(
     current: consensus.VoterSet,
-    joining: tuple[consensus.Voter, ...],
-    responsive: set[consensus.Voter],
+    lost: set[consensus.Voter],
     target_count: int,
     expected: str,
 ) -> None:
-    result = _voter_changes.select_voters(
-        current, joining, responsive.__contains__, target_count
-    )
-    assert result == set(expected)
+    seen = _voter_changes.Observations(lost=frozenset(lost))
+    selected = _voter_changes.Goal(target_count).select(current, seen)
+    assert {v.node_id for v in selected} == set(expected)
 
 
 def cluster_with_target_count(
