--- a/lagooncrank/core/consensus/__init__.py
+++ b/lagooncrank/core/consensus/__init__.py
@@ -15,6 +15,7 @@
 from lagooncrank.core.consensus._messages import ProposalId
 from lagooncrank.core.consensus._messages import ReadResult
 from lagooncrank.core.consensus._messages import Snapshot
+from lagooncrank.core.consensus._messages import TimeoutNow
 from lagooncrank.core.consensus._messages import Voter
 from lagooncrank.core.consensus._messages import VoteReply
 from lagooncrank.core.consensus._messages import VoteRequest
@@ -38,6 +39,8 @@
 from lagooncrank.core.consensus._relay import StateTransfer
 from lagooncrank.core.consensus._relay import upstream_candidates
 from lagooncrank.core.consensus._voter_changes import JoinRequest
+from lagooncrank.core.consensus._voter_changes import LeaveReply
+from lagooncrank.core.consensus._voter_changes import LeaveRequest
 from lagooncrank.core.consensus._voter_membership import NODE_MESSAGES
 
 __all__ = [
@@ -56,6 +59,8 @@
     "HardState",
     "InstallSnapshot",
     "JoinRequest",
+    "LeaveReply",
+    "LeaveRequest",
     "Message",
     "Node",
     "OutgoingMessage",
@@ -74,6 +79,7 @@
     "Snapshot",
     "StateTransfer",
     "Status",
+    "TimeoutNow",
     "Timing",
     "VoteReply",
     "VoteRequest",
--- a/lagooncrank/core/consensus/_election.py
+++ b/lagooncrank/core/consensus/_election.py
@@ -28,6 +28,22 @@
         state.leader = None
         return self._request_votes(now_ms, pre_vote=True)
 
+    def on_timeout_now(
+        self, message: _messages.TimeoutNow, now_ms: int
+    ) -> bool:
+        """Starts an election because the leader hands over its lead.
+
+        Returns:
+            Whether this node won the election.
+        """
+        state = self._state
+        is_stale = message.term != state.term
+        if is_stale or not state.is_voter:
+            return False
+        if state.role is _node_state.Role.LEADER:
+            return False
+        return self._start_election(now_ms, is_transfer=True)
+
     def on_request(self, request: _messages.VoteRequest, now_ms: int) -> None:
         """Replies to a candidate's vote request."""
         granted = self._try_grant(request, now_ms)
@@ -66,7 +82,7 @@
         state = self._state
         if request.term < state.term or state.log.voters is None:
             return False
-        if self._must_refuse_votes(request.candidate, now_ms):
+        if self._must_refuse_votes(request, now_ms):
             return False
         is_up_to_date = state.log.is_candidate_up_to_date(
             request.last_index, request.last_term
@@ -84,18 +100,31 @@
         return True
 
     def _must_refuse_votes(
-        self, candidate: _messages.Voter, now_ms: int
+        self, request: _messages.VoteRequest, now_ms: int
     ) -> bool:
         state = self._state
         # A leader grants no votes; it steps down when it loses quorum contact.
         if state.role is _node_state.Role.LEADER:
             return True
         # A leader that has stepped down holds no lease any more.
-        if candidate == state.leader:
+        if request.is_transfer or request.candidate == state.leader:
             return False
         return state.may_have_live_leader(now_ms)
 
-    def _request_votes(self, now_ms: int, *, pre_vote: bool) -> bool:
+    def _start_election(self, now_ms: int, *, is_transfer: bool) -> bool:
+        state = self._state
+        state.role = _node_state.Role.CANDIDATE
+        state.leader = None
+        state.set_hard_state(
+            _messages.HardState(state.term + 1, state.own_voter)
+        )
+        return self._request_votes(
+            now_ms, pre_vote=False, is_transfer=is_transfer
+        )
+
+    def _request_votes(
+        self, now_ms: int, *, pre_vote: bool, is_transfer: bool = False
+    ) -> bool:
         state = self._state
         state.reset_election_deadline(now_ms)
         self._granted_by = {state.own_voter}
@@ -106,6 +135,7 @@
             state.log.last_index,
             state.log.last_term,
             pre_vote,
+            is_transfer,
         )
         voters = state.log.voters
         for voter in voters.voters if voters else ():
@@ -123,8 +153,4 @@
             return False
         if not pre_vote:
             return True
-        state.role = _node_state.Role.CANDIDATE
-        state.set_hard_state(
-            _messages.HardState(state.term + 1, state.own_voter)
-        )
-        return self._request_votes(now_ms, pre_vote=False)
+        return self._start_election(now_ms, is_transfer=False)
--- a/lagooncrank/core/consensus/_leader_role.py
+++ b/lagooncrank/core/consensus/_leader_role.py
@@ -183,6 +183,11 @@
         match_index = self._progress_of(voter).match_index
         return match_index >= self._state.commit_index
 
+    def holds_log(self, voter: _messages.Voter) -> bool:
+        """Whether a follower holds all entries of this leader."""
+        match_index = self._progress_of(voter).match_index
+        return match_index >= self._state.log.last_index
+
     def silence_ms(self, voter: _messages.Voter, now_ms: int) -> int:
         """Returns for how long a follower has not replied, in observed time."""
         progress = self._progress_of(voter)
--- a/lagooncrank/core/consensus/_messages.py
+++ b/lagooncrank/core/consensus/_messages.py
@@ -96,6 +96,8 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    #: Whether the leader asked for the election, and leads no more.
+    is_transfer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,9 +151,21 @@
     sent_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeoutNow:
+    """Asks a voter to start an election at once; its sender leads no more."""
+
+    term: int
+
+
 #: Union of the messages that `Node.receive` handles.
 Message = (
-    VoteRequest | VoteReply | AppendRequest | AppendReply | InstallSnapshot
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | InstallSnapshot
+    | TimeoutNow
 )
 
 
--- a/lagooncrank/core/consensus/_node.py
+++ b/lagooncrank/core/consensus/_node.py
@@ -87,6 +87,9 @@
             case _messages.VoteReply():
                 if self._election.on_reply(message, now_ms):
                     self._become_leader(now_ms)
+            case _messages.TimeoutNow():
+                if self._election.on_timeout_now(message, now_ms):
+                    self._become_leader(now_ms)
             case _messages.AppendRequest():
                 self._follower_role.on_append(message, now_ms)
             case _messages.InstallSnapshot():
@@ -163,6 +166,29 @@
         leader_role.append(b"", None, voters)
         return results.ResultCode.OK
 
+    def transfer_leadership(
+        self, to: _messages.Voter, now_ms: int
+    ) -> results.ResultCode:
+        """Steps down, and lets another voter start an election at once.
+
+        Returns:
+            OK, or NOT_LEADER when this node does not lead or `to` is not a
+            voter that holds the whole log.
+        """
+        leader_role = self._leader_role
+        voters = self._state.log.voters
+        if leader_role is None or voters is None or to not in voters.voters:
+            return results.ResultCode.NOT_LEADER
+        if to == self._state.own_voter or not leader_role.holds_log(to):
+            return results.ResultCode.NOT_LEADER
+        # The leader lease must end before the message is sent: its receiver
+        # may be elected at once.
+        term = self._state.term
+        self._state.become_follower(term, None, now_ms)
+        self._step_down_if_needed()
+        self._state.send(to, _messages.TimeoutNow(term))
+        return results.ResultCode.OK
+
     def set_initial_voters(
         self, initial_voters: _messages.VoterSet, now_ms: int
     ) -> None:
--- a/lagooncrank/core/consensus/_participant.py
+++ b/lagooncrank/core/consensus/_participant.py
@@ -131,6 +131,19 @@
         if self._voter_membership is not None:
             self._voter_membership.observe(missed_ms)
 
+    def leave(self, now_ms: int) -> None:
+        """Begins to hand over what others need of this node before it stops.
+
+        A leader lets another voter lead; a voter lets a learner replace it.
+        """
+        if self._voter_membership is not None:
+            self._voter_membership.leave(now_ms)
+
+    def may_stop(self, now_ms: int) -> bool:
+        """Whether nothing is left to hand over, or it has taken too long."""
+        membership = self._voter_membership
+        return membership is None or membership.may_stop(now_ms)
+
     def tick(self, now_ms: int) -> None:
         """Runs due timers; call it about every 50 ms."""
         if self._started_ms is None:
--- a/lagooncrank/core/consensus/_voter_changes.py
+++ b/lagooncrank/core/consensus/_voter_changes.py
@@ -18,12 +18,31 @@
     voter: _messages.Voter
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveRequest:
+    """Request to replace a voter that is about to stop."""
+
+    voter: _messages.Voter
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveReply:
+    """Tells a voter that asked to leave that there is nothing to wait for.
+
+    It has been removed, or no disk could replace it.
+    """
+
+    voter: _messages.Voter
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observations:
     """What the leader has observed of the disks in and beside the voter set."""
 
     #: Disks that request to be added.
     joining: tuple[_messages.Voter, ...] = ()
+    #: Disks that are about to stop.
+    leaving: frozenset[_messages.Voter] = frozenset()
     #: Disks that replied recently.
     responsive: frozenset[_messages.Voter] = frozenset()
     #: Learners that hold all committed entries.
@@ -35,6 +54,10 @@
         """Whether a learner could vote at once."""
         return learner in self.responsive and learner in self.caught_up
 
+    def could_succeed(self, learner: _messages.Voter) -> bool:
+        """Whether a learner may become a voter, now or later."""
+        return learner not in self.leaving
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Goal:
@@ -68,7 +91,7 @@
     """Returns the next voter set on the way to the goal, or None.
 
     A joining disk becomes a learner at once, so that it holds the log when a
-    voter is lost. A voter is removed only if a quorum of the
+    voter is lost or leaves. A voter is removed only if a quorum of the
     remaining voters is responsive.
 
     Args:
@@ -92,6 +115,11 @@
     ) or _promotion(current, ready)
 
 
+def has_successor(current: _messages.VoterSet, seen: Observations) -> bool:
+    """Whether a voter that leaves can be replaced."""
+    return any(seen.could_succeed(v) for v in current.learners)
+
+
 def _next_learners(
     current: _messages.VoterSet, goal: Goal, seen: Observations
 ) -> tuple[_messages.Voter, ...]:
@@ -110,13 +138,21 @@
 ) -> tuple[_messages.Voter, ...]:
     """Returns all members, those first that should rather vote."""
     replaced_nodes = _replaced_nodes(current, seen)
-    kept, useless = [], []
+    kept, leaving, useless = [], [], []
     for voter in current.voters:
         if voter in seen.lost or voter.node_id in replaced_nodes:
             useless.append(voter)
+        elif voter in seen.leaving:
+            leaving.append(voter)
         else:
             kept.append(voter)
-    return (*kept, *current.learners, *useless)
+    successors = filter(seen.could_succeed, current.learners)
+    return (
+        *kept,
+        *successors,
+        *leaving,
+        *useless,
+    )
 
 
 def _replaced_nodes(
@@ -176,6 +212,7 @@
         if (
             goal.admits(voter)
             and voter in seen.responsive
+            and voter not in seen.leaving
             and voter.node_id not in {v.node_id for v in learners}
         ):
             learners = (*learners, voter)
--- a/lagooncrank/core/consensus/_voter_membership.py
+++ b/lagooncrank/core/consensus/_voter_membership.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from lagooncrank import model
+from lagooncrank import results
 from lagooncrank.core.consensus import _bootstrap
 from lagooncrank.core.consensus import _messages
 from lagooncrank.core.consensus import _node
@@ -14,6 +15,14 @@
 JOIN_REQUEST_INTERVAL_MS: Final = 300
 #: A join request expires if it is not repeated within this time.
 JOIN_TIMEOUT_MS: Final = 3_000
+LEAVE_REQUEST_INTERVAL_MS: Final = 50
+#: The same for a request to leave.
+LEAVE_TIMEOUT_MS: Final = 1_000
+#: A voter that is about to stop waits no longer for its successor.
+MAX_LEAVE_WAIT_MS: Final = 2_000
+#: A leader that is about to stop waits no longer for the next one if no disk
+#: can replace it.
+MAX_TRANSFER_WAIT_MS: Final = 150
 #: Short, because a disk replacement in progress may not tolerate the loss of
 #: another disk between its steps.
 VOTER_CHANGE_INTERVAL_MS: Final = 50
@@ -29,6 +38,7 @@
     _messages.AppendRequest,
     _messages.AppendReply,
     _messages.InstallSnapshot,
+    _messages.TimeoutNow,
 )
 
 
@@ -57,6 +67,12 @@
         self._unsaved_initial_voters: _messages.VoterSet | None = None
         #: Disks that request to join, with the time of the latest request.
         self._joining: dict[_messages.Voter, int] = {}
+        #: The same for disks that request to leave.
+        self._leaving: dict[_messages.Voter, int] = {}
+        #: When this node began to leave; None if it stays.
+        self._leaving_since_ms: int | None = None
+        #: Whether the leader has replied that this disk need not wait.
+        self._has_left = False
         self._last_request_ms = 0
         self._last_change_check_ms = 0
         self._outbox: list[tuple[model.NodeId, Any]] = []
@@ -74,7 +90,9 @@
                 self._unsaved_initial_voters
                 or self._bootstrap.initial_voters(None)
             )
-        if self._may_be_excluded():
+        if self._leaving_since_ms is not None:
+            self._continue_leaving(now_ms)
+        elif self._may_be_excluded():
             self._request_join(now_ms)
         if self._node.status.role is _node_state.Role.LEADER:
             self._change_voters(now_ms)
@@ -92,6 +110,39 @@
         elif isinstance(body, _voter_changes.JoinRequest):
             self._on_join_request(body, now_ms)
             self._relay_to_leader(sender, body)
+        elif isinstance(body, _voter_changes.LeaveRequest):
+            self._on_leave_request(body, now_ms)
+            self._relay_to_leader(sender, body)
+        elif isinstance(body, _voter_changes.LeaveReply):
+            self._has_left |= body.voter == self._own_voter
+
+    def leave(self, now_ms: int) -> None:
+        """Begins to hand over this disk's leadership and vote.
+
+        `may_stop` tells when that has ended.
+        """
+        self._leaving_since_ms = now_ms
+        self._last_request_ms = 0
+        self._continue_leaving(now_ms)
+
+    def may_stop(self, now_ms: int) -> bool:
+        """Whether the process need not wait any longer before it stops."""
+        voters = self._node.status.voters
+        since_ms = self._leaving_since_ms
+        if since_ms is None:
+            return False
+        if voters is None or self._own_voter not in voters.voters:
+            return True
+        if self._has_left:
+            return True
+        if now_ms - since_ms >= MAX_LEAVE_WAIT_MS:
+            return True
+        if voters.learners:
+            return False
+        # Only the lead can be handed over, if there is anybody to take it.
+        leads = self._node.status.role is _node_state.Role.LEADER
+        is_settled = not leads and self._node.status.leader is not None
+        return is_settled or now_ms - since_ms >= MAX_TRANSFER_WAIT_MS
 
     def take_initial_voters(self) -> _messages.VoterSet | None:
         """Returns the initial voter set if it is still to be stored."""
@@ -142,6 +193,31 @@
             if node_id != self._own_voter.node_id:
                 self._outbox.append((node_id, body))
 
+    def _continue_leaving(self, now_ms: int) -> None:
+        """Hands over the lead, then requests to be replaced as a voter."""
+        if self._node.status.role is _node_state.Role.LEADER:
+            self._leaving[self._own_voter] = now_ms
+            self._transfer_leadership(now_ms)
+            return
+        if now_ms - self._last_request_ms >= LEAVE_REQUEST_INTERVAL_MS:
+            self._last_request_ms = now_ms
+            self._send_to_known(_voter_changes.LeaveRequest(self._own_voter))
+
+    def _transfer_leadership(self, now_ms: int) -> None:
+        """Lets the voter that replied last lead, unless it leaves as well."""
+        voters = self._node.status.voters
+        candidates = [
+            v
+            for v in (voters.voters if voters else ())
+            if v not in self._recent_leaving(now_ms)
+            and self._node.has_replied_within(v, REPLY_TIMEOUT_MS, now_ms)
+        ]
+        candidates.sort(key=lambda v: self._node.silence_ms(v, now_ms))
+        for voter in candidates:
+            code = self._node.transfer_leadership(voter, now_ms)
+            if code is results.ResultCode.OK:
+                return
+
     def _on_join_request(
         self, request: _voter_changes.JoinRequest, now_ms: int
     ) -> None:
@@ -159,7 +235,7 @@
     def _relay_to_leader(
         self,
         sender: model.NodeId,
-        request: _voter_changes.JoinRequest,
+        request: _voter_changes.JoinRequest | _voter_changes.LeaveRequest,
     ) -> None:
         """Passes a request on that came from the disk's own node.
 
@@ -172,6 +248,27 @@
         if sender == request.voter.node_id:
             self._outbox.append((status.leader, request))
 
+    def _on_leave_request(
+        self, request: _voter_changes.LeaveRequest, now_ms: int
+    ) -> None:
+        self._leaving[request.voter] = now_ms
+        current = self._node.status.voters
+        if (
+            current is None
+            or self._node.status.role is not _node_state.Role.LEADER
+            or self._node.has_uncommitted_voters
+        ):
+            return
+        has_left = request.voter not in current.voters
+        seen = self._observations(current, now_ms)
+        if has_left or not _voter_changes.has_successor(current, seen):
+            reply = _voter_changes.LeaveReply(request.voter)
+            self._outbox.append((request.voter.node_id, reply))
+
+    def _recent_leaving(self, now_ms: int) -> frozenset[_messages.Voter]:
+        self._leaving = _recent(self._leaving, LEAVE_TIMEOUT_MS, now_ms)
+        return frozenset(self._leaving)
+
     def _observations(
         self, current: _messages.VoterSet, now_ms: int
     ) -> _voter_changes.Observations:
@@ -179,6 +276,7 @@
         node = self._node
         return _voter_changes.Observations(
             joining=tuple(self._joining),
+            leaving=self._recent_leaving(now_ms),
             responsive=frozenset(
                 v
                 for v in current.members
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -108,6 +108,8 @@
         ] = {}
         self._pending_reads: dict[int, asyncio.Future[bool]] = {}
         self._flush_is_due = False
+        #: Set once nothing is left to hand over.
+        self._may_stop = asyncio.Event()
         #: Why the voter stopped; None while it runs.
         self.failure: results.Refusal | None = None
         #: Whether it stopped because the disk did not take a write. What is on
@@ -264,6 +266,18 @@
         """
         self._state_applier.listeners.append(listener)
 
+    async def hand_over(self) -> None:
+        """Hands over this node's lead and vote before the process stops.
+
+        Takes a moment if no other disk waits for the vote, and ends in time if
+        nobody answers.
+        """
+        if self.failure is not None:
+            return
+        self._participant.leave(self._clock.now_ms())
+        self._flush_soon()
+        await self._may_stop.wait()
+
     async def on_stop(self) -> None:
         """Cancels pending proposals and closes the data folder."""
         for future in self._pending_proposals.values():
@@ -320,6 +334,8 @@
         for message in released.messages:
             kind = _state_messages.kind_of(message.body)
             self._links.send(message.to, kind, message.body)
+        if self._participant.may_stop(now_ms):
+            self._may_stop.set()
         self._resolve_proposals(released.settled)
         for read_id in released.reads:
             future = self._pending_reads.get(read_id)
@@ -369,6 +385,7 @@
             self._fail(error)
 
     def _fail(self, error: Exception) -> None:
+        self._may_stop.set()
         self.has_failed_to_write = isinstance(error, storage.WriteError)
         self.failure = results.Refusal(
             results.ResultCode.STORAGE_FAILED, str(error)
--- a/lagooncrank/server/_state_messages.py
+++ b/lagooncrank/server/_state_messages.py
@@ -19,6 +19,9 @@
     ("blank-hello", consensus.BootstrapRequest),
     ("blank-reply", consensus.BootstrapReply),
     ("join", consensus.JoinRequest),
+    ("leave", consensus.LeaveRequest),
+    ("leave-reply", consensus.LeaveReply),
+    ("timeout-now", consensus.TimeoutNow),
 )
 _KIND_BY_TYPE = {body: kind for kind, body in KINDS}
 
--- a/lagooncrank/server/seeded/_control.py
+++ b/lagooncrank/server/seeded/_control.py
@@ -68,6 +68,11 @@
         await self.add_runtime_dependency(self._disk_watch)
         await self.add_runtime_dependency(self._voter_watch)
 
+    async def prepare_stop(self) -> None:
+        """Lets others lead and vote in this node's place, while it serves."""
+        await super().prepare_stop()
+        await self.shared.hand_over()
+
     async def record_report(
         self, report: model.ServerReport
     ) -> results.ResultCode:
