--- a/lagooncrank/core/consensus/_voter_changes.py
+++ b/lagooncrank/core/consensus/_voter_changes.py
@@ -45,7 +45,7 @@
     leaving: frozenset[_messages.Voter] = frozenset()
     #: Disks that replied recently.
     responsive: frozenset[_messages.Voter] = frozenset()
-    #: Learners that hold all committed entries.
+    #: Learners that hold all committed entries, by a reply of the last moment.
     caught_up: frozenset[_messages.Voter] = frozenset()
     #: Disks that have not replied for so long that they lose their place.
     lost: frozenset[_messages.Voter] = frozenset()
@@ -56,7 +56,7 @@
 
     def could_succeed(self, learner: _messages.Voter) -> bool:
         """Whether a learner may become a voter, now or later."""
-        return learner not in self.leaving
+        return learner not in self.lost and learner not in self.leaving
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,8 +123,10 @@
 def _next_learners(
     current: _messages.VoterSet, goal: Goal, seen: Observations
 ) -> tuple[_messages.Voter, ...]:
-    """Returns the learners, with one that joins."""
-    learners = tuple(v for v in current.learners if goal.admits(v))
+    """Returns the learners without lost disks, and with one that joins."""
+    learners = tuple(
+        v for v in current.learners if goal.admits(v) and v not in seen.lost
+    )
     if learners != current.learners:
         return learners
     for voter in seen.joining:
@@ -149,7 +151,7 @@
     successors = filter(seen.could_succeed, current.learners)
     return (
         *kept,
-        *successors,
+        *sorted(successors, key=lambda v: not seen.is_ready(v)),
         *leaving,
         *useless,
     )
--- a/lagooncrank/core/consensus/_voter_membership.py
+++ b/lagooncrank/core/consensus/_voter_membership.py
@@ -28,7 +28,10 @@
 VOTER_CHANGE_INTERVAL_MS: Final = 50
 #: A voter without a reply for this long counts as unresponsive.
 REPLY_TIMEOUT_MS: Final = 1_000
-#: A voter without a reply for this long may be replaced.
+#: A learner becomes a voter only if it replied to one of the last heartbeats.
+PROMOTION_REPLY_TIMEOUT_MS: Final = 400
+#: A voter without a reply for this long may be replaced, and a learner is
+#: removed.
 REPLACE_AFTER_MS: Final = 3_000
 
 #: Types of the messages that `Node.receive` handles.
@@ -283,7 +286,12 @@
                 if node.has_replied_within(v, REPLY_TIMEOUT_MS, now_ms)
             ),
             caught_up=frozenset(
-                v for v in current.learners if node.is_caught_up(v)
+                v
+                for v in current.learners
+                if node.is_caught_up(v)
+                and node.has_replied_within(
+                    v, PROMOTION_REPLY_TIMEOUT_MS, now_ms
+                )
             ),
             lost=frozenset(
                 v
