--- a/lagooncrank/core/consensus/_node.py
+++ b/lagooncrank/core/consensus/_node.py
@@ -304,6 +304,18 @@
             return 0
         return self._leader_role.silence_ms(voter, now_ms)
 
+    def hears_leader(self, now_ms: int) -> bool:
+        """Whether this node leads, or a leader has made contact recently.
+
+        Counts observed time. A learner knows its last leader for ever.
+        """
+        state = self._state
+        if self._leader_role is not None:
+            return True
+        silence_ms = state.observed_ms(now_ms) - state.leader_last_observed_ms
+        max_silence_ms = state.timing.election_timeout_max_ms
+        return state.leader is not None and silence_ms < max_silence_ms
+
     @property
     def has_uncommitted_voters(self) -> bool:
         """Whether a change of the voter set in the log is not yet committed."""
--- a/lagooncrank/core/consensus/_voter_membership.py
+++ b/lagooncrank/core/consensus/_voter_membership.py
@@ -95,7 +95,7 @@
             )
         if self._leaving_since_ms is not None:
             self._continue_leaving(now_ms)
-        elif self._may_be_excluded():
+        elif self._may_be_excluded(now_ms):
             self._request_join(now_ms)
         if self._node.status.role is _node_state.Role.LEADER:
             self._change_voters(now_ms)
@@ -169,7 +169,7 @@
             or self._bootstrap.initial_voters(reply)
         )
 
-    def _may_be_excluded(self) -> bool:
+    def _may_be_excluded(self, now_ms: int) -> bool:
         """Whether the voter set in force may lack this disk.
 
         A disk that lost its place while it was unreachable was not told: in its
@@ -180,7 +180,7 @@
             return self._bootstrap.is_excluded or not self._may_bootstrap
         if self._own_voter not in status.voters.members:
             return True
-        return status.leader is None
+        return not self._node.hears_leader(now_ms)
 
     def _request_join(self, now_ms: int) -> None:
         if now_ms - self._last_request_ms < JOIN_REQUEST_INTERVAL_MS:
--- a/lagooncrank/core/consensus/tests/test_lost_learners.py
+++ b/lagooncrank/core/consensus/tests/test_lost_learners.py
@@ -76,3 +76,24 @@
     current = cluster.leader().participant.voters
     assert current is not None
     assert current.learners == (learner.disk.voter,)
+
+
+# Guards against: a learner that was removed while it was cut off or stood still
+# never asked again, as it took the leader that it had known for one in contact.
+@pytest.mark.parametrize("is_paused", [False, True])
+def test_learner_returns_after_an_outage_without_a_restart(
+    is_paused: bool,
+) -> None:
+    cluster, checks = base.with_successors(1)
+    learner = cluster.hosts[model.NodeId("w0")]
+    if is_paused:
+        learner.paused = True
+    else:
+        cluster.isolate(learner.node_id)
+    invariants.run_checked(cluster, checks, base.REPLACED_AFTER_MS)
+    assert learner.node_id not in members(cluster)
+    learner.paused = False
+    cluster.blocked.clear()
+    invariants.run_checked(cluster, checks, 3_000)
+    assert learner.node_id in members(cluster)
+    base.assert_takes_writes(cluster, checks)
