--- a/lagooncrank/core/consensus/_voter_membership.py
+++ b/lagooncrank/core/consensus/_voter_membership.py
@@ -296,8 +296,9 @@
             lost=frozenset(
                 v
                 for v in current.members
-                if v not in self._joining
-                and node.silence_ms(v, now_ms) > REPLACE_AFTER_MS
+                if node.silence_ms(v, now_ms) > REPLACE_AFTER_MS
+                # It would be admitted again at once.
+                and not (v in current.learners and v in self._joining)
             ),
         )
 
--- a/lagooncrank/core/consensus/tests/test_returning_voters.py
+++ b/lagooncrank/core/consensus/tests/test_returning_voters.py
@@ -103,3 +103,17 @@
     cluster.blocked.clear()
     invariants.run_checked(cluster, checks, REPLACED_AFTER_MS)
     assert_takes_writes(cluster, checks)
+
+
+# Guards against: a voter that the leader cannot reach keeps its place, because
+# another node passes on its requests to join.
+def test_voter_that_only_the_leader_cannot_reach_is_replaced() -> None:
+    cluster, checks = with_successors(1)
+    cut_off = followers(cluster)[0]
+    leader = cluster.leader()
+    pair = (cut_off.node_id, leader.node_id)
+    cluster.blocked |= {pair, pair[::-1]}
+    invariants.run_checked(cluster, checks, REPLACED_AFTER_MS)
+    voters = cluster.leader().participant.voters
+    assert voters is not None
+    assert cut_off.node_id not in {v.node_id for v in voters.voters}
