--- a/lagooncrank/core/consensus/__init__.py
+++ b/lagooncrank/core/consensus/__init__.py
@@ -41,9 +41,11 @@
 from lagooncrank.core.consensus._voter_changes import JoinRequest
 from lagooncrank.core.consensus._voter_changes import LeaveReply
 from lagooncrank.core.consensus._voter_changes import LeaveRequest
+from lagooncrank.core.consensus._voter_membership import MAX_LEAVE_WAIT_MS
 from lagooncrank.core.consensus._voter_membership import NODE_MESSAGES
 
 __all__ = [
+    "MAX_LEAVE_WAIT_MS",
     "NODE_MESSAGES",
     "STALE_START_WAIT_MS",
     "AppendReply",
--- a/lagooncrank/server/_shared_state.py
+++ b/lagooncrank/server/_shared_state.py
@@ -33,6 +33,8 @@
 MIN_LOG_BYTES: Final = 4_194_304
 MIN_LOG_SNAPSHOTS: Final = 4
 TIMING: Final = consensus.Timing()
+#: Longest wait of a node that stops for others to take its lead and vote.
+MAX_HAND_OVER_S: Final = consensus.MAX_LEAVE_WAIT_MS / 1_000 + TICK_INTERVAL_S
 #: A node whose last quorum contact is older counts as isolated.
 MAX_CONTACT_AGE_MS: Final = 1_500
 
@@ -276,7 +278,12 @@
             return
         self._participant.leave(self._clock.now_ms())
         self._flush_soon()
-        await self._may_stop.wait()
+        # A node whose component crashed may run no timers any more.
+        try:
+            async with asyncio.timeout(MAX_HAND_OVER_S):
+                await self._may_stop.wait()
+        except TimeoutError:
+            _log.warning("stopping without having handed over lead and vote")
 
     async def on_stop(self) -> None:
         """Cancels pending proposals and closes the data folder."""
--- a/lagooncrank/server/tests/test_shared_state.py
+++ b/lagooncrank/server/tests/test_shared_state.py
@@ -346,3 +346,27 @@
         assert voters is not None
         assert store.voter in voters.voters
         assert len(voters.voters) == 3
+
+
+async def test_leader_that_stops_hands_its_lead_over(
+    tmp_path: pathlib.Path,
+) -> None:
+    with closing(Cluster(tmp_path)) as cluster:
+        await cluster.run(4_000)
+        leader = cluster.leader
+        await cluster.run_until_done(cluster.nodes[leader].hand_over())
+        assert not cluster.nodes[leader].is_leader
+        await cluster.run(2 * STEP_MS)
+        assert cluster.leader != leader
+
+
+# Guards against: a node whose component crashed waits for ever in its stop, as
+# no timer of it runs any more.
+async def test_hand_over_ends_without_timers(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_shared_state, "MAX_HAND_OVER_S", 0.01)
+    with closing(Cluster(tmp_path)) as cluster:
+        await cluster.run(4_000)
+        cluster.network.cut_off.add(cluster.leader)
+        await cluster.nodes[cluster.leader].hand_over()
